--- /dev/null
+++ b/src/adapters/mod.rs
@@ -0,0 +1,1 @@
+//! Adapters to sockets, disks, clocks, logs and metrics.
--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,1 @@
+//! Operators' command line.
--- /dev/null
+++ b/src/configuration/mod.rs
@@ -0,0 +1,1 @@
+//! Operators' files: parsing, checks and differences.
--- /dev/null
+++ b/src/control/mod.rs
@@ -0,0 +1,1 @@
+//! Control group: replicated log, elections, leases of entry hosts.
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,1 @@
+//! Runtime of an entry host.
--- /dev/null
+++ b/src/keys/mod.rs
@@ -0,0 +1,1 @@
+//! Keys of callers and authentication between hosts.
--- /dev/null
+++ b/src/limits/mod.rs
@@ -0,0 +1,1 @@
+//! Rates and bursts of workspaces over all hosts.
--- /dev/null
+++ b/src/load/mod.rs
@@ -0,0 +1,1 @@
+//! Load and experiment tool.
--- /dev/null
+++ b/src/owner/mod.rs
@@ -0,0 +1,1 @@
+//! Runtime of the instances that an entry host owns.
--- /dev/null
+++ b/src/ownership/mod.rs
@@ -0,0 +1,3 @@
+//! Placement of work on entry hosts.
+
+pub mod rendezvous;
--- /dev/null
+++ b/src/ownership/rendezvous.rs
@@ -0,0 +1,45 @@
+//! Rendezvous hashing over live hosts.
+//!
+//! Each host gets a score for an item; the host with the largest score owns it.
+//! When a host leaves, only its own items move.
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    ids::{FailureDomain, HostId},
+    state::model::Host,
+};
+
+/// Score of `host` for `item`.
+pub fn score(item: &str, host: &HostId) -> u64 {
+    let mut buf = Vec::with_capacity(item.len() + host.len() + 1);
+    buf.extend_from_slice(item.as_bytes());
+    buf.push(0);
+    buf.extend_from_slice(host.as_bytes());
+    xxh3_64(&buf)
+}
+
+/// Host with the largest score for `item`; hosts in `domain` are preferred.
+pub fn owner<'a>(
+    item: &str,
+    hosts: impl Iterator<Item = &'a Host>,
+    domain: Option<&FailureDomain>,
+) -> Option<&'a Host> {
+    hosts.filter(|host| !host.leaving).max_by_key(|host| {
+        let local = domain.is_none_or(|domain| *domain == host.failure_domain);
+        (local, score(item, &host.id), &host.id)
+    })
+}
+
+/// Owner of `item` and the best host of another failure domain.
+pub fn owner_and_second<'a>(
+    item: &str,
+    hosts: impl Iterator<Item = &'a Host> + Clone,
+) -> (Option<&'a Host>, Option<&'a Host>) {
+    let first = owner(item, hosts.clone(), None);
+    let Some(home) = first else { return (None, None) };
+    let other_domain =
+        hosts.clone().filter(|host| host.failure_domain != home.failure_domain && !host.leaving);
+    let second = owner(item, other_domain, None);
+    (first, second)
+}
--- /dev/null
+++ b/src/pool/mod.rs
@@ -0,0 +1,1 @@
+//! Connections to an instance and the fair queue for its slots.
--- /dev/null
+++ b/src/promotion/mod.rs
@@ -0,0 +1,1 @@
+//! Detection of failed primaries and promotion of replicas.
--- /dev/null
+++ b/src/retry/mod.rs
@@ -0,0 +1,1 @@
+//! Retries, budgets and unknown outcomes.
--- /dev/null
+++ b/src/routing/mod.rs
@@ -0,0 +1,1 @@
+//! Choice of the instance that serves a statement.
--- /dev/null
+++ b/src/session/mod.rs
@@ -0,0 +1,1 @@
+//! Session marks for read-your-writes consistency.
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,1 @@
+//! Settings of each area, with defaults.
--- /dev/null
+++ b/src/state/mod.rs
@@ -0,0 +1,3 @@
+//! Replicated state: its types, the state machine and the deltas sent to hosts.
+
+pub mod model;
--- /dev/null
+++ b/src/target/mod.rs
@@ -0,0 +1,1 @@
+//! Stand-in database instance.
