Add the caller and peer adapters

Cause: entry hosts need the PostgreSQL protocol towards callers and a link between each other. Change: adapters::caller serves protocol v3 through pgwire with its own message loop, because a planned stop must send 57P01 to idle callers; adapters::peer carries requests with ids in framed TCP streams after a mutual HMAC handshake, and chunks large answers.

--- /dev/null
+++ b/src/adapters/caller/connection.rs
@@ -0,0 +1,173 @@
+//! Listener for callers and the message loop of one connection.
+
+use std::{sync::Arc, time::Duration};
+
+use futures::{SinkExt, StreamExt};
+use pgwire::{
+    api::{ClientInfo, NoopHandler, PgWireConnectionState},
+    messages::{PgWireBackendMessage, PgWireFrontendMessage, response::TransactionStatus},
+    tokio::{
+        TlsAcceptor,
+        server::{
+            MaybeTls, PgWireMessageServerCodec, negotiate_tls, process_error, process_message,
+        },
+    },
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    time::timeout,
+};
+use tokio_util::codec::Framed;
+
+use super::{CallerHandler, convert, handlers::Connection, registry::Registry};
+use crate::wire::peer::Failure;
+
+/// Time from the connect to the end of authentication.
+///
+/// Half-open connections would otherwise hold memory for ever.
+const STARTUP_TIMEOUT: Duration = Duration::from_secs(10);
+
+type Socket = Framed<MaybeTls, PgWireMessageServerCodec<String>>;
+
+/// Listener with what its connections share.
+pub struct CallerListener<H> {
+    pub listener: TcpListener,
+    pub tls: Option<TlsAcceptor>,
+    pub handler: Arc<H>,
+    /// Becomes true when callers must leave between transactions.
+    pub stop: watch::Receiver<bool>,
+    /// Becomes true when no further connections are accepted.
+    pub close: watch::Receiver<bool>,
+}
+
+/// Accepts callers until `close` is set, then waits until all have left.
+pub async fn serve<H: CallerHandler>(server: CallerListener<H>) -> eyre::Result<()> {
+    let CallerListener { listener, tls, handler, stop, mut close } = server;
+    let registry = Arc::new(Registry::default());
+    let tracker = tokio::sync::mpsc::channel::<()>(1);
+    loop {
+        let stream = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = is_set(&mut close) => break,
+        };
+        let stream = match stream {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                // For example too many open files; accepting again at once would spin.
+                spdlog::warn!("cannot accept a caller: {error}");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                continue;
+            }
+        };
+        let connection = Connection::new(handler.clone(), registry.clone());
+        let (tls, stop, guard) = (tls.clone(), stop.clone(), tracker.0.clone());
+        tokio::spawn(async move {
+            let connection = Arc::new(connection);
+            if let Err(error) = run(stream, tls, connection.clone(), stop).await {
+                spdlog::debug!("caller's connection ended: {error}");
+            }
+            connection.closed();
+            drop(guard);
+        });
+    }
+    drop(listener);
+    let (tx, mut rx) = tracker;
+    drop(tx);
+    rx.recv().await;
+    Ok(())
+}
+
+/// Waits until `signal` is true or its sender is gone.
+async fn is_set(signal: &mut watch::Receiver<bool>) {
+    let _ = signal.wait_for(|set| *set).await;
+}
+
+async fn run<H: CallerHandler>(
+    stream: TcpStream,
+    tls: Option<TlsAcceptor>,
+    connection: Arc<Connection<H>>,
+    mut stop: watch::Receiver<bool>,
+) -> std::io::Result<()> {
+    let started = timeout(STARTUP_TIMEOUT, startup(stream, tls, &connection)).await;
+    let Ok(socket) = started else { return Ok(()) };
+    let Some(mut socket) = socket? else { return Ok(()) };
+    let mut cycle_ended = true;
+    loop {
+        let idle = cycle_ended && socket.transaction_status() == TransactionStatus::Idle;
+        let message = tokio::select! {
+            biased;
+            message = socket.next() => message,
+            () = is_set(&mut stop), if idle => return leave(socket).await,
+        };
+        // Between the messages of an extended query an answer may still be due.
+        cycle_ended = matches!(
+            message,
+            Some(Ok(PgWireFrontendMessage::Query(_) | PgWireFrontendMessage::Sync(_)))
+        );
+        if !handle(&mut socket, message, &connection).await? {
+            return Ok(());
+        }
+    }
+}
+
+/// Negotiates TLS and authenticates; `None` if the connection ended.
+async fn startup<H: CallerHandler>(
+    stream: TcpStream,
+    tls: Option<TlsAcceptor>,
+    connection: &Arc<Connection<H>>,
+) -> std::io::Result<Option<Socket>> {
+    let Some(mut socket) = negotiate_tls(stream, tls).await? else { return Ok(None) };
+    while !matches!(socket.state(), PgWireConnectionState::ReadyForQuery) {
+        let message = socket.next().await;
+        if !handle(&mut socket, message, connection).await? {
+            return Ok(None);
+        }
+    }
+    Ok(Some(socket))
+}
+
+/// Handles one message; false if the connection must end.
+async fn handle<H: CallerHandler>(
+    socket: &mut Socket,
+    message: Option<Result<PgWireFrontendMessage, pgwire::error::PgWireError>>,
+    connection: &Arc<Connection<H>>,
+) -> std::io::Result<bool> {
+    let message = match message {
+        None => return Ok(false),
+        Some(Ok(PgWireFrontendMessage::Terminate(_))) => return Ok(false),
+        Some(Ok(message)) => message,
+        Some(Err(error)) => {
+            process_error(socket, error, false).await?;
+            return Ok(false);
+        }
+    };
+    let wait_for_sync = message.is_extended_query();
+    let is_cancel = matches!(message, PgWireFrontendMessage::CancelRequest(_));
+    let copy = Arc::new(NoopHandler);
+    let result = process_message(
+        message,
+        socket,
+        connection.clone(),
+        connection.clone(),
+        connection.clone(),
+        copy,
+        connection.clone(),
+    )
+    .await;
+    let Err(error) = result else { return Ok(!is_cancel) };
+    let fatal = error.is_fatal();
+    process_error(socket, error, wait_for_sync).await?;
+    Ok(!fatal)
+}
+
+/// Tells an idle caller that this host is stopping.
+async fn leave(mut socket: Socket) -> std::io::Result<()> {
+    let failure = Failure {
+        code: "57P01".to_owned(),
+        message: "this host is stopping; connect again to reach another one".to_owned(),
+    };
+    let info: pgwire::error::ErrorInfo = convert::fatal(&failure).into();
+    socket.send(PgWireBackendMessage::ErrorResponse(info.into())).await?;
+    socket.close().await
+}
--- /dev/null
+++ b/src/adapters/caller/handlers.rs
@@ -0,0 +1,327 @@
+//! Handlers that `pgwire` calls for one connection.
+
+use std::{fmt::Debug, sync::Arc};
+
+use async_trait::async_trait;
+use futures::{Sink, SinkExt};
+use indexmap::IndexMap;
+use parking_lot::Mutex;
+use pgwire::{
+    api::{
+        ClientInfo, ClientPortalStore, METADATA_DATABASE, METADATA_USER, Type,
+        auth::{
+            AuthDriver, DefaultServerParameterProvider, StartupHandler,
+            driver::AuthOutcome,
+            mechanism::{AuthMechanism, AuthState},
+            protocol_negotiation, save_startup_parameters_to_metadata,
+        },
+        cancel::CancelHandler,
+        portal::{Format, Portal},
+        query::{ExtendedQueryHandler, SimpleQueryHandler},
+        results::{DescribePortalResponse, DescribeStatementResponse, FieldInfo, Response},
+        stmt::{QueryParser, StoredStatement},
+        store::PortalStore,
+    },
+    error::{PgWireError, PgWireResult},
+    messages::{
+        PgWireBackendMessage, PgWireFrontendMessage,
+        cancel::CancelRequest,
+        startup::{Authentication, ParameterStatus, PasswordMessageFamily},
+    },
+};
+
+use super::{CallerHandler, CancelSignal, Login, Reply, convert, registry::Registry};
+use crate::wire::peer::{Failure, Statement};
+
+/// Startup parameters that are not options of the session.
+const PLAIN_PARAMETERS: [&str; 3] = [METADATA_USER, METADATA_DATABASE, "options"];
+
+/// State of one connection.
+pub struct Connection<H: CallerHandler> {
+    handler: Arc<H>,
+    registry: Arc<Registry>,
+    signal: Arc<CancelSignal>,
+    session: Mutex<Option<Arc<H::Session>>>,
+    pid: Mutex<Option<i32>>,
+    driver: AuthDriver<DefaultServerParameterProvider, String>,
+}
+
+impl<H: CallerHandler> Connection<H> {
+    pub fn new(handler: Arc<H>, registry: Arc<Registry>) -> Self {
+        Self {
+            handler,
+            registry,
+            signal: Arc::default(),
+            session: Mutex::default(),
+            pid: Mutex::default(),
+            driver: AuthDriver::new(DefaultServerParameterProvider::default()),
+        }
+    }
+
+    fn session(&self) -> PgWireResult<Arc<H::Session>> {
+        self.session.lock().clone().ok_or(PgWireError::NoAuthenticationInProgress)
+    }
+
+    async fn run(&self, statement: Statement) -> PgWireResult<Reply> {
+        let session = self.session()?;
+        Ok(self.handler.run(&session, statement, &self.signal).await)
+    }
+
+    async fn login<C: ClientInfo>(&self, client: &C, password: String) -> PgWireResult<()> {
+        let metadata = client.metadata();
+        let get = |name: &str| metadata.get(name).cloned().unwrap_or_default();
+        let user = get(METADATA_USER);
+        let database = Some(get(METADATA_DATABASE)).filter(|name| !name.is_empty());
+        let login = Login {
+            database: database.unwrap_or_else(|| user.clone()),
+            user,
+            password,
+            options: options(metadata),
+        };
+        let session = self.handler.login(login).await.map_err(|f| convert::fatal(&f))?;
+        *self.session.lock() = Some(Arc::new(session));
+        Ok(())
+    }
+
+    /// Ends the session after the connection closed.
+    pub fn closed(&self) {
+        if let Some(pid) = self.pid.lock().take() {
+            self.registry.remove(pid);
+        }
+        if let Some(session) = self.session.lock().take() {
+            self.handler.closed(&session);
+        }
+    }
+}
+
+/// Options of the startup message: own parameters and `-c name=value` pairs.
+fn options(metadata: &std::collections::HashMap<String, String>) -> IndexMap<String, String> {
+    let is_option = |name: &String| !PLAIN_PARAMETERS.contains(&name.as_str());
+    let mut options: IndexMap<_, _> = metadata
+        .iter()
+        .filter(|(name, _)| is_option(name))
+        .map(|(name, value)| (name.clone(), value.clone()))
+        .collect();
+    let text = metadata.get("options").map_or("", String::as_str);
+    for word in text.split_whitespace() {
+        let pair = word.strip_prefix("-c").unwrap_or(word);
+        if let Some((name, value)) = pair.split_once('=') {
+            options.insert(name.to_owned(), value.to_owned());
+        }
+    }
+    options.sort_unstable_keys();
+    options
+}
+
+/// Asks for a password in clear text and keeps it for the login.
+struct PasswordMechanism;
+
+#[async_trait]
+impl AuthMechanism<String> for PasswordMechanism {
+    async fn begin(
+        &mut self,
+        _client: &(dyn ClientInfo + Send + Sync),
+    ) -> PgWireResult<AuthState<String>> {
+        Ok(AuthState::InProgress(Authentication::CleartextPassword))
+    }
+
+    async fn next(
+        &mut self,
+        _client: &(dyn ClientInfo + Send + Sync),
+        message: PasswordMessageFamily,
+    ) -> PgWireResult<AuthState<String>> {
+        let password = message.into_password()?.password;
+        Ok(AuthState::Ok { final_message: None, identity: Some(password) })
+    }
+}
+
+/// Accepts a caller without a password; the login limits it to open routes.
+struct OpenMechanism;
+
+#[async_trait]
+impl AuthMechanism<String> for OpenMechanism {
+    async fn begin(
+        &mut self,
+        _client: &(dyn ClientInfo + Send + Sync),
+    ) -> PgWireResult<AuthState<String>> {
+        Ok(AuthState::Ok { final_message: None, identity: None })
+    }
+
+    async fn next(
+        &mut self,
+        _client: &(dyn ClientInfo + Send + Sync),
+        _message: PasswordMessageFamily,
+    ) -> PgWireResult<AuthState<String>> {
+        Err(PgWireError::NoAuthenticationInProgress)
+    }
+}
+
+#[async_trait]
+impl<H: CallerHandler> StartupHandler for Connection<H> {
+    async fn on_startup<C>(
+        &self,
+        client: &mut C,
+        message: PgWireFrontendMessage,
+    ) -> PgWireResult<()>
+    where
+        C: ClientInfo + Sink<PgWireBackendMessage> + Unpin + Send + Sync,
+        C::Error: Debug,
+        PgWireError: From<<C as Sink<PgWireBackendMessage>>::Error>,
+    {
+        let outcome = match message {
+            PgWireFrontendMessage::Startup(ref startup) => {
+                protocol_negotiation(client, startup).await?;
+                save_startup_parameters_to_metadata(client, startup);
+                let user = client.metadata().get(METADATA_USER);
+                let open = user.is_some_and(|user| self.handler.is_open(user));
+                if open {
+                    self.driver.begin_authentication(client, Box::new(OpenMechanism)).await?
+                } else {
+                    self.driver.begin_authentication(client, Box::new(PasswordMechanism)).await?
+                }
+            }
+            PgWireFrontendMessage::PasswordMessageFamily(message) => {
+                self.driver.advance_authentication(client, message).await?
+            }
+            _ => return Ok(()),
+        };
+        let AuthOutcome::Authenticated { identity, final_message } = outcome else {
+            return Ok(());
+        };
+        self.login(client, identity.unwrap_or_default()).await?;
+        self.driver.complete_authentication(client, final_message).await?;
+        let (pid, secret) = client.pid_and_secret_key();
+        *self.pid.lock() = Some(pid);
+        self.registry.insert(pid, secret, self.signal.clone());
+        Ok(())
+    }
+}
+
+/// Sends the parameters of `reply` and converts its result.
+async fn report<C>(client: &mut C, reply: Reply) -> PgWireResult<Response>
+where
+    C: Sink<PgWireBackendMessage> + Unpin + Send,
+    PgWireError: From<<C as Sink<PgWireBackendMessage>>::Error>,
+{
+    for (name, value) in reply.parameters {
+        let status = ParameterStatus::new(name.to_owned(), value);
+        client.feed(PgWireBackendMessage::ParameterStatus(status)).await?;
+    }
+    convert::response(reply.result)
+}
+
+#[async_trait]
+impl<H: CallerHandler> SimpleQueryHandler for Connection<H> {
+    async fn do_query<C>(&self, client: &mut C, query: &str) -> PgWireResult<Vec<Response>>
+    where
+        C: ClientInfo + ClientPortalStore + Sink<PgWireBackendMessage> + Unpin + Send + Sync,
+        C::PortalStore: PortalStore,
+        C::Error: Debug,
+        PgWireError: From<<C as Sink<PgWireBackendMessage>>::Error>,
+    {
+        let reply = self.run(Statement { sql: query.to_owned(), bind: None }).await?;
+        Ok(vec![report(client, reply).await?])
+    }
+}
+
+/// Keeps statements as text; the target checks them.
+pub struct TextParser;
+
+#[async_trait]
+impl QueryParser for TextParser {
+    type Statement = String;
+
+    async fn parse_sql<C>(
+        &self,
+        _client: &C,
+        sql: &str,
+        _types: &[Option<Type>],
+    ) -> PgWireResult<Option<String>>
+    where
+        C: ClientInfo + Unpin + Send + Sync,
+    {
+        Ok(Some(sql.to_owned()))
+    }
+
+    fn get_parameter_types(&self, _stmt: &String) -> PgWireResult<Vec<Type>> {
+        Ok(Vec::new())
+    }
+
+    fn get_result_schema(
+        &self,
+        _stmt: &String,
+        _column_format: Option<&Format>,
+    ) -> PgWireResult<Vec<FieldInfo>> {
+        Ok(Vec::new())
+    }
+}
+
+#[async_trait]
+impl<H: CallerHandler> ExtendedQueryHandler for Connection<H> {
+    type Statement = String;
+    type QueryParser = TextParser;
+
+    fn query_parser(&self) -> Arc<TextParser> {
+        Arc::new(TextParser)
+    }
+
+    async fn do_describe_statement<C>(
+        &self,
+        _client: &mut C,
+        target: &StoredStatement<String>,
+    ) -> PgWireResult<DescribeStatementResponse>
+    where
+        C: ClientInfo + ClientPortalStore + Sink<PgWireBackendMessage> + Unpin + Send + Sync,
+        C::PortalStore: PortalStore<Statement = String>,
+        C::Error: Debug,
+        PgWireError: From<<C as Sink<PgWireBackendMessage>>::Error>,
+    {
+        let session = self.session()?;
+        let description = self.handler.describe(&session, &target.statement).await;
+        let description = description.map_err(|f: Failure| convert::error(&f))?;
+        let parameters = description.parameters.iter().map(|oid| convert::type_of(*oid)).collect();
+        let fields = convert::fields(&description.fields, None);
+        Ok(DescribeStatementResponse::new(parameters, fields))
+    }
+
+    async fn do_describe_portal<C>(
+        &self,
+        _client: &mut C,
+        target: &Portal<String>,
+    ) -> PgWireResult<DescribePortalResponse>
+    where
+        C: ClientInfo + ClientPortalStore + Sink<PgWireBackendMessage> + Unpin + Send + Sync,
+        C::PortalStore: PortalStore<Statement = String>,
+        C::Error: Debug,
+        PgWireError: From<<C as Sink<PgWireBackendMessage>>::Error>,
+    {
+        let session = self.session()?;
+        let description = self.handler.describe(&session, &target.statement.statement).await;
+        let description = description.map_err(|f: Failure| convert::error(&f))?;
+        let format = &target.result_column_format;
+        Ok(DescribePortalResponse::new(convert::fields(&description.fields, Some(format))))
+    }
+
+    async fn do_query<C>(
+        &self,
+        client: &mut C,
+        portal: &Portal<String>,
+        _max_rows: usize,
+    ) -> PgWireResult<Response>
+    where
+        C: ClientInfo + ClientPortalStore + Sink<PgWireBackendMessage> + Unpin + Send + Sync,
+        C::PortalStore: PortalStore<Statement = String>,
+        C::Error: Debug,
+        PgWireError: From<<C as Sink<PgWireBackendMessage>>::Error>,
+    {
+        let reply = self.run(convert::statement(portal)).await?;
+        report(client, reply).await
+    }
+}
+
+#[async_trait]
+impl<H: CallerHandler> CancelHandler for Connection<H> {
+    async fn on_cancel_request(&self, cancel: CancelRequest) {
+        self.registry.cancel(cancel.pid, &cancel.secret_key);
+    }
+}
--- /dev/null
+++ b/src/adapters/peer/server.rs
@@ -0,0 +1,108 @@
+//! Server side of the peer link.
+
+use std::{future::Future, sync::Arc};
+
+use bytes::Bytes;
+use eyre::Result;
+use futures::{SinkExt, StreamExt};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::mpsc,
+};
+use tokio_util::codec::Framed;
+
+use super::{
+    frame::{Frame, Reassembly, codec, split},
+    handshake,
+};
+use crate::{
+    ids::HostId,
+    keys::host::HostKey,
+    wire::peer::{PeerAnswer, PeerRequest},
+};
+
+/// Answers that wait for the writer of one connection.
+const QUEUE_ANSWERS: usize = 4096;
+
+/// Receiver of requests from other entry hosts.
+pub trait PeerService: Send + Sync + 'static {
+    /// Answers `req` of `host`.
+    fn answer(&self, host: &HostId, req: PeerRequest) -> impl Future<Output = PeerAnswer> + Send;
+}
+
+/// Accepts peer connections until the listener fails.
+pub async fn serve<S: PeerService>(
+    listener: TcpListener,
+    host: HostId,
+    key: HostKey,
+    service: Arc<S>,
+) -> Result<()> {
+    loop {
+        let (stream, _) = listener.accept().await?;
+        let (host, key, service) = (host.clone(), key.clone(), service.clone());
+        tokio::spawn(async move {
+            if let Err(error) = connection(stream, &host, &key, service).await {
+                spdlog::debug!("peer connection ended: {error}");
+            }
+        });
+    }
+}
+
+async fn connection<S: PeerService>(
+    mut stream: TcpStream,
+    host: &HostId,
+    key: &HostKey,
+    service: Arc<S>,
+) -> Result<()> {
+    stream.set_nodelay(true)?;
+    let peer = handshake::accept(&mut stream, key, host).await?;
+    let (mut sink, mut source) = Framed::new(stream, codec()).split();
+    let (tx, mut rx) = mpsc::channel::<(u64, Bytes)>(QUEUE_ANSWERS);
+    let writer = async move {
+        while let Some((id, body)) = rx.recv().await {
+            for frame in split(id, body) {
+                sink.feed(frame.encode()).await?;
+            }
+            if rx.is_empty() {
+                sink.flush().await?;
+            }
+        }
+        Ok::<_, std::io::Error>(())
+    };
+    let reader = async {
+        let mut reassembly = Reassembly::default();
+        while let Some(buf) = source.next().await {
+            let frame = Frame::decode(buf?.freeze())?;
+            if let Some((id, body)) = reassembly.push(frame)? {
+                let req = postcard::from_bytes(&body)?;
+                dispatch(id, req, peer.clone(), service.clone(), tx.clone());
+            }
+        }
+        Ok::<_, eyre::Report>(())
+    };
+    tokio::select! {
+        result = writer => result?,
+        result = reader => result?,
+    }
+    Ok(())
+}
+
+/// Answers one request in a task of its own, so that slow statements do not hold
+/// up others. A request whose connection breaks runs to its end.
+fn dispatch<S: PeerService>(
+    id: u64,
+    req: PeerRequest,
+    peer: HostId,
+    service: Arc<S>,
+    tx: mpsc::Sender<(u64, Bytes)>,
+) {
+    tokio::spawn(async move {
+        let answer = service.answer(&peer, req).await;
+        match postcard::to_stdvec(&answer) {
+            Ok(body) => {
+                let _ = tx.send((id, body.into())).await;
+            }
+            Err(error) => spdlog::error!("cannot encode an answer for host {peer}: {error}"),
+        }
+    });
+}
