--- a/src/configuration/mod.rs
+++ b/src/configuration/mod.rs
@@ -1,1 +1,3 @@
 //! Operators' files: parsing, checks and differences.
+
+pub mod finding;
--- a/src/ownership/mod.rs
+++ b/src/ownership/mod.rs
@@ -1,3 +1,4 @@
 //! Placement of work on entry hosts.
 
+pub mod assignment;
 pub mod rendezvous;
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -1,3 +1,8 @@
 //! Replicated state: its types, the state machine and the deltas sent to hosts.
 
+pub mod change;
+pub mod delta;
+pub mod difference;
+mod groups;
+pub mod machine;
 pub mod model;
