--- /dev/null
+++ b/src/settings/owner.rs
@@ -0,0 +1,1 @@
+//! Settings of an owner.
--- /dev/null
+++ b/src/settings/promotion.rs
@@ -0,0 +1,39 @@
+//! Settings of failure detection and promotion.
+
+use crate::clock::Millis;
+
+/// Times that bound detection and promotion.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PromotionSettings {
+    /// Silence of the primary from which an instance counts as suspicious.
+    pub silence: Millis,
+    /// Age from which an observation no longer counts. Owners repeat a suspicion
+    /// every 500 ms, so this tolerates two lost messages.
+    pub observation_expiry: Millis,
+    /// Time after a change of term in which suspicions don't count, because the
+    /// replicas have yet to hear from the new primary.
+    pub settle: Millis,
+    /// Least time between two planned changes of one group.
+    pub planned_interval: Millis,
+    /// Interval between attempts of an unanswered step.
+    pub retry: Millis,
+    /// Time that a planned change waits for the preferred instance to be fenced
+    /// after a majority is fenced.
+    pub preferred_wait: Millis,
+    /// Time after which an unanswered promotion starts over with a higher term.
+    pub promote_timeout: Millis,
+}
+
+impl Default for PromotionSettings {
+    fn default() -> Self {
+        Self {
+            silence: Millis(1_000),
+            observation_expiry: Millis(1_500),
+            settle: Millis(1_500),
+            planned_interval: Millis(10_000),
+            retry: Millis(200),
+            preferred_wait: Millis(150),
+            promote_timeout: Millis(1_000),
+        }
+    }
+}
