--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod caller;
 pub mod peer;
+pub mod log;
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -2,3 +2,5 @@
 
 pub mod owner;
 pub mod promotion;
+pub mod log;
+pub mod operator;
