--- /dev/null
+++ b/src/entry/dispatch.rs
@@ -0,0 +1,89 @@
+//! Sends a statement to the owner of an instance, on this host or another.
+
+use std::time::Duration;
+
+use super::cx::Cx;
+use crate::{
+    ids::{Epoch, HostId, InstanceId, Workspace},
+    state::model::{Assignment, ClusterView},
+    wire::peer::{Execute, Mode, Outcome, PeerAnswer, PeerRequest, Refusal, Statement},
+};
+
+/// Time that an answer may arrive after the deadline of its request.
+///
+/// The owner ends the request at the deadline and still has to say how it ended.
+const ANSWER_GRACE: Duration = Duration::from_millis(250);
+
+/// Owner of an instance as the view names it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OwnerRef {
+    pub instance: InstanceId,
+    pub host: HostId,
+    pub epoch: Epoch,
+    pub peer_addr: String,
+}
+
+impl OwnerRef {
+    /// Owner of `instance`, if its host is live.
+    pub fn find(view: &ClusterView, instance: &InstanceId) -> Option<Self> {
+        let Assignment { host, incarnation, epoch, .. } =
+            view.instances.get(instance)?.owner.as_ref()?;
+        let live = view.hosts.get(host).filter(|live| live.incarnation == *incarnation)?;
+        Some(Self {
+            instance: instance.clone(),
+            host: host.clone(),
+            epoch: *epoch,
+            peer_addr: live.peer_addr.clone(),
+        })
+    }
+}
+
+/// Statement with the caller that it runs for.
+#[derive(Debug, Clone, Copy)]
+pub struct Work<'a> {
+    pub workspace: Option<&'a Workspace>,
+    pub weight: u32,
+    pub statement: &'a Statement,
+}
+
+impl Cx {
+    /// Runs `work` at the owner.
+    pub async fn execute(
+        &self,
+        owner: &OwnerRef,
+        work: Work<'_>,
+        mode: Mode,
+        remaining: Duration,
+    ) -> Outcome {
+        let req = Execute {
+            instance: owner.instance.clone(),
+            epoch: owner.epoch,
+            workspace: work.workspace.cloned(),
+            weight: work.weight,
+            statement: work.statement.clone(),
+            mode,
+            deadline_ms: u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX),
+        };
+        if owner.host == self.settings.host {
+            return self.execute_here(req).await;
+        }
+        let req = PeerRequest::Execute(Box::new(req));
+        match self.peers.call(&owner.peer_addr, &req, remaining + ANSWER_GRACE).await {
+            Ok(PeerAnswer::Executed(outcome)) => outcome,
+            Ok(_) => Outcome::Unknown { reason: "the owner sent an answer of another kind".into() },
+            Err(crate::adapters::peer::client::CallError::NotSent) => {
+                Outcome::Refused(Refusal::Unreachable)
+            }
+            Err(error) => Outcome::Unknown { reason: format!("host {}: {error}", owner.host) },
+        }
+    }
+
+    /// Runs a statement on an instance that this host owns.
+    pub async fn execute_here(&self, req: Execute) -> Outcome {
+        // Without a lease another host may already own the instance.
+        if !self.has_lease() {
+            return Outcome::Refused(Refusal::NotOwner);
+        }
+        self.owner.execute(req).await
+    }
+}
--- /dev/null
+++ b/src/entry/stop.rs
@@ -0,0 +1,61 @@
+//! Stages of a planned stop.
+
+use tokio::sync::watch;
+
+/// How far a planned stop has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum StopStage {
+    Running,
+    /// `/ready` answers 503; new work is still accepted.
+    NotReady,
+    /// Ownership is handed over and callers leave between transactions.
+    Leaving,
+    /// No work is left.
+    Stopped,
+}
+
+/// Stage of this host, seen by all its parts.
+#[derive(Debug)]
+pub struct Stop {
+    stage: watch::Sender<StopStage>,
+    removed: watch::Sender<bool>,
+}
+
+impl Default for Stop {
+    fn default() -> Self {
+        Self { stage: watch::Sender::new(StopStage::Running), removed: watch::Sender::new(false) }
+    }
+}
+
+impl Stop {
+    /// Moves on to `stage`; never back.
+    pub fn advance(&self, stage: StopStage) {
+        self.stage.send_if_modified(|current| {
+            let newer = stage > *current;
+            if newer {
+                *current = stage;
+            }
+            newer
+        });
+    }
+
+    /// Whether the host must get no new ownership.
+    pub fn is_stopping(&self) -> bool {
+        *self.stage.borrow() >= StopStage::NotReady
+    }
+
+    /// Whether no work is left.
+    pub fn has_stopped(&self) -> bool {
+        *self.stage.borrow() == StopStage::Stopped
+    }
+
+    /// Records that the control group has removed this incarnation.
+    pub fn removed(&self) {
+        self.removed.send_replace(true);
+    }
+
+    /// Waits until this incarnation is removed.
+    pub async fn until_removed(&self) {
+        let _ = self.removed.subscribe().wait_for(|removed| *removed).await;
+    }
+}
