--- a/src/keys/mod.rs
+++ b/src/keys/mod.rs
@@ -1,1 +1,3 @@
 //! Keys of callers and authentication between hosts.
+
+pub mod host;
--- a/src/wire/control.rs
+++ b/src/wire/control.rs
@@ -6,8 +6,20 @@
     clock::Millis,
     ids::{ControlId, Epoch, HostId, InstanceId, Mark, Revision, Service, Term},
     state::model::{Change, ClusterView, Host, InstanceSpec, Role},
+    wire::group::GroupMessage,
 };
 
+/// Message on the bus.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ControlMessage {
+    /// Between control hosts.
+    Group(GroupMessage),
+    /// Entry host to control host.
+    Renew(Renew),
+    /// Control host to entry host.
+    RenewAnswer(RenewAnswer),
+}
+
 /// Lease renewal that an entry host sends to the control leader.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Renew {
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -5,4 +5,5 @@
 
 pub mod announcement;
 pub mod control;
+pub mod group;
 pub mod peer;
