--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -3,3 +3,4 @@
 pub mod caller;
 pub mod peer;
 pub mod log;
+pub mod bus;
--- a/src/keys/mod.rs
+++ b/src/keys/mod.rs
@@ -4,3 +4,4 @@
 pub mod check;
 pub mod host;
 pub mod key;
+pub mod host;
