--- /dev/null
+++ b/src/routing/route.rs
@@ -0,0 +1,149 @@
+//! Match of a statement with the configured routes.
+
+use std::sync::Arc;
+
+use derive_more::{Display, Error};
+use indexmap::IndexMap;
+
+use crate::{
+    ids::{Service, Workspace},
+    routing::classify::Classified,
+    state::model::{Access, Action, ClusterView, DesiredState, Route},
+};
+
+/// Why no route serves a statement.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+pub enum RouteError {
+    /// No route exists, for any caller.
+    #[display("no route for {action} on `{table}` of service `{service}`")]
+    NoRoute { service: Service, table: Arc<str>, action: Action },
+    /// Route exists and needs a key.
+    #[display("{action} on `{table}` of service `{service}` needs a key")]
+    KeyRequired { service: Service, table: Arc<str>, action: Action },
+    /// Workspace is not configured for the service.
+    #[display("workspace `{workspace}` may not use service `{service}`")]
+    ServiceNotAllowed { workspace: Workspace, service: Service },
+    /// Statement needs no route.
+    #[display("the statement touches no table")]
+    NoTable,
+}
+
+impl RouteError {
+    /// SQLSTATE of the error.
+    pub fn code(&self) -> &'static str {
+        match self {
+            RouteError::NoRoute { .. } => "42501",
+            RouteError::KeyRequired { .. } | RouteError::ServiceNotAllowed { .. } => "28000",
+            RouteError::NoTable => "0A000",
+        }
+    }
+}
+
+/// Route for `classified`, found by a scan over all routes.
+///
+/// [`RouteIndex`] gives the same answer without the scan.
+pub fn find_route<'a>(
+    view: &'a ClusterView,
+    service: &Service,
+    workspace: Option<&Workspace>,
+    classified: &Classified,
+) -> Result<&'a Route, RouteError> {
+    let Classified::Statement { table, action } = classified else {
+        return Err(RouteError::NoTable);
+    };
+    let candidates = view.desired.routes.iter().filter(|route| {
+        route.service == *service && route.table == **table && route.action == *action
+    });
+    let allowed = |workspace: &Workspace| {
+        view.desired.workspaces.get(workspace).is_some_and(|spec| spec.services.contains(service))
+    };
+    let wanted = Wanted { service, workspace, table, action: *action };
+    wanted.pick(candidates, allowed)
+}
+
+struct Wanted<'q> {
+    service: &'q Service,
+    workspace: Option<&'q Workspace>,
+    table: &'q Arc<str>,
+    action: Action,
+}
+
+impl Wanted<'_> {
+    /// Prefers a keyed route that the workspace may use to an open one.
+    fn pick<'a>(
+        &self,
+        candidates: impl Iterator<Item = &'a Route>,
+        allowed: impl Fn(&Workspace) -> bool,
+    ) -> Result<&'a Route, RouteError> {
+        let (mut keyed, mut open) = (None, None);
+        for route in candidates {
+            match route.access {
+                Access::Keyed => keyed = keyed.or(Some(route)),
+                Access::Open => open = open.or(Some(route)),
+            }
+        }
+        let entitled = self.workspace.is_some_and(allowed);
+        match (keyed, open) {
+            (Some(route), _) if entitled => Ok(route),
+            (_, Some(route)) => Ok(route),
+            (Some(_), None) => Err(self.refusal()),
+            (None, None) => Err(RouteError::NoRoute {
+                service: self.service.clone(),
+                table: self.table.clone(),
+                action: self.action,
+            }),
+        }
+    }
+
+    fn refusal(&self) -> RouteError {
+        let service = self.service.clone();
+        match self.workspace {
+            Some(workspace) => {
+                RouteError::ServiceNotAllowed { workspace: workspace.clone(), service }
+            }
+            None => {
+                RouteError::KeyRequired { service, table: self.table.clone(), action: self.action }
+            }
+        }
+    }
+}
+
+/// Routes and entitlements by name, built once per view revision.
+#[derive(Debug, Clone, Default)]
+pub struct RouteIndex {
+    services: IndexMap<Service, IndexMap<String, Vec<Route>>>,
+    workspaces: IndexMap<Workspace, Vec<Service>>,
+}
+
+impl RouteIndex {
+    /// Index of the routes and workspaces of `desired`.
+    pub fn build(desired: &DesiredState) -> Self {
+        let mut index = Self::default();
+        for route in &desired.routes {
+            let tables = index.services.entry(route.service.clone()).or_default();
+            tables.entry(route.table.clone()).or_default().push(route.clone());
+        }
+        for (workspace, spec) in &desired.workspaces {
+            index.workspaces.insert(workspace.clone(), spec.services.clone());
+        }
+        index
+    }
+
+    /// Route for `classified`; same rules as [`find_route`].
+    pub fn find(
+        &self,
+        service: &Service,
+        workspace: Option<&Workspace>,
+        classified: &Classified,
+    ) -> Result<&Route, RouteError> {
+        let Classified::Statement { table, action } = classified else {
+            return Err(RouteError::NoTable);
+        };
+        let of_table = self.services.get(service).and_then(|tables| tables.get(&**table));
+        let candidates = of_table.into_iter().flatten().filter(|route| route.action == *action);
+        let allowed = |workspace: &Workspace| {
+            self.workspaces.get(workspace).is_some_and(|services| services.contains(service))
+        };
+        Wanted { service, workspace, table, action: *action }.pick(candidates, allowed)
+    }
+}
