--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -4,3 +4,4 @@
 pub mod promotion;
 pub mod log;
 pub mod operator;
+pub mod routing;
