--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -1,1 +1,3 @@
 //! Adapters to sockets, disks, clocks, logs and metrics.
+
+pub mod log;
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,1 +1,4 @@
 //! Settings of each area, with defaults.
+
+pub mod log;
+pub mod operator;
