--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -4,3 +4,4 @@
 pub mod peer;
 pub mod log;
 pub mod bus;
+pub mod log;
--- a/src/keys/check.rs
+++ b/src/keys/check.rs
@@ -39,6 +39,16 @@
     }
 }
 
+/// Key that a connected caller has shown.
+///
+/// The verifier is kept too: an operator may replace it under the same id, and the
+/// replaced secret must stop working.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HeldKey {
+    pub id: KeyId,
+    verifier: String,
+}
+
 /// Check of keys against one view.
 #[derive(Debug, Clone, Copy)]
 pub struct KeyCheck<'a> {
@@ -51,12 +61,16 @@
         Self { view }
     }
 
-    /// Authenticates a workspace by its key; returns the id to check from then on.
+    /// Authenticates a workspace by its key; returns what to check from then on.
     ///
     /// # Errors
     ///
     /// Fails if the key is not an active key of the workspace.
-    pub fn authenticate(&self, workspace: &Workspace, password: &str) -> Result<KeyId, KeyRefusal> {
+    pub fn authenticate(
+        &self,
+        workspace: &Workspace,
+        password: &str,
+    ) -> Result<HeldKey, KeyRefusal> {
         let key = password.parse::<Key>().map_err(|_| KeyRefusal::Wrong)?;
         let spec = self.workspace(workspace).and_then(|spec| spec.keys.get(key.id()));
         let verifier = spec.map_or(NO_VERIFIER, |spec| &spec.verifier);
@@ -64,20 +78,23 @@
             return Err(KeyRefusal::Wrong);
         }
         match spec.map(|spec| spec.state) {
-            Some(KeyState::Active) => Ok(key.id().clone()),
+            Some(KeyState::Active) => {
+                Ok(HeldKey { id: key.id().clone(), verifier: verifier.to_owned() })
+            }
             Some(KeyState::Withdrawn) => Err(KeyRefusal::Withdrawn),
             None => Err(KeyRefusal::Wrong),
         }
     }
 
     /// Checks that an authenticated key is still active. A key that was removed
-    /// from the file counts as withdrawn.
+    /// from the file or has a new verifier counts as withdrawn.
     ///
     /// # Errors
     ///
     /// Fails if the key is withdrawn.
-    pub fn recheck(&self, workspace: &Workspace, key: &KeyId) -> Result<(), KeyRefusal> {
-        let spec = self.workspace(workspace).and_then(|spec| spec.keys.get(key));
+    pub fn recheck(&self, workspace: &Workspace, key: &HeldKey) -> Result<(), KeyRefusal> {
+        let spec = self.workspace(workspace).and_then(|spec| spec.keys.get(&key.id));
+        let spec = spec.filter(|spec| spec.verifier == key.verifier);
         match spec.map(|spec| spec.state) {
             Some(KeyState::Active) => Ok(()),
             Some(KeyState::Withdrawn) | None => Err(KeyRefusal::Withdrawn),
--- a/src/keys/mod.rs
+++ b/src/keys/mod.rs
@@ -5,3 +5,4 @@
 pub mod host;
 pub mod key;
 pub mod host;
+pub mod key;
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -5,3 +5,5 @@
 pub mod log;
 pub mod operator;
 pub mod routing;
+pub mod log;
+pub mod operator;
