--- /dev/null
+++ b/src/cli/drain.rs
@@ -0,0 +1,43 @@
+//! Command `drain`.
+
+use crate::{
+    cli::{
+        CliError, Cx, DrainOptions, Exit,
+        apply::{apply_text, new_id},
+        client::Client,
+    },
+    configuration::edit::add_drain,
+    state::model::Drain,
+    wire::operator::ApplyRequest,
+};
+
+/// Adds a drain to the accepted file and applies the result.
+///
+/// The compare-and-set on the version prevents that another operator's change, made
+/// between the two steps, is undone.
+///
+/// # Errors
+///
+/// Fails if there is no accepted file, the drain exists or the host is unknown, or if
+/// the control hosts give no answer in time.
+pub async fn drain(
+    options: &DrainOptions,
+    drain: &Drain,
+    cx: &mut Cx<'_>,
+) -> Result<Exit, CliError> {
+    let DrainOptions { settings, wait } = options;
+    let mut client = Client::new(settings)?;
+    let accepted = client.file().await?;
+    if accepted.version == 0 {
+        return Err(CliError::NoFile);
+    }
+    let request = ApplyRequest {
+        id: new_id()?,
+        operator: settings.operator.clone(),
+        expected_version: accepted.version,
+        file: add_drain(&accepted.file, drain)?,
+        wait_ms: 0,
+    };
+    writeln!(cx.out, "drain of {drain}")?;
+    apply_text(&mut client, request, *wait, cx).await
+}
--- /dev/null
+++ b/src/cli/status.rs
@@ -0,0 +1,112 @@
+//! Command `status`.
+
+use crate::{
+    cli::{CliError, Cx, Exit, client::Client, table::Table},
+    settings::operator::OperatorSettings,
+    wire::operator::{
+        ControlStatus, GroupStatus, HostStatus, InstanceStatus, OwnerStatus, StatusResponse,
+    },
+};
+
+/// Text of an absent value.
+const NONE: &str = "-";
+
+/// Prints the state of the cluster.
+///
+/// # Errors
+///
+/// Fails if the control hosts give no answer in time.
+pub async fn status(settings: &OperatorSettings, cx: &mut Cx<'_>) -> Result<Exit, CliError> {
+    let status = Client::new(settings)?.status().await?;
+    write!(cx.out, "{}", text(&status))?;
+    Ok(Exit::Success)
+}
+
+/// State of the cluster as text.
+pub fn text(status: &StatusResponse) -> String {
+    let leader = status.leader.as_ref().map_or(NONE, |leader| leader.as_str());
+    let heading =
+        format!("version {}  revision {}  leader {leader}\n", status.version, status.revision);
+    let tables = [
+        control(&status.control),
+        hosts(status),
+        groups(&status.groups),
+        instances(&status.instances),
+    ];
+    tables.iter().fold(heading, |text, table| format!("{text}\n{table}"))
+}
+
+fn control(members: &[ControlStatus]) -> Table {
+    let mut table = Table::new(["CONTROL", "ADDRESS", "VOTING", "SILENT"]);
+    for member in members {
+        table.row([
+            member.id.to_string(),
+            or_none(member.http_addr.as_ref()),
+            if member.voting { "yes" } else { "no" }.to_owned(),
+            member.silent_ms.map_or_else(|| NONE.to_owned(), |silent| format!("{silent} ms")),
+        ]);
+    }
+    table
+}
+
+fn hosts(status: &StatusResponse) -> Table {
+    let mut table = Table::new(["HOST", "FAILURE DOMAIN", "STATE", "REVISION", "OWNS"]);
+    for host in &status.hosts {
+        let HostStatus { id, failure_domain, state, revision, .. } = host;
+        let owned = status
+            .instances
+            .iter()
+            .filter(|instance| instance.owner.as_ref().is_some_and(|owner| owner.host == *id));
+        table.row([
+            id.to_string(),
+            failure_domain.to_string(),
+            state.to_string(),
+            or_none(revision.as_ref()),
+            owned.count().to_string(),
+        ]);
+    }
+    table
+}
+
+fn groups(groups: &[GroupStatus]) -> Table {
+    let mut table = Table::new(["SERVICE", "TERM", "PRIMARY", "PROMOTION", "INSTANCES"]);
+    for group in groups {
+        let promotion = group.promotion.map(|term| format!("running, term {term}"));
+        table.row([
+            group.service.to_string(),
+            group.term.to_string(),
+            or_none(group.primary.as_ref()),
+            or_none(promotion.as_ref()),
+            format!("{} of {}", group.announced, group.expected),
+        ]);
+    }
+    table
+}
+
+fn instances(instances: &[InstanceStatus]) -> Table {
+    let heading = ["INSTANCE", "SERVICE", "FAILURE DOMAIN", "DRAIN", "OWNER", "EARLIER OWNER"];
+    let mut table = Table::new(heading);
+    for instance in instances {
+        table.row([
+            instance.id.to_string(),
+            instance.service.to_string(),
+            instance.failure_domain.to_string(),
+            if instance.draining { "yes" } else { NONE }.to_owned(),
+            owner(instance.owner.as_ref(), instance.connections),
+            owner(instance.previous.as_ref(), instance.connections),
+        ]);
+    }
+    table
+}
+
+fn owner(owner: Option<&OwnerStatus>, limit: u32) -> String {
+    let text = |owner: &OwnerStatus| {
+        let OwnerStatus { host, epoch, connections } = owner;
+        format!("{host} (epoch {epoch}, {connections}/{limit} connections)")
+    };
+    owner.map_or_else(|| NONE.to_owned(), text)
+}
+
+fn or_none<T: ToString>(value: Option<&T>) -> String {
+    value.map_or_else(|| NONE.to_owned(), ToString::to_string)
+}
--- a/src/settings/operator.rs
+++ b/src/settings/operator.rs
@@ -1,14 +1,17 @@
 //! Settings of the operators' command line and of the operators' HTTP API.
 
-use std::{fmt, str::FromStr};
+use std::{env, fmt, fs, path::PathBuf, str::FromStr};
 
-use bpaf::Bpaf;
+use bpaf::{Bpaf, Parser, long};
 use derive_more::Display;
 use subtle::ConstantTimeEq;
 
 /// Shortest accepted operator token in bytes.
 pub const MIN_TOKEN_BYTES: usize = 16;
 
+/// Environment variable that holds the operator token.
+pub const TOKEN_VARIABLE: &str = "POMELOPIN_OPERATOR_TOKEN";
+
 /// Default deadline of a request in milliseconds.
 pub const DEFAULT_TIMEOUT_MS: u64 = 15_000;
 
@@ -66,8 +69,7 @@
         parse(split_addresses)
     )]
     pub control: Vec<String>,
-    /// Operator token, at least 16 bytes
-    #[bpaf(long("token"), env("POMELOPIN_OPERATOR_TOKEN"), argument("TOKEN"))]
+    #[bpaf(external)]
     pub token: OperatorToken,
     /// Operator's name in the audit trail
     #[bpaf(
@@ -94,3 +96,28 @@
     let addresses = addresses.map(str::to_owned).collect::<Vec<_>>();
     if addresses.is_empty() { Err("at least one control host is needed") } else { Ok(addresses) }
 }
+
+/// Token from a file or the environment. It is no argument, because other users of
+/// the machine can read the arguments of a process.
+fn token() -> impl Parser<OperatorToken> {
+    long("token-file")
+        .help(
+            "File with the operator token, at least 16 bytes; without it \
+             POMELOPIN_OPERATOR_TOKEN holds the token",
+        )
+        .env("POMELOPIN_OPERATOR_TOKEN_FILE")
+        .argument::<PathBuf>("FILE")
+        .optional()
+        .parse(read_token)
+}
+
+fn read_token(file: Option<PathBuf>) -> Result<OperatorToken, String> {
+    let Some(file) = file else {
+        let text = env::var(TOKEN_VARIABLE)
+            .map_err(|_| format!("--token-file or {TOKEN_VARIABLE} is needed"))?;
+        return text.parse().map_err(|error| format!("{TOKEN_VARIABLE}: {error}"));
+    };
+    let name = file.display();
+    let text = fs::read_to_string(&file).map_err(|error| format!("{name}: {error}"))?;
+    text.parse().map_err(|error| format!("{name}: {error}"))
+}
