Add the refusal NoRecord to the answers of owners

An entry host that settles an unknown outcome must tell an absent record from an owner that could not read it. The variant is last, so the encoding of the other variants is unchanged.

--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -156,6 +156,9 @@
     Unreachable,
     #[display("the transaction is not known")]
     UnknownTransaction,
+    /// Answer to [`Mode::Settle`]: the earlier attempt has not committed.
+    #[display("the request has no record")]
+    NoRecord,
 }
 
 /// Error that a caller sees.
