--- /dev/null
+++ b/src/control/follower.rs
@@ -0,0 +1,108 @@
+//! Follower's side of replication.
+
+use crate::{
+    clock::Millis,
+    control::{
+        log::Merge,
+        membership::MembersHistory,
+        node::{Node, Output},
+        snapshot::Assembled,
+        storage::{Snapshot, Write},
+    },
+    ids::ControlId,
+    wire::group::{
+        Append, AppendAnswer, AppendResult, GroupBody, GroupTerm, Install, InstallAnswer,
+    },
+};
+
+impl Node {
+    pub(super) fn on_append(
+        &mut self,
+        now: Millis,
+        from: ControlId,
+        term: GroupTerm,
+        append: Append,
+    ) {
+        let result = if term < self.vote.term {
+            AppendResult::Mismatch { hint: self.commit }
+        } else {
+            self.follow(now, term, &from);
+            self.merge(&append)
+        };
+        let answer = AppendAnswer { echo: append.sent_at, result };
+        self.answer_leader(from, GroupBody::AppendAnswer(answer));
+    }
+
+    fn follow(&mut self, now: Millis, term: GroupTerm, leader: &ControlId) {
+        self.become_follower(now, term, Some(leader.clone()));
+        self.timer.heard_leader(now, &self.settings.timing);
+    }
+
+    fn merge(&mut self, append: &Append) -> AppendResult {
+        match self.log.merge(append.previous, &append.entries) {
+            Merge::Mismatch { hint } => AppendResult::Mismatch { hint },
+            Merge::Fits { matched, truncate, entries } => {
+                if let Some(from) = truncate {
+                    self.log.truncate(from);
+                    self.history.truncate(from);
+                    self.out.push(Output::Persist(Write::Truncate { from }));
+                }
+                if !entries.is_empty() {
+                    self.append_entries(entries);
+                }
+                self.advance_commit(append.commit.min(matched));
+                AppendResult::Matched { index: matched }
+            }
+        }
+    }
+
+    pub(super) fn on_install(
+        &mut self,
+        now: Millis,
+        from: ControlId,
+        term: GroupTerm,
+        install: Install,
+    ) {
+        let mut received = 0;
+        if term >= self.vote.term {
+            self.follow(now, term, &from);
+            received = self.assemble(&install);
+        }
+        let answer = InstallAnswer { echo: install.sent_at, last: install.last, received };
+        self.answer_leader(from, GroupBody::InstallAnswer(answer));
+    }
+
+    fn assemble(&mut self, install: &Install) -> u64 {
+        if install.last.index <= self.commit {
+            return install.total;
+        }
+        match self.assembly.add(install) {
+            Assembled::Partial(received) => received,
+            Assembled::Complete(snapshot) => {
+                self.restore(snapshot);
+                install.total
+            }
+        }
+    }
+
+    /// Replaces the state by the leader's snapshot; entries after it remain only
+    /// if the log holds the snapshot's last entry.
+    fn restore(&mut self, snapshot: Snapshot) {
+        let last = snapshot.last;
+        if self.log.mark(last.index) == Some(last) {
+            self.log.compact(last);
+        } else {
+            self.log.reset(last);
+        }
+        self.history = MembersHistory::new(last.index, snapshot.members.clone());
+        self.history.append(last.index + 1, &self.log.after(last));
+        self.commit = last.index;
+        let data = snapshot.data.clone();
+        self.store_snapshot(snapshot);
+        self.out.push(Output::RestoreSnapshot { index: last.index, data });
+    }
+
+    fn answer_leader(&mut self, leader: ControlId, body: GroupBody) {
+        self.answer_vote(leader, body);
+    }
+}
--- /dev/null
+++ b/src/control/node.rs
@@ -0,0 +1,421 @@
+//! Member of the control group as a state machine without I/O.
+//!
+//! [`Node::step`] takes an input and returns outputs, which the runtime carries
+//! out in order. A [`Output::Persist`] must be synced before any later output
+//! takes effect; it may take effect earlier than the outputs before it. If it
+//! fails, the process must stop.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use derive_more::Display;
+
+use crate::{
+    clock::Millis,
+    control::{
+        election::{Ballot, ElectionTimer},
+        leader::Leading,
+        log::Log,
+        membership::{Introductions, MembersHistory},
+        snapshot::Assembly,
+        storage::{Snapshot, SnapshotWrite, Stored, Vote, Write},
+    },
+    ids::ControlId,
+    settings::control::GroupTiming,
+    wire::group::{
+        GroupBody, GroupMessage, GroupTerm, Hello, LogEntry, LogMark, Member, Members, Payload,
+    },
+};
+
+/// Entries before a snapshot that remain in the log, so that a host that is a
+/// little behind does not need the snapshot.
+const TAIL_ENTRIES: u64 = 500;
+
+/// Settings of a [`Node`].
+#[derive(Debug, Clone)]
+pub struct NodeSettings {
+    /// New for each blank data folder.
+    pub id: ControlId,
+    pub member: Member,
+    /// Configured control hosts: names and bus addresses, including this host.
+    pub group: BTreeMap<String, String>,
+    /// Seed of the election timeouts.
+    pub seed: u64,
+    pub timing: GroupTiming,
+}
+
+/// Event for a [`Node`].
+#[derive(Debug, Clone)]
+pub enum Input {
+    Tick,
+    Message(GroupMessage),
+    /// Command for the log; `ticket` is returned with the outcome.
+    Propose {
+        ticket: u64,
+        bytes: Bytes,
+    },
+    /// State machine's snapshot as of the commit index.
+    Compact {
+        data: Bytes,
+    },
+}
+
+/// Action for the runtime.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Output {
+    Persist(Write),
+    Send {
+        addr: String,
+        message: GroupMessage,
+    },
+    /// Replace the state machine's state.
+    RestoreSnapshot {
+        index: u64,
+        data: Bytes,
+    },
+    /// Apply a command.
+    Committed {
+        index: u64,
+        term: GroupTerm,
+        bytes: Bytes,
+    },
+    /// Command is in the log; it is committed if an entry of this term is
+    /// committed at `index`.
+    Proposed {
+        ticket: u64,
+        index: u64,
+        term: GroupTerm,
+    },
+    ProposalRejected {
+        ticket: u64,
+        leader: Option<ControlId>,
+    },
+    RoleChanged(RoleChange),
+    /// Process did not run for `gap`.
+    Frozen {
+        gap: Millis,
+    },
+    /// Other hosts consider this one removed from the group.
+    Removed {
+        by: ControlId,
+    },
+}
+
+/// Part that a host plays in its group.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Display)]
+pub enum Role {
+    #[default]
+    #[display("follower")]
+    Follower,
+    #[display("candidate")]
+    Candidate,
+    #[display("leader")]
+    Leader,
+}
+
+/// Role after a change.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct RoleChange {
+    pub role: Role,
+    pub term: GroupTerm,
+    /// Known leader.
+    pub leader: Option<ControlId>,
+}
+
+pub(super) enum State {
+    Follower,
+    PreCandidate(Ballot),
+    Candidate(Ballot),
+    Leader(Box<Leading>),
+}
+
+/// Member of the control group.
+pub struct Node {
+    pub(super) settings: NodeSettings,
+    pub(super) vote: Vote,
+    pub(super) log: Log,
+    pub(super) history: MembersHistory,
+    pub(super) snapshot: Option<Snapshot>,
+    pub(super) commit: u64,
+    pub(super) state: State,
+    pub(super) leader: Option<ControlId>,
+    pub(super) timer: ElectionTimer,
+    pub(super) assembly: Assembly,
+    pub(super) introductions: Introductions,
+    /// Host found a blank group and adds itself as its first voter.
+    pub(super) forming: bool,
+    was_member: bool,
+    hello_at: Millis,
+    last_step: Millis,
+    reported: RoleChange,
+    pub(super) out: Vec<Output>,
+}
+
+impl Node {
+    /// Node with what was stored before a restart. The runtime restores the state
+    /// machine from the stored snapshot itself.
+    pub fn new(settings: NodeSettings, mut stored: Stored, now: Millis) -> Self {
+        stored.align();
+        let (last, members) = stored
+            .snapshot
+            .as_ref()
+            .map_or_else(Default::default, |snapshot| (snapshot.last, snapshot.members.clone()));
+        let log = Log::new(stored.base, stored.entries);
+        let mut history = MembersHistory::new(last.index, members);
+        history.append(last.index + 1, &log.after(last));
+        let timer = ElectionTimer::new(now, settings.seed, &settings.timing);
+        let mut node = Self {
+            was_member: history.has_listed(&settings.id),
+            settings,
+            vote: stored.vote,
+            log,
+            history,
+            snapshot: stored.snapshot,
+            commit: last.index,
+            state: State::Follower,
+            leader: None,
+            timer,
+            assembly: Assembly::default(),
+            introductions: Introductions::default(),
+            forming: false,
+            hello_at: now,
+            last_step: now,
+            reported: RoleChange::default(),
+            out: Vec::new(),
+        };
+        node.reported = node.role();
+        node
+    }
+
+    /// Processes one input.
+    pub fn step(&mut self, now: Millis, input: Input) -> Vec<Output> {
+        self.check_freeze(now);
+        match input {
+            Input::Tick => self.tick(now),
+            Input::Message(message) => self.receive(now, message),
+            Input::Propose { ticket, bytes } => self.propose(now, ticket, bytes),
+            Input::Compact { data } => self.compact(data),
+        }
+        let role = self.role();
+        if role != self.reported {
+            self.reported = role.clone();
+            self.out.push(Output::RoleChanged(role));
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    /// Own id.
+    pub fn id(&self) -> &ControlId {
+        &self.settings.id
+    }
+
+    /// Current role, term and leader.
+    pub fn role(&self) -> RoleChange {
+        let role = match self.state {
+            State::Follower => Role::Follower,
+            State::PreCandidate(_) | State::Candidate(_) => Role::Candidate,
+            State::Leader(_) => Role::Leader,
+        };
+        RoleChange { role, term: self.vote.term, leader: self.leader.clone() }
+    }
+
+    /// Index of the last committed entry.
+    pub fn commit(&self) -> u64 {
+        self.commit
+    }
+
+    /// Last entry of the log.
+    pub fn last(&self) -> LogMark {
+        self.log.last()
+    }
+
+    /// Number of entries since the last snapshot.
+    pub fn entries_since_snapshot(&self) -> u64 {
+        self.commit - self.snapshot.as_ref().map_or(0, |snapshot| snapshot.last.index)
+    }
+
+    /// Voters in force.
+    pub fn members(&self) -> &Members {
+        self.history.current()
+    }
+
+    /// Entry of the log, for checks.
+    pub fn entry(&self, index: u64) -> Option<&LogEntry> {
+        self.log.get(index)
+    }
+
+    fn tick(&mut self, now: Millis) {
+        if matches!(self.state, State::Leader(_)) {
+            self.lead(now);
+        } else if self.is_voter() {
+            if self.timer.is_due(now) {
+                self.start_pre_vote(now);
+            }
+        } else {
+            self.introduce(now);
+        }
+    }
+
+    fn receive(&mut self, now: Millis, message: GroupMessage) {
+        let GroupMessage { from, to, term, body } = message;
+        if from == self.settings.id || to.is_some_and(|to| to != self.settings.id) {
+            return;
+        }
+        match body {
+            GroupBody::Hello(hello) => self.on_hello(now, from, hello),
+            GroupBody::PreVote { last } => self.on_pre_vote(now, from, term, last),
+            GroupBody::Vote { last } => self.on_vote(now, from, term, last),
+            body => {
+                if term > self.vote.term {
+                    self.become_follower(now, term, None);
+                }
+                self.receive_in_term(now, from, term, body);
+            }
+        }
+    }
+
+    fn receive_in_term(&mut self, now: Millis, from: ControlId, term: GroupTerm, body: GroupBody) {
+        match body {
+            GroupBody::PreVoteAnswer { granted, reason } => {
+                self.on_pre_vote_answer(now, from, granted, reason);
+            }
+            GroupBody::VoteAnswer { granted } => self.on_vote_answer(now, from, term, granted),
+            GroupBody::Append(append) => self.on_append(now, from, term, append),
+            GroupBody::Install(install) => self.on_install(now, from, term, install),
+            GroupBody::AppendAnswer(answer) if term == self.vote.term => {
+                self.on_append_answer(now, &from, &answer);
+            }
+            GroupBody::InstallAnswer(answer) if term == self.vote.term => {
+                self.on_install_answer(now, &from, &answer);
+            }
+            _ => {}
+        }
+    }
+
+    /// A frozen process first learns what happened meanwhile: a leader needs new
+    /// answers from a majority, another host waits for the messages in its queue.
+    fn check_freeze(&mut self, now: Millis) {
+        let gap = now.since(self.last_step);
+        self.last_step = now;
+        if gap <= self.settings.timing.freeze {
+            return;
+        }
+        self.out.push(Output::Frozen { gap });
+        match &mut self.state {
+            State::Leader(leading) => leading.replication.restart_lease(now),
+            _ => self.timer.restart(now, &self.settings.timing),
+        }
+    }
+
+    pub(super) fn is_voter(&self) -> bool {
+        self.members().0.contains_key(&self.settings.id)
+    }
+
+    pub(super) fn is_blank(&self) -> bool {
+        self.log.last() == LogMark::default()
+    }
+
+    fn introduce(&mut self, now: Millis) {
+        let blank = self.is_blank();
+        let group = &self.settings.group;
+        if blank && self.introductions.may_form(now, &self.settings.member.name, group) {
+            self.form_group(now);
+            return;
+        }
+        // A removed host stays silent: its name may belong to its replacement.
+        if self.was_member || now.since(self.hello_at) < self.settings.timing.hello {
+            return;
+        }
+        self.hello_at = now;
+        let others = group.iter().filter(|(name, _)| **name != self.settings.member.name);
+        for addr in others.map(|(_, addr)| addr.clone()).collect::<Vec<_>>() {
+            self.send_hello(addr, None, true);
+        }
+    }
+
+    fn on_hello(&mut self, now: Millis, from: ControlId, hello: Hello) {
+        self.introductions.note(now, &hello);
+        if hello.answer {
+            self.send_hello(hello.member.bus_addr.clone(), Some(from.clone()), false);
+            self.consider_learner(now, from, hello.member);
+        }
+    }
+
+    fn send_hello(&mut self, addr: String, to: Option<ControlId>, answer: bool) {
+        let member = self.settings.member.clone();
+        let body = GroupBody::Hello(Hello { member, initialized: !self.is_blank(), answer });
+        self.send(addr, to, self.vote.term, body);
+    }
+
+    pub(super) fn become_follower(
+        &mut self,
+        now: Millis,
+        term: GroupTerm,
+        leader: Option<ControlId>,
+    ) {
+        if term > self.vote.term {
+            self.store_vote(Vote { term, voted_for: None });
+        }
+        if matches!(self.state, State::Leader(_)) {
+            self.timer.restart(now, &self.settings.timing);
+        }
+        self.state = State::Follower;
+        self.leader = leader;
+    }
+
+    pub(super) fn store_vote(&mut self, vote: Vote) {
+        self.vote = vote.clone();
+        self.out.push(Output::Persist(Write::Vote(vote)));
+    }
+
+    pub(super) fn append_entries(&mut self, entries: Vec<LogEntry>) {
+        self.history.append(self.log.last().index + 1, &entries);
+        self.was_member |= self.is_voter();
+        self.log.append(entries.iter().cloned());
+        self.out.push(Output::Persist(Write::Entries(entries)));
+    }
+
+    pub(super) fn advance_commit(&mut self, to: u64) {
+        while self.commit < to {
+            let Some(entry) = self.log.get(self.commit + 1) else { return };
+            self.commit += 1;
+            if let Payload::Command(bytes) = &entry.payload {
+                let (index, term, bytes) = (self.commit, entry.term, bytes.clone());
+                self.out.push(Output::Committed { index, term, bytes });
+            }
+        }
+    }
+
+    pub(super) fn send(
+        &mut self,
+        addr: String,
+        to: Option<ControlId>,
+        term: GroupTerm,
+        body: GroupBody,
+    ) {
+        let message = GroupMessage { from: self.settings.id.clone(), to, term, body };
+        self.out.push(Output::Send { addr, message });
+    }
+
+    fn compact(&mut self, data: Bytes) {
+        let Some(last) = self.log.mark(self.commit) else { return };
+        let members = self.history.at(last.index).clone();
+        let tail = last.index.saturating_sub(TAIL_ENTRIES).max(self.log.base().index);
+        let Some(base) = self.log.mark(tail) else { return };
+        self.log.compact(base);
+        self.history.compact(last.index);
+        self.store_snapshot(Snapshot { last, members, data });
+    }
+
+    pub(super) fn store_snapshot(&mut self, snapshot: Snapshot) {
+        let base = self.log.base();
+        let write = SnapshotWrite {
+            snapshot: snapshot.clone(),
+            vote: self.vote.clone(),
+            base,
+            entries: self.log.after(base),
+        };
+        self.snapshot = Some(snapshot);
+        self.out.push(Output::Persist(Write::Snapshot(Box::new(write))));
+    }
+}
--- /dev/null
+++ b/src/control/storage.rs
@@ -0,0 +1,98 @@
+//! What a control host must find again after a restart.
+//!
+//! A [`Write`] describes a change of the stored state. The disk adapter syncs
+//! writes before the node's later outputs take effect, and replays them after a
+//! restart.
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    ids::ControlId,
+    wire::group::{GroupTerm, LogEntry, LogMark, Members},
+};
+
+/// Current term and the vote given in it.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Vote {
+    pub term: GroupTerm,
+    pub voted_for: Option<ControlId>,
+}
+
+/// State up to an entry of the log.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// Last entry that the snapshot covers.
+    pub last: LogMark,
+    pub members: Members,
+    pub data: Bytes,
+}
+
+/// Change of the stored state.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Write {
+    Vote(Vote),
+    /// Adds entries; the first has the index after the last stored one.
+    Entries(Vec<LogEntry>),
+    /// Removes the entries from `from` on.
+    Truncate {
+        from: u64,
+    },
+    /// Replaces the snapshot and the log.
+    Snapshot(Box<SnapshotWrite>),
+}
+
+/// Snapshot with the log that remains beside it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SnapshotWrite {
+    pub snapshot: Snapshot,
+    pub vote: Vote,
+    /// Entry before the first of `entries`.
+    pub base: LogMark,
+    pub entries: Vec<LogEntry>,
+}
+
+/// Stored state.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stored {
+    pub vote: Vote,
+    pub snapshot: Option<Snapshot>,
+    /// Entry before the first of `entries`.
+    pub base: LogMark,
+    pub entries: Vec<LogEntry>,
+}
+
+impl Stored {
+    /// Applies one write.
+    pub fn apply(&mut self, write: &Write) {
+        match write {
+            Write::Vote(vote) => self.vote = vote.clone(),
+            Write::Entries(entries) => self.entries.extend_from_slice(entries),
+            Write::Truncate { from } => {
+                let keep = from.saturating_sub(self.base.index + 1);
+                self.entries.truncate(usize::try_from(keep).unwrap_or(usize::MAX));
+            }
+            Write::Snapshot(write) => {
+                self.vote = write.vote.clone();
+                self.snapshot = Some(write.snapshot.clone());
+                self.base = write.base;
+                self.entries = write.entries.clone();
+            }
+        }
+    }
+
+    /// Makes a log fit a snapshot that was stored after it. Entries beyond the
+    /// snapshot remain only if the log holds the snapshot's last entry.
+    pub fn align(&mut self) {
+        let Some(snapshot) = &self.snapshot else { return };
+        let last = snapshot.last;
+        if self.base.index >= last.index {
+            return;
+        }
+        let position = usize::try_from(last.index - self.base.index - 1).unwrap_or(usize::MAX);
+        if self.entries.get(position).is_none_or(|entry| entry.term != last.term) {
+            self.base = last;
+            self.entries.clear();
+        }
+    }
+}
--- a/src/wire/group.rs
+++ b/src/wire/group.rs
@@ -76,6 +76,8 @@
     pub name: String,
     pub bus_addr: String,
     pub http_addr: String,
+    /// Index of the entry that added the host; 0 before that.
+    pub since: u64,
 }
 
 /// Message between two control hosts.
