--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -7,3 +7,4 @@
 pub mod routing;
 pub mod log;
 pub mod operator;
+pub mod control;
