--- a/src/adapters/caller/convert.rs
+++ b/src/adapters/caller/convert.rs
@@ -31,7 +31,9 @@
         ReplyResult::TransactionStarted(tag) => Response::TransactionStart(Tag::new(&tag)),
         ReplyResult::TransactionEnded(tag) => Response::TransactionEnd(Tag::new(&tag)),
         ReplyResult::Empty => Response::EmptyQuery,
-        ReplyResult::Error(failure) => return Err(error(&failure)),
+        ReplyResult::Error(failure) | ReplyResult::TransactionFailed(failure) => {
+            return Err(error(&failure));
+        }
     })
 }
 
--- a/src/adapters/caller/handlers.rs
+++ b/src/adapters/caller/handlers.rs
@@ -26,11 +26,12 @@
     messages::{
         PgWireBackendMessage, PgWireFrontendMessage,
         cancel::CancelRequest,
+        response::TransactionStatus,
         startup::{Authentication, ParameterStatus, PasswordMessageFamily},
     },
 };
 
-use super::{CallerHandler, CancelSignal, Login, Reply, convert, registry::Registry};
+use super::{CallerHandler, CancelSignal, Login, Reply, ReplyResult, convert, registry::Registry};
 use crate::wire::peer::{Failure, Statement};
 
 /// Startup parameters that are not options of the session.
@@ -200,13 +201,16 @@
 /// Sends the parameters of `reply` and converts its result.
 async fn report<C>(client: &mut C, reply: Reply) -> PgWireResult<Response>
 where
-    C: Sink<PgWireBackendMessage> + Unpin + Send,
+    C: ClientInfo + Sink<PgWireBackendMessage> + Unpin + Send,
     PgWireError: From<<C as Sink<PgWireBackendMessage>>::Error>,
 {
     for (name, value) in reply.parameters {
         let status = ParameterStatus::new(name.to_owned(), value);
         client.feed(PgWireBackendMessage::ParameterStatus(status)).await?;
     }
+    if matches!(reply.result, ReplyResult::TransactionFailed(_)) {
+        client.set_transaction_status(TransactionStatus::Idle);
+    }
     convert::response(reply.result)
 }
 
--- a/src/adapters/caller/mod.rs
+++ b/src/adapters/caller/mod.rs
@@ -51,7 +51,10 @@
     TransactionStarted(String),
     TransactionEnded(String),
     Empty,
+    /// Error; an open transaction has failed and waits for its rollback.
     Error(Failure),
+    /// Error that has also ended the transaction.
+    TransactionFailed(Failure),
 }
 
 /// Receiver of callers' statements.
--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -1,7 +1,6 @@
 //! Adapters to sockets, disks, clocks, logs and metrics.
 
-pub mod caller;
-pub mod peer;
-pub mod log;
 pub mod bus;
+pub mod caller;
 pub mod log;
+pub mod peer;
--- /dev/null
+++ b/src/bin/pomelopin-entry.rs
@@ -0,0 +1,64 @@
+//! Entry host: PostgreSQL protocol to callers and targets.
+
+use std::{process::ExitCode, time::SystemTime};
+
+use eyre::{Context, Result};
+use pomelopin::{
+    adapters::log,
+    entry::runtime,
+    ids::Incarnation,
+    settings::entry::{EntryArguments, EntrySettings, entry_arguments},
+};
+use tokio::signal::unix::{SignalKind, signal};
+
+fn main() -> ExitCode {
+    let arguments = entry_arguments().run();
+    let settings = match arguments.check() {
+        Ok(settings) => settings,
+        Err(findings) => {
+            for finding in findings {
+                eprintln!("{finding}");
+            }
+            return ExitCode::from(2);
+        }
+    };
+    if arguments.check_settings {
+        println!("settings are valid");
+        return ExitCode::SUCCESS;
+    }
+    match start(&arguments, settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start(arguments: &EntryArguments, settings: EntrySettings) -> Result<()> {
+    log::init(arguments.log, settings.host.as_str())?;
+    let mut builder = tokio::runtime::Builder::new_multi_thread();
+    if arguments.workers > 0 {
+        builder.worker_threads(arguments.workers);
+    }
+    let runtime = builder.enable_all().build()?;
+    runtime.block_on(async {
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        let stop = async move {
+            tokio::select! {
+                _ = terminate.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+        };
+        runtime::run(settings, incarnation()?, stop).await
+    })
+}
+
+/// Number of this start; larger than that of earlier starts as long as the wall
+/// clock does not go back between them.
+fn incarnation() -> Result<Incarnation> {
+    let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    let ms = since_epoch.wrap_err("the wall clock is before 1970")?.as_millis();
+    Ok(Incarnation(u64::try_from(ms)?))
+}
--- /dev/null
+++ b/src/capacity/slope.rs
@@ -0,0 +1,75 @@
+//! Measured points of one slope and the line through them.
+
+use std::time::{Duration, Instant};
+
+/// Time for which one point is repeated.
+const POINT_TIME: Duration = Duration::from_millis(200);
+
+/// Points of one slope.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Slope {
+    pub name: &'static str,
+    /// What the size counts.
+    pub size_unit: &'static str,
+    /// Unit of the measured values.
+    pub value_unit: &'static str,
+    pub points: Vec<Point>,
+}
+
+/// One measured value.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Point {
+    pub size: f64,
+    pub value: f64,
+}
+
+impl Slope {
+    /// Slope without points.
+    pub fn new(name: &'static str, size_unit: &'static str, value_unit: &'static str) -> Self {
+        Self { name, size_unit, value_unit, points: Vec::new() }
+    }
+
+    /// Adds a point.
+    pub fn push(&mut self, size: usize, value: f64) {
+        self.points.push(Point { size: size as f64, value });
+    }
+
+    /// Offset and increase per unit of the least-squares line.
+    pub fn line(&self) -> (f64, f64) {
+        let count = self.points.len() as f64;
+        let mean_size = self.points.iter().map(|point| point.size).sum::<f64>() / count;
+        let mean_value = self.points.iter().map(|point| point.value).sum::<f64>() / count;
+        let (mut covariance, mut variance) = (0.0, 0.0);
+        for point in &self.points {
+            covariance += (point.size - mean_size) * (point.value - mean_value);
+            variance += (point.size - mean_size).powi(2);
+        }
+        let increase = if variance == 0.0 { 0.0 } else { covariance / variance };
+        (mean_value - increase * mean_size, increase)
+    }
+
+    /// Rows of a Markdown table.
+    pub fn rows(&self) -> String {
+        let mut text = format!(
+            "### {}\n\n| {} | {} |\n|---:|---:|\n",
+            self.name, self.size_unit, self.value_unit
+        );
+        for point in &self.points {
+            text.push_str(&format!("| {} | {:.2} |\n", point.size, point.value));
+        }
+        let (offset, increase) = self.line();
+        text.push_str(&format!("\nLine: {offset:.3} + {increase:.6} per unit.\n"));
+        text
+    }
+}
+
+/// Mean time of one call in microseconds.
+pub fn mean_us<T>(mut call: impl FnMut() -> T) -> f64 {
+    let started = Instant::now();
+    let mut calls = 0_u32;
+    while calls == 0 || started.elapsed() < POINT_TIME {
+        std::hint::black_box(call());
+        calls += 1;
+    }
+    started.elapsed().as_secs_f64() * 1e6 / f64::from(calls)
+}
--- /dev/null
+++ b/src/capacity/traffic.rs
@@ -0,0 +1,74 @@
+//! Slopes of control messages.
+
+use super::{
+    fleet::{self, FleetSize},
+    slope::{Slope, mean_us},
+    state::HOSTS,
+};
+use crate::{
+    clock::Millis,
+    ids::Revision,
+    keys::host::HostKey,
+    ownership::rendezvous,
+    wire::control::{ControlMessage, Renew, RenewAnswer, Update},
+};
+
+/// Bytes that the bus adds to a message: name, incarnation, sequence and MAC.
+const ENVELOPE_BYTES: f64 = 64.0;
+
+fn renew(number: usize) -> ControlMessage {
+    ControlMessage::Renew(Renew {
+        host: fleet::host(number),
+        sent_at: Millis(86_400_000),
+        revision: Revision(50_000),
+        stopped: false,
+        announced: Vec::new(),
+        observations: Vec::new(),
+        releases: Vec::new(),
+    })
+}
+
+/// Renewals of all hosts in one interval: bytes and leader time.
+pub fn renewals() -> [Slope; 2] {
+    let mut bytes = Slope::new("Renewals of one interval (both directions)", "hosts", "bytes");
+    let mut time = Slope::new("Check and decode of the renewals of one interval", "hosts", "us");
+    let key = HostKey::new("a key for the benchmark only");
+    let Ok(key) = key else { return [bytes, time] };
+    let answer = ControlMessage::RenewAnswer(RenewAnswer::Lease {
+        echo: Millis(86_400_000),
+        lease: Millis(2_000),
+        update: Update::None,
+    });
+    let answer = postcard::to_stdvec(&answer).unwrap_or_default();
+    for hosts in HOSTS {
+        let messages: Vec<Vec<u8>> = (0..hosts)
+            .map(|number| postcard::to_stdvec(&renew(number)).unwrap_or_default())
+            .collect();
+        let sent: usize = messages.iter().map(|message| message.len() + answer.len()).sum();
+        bytes.push(hosts, sent as f64 + 2.0 * ENVELOPE_BYTES * hosts as f64);
+        let us = mean_us(|| {
+            for message in &messages {
+                let mac = key.sign(message);
+                std::hint::black_box(postcard::from_bytes::<ControlMessage>(message).is_ok());
+                std::hint::black_box((mac, key.sign(&answer)));
+            }
+        });
+        time.push(hosts, us);
+    }
+    [bytes, time]
+}
+
+/// Time of one placement decision over all hosts.
+pub fn placement() -> [Slope; 1] {
+    let mut time = Slope::new("Rendezvous choice of one owner", "hosts", "us");
+    for hosts in HOSTS {
+        let state = fleet::state(FleetSize { services: 1, ..FleetSize::of_hosts(hosts) });
+        let domain = fleet::domain(0);
+        let us = mean_us(|| {
+            rendezvous::owner("workspace-00001", state.view.hosts.values(), Some(&domain))
+                .map(|host| host.id.clone())
+        });
+        time.push(hosts, us);
+    }
+    [time]
+}
--- a/src/keys/mod.rs
+++ b/src/keys/mod.rs
@@ -4,5 +4,3 @@
 pub mod check;
 pub mod host;
 pub mod key;
-pub mod host;
-pub mod key;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,11 +5,12 @@
 //! clocks are adapters in [`adapters`]. The binaries join both.
 
 pub mod adapters;
+pub mod capacity;
 pub mod cli;
 pub mod clock;
 pub mod configuration;
 pub mod control;
-pub mod entry;
+
 pub mod ids;
 pub mod keys;
 pub mod limits;
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,10 +1,8 @@
 //! Settings of each area, with defaults.
 
-pub mod owner;
-pub mod promotion;
+pub mod control;
 pub mod log;
 pub mod operator;
+pub mod owner;
+pub mod promotion;
 pub mod routing;
-pub mod log;
-pub mod operator;
-pub mod control;
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -5,6 +5,6 @@
 
 pub mod announcement;
 pub mod control;
-pub mod operator;
 pub mod group;
+pub mod operator;
 pub mod peer;
