--- a/src/cli/client.rs
+++ b/src/cli/client.rs
@@ -13,7 +13,7 @@
 use crate::{
     configuration::finding::Finding,
     ids::Revision,
-    settings::operator::{OperatorSettings, OperatorToken},
+    settings::operator::{OperatorSettings, OperatorToken, TokenError},
     wire::operator::{
         APPLY_PATH, AUDIT_PATH, ApplyRequest, ApplyResponse, AuditResponse, FILE_PATH,
         FileResponse, InvalidFile, NotLeader, STATUS_PATH, StatusResponse,
@@ -34,16 +34,24 @@
 pub enum ClientError {
     #[display("the HTTP client did not start: {_0}")]
     Setup(reqwest::Error),
+    NoToken(TokenError),
     #[display("the control hosts refused the operator token")]
     Token,
     /// File has faults.
     #[display("the file has {} faults", _0.len())]
     Invalid(Vec<Finding>),
     #[display("{address} answered {status}: {text}")]
-    Refused { address: String, status: StatusCode, text: String },
+    Refused {
+        address: String,
+        status: StatusCode,
+        text: String,
+    },
     /// Whether the request has taken effect is not known.
     #[display("no answer within {timeout_ms} ms; last failure: {last}")]
-    Deadline { timeout_ms: u64, last: String },
+    Deadline {
+        timeout_ms: u64,
+        last: String,
+    },
 }
 
 impl std::error::Error for ClientError {}
@@ -117,13 +125,14 @@
     ///
     /// # Errors
     ///
-    /// Fails if the HTTP client cannot be set up.
+    /// Fails if there is no operator token or the HTTP client cannot be set up.
     pub fn new(settings: &OperatorSettings) -> Result<Self, ClientError> {
         let http = reqwest::Client::builder().no_proxy().build().map_err(ClientError::Setup)?;
         Ok(Self {
             http,
             hosts: Hosts::new(settings.control.clone()),
-            token: settings.token.clone(),
+            token: OperatorToken::load(settings.token_file.as_deref())
+                .map_err(ClientError::NoToken)?,
             timeout_ms: settings.timeout_ms,
             deadline: Instant::now() + Duration::from_millis(settings.timeout_ms),
         })
--- a/src/configuration/finding.rs
+++ b/src/configuration/finding.rs
@@ -28,8 +28,13 @@
     }
 
     /// Adds a fault at a byte offset.
+    ///
+    /// The TOML parser places a string behind its opening quote; the finding points to
+    /// the quote.
     pub fn add(&mut self, offset: usize, message: impl Into<String>) {
-        let (line, column) = self.place(offset);
+        let before = self.text.get(..offset).unwrap_or_default();
+        let quotes = usize::from(before.ends_with(['"', '\'']));
+        let (line, column) = self.place(offset - quotes);
         self.list.push(Finding { line, column, message: message.into() });
     }
 
--- a/src/settings/operator.rs
+++ b/src/settings/operator.rs
@@ -1,8 +1,12 @@
-//! Settings of the operators' command line and of the operators' HTTP API.
+//! Settings of the operators' command line and the token of the operators' HTTP API.
 
-use std::{env, fmt, fs, path::PathBuf, str::FromStr};
+use std::{
+    env, fmt, fs, io,
+    path::{Path, PathBuf},
+    str::FromStr,
+};
 
-use bpaf::{Bpaf, Parser, long};
+use bpaf::Bpaf;
 use derive_more::Display;
 use subtle::ConstantTimeEq;
 
@@ -12,7 +16,7 @@
 /// Environment variable that holds the operator token.
 pub const TOKEN_VARIABLE: &str = "POMELOPIN_OPERATOR_TOKEN";
 
-/// Default deadline of a request in milliseconds.
+/// Default deadline of a command in milliseconds.
 pub const DEFAULT_TIMEOUT_MS: u64 = 15_000;
 
 /// Secret that authenticates operators at control hosts.
@@ -20,9 +24,15 @@
 pub struct OperatorToken(String);
 
 /// Operator token that cannot be used.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
-#[display("the operator token needs at least {MIN_TOKEN_BYTES} bytes")]
-pub struct TokenError;
+#[derive(Debug, Display)]
+pub enum TokenError {
+    #[display("the operator token needs at least {MIN_TOKEN_BYTES} bytes")]
+    TooShort,
+    #[display("the operator token is missing: set --token-file or {TOKEN_VARIABLE}")]
+    Missing,
+    #[display("operator token file {}: {_1}", _0.display())]
+    Unreadable(PathBuf, io::Error),
+}
 
 impl std::error::Error for TokenError {}
 
@@ -32,13 +42,28 @@
     fn from_str(text: &str) -> Result<Self, TokenError> {
         let text = text.trim();
         if text.len() < MIN_TOKEN_BYTES {
-            return Err(TokenError);
+            return Err(TokenError::TooShort);
         }
         Ok(Self(text.to_owned()))
     }
 }
 
 impl OperatorToken {
+    /// Token from a file, or from [`TOKEN_VARIABLE`] without one. It is no argument,
+    /// because other users of the machine can read the arguments of a process.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no token or it is too short.
+    pub fn load(file: Option<&Path>) -> Result<Self, TokenError> {
+        let text = match file {
+            Some(file) => fs::read_to_string(file)
+                .map_err(|error| TokenError::Unreadable(file.to_owned(), error))?,
+            None => env::var(TOKEN_VARIABLE).map_err(|_| TokenError::Missing)?,
+        };
+        text.parse()
+    }
+
     /// Value of the `Authorization` header of a request.
     pub fn bearer(&self) -> String {
         format!("Bearer {}", self.0)
@@ -58,7 +83,7 @@
     }
 }
 
-/// How the command line reaches the control hosts.
+/// How the command line reaches the control hosts
 #[derive(Debug, Clone, Bpaf)]
 pub struct OperatorSettings {
     /// HTTP addresses of the control hosts, separated by commas
@@ -69,8 +94,10 @@
         parse(split_addresses)
     )]
     pub control: Vec<String>,
-    #[bpaf(external)]
-    pub token: OperatorToken,
+    /// File with the operator token, at least 16 bytes; without it
+    /// POMELOPIN_OPERATOR_TOKEN holds the token
+    #[bpaf(long("token-file"), env("POMELOPIN_OPERATOR_TOKEN_FILE"), argument("FILE"))]
+    pub token_file: Option<PathBuf>,
     /// Operator's name in the audit trail
     #[bpaf(
         long("operator"),
@@ -96,28 +123,3 @@
     let addresses = addresses.map(str::to_owned).collect::<Vec<_>>();
     if addresses.is_empty() { Err("at least one control host is needed") } else { Ok(addresses) }
 }
-
-/// Token from a file or the environment. It is no argument, because other users of
-/// the machine can read the arguments of a process.
-fn token() -> impl Parser<OperatorToken> {
-    long("token-file")
-        .help(
-            "File with the operator token, at least 16 bytes; without it \
-             POMELOPIN_OPERATOR_TOKEN holds the token",
-        )
-        .env("POMELOPIN_OPERATOR_TOKEN_FILE")
-        .argument::<PathBuf>("FILE")
-        .optional()
-        .parse(read_token)
-}
-
-fn read_token(file: Option<PathBuf>) -> Result<OperatorToken, String> {
-    let Some(file) = file else {
-        let text = env::var(TOKEN_VARIABLE)
-            .map_err(|_| format!("--token-file or {TOKEN_VARIABLE} is needed"))?;
-        return text.parse().map_err(|error| format!("{TOKEN_VARIABLE}: {error}"));
-    };
-    let name = file.display();
-    let text = fs::read_to_string(&file).map_err(|error| format!("{name}: {error}"))?;
-    text.parse().map_err(|error| format!("{name}: {error}"))
-}
