--- a/src/ownership/assignment.rs
+++ b/src/ownership/assignment.rs
@@ -93,7 +93,8 @@
             match &self.owner {
                 None => self.assign(best, epoch),
                 Some(owner) if self.previous.is_none() && !owner.is_held_by(best) => {
-                    self.previous = self.owner.take();
+                    // An owner without a budget has opened no connections.
+                    self.previous = self.owner.take().filter(|owner| owner.connections > 0);
                     self.assign(best, epoch);
                 }
                 Some(_) => {}
