--- a/src/configuration/fields.rs
+++ b/src/configuration/fields.rs
@@ -55,10 +55,10 @@
         findings: &mut Findings<'_>,
     ) -> Vec<Fields<'a, 'de>> {
         let Some(value) = self.table.get(field) else { return Vec::new() };
-        let Some(values) = value.as_array() else {
+        let values = value.as_array().map_or(std::slice::from_ref(value), Vec::as_slice);
+        if value.as_array().is_none() {
             findings.add(value.span.start, format!("`{field}` must be written as {section}"));
-            return Vec::new();
-        };
+        }
         values.iter().filter_map(|value| Fields::new(value, section, allowed, findings)).collect()
     }
 
