Add the owner runtime, the backend connection and the pools

Owners run the statements of all entry hosts on their instances. A connection in use is given back when its handle is dropped, and only if no answer is outstanding and no transaction is open, so a dropped request cannot leave state behind. Transactions get permits that leave enough connections for all slots; otherwise holders of slots could wait for transactions whose next statement waits for a slot.

--- /dev/null
+++ b/src/adapters/backend.rs
@@ -0,0 +1,344 @@
+//! PostgreSQL client connection to a target instance.
+//!
+//! Requests are pipelined: a batch is written at once and its answers are received
+//! one after the other. After an I/O or protocol error, or while answers are
+//! outstanding, the connection is not clean and must be closed.
+
+use std::io;
+
+use bytes::{Buf, Bytes, BytesMut};
+use derive_more::{Display, From};
+use futures::FutureExt;
+use postgres_protocol::{
+    IsNull,
+    message::{
+        backend::{ErrorResponseBody, Header, Message, RowDescriptionBody},
+        frontend,
+    },
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
+
+use crate::wire::peer::{Bind, Description, Failure, Field, Rows, Statement};
+
+/// Largest message that a target may send, in bytes.
+pub const MAX_MESSAGE_BYTES: usize = 16 << 20;
+/// Largest answer to one request, in bytes.
+pub const MAX_ANSWER_BYTES: usize = 64 << 20;
+/// Largest request, in bytes.
+pub const MAX_REQUEST_BYTES: usize = 16 << 20;
+/// Initial size of the buffers, in bytes.
+const BUFFER_BYTES: usize = 8 << 10;
+/// Bytes of a message's tag and length.
+const HEADER_BYTES: usize = 5;
+const DATA_ROW: u8 = b'D';
+
+/// Fault of a connection to a target.
+#[derive(Debug, Display, From)]
+pub enum BackendError {
+    #[display("connection to the target failed: {_0}")]
+    Io(io::Error),
+    #[display("protocol error of the target: {_0}")]
+    #[from(ignore)]
+    Protocol(String),
+    #[display("message of {_0} bytes is too large")]
+    #[from(ignore)]
+    TooLarge(usize),
+    #[display("target refused the connection: {_0}")]
+    Target(Failure),
+    #[display("deadline passed")]
+    TimedOut,
+    #[display("connection was closed by its owner")]
+    Closed,
+}
+
+impl std::error::Error for BackendError {}
+
+/// Key that identifies a connection in a CancelRequest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CancelKey {
+    pub process: i32,
+    pub secret: i32,
+}
+
+/// Transaction status after an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Status {
+    Idle,
+    Transaction,
+    FailedTransaction,
+}
+
+/// Answer of the target to one request.
+#[derive(Debug)]
+pub struct Answer {
+    pub result: Result<Rows, Failure>,
+    pub status: Status,
+}
+
+/// Connection to a target instance.
+pub struct Connection {
+    stream: TcpStream,
+    addr: String,
+    input: BytesMut,
+    output: BytesMut,
+    /// Requests without an answer.
+    pending: usize,
+    broken: bool,
+    status: Status,
+    cancel: Option<CancelKey>,
+}
+
+impl Connection {
+    pub(crate) fn new(stream: TcpStream, addr: &str) -> Self {
+        Self {
+            stream,
+            addr: addr.to_owned(),
+            input: BytesMut::with_capacity(BUFFER_BYTES),
+            output: BytesMut::with_capacity(BUFFER_BYTES),
+            pending: 0,
+            broken: false,
+            status: Status::Idle,
+            cancel: None,
+        }
+    }
+
+    pub(crate) fn set_cancel_key(&mut self, key: CancelKey) {
+        self.cancel = Some(key);
+    }
+
+    /// Address and key for [`cancel`].
+    pub fn cancel_key(&self) -> Option<(String, CancelKey)> {
+        self.cancel.map(|key| (self.addr.clone(), key))
+    }
+
+    /// Whether the next request would meet a connection without any state.
+    pub fn is_clean(&self) -> bool {
+        !self.broken && self.pending == 0 && self.status == Status::Idle && self.input.is_empty()
+    }
+
+    /// Whether an idle connection is still open: the target sent neither data nor
+    /// the end of the stream.
+    pub fn is_open(&self) -> bool {
+        let mut byte = [0; 1];
+        let peeked = self.stream.peek(&mut byte).now_or_never();
+        self.is_clean() && peeked.is_none()
+    }
+
+    /// Adds a simple query to the batch.
+    pub fn query(&mut self, sql: &str) -> Result<(), BackendError> {
+        frontend::query(sql, &mut self.output)?;
+        self.pending += 1;
+        Ok(())
+    }
+
+    /// Adds a statement to the batch, as an extended query if it has parameters.
+    pub fn statement(&mut self, statement: &Statement) -> Result<(), BackendError> {
+        let Some(bind) = &statement.bind else { return self.query(&statement.sql) };
+        frontend::parse("", &statement.sql, bind.types.iter().copied(), &mut self.output)?;
+        write_bind(bind, &mut self.output)?;
+        frontend::describe(b'P', "", &mut self.output)?;
+        frontend::execute("", 0, &mut self.output)?;
+        frontend::sync(&mut self.output);
+        self.pending += 1;
+        Ok(())
+    }
+
+    /// Writes the batch.
+    pub async fn flush(&mut self) -> Result<(), BackendError> {
+        if self.output.len() > MAX_REQUEST_BYTES {
+            self.broken = true;
+            return Err(BackendError::TooLarge(self.output.len()));
+        }
+        // A dropped future may leave a part of the batch written.
+        self.broken = true;
+        self.stream.write_all(&self.output).await?;
+        self.output.clear();
+        self.broken = false;
+        Ok(())
+    }
+
+    /// Receives the answer to the oldest request.
+    pub async fn receive(&mut self) -> Result<Answer, BackendError> {
+        let (answer, _) = self.collect().await?;
+        Ok(answer)
+    }
+
+    /// Types of a statement's parameters and columns.
+    pub async fn describe(
+        &mut self,
+        sql: &str,
+    ) -> Result<Result<Description, Failure>, BackendError> {
+        frontend::parse("", sql, std::iter::empty(), &mut self.output)?;
+        frontend::describe(b'S', "", &mut self.output)?;
+        frontend::sync(&mut self.output);
+        self.pending += 1;
+        self.flush().await?;
+        let (answer, parameters) = self.collect().await?;
+        Ok(answer.result.map(|rows| Description { parameters, fields: rows.fields }))
+    }
+
+    /// Ends the connection and waits until the target has closed it.
+    pub async fn close(mut self) {
+        self.output.clear();
+        frontend::terminate(&mut self.output);
+        let mut rest = [0; 1 << 10];
+        if self.stream.write_all(&self.output).await.is_ok() && self.stream.shutdown().await.is_ok()
+        {
+            while self.stream.read(&mut rest).await.is_ok_and(|n| n > 0) {}
+        }
+    }
+
+    pub(crate) fn out(&mut self) -> &mut BytesMut {
+        &mut self.output
+    }
+
+    pub(crate) async fn message(&mut self) -> Result<Message, BackendError> {
+        let mut frame = self.frame().await?;
+        Message::parse(&mut frame)?.ok_or_else(|| protocol("incomplete message"))
+    }
+
+    async fn collect(&mut self) -> Result<(Answer, Vec<u32>), BackendError> {
+        let collected = self.collect_until_ready().await;
+        self.broken |= collected.is_err();
+        if let Ok((answer, _)) = &collected {
+            self.status = answer.status;
+            self.pending -= 1;
+        }
+        collected
+    }
+
+    async fn collect_until_ready(&mut self) -> Result<(Answer, Vec<u32>), BackendError> {
+        let mut rows = Rows::default();
+        let mut parameters = Vec::new();
+        let mut error = None;
+        let mut size = 0;
+        loop {
+            let mut frame = self.frame().await?;
+            size += frame.len();
+            if size > MAX_ANSWER_BYTES {
+                return Err(BackendError::TooLarge(size));
+            }
+            if frame[0] == DATA_ROW {
+                frame.advance(HEADER_BYTES);
+                rows.rows.push(frame.freeze());
+                continue;
+            }
+            match Message::parse(&mut frame)?.ok_or_else(|| protocol("incomplete message"))? {
+                Message::RowDescription(body) => {
+                    rows.fields = fields(&body)?;
+                    rows.rows.clear();
+                }
+                Message::ParameterDescription(body) => parameters = collect(body.parameters())?,
+                Message::CommandComplete(body) => rows.tag = body.tag()?.to_owned(),
+                Message::ErrorResponse(body) => error = Some(failure(&body)?),
+                Message::ReadyForQuery(body) => {
+                    let status = status(body.status())?;
+                    let result = error.map_or(Ok(rows), Err);
+                    return Ok((Answer { result, status }, parameters));
+                }
+                Message::ParseComplete
+                | Message::BindComplete
+                | Message::NoData
+                | Message::EmptyQueryResponse
+                | Message::NoticeResponse(_)
+                | Message::NotificationResponse(_)
+                | Message::ParameterStatus(_) => {}
+                _ => return Err(protocol("unexpected message")),
+            }
+        }
+    }
+
+    /// Next message with its header.
+    async fn frame(&mut self) -> Result<BytesMut, BackendError> {
+        loop {
+            if let Some(header) = Header::parse(&self.input)? {
+                let len = usize::try_from(header.len()).map_err(|_| protocol("negative length"))?;
+                if len > MAX_MESSAGE_BYTES {
+                    return Err(BackendError::TooLarge(len));
+                }
+                if self.input.len() > len {
+                    return Ok(self.input.split_to(len + 1));
+                }
+                self.input.reserve(len + 1 - self.input.len());
+            }
+            if self.stream.read_buf(&mut self.input).await? == 0 {
+                return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
+            }
+        }
+    }
+}
+
+/// Asks the target at `addr` to cancel what the connection with `key` runs.
+pub async fn cancel(addr: &str, key: CancelKey) -> Result<(), BackendError> {
+    let mut stream = TcpStream::connect(addr).await?;
+    let mut buf = BytesMut::new();
+    frontend::cancel_request(key.process, key.secret, &mut buf);
+    stream.write_all(&buf).await?;
+    stream.shutdown().await?;
+    Ok(())
+}
+
+/// Error of the target as a typed failure.
+pub(crate) fn failure(body: &ErrorResponseBody) -> Result<Failure, BackendError> {
+    let mut failure = Failure { code: String::new(), message: String::new() };
+    for field in collect(body.fields())? {
+        let value = String::from_utf8_lossy(field.value_bytes()).into_owned();
+        match field.type_() {
+            b'C' => failure.code = value,
+            b'M' => failure.message = value,
+            _ => {}
+        }
+    }
+    Ok(failure)
+}
+
+fn write_bind(bind: &Bind, out: &mut BytesMut) -> Result<(), BackendError> {
+    let write_value = |value: &Option<Bytes>, buf: &mut BytesMut| match value {
+        Some(value) => {
+            buf.extend_from_slice(value);
+            Ok(IsNull::No)
+        }
+        None => Ok(IsNull::Yes),
+    };
+    let formats = bind.formats.iter().copied();
+    let results = bind.result_formats.iter().copied();
+    frontend::bind("", "", formats, &bind.values, write_value, results, out).map_err(|error| {
+        match error {
+            frontend::BindError::Conversion(error) => protocol(&error.to_string()),
+            frontend::BindError::Serialization(error) => error.into(),
+        }
+    })
+}
+
+fn fields(body: &RowDescriptionBody) -> Result<Vec<Field>, BackendError> {
+    let fields = collect(body.fields())?;
+    let field = |field: &postgres_protocol::message::backend::Field<'_>| Field {
+        name: field.name().to_owned(),
+        type_oid: field.type_oid(),
+        format: field.format(),
+    };
+    Ok(fields.iter().map(field).collect())
+}
+
+fn collect<I>(items: I) -> Result<Vec<I::Item>, BackendError>
+where
+    I: tokio_postgres::fallible_iterator::FallibleIterator<Error = io::Error>,
+{
+    Ok(items.collect()?)
+}
+
+fn status(byte: u8) -> Result<Status, BackendError> {
+    match byte {
+        b'I' => Ok(Status::Idle),
+        b'T' => Ok(Status::Transaction),
+        b'E' => Ok(Status::FailedTransaction),
+        _ => Err(protocol("unknown transaction status")),
+    }
+}
+
+fn protocol(message: &str) -> BackendError {
+    BackendError::Protocol(message.to_owned())
+}
--- /dev/null
+++ b/src/adapters/backend_startup.rs
@@ -0,0 +1,107 @@
+//! Startup and authentication of a connection to a target instance.
+
+use postgres_protocol::{
+    authentication::{
+        md5_hash,
+        sasl::{ChannelBinding, SCRAM_SHA_256, ScramSha256},
+    },
+    message::{backend::Message, frontend},
+};
+use tokio::net::TcpStream;
+
+use crate::{
+    adapters::backend::{BackendError, CancelKey, Connection, failure},
+    settings::owner::OwnerSettings,
+};
+
+/// Credentials of the project at the targets.
+#[derive(Clone)]
+pub struct Credentials {
+    pub user: String,
+    pub password: String,
+}
+
+impl From<&OwnerSettings> for Credentials {
+    fn from(settings: &OwnerSettings) -> Self {
+        Self { user: settings.user.clone(), password: settings.password.clone() }
+    }
+}
+
+/// Connects to the instance at `addr` and logs in to `database`.
+pub async fn connect(
+    addr: &str,
+    database: &str,
+    credentials: &Credentials,
+) -> Result<Connection, BackendError> {
+    let stream = TcpStream::connect(addr).await?;
+    stream.set_nodelay(true)?;
+    let mut connection = Connection::new(stream, addr);
+    let parameters = [
+        ("user", credentials.user.as_str()),
+        ("database", database),
+        ("application_name", "pomelopin"),
+    ];
+    frontend::startup_message(parameters, connection.out())?;
+    connection.flush().await?;
+    authenticate(&mut connection, credentials).await?;
+    finish(&mut connection).await?;
+    Ok(connection)
+}
+
+async fn authenticate(
+    connection: &mut Connection,
+    credentials: &Credentials,
+) -> Result<(), BackendError> {
+    let password = credentials.password.as_bytes();
+    let mut scram = None;
+    loop {
+        match connection.message().await? {
+            Message::AuthenticationOk => return Ok(()),
+            Message::AuthenticationCleartextPassword => {
+                frontend::password_message(password, connection.out())?;
+            }
+            Message::AuthenticationMd5Password(body) => {
+                let hash = md5_hash(credentials.user.as_bytes(), password, body.salt());
+                frontend::password_message(hash.as_bytes(), connection.out())?;
+            }
+            Message::AuthenticationSasl(_) => {
+                let client = ScramSha256::new(password, ChannelBinding::unsupported());
+                let first = client.message();
+                frontend::sasl_initial_response(SCRAM_SHA_256, first, connection.out())?;
+                scram = Some(client);
+            }
+            Message::AuthenticationSaslContinue(body) => {
+                let client = scram.as_mut().ok_or_else(|| unexpected("SASLContinue"))?;
+                client.update(body.data())?;
+                frontend::sasl_response(client.message(), connection.out())?;
+            }
+            Message::AuthenticationSaslFinal(body) => {
+                let client = scram.as_mut().ok_or_else(|| unexpected("SASLFinal"))?;
+                client.finish(body.data())?;
+                continue;
+            }
+            Message::ErrorResponse(body) => return Err(BackendError::Target(failure(&body)?)),
+            _ => return Err(unexpected("authentication")),
+        }
+        connection.flush().await?;
+    }
+}
+
+async fn finish(connection: &mut Connection) -> Result<(), BackendError> {
+    loop {
+        match connection.message().await? {
+            Message::BackendKeyData(body) => {
+                let (process, secret) = (body.process_id(), body.secret_key());
+                connection.set_cancel_key(CancelKey { process, secret });
+            }
+            Message::ReadyForQuery(_) => return Ok(()),
+            Message::ParameterStatus(_) | Message::NoticeResponse(_) => {}
+            Message::ErrorResponse(body) => return Err(BackendError::Target(failure(&body)?)),
+            _ => return Err(unexpected("startup")),
+        }
+    }
+}
+
+fn unexpected(step: &str) -> BackendError {
+    BackendError::Protocol(format!("unexpected message during {step}"))
+}
--- /dev/null
+++ b/src/owner/assignments.rs
@@ -0,0 +1,102 @@
+//! Start, move, drain and release of instances as assignments change.
+
+use std::sync::{Arc, atomic::Ordering};
+
+use crate::{
+    ids::{InstanceId, Term},
+    owner::{
+        Owner, Shared,
+        instance::{Instance, Placement},
+        liveness::probe,
+    },
+    state::model::{Assignment, ClusterView, Drain, Instance as InstanceView},
+};
+
+impl Owner {
+    /// Takes over the assignments of a view.
+    pub fn update_view(&self, view: &ClusterView) {
+        for instance in view.instances.values() {
+            self.shared.update(view, instance);
+        }
+        let mut instances = self.shared.instances.lock();
+        let gone: Vec<_> =
+            instances.keys().filter(|id| !view.instances.contains_key(*id)).cloned().collect();
+        let gone: Vec<_> = gone.iter().filter_map(|id| instances.remove(id)).collect();
+        drop(instances);
+        for instance in gone {
+            instance.end();
+        }
+        self.shared.ended.lock().retain(|id, _| view.instances.contains_key(id));
+    }
+}
+
+impl Shared {
+    fn update(&self, view: &ClusterView, instance: &InstanceView) {
+        let id = &instance.spec.id;
+        let own = |assignment: &&Assignment| {
+            assignment.host == self.host && assignment.incarnation == self.incarnation
+        };
+        let owner = instance.owner.as_ref().filter(own);
+        let previous = instance.previous.as_ref().filter(own);
+        let running = self.instances.lock().get(id).cloned();
+        self.note_ended(id, previous, owner.is_some() || running.is_some());
+        match (owner, previous, running) {
+            (Some(owner), _, Some(running)) => {
+                running.place(placement(view, instance, owner, true));
+            }
+            (Some(owner), _, None) => self.start(placement(view, instance, owner, true)),
+            (None, Some(previous), Some(running)) => {
+                running.place(placement(view, instance, previous, false));
+                self.urgent.notify_one();
+            }
+            (None, Some(_), None) | (None, None, None) => {}
+            (None, None, Some(running)) => {
+                self.instances.lock().remove(id);
+                running.end();
+            }
+        }
+    }
+
+    fn start(&self, placement: Placement) {
+        let leased = self.leased.load(Ordering::SeqCst);
+        let instance = Instance::new(&self.settings, self.clock, placement, leased);
+        tokio::spawn(probe(Arc::downgrade(&instance), self.urgent.clone()));
+        self.instances.lock().insert(instance.id.clone(), instance);
+    }
+
+    /// Remembers a previous assignment for which no connections exist.
+    fn note_ended(&self, id: &InstanceId, previous: Option<&Assignment>, running: bool) {
+        let mut ended = self.ended.lock();
+        match previous {
+            Some(previous) if !running => {
+                ended.insert(id.clone(), previous.epoch);
+                self.urgent.notify_one();
+            }
+            _ => {
+                ended.remove(id);
+            }
+        }
+    }
+}
+
+fn placement(
+    view: &ClusterView,
+    instance: &InstanceView,
+    assignment: &Assignment,
+    is_current: bool,
+) -> Placement {
+    let spec = instance.spec.clone();
+    let group = view.groups.get(&spec.service);
+    let fence = group.map_or(Term(0), |group| {
+        group.promotion.as_ref().map_or(group.term, |promotion| promotion.term.max(group.term))
+    });
+    let drain = Drain::Instance(spec.id.clone());
+    Placement {
+        drained: spec.leaving || view.desired.drains.contains(&drain),
+        is_primary: group.is_some_and(|group| group.primary.as_ref() == Some(&spec.id)),
+        fence,
+        assignment: assignment.clone(),
+        is_current,
+        spec,
+    }
+}
--- /dev/null
+++ b/src/owner/instance.rs
@@ -0,0 +1,407 @@
+//! One owned instance: its connections, its slots and what is known of it.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use parking_lot::Mutex;
+use tokio::{
+    sync::{Notify, futures::Notified},
+    time::{Instant, timeout, timeout_at},
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    adapters::backend_startup::{Credentials, connect},
+    clock::{Clock, Millis, SystemClock},
+    ids::{Epoch, InstanceId, Mark, Service, Term},
+    owner::{
+        gate::Gate,
+        lent::{Lent, Socket},
+    },
+    pool::connections::{Checkout, ConnectionId, Connections, PoolAction, Returned},
+    settings::owner::OwnerSettings,
+    state::model::{Assignment, InstanceSpec, Role},
+    wire::{announcement::Announcement, peer::Refusal},
+};
+
+/// Connections that the probe and single statements need beside transactions.
+const RESERVED_CONNECTIONS: u32 = 1;
+
+pub(crate) struct Instance {
+    pub(crate) id: InstanceId,
+    pub(crate) settings: OwnerSettings,
+    pub(crate) clock: SystemClock,
+    /// Slots for running statements.
+    pub(crate) slots: Arc<Gate>,
+    /// Connections for open transactions. Leaves enough connections to use all
+    /// slots, so that holders of a slot never wait for a transaction to end.
+    pub(crate) transactions: Arc<Gate>,
+    state: Mutex<State>,
+    /// A connection has become idle or the pool was closed.
+    available: Notify,
+}
+
+struct State {
+    pool: Connections,
+    idle: BTreeMap<ConnectionId, Socket>,
+    waiting: u32,
+    /// Cancelled when the connections of the current lease must be closed.
+    stop: CancellationToken,
+    spec: InstanceSpec,
+    owner: Assignment,
+    drained: bool,
+    /// Since when the instance gets no new work.
+    drained_at: Option<Millis>,
+    is_primary: bool,
+    /// Terms below this one have ended.
+    fence: Term,
+    known: Known,
+}
+
+/// What is known of the instance.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Known {
+    pub(crate) role: Option<Role>,
+    pub(crate) position: Option<Mark>,
+    pub(crate) age_ms: u64,
+    pub(crate) position_at: Millis,
+    /// Last answer of the instance on a connection of this owner.
+    pub(crate) answered_at: Millis,
+    pub(crate) announced_at: Option<Millis>,
+    pub(crate) primary_silent_ms: u64,
+    pub(crate) reported_at: Option<Millis>,
+    pub(crate) suspicious: bool,
+    /// Number of kept connections in the last release report.
+    pub(crate) kept_reported: Option<u32>,
+}
+
+/// What a view says of an owned instance.
+pub(crate) struct Placement {
+    pub(crate) spec: InstanceSpec,
+    pub(crate) assignment: Assignment,
+    pub(crate) is_current: bool,
+    pub(crate) drained: bool,
+    pub(crate) is_primary: bool,
+    pub(crate) fence: Term,
+}
+
+impl Instance {
+    pub(crate) fn new(
+        settings: &OwnerSettings,
+        clock: SystemClock,
+        placement: Placement,
+        leased: bool,
+    ) -> Arc<Self> {
+        let Placement { spec, assignment, .. } = &placement;
+        let mut pool = Connections::new(settings.pool, assignment.connections);
+        if !leased {
+            pool.end();
+        }
+        let known = Known { answered_at: clock.now(), ..Known::default() };
+        let state = State {
+            pool,
+            idle: BTreeMap::new(),
+            waiting: 0,
+            stop: CancellationToken::new(),
+            spec: spec.clone(),
+            owner: assignment.clone(),
+            drained: false,
+            drained_at: None,
+            is_primary: false,
+            fence: Term(0),
+            known,
+        };
+        let instance = Arc::new(Self {
+            id: spec.id.clone(),
+            settings: settings.clone(),
+            clock,
+            slots: Arc::new(Gate::new(clock, spec.slots.max(1), settings.queue)),
+            transactions: Arc::new(Gate::new(clock, 1, settings.queue)),
+            state: Mutex::new(state),
+            available: Notify::new(),
+        });
+        instance.place(placement);
+        instance
+    }
+
+    /// Takes over what a new view says.
+    pub(crate) fn place(self: &Arc<Self>, placement: Placement) {
+        let Placement { spec, assignment, is_current, drained, is_primary, fence } = placement;
+        let slots = spec.slots.max(1);
+        self.slots.set_slots(slots);
+        let reserved = slots + RESERVED_CONNECTIONS;
+        self.transactions.set_slots(assignment.connections.saturating_sub(reserved).max(1));
+        let mut state = self.state.lock();
+        if state.spec.sql_addr != spec.sql_addr {
+            let leased = !state.pool.is_ended();
+            state.stop_connections();
+            if leased {
+                state.pool.resume();
+            }
+        }
+        state.spec = spec;
+        state.is_primary = is_primary;
+        state.fence = fence;
+        state.pool.set_budget(assignment.connections);
+        if is_current {
+            state.owner = assignment;
+            state.pool.undrain();
+        } else {
+            state.pool.drain();
+        }
+        state.drained = drained;
+        let since = state.drained_at.unwrap_or(self.clock.now());
+        state.drained_at = drained.then_some(since);
+        drop(state);
+        self.available.notify_waiters();
+        self.maintain();
+    }
+
+    /// Closes all connections because the lease has ended.
+    pub(crate) fn end(&self) {
+        self.state.lock().stop_connections();
+        self.available.notify_waiters();
+    }
+
+    /// Opens connections again under a renewed lease.
+    pub(crate) fn resume(self: &Arc<Self>) {
+        let mut state = self.state.lock();
+        state.pool.resume();
+        state.known.answered_at = self.clock.now();
+        drop(state);
+        self.maintain();
+    }
+
+    pub(crate) fn is_owned_under(&self, epoch: Epoch) -> bool {
+        self.state.lock().owner.epoch == epoch
+    }
+
+    pub(crate) fn epoch(&self) -> Epoch {
+        self.state.lock().owner.epoch
+    }
+
+    pub(crate) fn kept(&self) -> u32 {
+        self.state.lock().pool.kept()
+    }
+
+    pub(crate) fn service(&self) -> Service {
+        self.state.lock().spec.service.clone()
+    }
+
+    /// Whether another host owns the instance now.
+    pub(crate) fn is_draining(&self) -> bool {
+        self.state.lock().pool.is_draining()
+    }
+
+    /// Whether the probe may keep a connection of its own.
+    pub(crate) fn can_spare_connection(&self) -> bool {
+        let state = self.state.lock();
+        state.owner.connections > state.spec.slots.max(1) + RESERVED_CONNECTIONS
+    }
+
+    /// Whether the pool gives no more checkouts.
+    pub(crate) fn is_released(&self) -> bool {
+        self.state.lock().pool.is_closed()
+    }
+
+    /// Whether `term` has ended: a promotion with a larger term has started.
+    pub(crate) fn is_fenced(&self, term: Term) -> bool {
+        term < self.state.lock().fence
+    }
+
+    /// Whether new work may start.
+    pub(crate) fn accepts_work(&self) -> Result<(), Refusal> {
+        let state = self.state.lock();
+        if state.pool.is_closed() {
+            return Err(Refusal::NotOwner);
+        }
+        let Some(since) = state.drained_at else { return Ok(()) };
+        // A primary serves until the planned change, which its drain has caused.
+        let grace = state.is_primary && state.drained;
+        let in_grace = self.clock.now().since(since) < self.settings.drain_grace;
+        if grace && in_grace { Ok(()) } else { Err(Refusal::Draining) }
+    }
+
+    /// Reads and changes what is known of the instance.
+    pub(crate) fn known<T>(&self, change: impl FnOnce(&mut Known) -> T) -> T {
+        change(&mut self.state.lock().known)
+    }
+
+    /// Position and age that the instance had last.
+    pub(crate) fn hint(&self, now: Millis) -> Option<(Mark, u64)> {
+        self.known(|known| {
+            let elapsed = match known.role {
+                Some(Role::Primary) => 0,
+                _ => now.since(known.position_at).0,
+            };
+            Some((known.position?, known.age_ms + elapsed))
+        })
+    }
+
+    /// Takes an announcement; `true` if it gives rise to a suspicion.
+    pub(crate) fn announced(&self, now: Millis, announcement: &Announcement) -> bool {
+        let silence = self.settings.silence;
+        self.known(|known| {
+            known.role = Some(announcement.role);
+            known.position = Some(announcement.position);
+            known.age_ms = announcement.age_ms;
+            known.position_at = now;
+            known.announced_at = Some(now);
+            known.primary_silent_ms = announcement.primary_silent_ms;
+            announcement.role == Role::Replica && announcement.primary_silent_ms >= silence.0
+        })
+    }
+
+    /// Takes a connection, waiting for one until `deadline`.
+    pub(crate) async fn checkout(self: &Arc<Self>, deadline: Millis) -> Result<Lent, Refusal> {
+        let until = Instant::now() + deadline.since(self.clock.now()).duration();
+        loop {
+            let (lent, notified) = self.try_checkout()?;
+            if let Some(lent) = lent {
+                return Ok(lent);
+            }
+            let _waiter = Waiter::new(self);
+            self.maintain();
+            timeout_at(until, notified).await.map_err(|_| Refusal::NoConnection)?;
+        }
+    }
+
+    fn try_checkout(self: &Arc<Self>) -> Result<(Option<Lent>, Notified<'_>), Refusal> {
+        let notified = self.available.notified();
+        let mut state = self.state.lock();
+        if state.pool.is_closed() {
+            return Err(Refusal::NotOwner);
+        }
+        while let Some(checkout) = state.pool.checkout() {
+            let socket = state.idle.remove(&checkout.id);
+            if let Some(socket) = socket.filter(|socket| socket.connection.is_open()) {
+                let stop = state.stop.clone();
+                return Ok((Some(Lent::new(self.clone(), checkout, socket, stop)), notified));
+            }
+            state.pool.give_back(checkout, false);
+            state.pool.closed(checkout.id);
+        }
+        Ok((None, notified))
+    }
+
+    pub(crate) fn is_current(&self, checkout: Checkout) -> bool {
+        self.state.lock().pool.is_current(checkout)
+    }
+
+    pub(crate) fn park(&self, checkout: Checkout, at: Option<Millis>) {
+        self.state.lock().pool.park(checkout, at);
+    }
+
+    pub(crate) fn abandoned(&self, now: Millis) -> Vec<Checkout> {
+        self.state.lock().pool.abandoned(now)
+    }
+
+    /// Takes a connection back; one that is not clean is closed.
+    pub(crate) fn give_back(self: &Arc<Self>, checkout: Checkout, socket: Socket, clean: bool) {
+        let mut state = self.state.lock();
+        match state.pool.give_back(checkout, clean) {
+            Returned::Idle => {
+                state.idle.insert(checkout.id, socket);
+                drop(state);
+                self.available.notify_waiters();
+            }
+            Returned::Close => {
+                drop(state);
+                self.close(checkout.id, socket);
+            }
+            Returned::Stale => {}
+        }
+    }
+
+    /// Opens and closes connections as the pool plans.
+    pub(crate) fn maintain(self: &Arc<Self>) {
+        let mut state = self.state.lock();
+        let waiting = state.waiting;
+        let actions = state.pool.plan(self.clock.now(), waiting);
+        for action in actions {
+            match action {
+                PoolAction::Open(id) => self.open(&state, id),
+                PoolAction::Close(id) => {
+                    if let Some(socket) = state.idle.remove(&id) {
+                        self.close(id, socket);
+                    }
+                }
+            }
+        }
+    }
+
+    fn open(self: &Arc<Self>, state: &State, id: ConnectionId) {
+        let (addr, service) = (state.spec.sql_addr.clone(), state.spec.service.clone());
+        let (instance, stop) = (self.clone(), state.stop.clone());
+        tokio::spawn(async move {
+            let credentials = Credentials::from(&instance.settings);
+            let limit = instance.settings.connect_timeout.duration();
+            let opened = tokio::select! {
+                () = stop.cancelled() => return,
+                opened = timeout(limit, connect(&addr, &service, &credentials)) => opened,
+            };
+            match opened {
+                Ok(Ok(connection)) => instance.opened(id, Socket::new(connection), &stop),
+                _ => instance.state.lock().pool.open_failed(instance.clock.now(), id),
+            }
+        });
+    }
+
+    fn opened(self: &Arc<Self>, id: ConnectionId, socket: Socket, stop: &CancellationToken) {
+        let mut state = self.state.lock();
+        if stop.is_cancelled() {
+            return;
+        }
+        if state.pool.opened(id) {
+            state.idle.insert(id, socket);
+            state.known.answered_at = self.clock.now();
+            drop(state);
+            self.available.notify_waiters();
+        } else {
+            drop(state);
+            self.close(id, socket);
+        }
+    }
+
+    fn close(self: &Arc<Self>, id: ConnectionId, socket: Socket) {
+        let instance = self.clone();
+        let Ok(runtime) = tokio::runtime::Handle::try_current() else { return };
+        runtime.spawn(async move {
+            let limit = instance.settings.close_timeout.duration();
+            let _ = timeout(limit, socket.connection.close()).await;
+            instance.state.lock().pool.closed(id);
+            instance.maintain();
+        });
+    }
+}
+
+impl State {
+    /// Drops all connections; those in use are dropped by their users.
+    fn stop_connections(&mut self) {
+        self.stop.cancel();
+        self.stop = CancellationToken::new();
+        for action in self.pool.end() {
+            if let PoolAction::Close(id) = action {
+                self.pool.closed(id);
+            }
+        }
+        self.idle.clear();
+    }
+}
+
+/// Counts a request that waits for a connection.
+struct Waiter<'a> {
+    instance: &'a Instance,
+}
+
+impl<'a> Waiter<'a> {
+    fn new(instance: &'a Instance) -> Self {
+        instance.state.lock().waiting += 1;
+        Self { instance }
+    }
+}
+
+impl Drop for Waiter<'_> {
+    fn drop(&mut self) {
+        self.instance.state.lock().waiting -= 1;
+    }
+}
--- /dev/null
+++ b/src/owner/transaction.rs
@@ -0,0 +1,205 @@
+//! Statements of transactions.
+
+use tokio::time::timeout;
+
+use crate::{
+    adapters::backend::Status,
+    clock::Clock,
+    ids::Term,
+    owner::{
+        execute::{Cx, Run, failed, is_primary_of, rolled_back},
+        gate::Permit,
+        lent::Lent,
+        statements::{COMMIT, POSITION, ROLLBACK, insert_record},
+        transactions::Pinned,
+        write::{self, replay, roll_back},
+    },
+    wire::peer::{Outcome, Refusal, RequestRecord, Rows, TransactionId},
+};
+
+/// Pins a connection to a new transaction.
+pub(crate) async fn begin(cx: &Cx<'_>, id: &TransactionId, term: Term) -> Run<Rows> {
+    let instance = cx.instance()?;
+    if instance.is_fenced(term) {
+        return Err(Outcome::Refused(Refusal::NotPrimary));
+    }
+    instance.accepts_work().map_err(Outcome::Refused)?;
+    let workspace = &cx.req.workspace;
+    let permit = instance.transactions.acquire(workspace, cx.req.weight, cx.deadline);
+    let permit = permit.await.map_err(Outcome::Refused)?;
+    let (_slot, mut lent) = cx.enter(&instance).await?;
+    let batch = |lent: &mut Lent| {
+        lent.set_workspace(workspace)?;
+        lent.query(POSITION)?;
+        lent.statement(&cx.req.statement)
+    };
+    batch(&mut lent).map_err(rolled_back)?;
+    lent.flush(cx.deadline).await.map_err(rolled_back)?;
+    let head = cx.head(&mut lent).await.map_err(rolled_back)?;
+    let begun = lent.receive(cx.deadline).await.map_err(rolled_back)?;
+    let is_primary = head.as_ref().is_ok_and(|position| is_primary_of(&instance, position, term));
+    let result = head.and(begun.result);
+    if result.is_err() || !is_primary || begun.status != Status::Transaction {
+        roll_back(cx, lent).await;
+        result.map_err(Outcome::Failed)?;
+        return Err(Outcome::Refused(Refusal::NotPrimary));
+    }
+    let pinned = Pinned { lent, permit, term, workspace: workspace.clone(), failed: false };
+    pinned.park(cx);
+    cx.shared.transactions.insert(id, pinned);
+    result.map_err(Outcome::Failed)
+}
+
+/// Runs a statement inside a transaction.
+pub(crate) async fn within(cx: &Cx<'_>, id: &TransactionId) -> Run<Rows> {
+    let transactions = &cx.shared.transactions;
+    let transaction = transactions.get(id).ok_or(unknown_transaction())?;
+    let limit = cx.deadline.since(cx.shared.clock.now()).duration();
+    let guard = timeout(limit, transaction.pinned.lock()).await;
+    let mut guard = guard.map_err(|_| Outcome::Refused(Refusal::Deadline))?;
+    let (mut pinned, _slot) = take(cx, &mut guard).await?;
+    let run = run(cx, &mut pinned).await;
+    match run {
+        Ok((result, failed)) => {
+            pinned.failed = failed;
+            pinned.park(cx);
+            *guard = Some(pinned);
+            result
+        }
+        Err(outcome) => {
+            transactions.remove(id);
+            Err(outcome)
+        }
+    }
+}
+
+/// Commits a transaction, with its record if it has one.
+pub(crate) async fn commit(
+    cx: &Cx<'_>,
+    id: &TransactionId,
+    record: Option<&RequestRecord>,
+) -> Run<Rows> {
+    let (pinned, slot) = end(cx, id).await?;
+    let Pinned { mut lent, permit: _permit, term, workspace, failed: has_failed } = pinned;
+    if has_failed {
+        roll_back(cx, lent).await;
+        return Err(failed("25P02", "the transaction has failed and was rolled back"));
+    }
+    let batch = |lent: &mut Lent| {
+        lent.query(POSITION)?;
+        match record {
+            Some(record) => lent.query(&insert_record(workspace.as_ref(), record, COMMIT)),
+            None => Ok(()),
+        }
+    };
+    batch(&mut lent).map_err(rolled_back)?;
+    lent.flush(cx.deadline).await.map_err(rolled_back)?;
+    let head = cx.head(&mut lent).await.map_err(rolled_back)?;
+    let recorded = match record {
+        Some(_) => lent.receive(cx.deadline).await.map_err(rolled_back)?.result,
+        None => Ok(Rows::default()),
+    };
+    let is_primary =
+        head.as_ref().is_ok_and(|position| is_primary_of(lent.instance(), position, term));
+    if !is_primary {
+        roll_back(cx, lent).await;
+        return Err(failed("40001", "the primary was replaced; the transaction was rolled back"));
+    }
+    match (record, recorded) {
+        (Some(record), Err(failure)) if failure.code == "23505" => {
+            replay(cx, lent, slot, term, record).await
+        }
+        (_, Err(failure)) => {
+            roll_back(cx, lent).await;
+            Err(Outcome::Failed(failure))
+        }
+        (_, Ok(_)) => {
+            let rows = Rows { tag: COMMIT.to_owned(), ..Rows::default() };
+            write::commit(cx, lent, slot, term, None, rows).await
+        }
+    }
+}
+
+/// Rolls a transaction back. It needs no slot, since it frees what it holds.
+pub(crate) async fn rollback(cx: &Cx<'_>, id: &TransactionId) -> Run<Rows> {
+    let transactions = &cx.shared.transactions;
+    let transaction = transactions.get(id).ok_or(unknown_transaction())?;
+    let limit = cx.deadline.since(cx.shared.clock.now()).duration();
+    let guard = timeout(limit, transaction.pinned.lock()).await;
+    let mut guard = guard.map_err(|_| Outcome::Refused(Refusal::Deadline))?;
+    let pinned = guard.take().filter(|pinned| pinned.workspace == cx.req.workspace);
+    let pinned = pinned.ok_or(unknown_transaction())?;
+    transactions.remove(id);
+    roll_back(cx, pinned.lent).await;
+    Ok(Rows { tag: ROLLBACK.to_owned(), ..Rows::default() })
+}
+
+/// Takes a transaction out of the table for its last statement.
+async fn end(cx: &Cx<'_>, id: &TransactionId) -> Run<(Pinned, Permit)> {
+    let transactions = &cx.shared.transactions;
+    let transaction = transactions.get(id).ok_or(unknown_transaction())?;
+    let limit = cx.deadline.since(cx.shared.clock.now()).duration();
+    let guard = timeout(limit, transaction.pinned.lock()).await;
+    let mut guard = guard.map_err(|_| Outcome::Refused(Refusal::Deadline))?;
+    let taken = take(cx, &mut guard).await?;
+    transactions.remove(id);
+    Ok(taken)
+}
+
+/// Takes the connection of a transaction and waits for a slot. The transaction
+/// keeps its connection if there is no slot.
+async fn take(cx: &Cx<'_>, place: &mut Option<Pinned>) -> Run<(Pinned, Permit)> {
+    let is_own = |pinned: &Pinned| {
+        pinned.workspace == cx.req.workspace && pinned.lent.instance().id == cx.req.instance
+    };
+    if !place.as_ref().is_some_and(is_own) {
+        return Err(unknown_transaction());
+    }
+    let pinned = place.take().ok_or(unknown_transaction())?;
+    let (instance, checkout) = (pinned.lent.instance().clone(), pinned.lent.checkout());
+    instance.park(checkout, None);
+    match cx.slot(&instance).await {
+        Ok(slot) => Ok((pinned, slot)),
+        Err(outcome) => {
+            pinned.park(cx);
+            *place = Some(pinned);
+            Err(outcome)
+        }
+    }
+}
+
+/// Runs a statement. The error is the outcome of a transaction that has ended;
+/// otherwise the statement's result is returned with whether it failed.
+async fn run(cx: &Cx<'_>, pinned: &mut Pinned) -> Run<(Run<Rows>, bool)> {
+    let replaced = || failed("40001", "the primary was replaced; the transaction was rolled back");
+    if pinned.lent.instance().is_fenced(pinned.term) {
+        return Err(replaced());
+    }
+    pinned.lent.statement(&cx.req.statement).map_err(rolled_back)?;
+    pinned.lent.flush(cx.deadline).await.map_err(rolled_back)?;
+    let answer = pinned.lent.receive(cx.deadline).await.map_err(rolled_back)?;
+    if pinned.lent.instance().is_fenced(pinned.term) {
+        return Err(replaced());
+    }
+    match answer.status {
+        Status::Idle => {
+            Err(Outcome::Unknown { reason: "the statement ended its transaction".to_owned() })
+        }
+        status => {
+            let failed = status == Status::FailedTransaction;
+            Ok((answer.result.map_err(Outcome::Failed), failed))
+        }
+    }
+}
+
+impl Pinned {
+    /// Counts the transaction as idle from now on.
+    fn park(&self, cx: &Cx<'_>) {
+        let now = cx.shared.clock.now();
+        self.lent.instance().park(self.lent.checkout(), Some(now));
+    }
+}
+
+fn unknown_transaction() -> Outcome {
+    Outcome::Refused(Refusal::UnknownTransaction)
+}
--- /dev/null
+++ b/src/owner/transactions.rs
@@ -0,0 +1,111 @@
+//! Open transactions and their connections.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, Ordering},
+};
+
+use indexmap::IndexMap;
+use parking_lot::Mutex;
+use tokio::sync::Mutex as AsyncMutex;
+
+use crate::{
+    adapters::backend::{CancelKey, cancel},
+    clock::Millis,
+    ids::{Term, Workspace},
+    owner::{gate::Permit, lent::Lent},
+    wire::peer::TransactionId,
+};
+
+/// Connection that belongs to a transaction.
+pub(crate) struct Pinned {
+    pub(crate) lent: Lent,
+    /// Permit of the transaction, given back at its end.
+    pub(crate) permit: Permit,
+    pub(crate) term: Term,
+    pub(crate) workspace: Option<Workspace>,
+    /// A statement has failed; only a rollback is possible.
+    pub(crate) failed: bool,
+}
+
+/// Open transaction. The lock serializes its statements; the content is missing
+/// while a statement runs and after the transaction has ended.
+pub(crate) struct Transaction {
+    pub(crate) pinned: AsyncMutex<Option<Pinned>>,
+    cancel: Option<(String, CancelKey, Arc<AtomicBool>)>,
+}
+
+/// All open transactions of this owner.
+#[derive(Default)]
+pub(crate) struct Transactions {
+    table: Mutex<IndexMap<TransactionId, Arc<Transaction>>>,
+}
+
+impl Transactions {
+    pub(crate) fn insert(&self, id: &TransactionId, pinned: Pinned) {
+        let cancel = pinned.lent.cancel_handle();
+        let transaction = Transaction { pinned: AsyncMutex::new(Some(pinned)), cancel };
+        let replaced = self.table.lock().insert(id.clone(), Arc::new(transaction));
+        drop(replaced);
+    }
+
+    pub(crate) fn get(&self, id: &TransactionId) -> Option<Arc<Transaction>> {
+        self.table.lock().get(id).cloned()
+    }
+
+    /// Removes a transaction. Must precede the return of its connection, so that
+    /// a later cancellation cannot reach the connection's next user.
+    pub(crate) fn remove(&self, id: &TransactionId) {
+        let removed = self.table.lock().swap_remove(id);
+        drop(removed);
+    }
+
+    /// Drops all transactions; their connections are closed.
+    pub(crate) fn clear(&self) {
+        let all = std::mem::take(&mut *self.table.lock());
+        for transaction in all.values() {
+            if let Ok(mut pinned) = transaction.pinned.try_lock() {
+                drop(pinned.take());
+            }
+        }
+    }
+
+    /// Cancels the running statement of a transaction, if there is one.
+    pub(crate) fn cancel(&self, id: &TransactionId) {
+        let table = self.table.lock();
+        let Some(transaction) = table.get(id) else { return };
+        if transaction.pinned.try_lock().is_ok() {
+            return;
+        }
+        if let Some((addr, key, flag)) = &transaction.cancel {
+            flag.store(true, Ordering::SeqCst);
+            let (addr, key) = (addr.clone(), *key);
+            tokio::spawn(async move { cancel(&addr, key).await });
+        }
+    }
+
+    /// Takes transactions that must end: abandoned ones, and those of a replaced
+    /// primary or of a closed connection.
+    pub(crate) fn sweep(&self, now: Millis) -> Vec<Pinned> {
+        let mut ended = Vec::new();
+        let mut table = self.table.lock();
+        table.retain(|_, transaction| {
+            let Ok(mut pinned) = transaction.pinned.try_lock() else { return true };
+            let keep = pinned.as_ref().is_some_and(|pinned| pinned.may_continue(now));
+            if !keep {
+                ended.extend(pinned.take());
+            }
+            keep
+        });
+        ended
+    }
+}
+
+impl Pinned {
+    fn may_continue(&self, now: Millis) -> bool {
+        let (instance, checkout) = (self.lent.instance(), self.lent.checkout());
+        instance.is_current(checkout)
+            && !instance.is_fenced(self.term)
+            && !instance.abandoned(now).contains(&checkout)
+    }
+}
--- a/src/settings/owner.rs
+++ b/src/settings/owner.rs
@@ -1,1 +1,93 @@
 //! Settings of an owner.
+
+use crate::clock::Millis;
+
+/// Settings of the runtime that runs statements on owned instances.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OwnerSettings {
+    /// User that the project has at the targets.
+    pub user: String,
+    /// Password of that user.
+    pub password: String,
+    pub pool: PoolSettings,
+    pub queue: QueueSettings,
+    /// Longest time for a connection to be opened.
+    pub connect_timeout: Millis,
+    /// Time that a closing connection may take to end.
+    pub close_timeout: Millis,
+    /// Interval of the liveness probe.
+    pub probe_interval: Millis,
+    /// Silence of an instance from which it counts as unreachable.
+    pub silence: Millis,
+    /// Age from which an announcement says nothing about the present.
+    pub announcement_expiry: Millis,
+    /// Interval of observations of a primary without suspicion.
+    pub observation_interval: Millis,
+    /// Time that a drained primary still takes new work, so that a planned change
+    /// can end before. New work must stop within 2,000 ms.
+    pub drain_grace: Millis,
+    /// Interval of housekeeping.
+    pub tick: Millis,
+    /// Longest time that `describe` may take.
+    pub describe_timeout: Millis,
+}
+
+impl Default for OwnerSettings {
+    fn default() -> Self {
+        Self {
+            user: "pomelopin".to_owned(),
+            password: String::new(),
+            pool: PoolSettings::default(),
+            queue: QueueSettings::default(),
+            connect_timeout: Millis(1_000),
+            close_timeout: Millis(500),
+            probe_interval: Millis(250),
+            silence: Millis(1_000),
+            announcement_expiry: Millis(1_500),
+            observation_interval: Millis(2_000),
+            drain_grace: Millis(1_500),
+            tick: Millis(50),
+            describe_timeout: Millis(5_000),
+        }
+    }
+}
+
+/// Settings of the connections to one instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PoolSettings {
+    /// Idle connections that are opened ahead of demand.
+    pub warm: u32,
+    /// Delay after the first failed attempt to open a connection; it doubles with
+    /// each further failure.
+    pub backoff: Millis,
+    /// Largest delay between attempts.
+    pub backoff_max: Millis,
+    /// Time without a statement after which a transaction is rolled back.
+    pub transaction_idle: Millis,
+}
+
+impl Default for PoolSettings {
+    fn default() -> Self {
+        Self {
+            warm: 4,
+            backoff: Millis(50),
+            backoff_max: Millis(1_000),
+            transaction_idle: Millis(10_000),
+        }
+    }
+}
+
+/// Bounds of the queue at an instance's slots.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct QueueSettings {
+    /// Waiting requests of one workspace.
+    pub per_workspace: usize,
+    /// Waiting requests of all workspaces.
+    pub total: usize,
+}
+
+impl Default for QueueSettings {
+    fn default() -> Self {
+        Self { per_workspace: 256, total: 2_048 }
+    }
+}
