--- a/src/owner/execute.rs
+++ b/src/owner/execute.rs
@@ -14,7 +14,6 @@
         statements::{self, POSITION, Position},
         transaction, write,
     },
-    state::model::Role,
     wire::peer::{Description, Execute, Failure, Mode, Outcome, ReadBound, Refusal, Rows},
 };
 
@@ -155,19 +154,6 @@
     }
 }
 
-impl Instance {
-    /// Stores a position that the instance has answered.
-    pub(crate) fn located(&self, position: &Position) {
-        let now = self.clock.now();
-        self.known(|known| {
-            known.role = Some(if position.is_primary { Role::Primary } else { Role::Replica });
-            known.position = Some(position.mark);
-            known.age_ms = position.age_ms;
-            known.position_at = now;
-        });
-    }
-}
-
 /// Whether the instance is the primary of `term` and the term has not ended.
 pub(crate) fn is_primary_of(instance: &Instance, position: &Position, term: Term) -> bool {
     position.is_primary && position.mark.term == term && !instance.is_fenced(term)
--- a/src/owner/instance.rs
+++ b/src/owner/instance.rs
@@ -12,15 +12,16 @@
 use crate::{
     adapters::backend_startup::{Credentials, connect},
     clock::{Clock, Millis, SystemClock},
-    ids::{Epoch, InstanceId, Mark, Service, Term},
+    ids::{Epoch, InstanceId, Service, Term},
     owner::{
         gate::Gate,
+        known::Known,
         lent::{Lent, Socket},
     },
     pool::connections::{Checkout, ConnectionId, Connections, PoolAction, Returned},
     settings::owner::OwnerSettings,
-    state::model::{Assignment, InstanceSpec, Role},
-    wire::{announcement::Announcement, peer::Refusal},
+    state::model::{Assignment, InstanceSpec},
+    wire::peer::Refusal,
 };
 
 /// Connections that the probe and single statements need beside transactions.
@@ -57,23 +58,6 @@
     known: Known,
 }
 
-/// What is known of the instance.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct Known {
-    pub(crate) role: Option<Role>,
-    pub(crate) position: Option<Mark>,
-    pub(crate) age_ms: u64,
-    pub(crate) position_at: Millis,
-    /// Last answer of the instance on a connection of this owner.
-    pub(crate) answered_at: Millis,
-    pub(crate) announced_at: Option<Millis>,
-    pub(crate) primary_silent_ms: u64,
-    pub(crate) reported_at: Option<Millis>,
-    pub(crate) suspicious: bool,
-    /// Number of kept connections in the last release report.
-    pub(crate) kept_reported: Option<u32>,
-}
-
 /// What a view says of an owned instance.
 pub(crate) struct Placement {
     pub(crate) spec: InstanceSpec,
@@ -226,31 +210,6 @@
         change(&mut self.state.lock().known)
     }
 
-    /// Position and age that the instance had last.
-    pub(crate) fn hint(&self, now: Millis) -> Option<(Mark, u64)> {
-        self.known(|known| {
-            let elapsed = match known.role {
-                Some(Role::Primary) => 0,
-                _ => now.since(known.position_at).0,
-            };
-            Some((known.position?, known.age_ms + elapsed))
-        })
-    }
-
-    /// Takes an announcement; `true` if it gives rise to a suspicion.
-    pub(crate) fn announced(&self, now: Millis, announcement: &Announcement) -> bool {
-        let silence = self.settings.silence;
-        self.known(|known| {
-            known.role = Some(announcement.role);
-            known.position = Some(announcement.position);
-            known.age_ms = announcement.age_ms;
-            known.position_at = now;
-            known.announced_at = Some(now);
-            known.primary_silent_ms = announcement.primary_silent_ms;
-            announcement.role == Role::Replica && announcement.primary_silent_ms >= silence.0
-        })
-    }
-
     /// Takes a connection, waiting for one until `deadline`.
     pub(crate) async fn checkout(self: &Arc<Self>, deadline: Millis) -> Result<Lent, Refusal> {
         let until = Instant::now() + deadline.since(self.clock.now()).duration();
--- a/src/owner/mod.rs
+++ b/src/owner/mod.rs
@@ -30,6 +30,7 @@
 mod execute;
 mod gate;
 mod instance;
+mod known;
 mod lent;
 mod liveness;
 mod reports;
--- a/src/owner/reports.rs
+++ b/src/owner/reports.rs
@@ -68,7 +68,7 @@
     }
 }
 
-impl super::instance::Known {
+impl super::known::Known {
     /// Silence of the primary as the replica has announced it. A replica that does
     /// not announce itself says nothing about its primary.
     fn replica_silence(&self, now: Millis, settings: &OwnerSettings) -> Option<u64> {
