Test owners against a fake backend and cancel abandoned statements

A statement whose caller had gone or whose deadline had passed kept running at the target, which notices a closed connection only afterwards. Its handle now sends a CancelRequest before the connection is closed.

--- a/src/adapters/backend.rs
+++ b/src/adapters/backend.rs
@@ -119,6 +119,11 @@
         !self.broken && self.pending == 0 && self.status == Status::Idle && self.input.is_empty()
     }
 
+    /// Whether the target still runs a request.
+    pub fn is_running(&self) -> bool {
+        !self.broken && self.pending > 0
+    }
+
     /// Whether an idle connection is still open: the target sent neither data nor
     /// the end of the stream.
     pub fn is_open(&self) -> bool {
--- a/src/owner/lent.rs
+++ b/src/owner/lent.rs
@@ -9,7 +9,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    adapters::backend::{Answer, BackendError, CancelKey, Connection},
+    adapters::backend::{Answer, BackendError, CancelKey, Connection, cancel},
     clock::{Clock, Millis},
     ids::Workspace,
     owner::{instance::Instance, statements},
@@ -151,11 +151,23 @@
     fn drop(&mut self) {
         if let Some(socket) = self.socket.take() {
             let clean = socket.connection.is_clean() && !self.cancelled.load(Ordering::SeqCst);
+            if socket.connection.is_running() && !self.stop.is_cancelled() {
+                cancel_running(&socket.connection);
+            }
             self.instance.give_back(self.checkout, socket, clean);
         }
     }
 }
 
+/// Cancels what runs on a connection that is about to be closed, because the
+/// target notices the end of a connection only after the statement.
+fn cancel_running(connection: &Connection) {
+    let Ok(runtime) = tokio::runtime::Handle::try_current() else { return };
+    if let Some((addr, key)) = connection.cancel_key() {
+        runtime.spawn(async move { cancel(&addr, key).await });
+    }
+}
+
 async fn bounded<T>(
     until: Instant,
     stop: &CancellationToken,
--- /dev/null
+++ b/tests/owner.rs
@@ -0,0 +1,501 @@
+//! Owners against a fake backend: outcomes of broken connections, transactions,
+//! leases, drains and reports.
+
+#![allow(clippy::unwrap_used)]
+
+mod backend;
+
+use std::{sync::Arc, time::Duration};
+
+use backend::{Backend, Break, first_column};
+use pomelopin::{
+    ids::{Epoch, Incarnation, InstanceId, Mark, RequestKey, Revision, Service, Term, Workspace},
+    owner::Owner,
+    settings::owner::OwnerSettings,
+    state::model::{
+        Assignment, ClusterView, Drain, Group, Instance, InstanceSpec, Promotion, Role,
+    },
+    wire::{
+        announcement::Announcement,
+        peer::{
+            Bind, Execute, Mode, Outcome, ReadBound, Refusal, RequestRecord, Rows, Statement,
+            TransactionId,
+        },
+    },
+};
+use tokio::time::{sleep, timeout};
+
+const INSERT: &str = "INSERT INTO jobs VALUES (1)";
+
+/// Owner of one instance, the fake backend.
+struct Fixture {
+    owner: Owner,
+    backend: Backend,
+    view: ClusterView,
+}
+
+impl Fixture {
+    async fn start() -> Self {
+        let backend = Backend::start().await;
+        let fixture = Self {
+            owner: Owner::new(OwnerSettings::default(), "e1".into(), Incarnation(7)),
+            view: view(&backend.addr),
+            backend,
+        };
+        fixture.owner.update_view(&fixture.view);
+        fixture.owner.lease_renewed();
+        fixture
+    }
+
+    async fn run(&self, mode: Mode, sql: &str) -> Outcome {
+        self.owner.execute(request(mode, sql)).await
+    }
+
+    async fn write(&self, key: &str, digest: &str) -> Outcome {
+        self.run(Mode::Write { term: Term(1), record: Some(record(key, digest)) }, INSERT).await
+    }
+
+    fn instance(&mut self) -> &mut Instance {
+        &mut self.view.instances[0]
+    }
+
+    fn update(&self) {
+        self.owner.update_view(&self.view);
+    }
+
+    fn open(&self) -> usize {
+        self.backend.state.lock().open
+    }
+}
+
+fn view(addr: &str) -> ClusterView {
+    let spec = InstanceSpec {
+        id: "a1".into(),
+        service: "a".into(),
+        failure_domain: "d1".into(),
+        incarnation: Incarnation(1),
+        sql_addr: addr.to_owned(),
+        http_addr: String::new(),
+        slots: 2,
+        connections: 8,
+        leaving: false,
+    };
+    let owner = Assignment {
+        host: "e1".into(),
+        incarnation: Incarnation(7),
+        epoch: Epoch(3),
+        connections: 8,
+    };
+    let instance = Instance { spec, owner: Some(owner), previous: None };
+    let group = Group { term: Term(1), primary: Some("a1".into()), promotion: None };
+    ClusterView {
+        revision: Revision(1),
+        instances: [(InstanceId::from("a1"), instance)].into_iter().collect(),
+        groups: [(Service::from("a"), group)].into_iter().collect(),
+        ..ClusterView::default()
+    }
+}
+
+fn request(mode: Mode, sql: &str) -> Execute {
+    Execute {
+        instance: "a1".into(),
+        epoch: Epoch(3),
+        workspace: Some("w".into()),
+        weight: 10,
+        statement: Statement { sql: sql.to_owned(), bind: None },
+        mode,
+        deadline_ms: 1_000,
+    }
+}
+
+fn record(key: &str, digest: &str) -> RequestRecord {
+    RequestRecord { key: RequestKey::from(key), digest: digest.to_owned() }
+}
+
+fn transaction(number: u64) -> TransactionId {
+    TransactionId { host: "e2".into(), incarnation: Incarnation(1), number }
+}
+
+fn begin(number: u64) -> Mode {
+    Mode::Begin { transaction: transaction(number), term: Term(1) }
+}
+
+fn within(number: u64) -> Mode {
+    Mode::Within { transaction: transaction(number) }
+}
+
+fn commit(number: u64) -> Mode {
+    Mode::Commit { transaction: transaction(number), record: None }
+}
+
+fn primary_read() -> Mode {
+    Mode::Read(ReadBound { term: Term(1), ..ReadBound::default() })
+}
+
+fn done(outcome: Outcome) -> Rows {
+    match outcome {
+        Outcome::Done(rows) => rows,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Outcome in a short form for tables.
+fn kind(outcome: &Outcome) -> String {
+    match outcome {
+        Outcome::Done(rows) => rows.tag.clone(),
+        Outcome::Refused(refusal) => format!("{refusal:?}"),
+        Outcome::Failed(failure) => failure.code.clone(),
+        Outcome::Unknown { .. } => "unknown".to_owned(),
+    }
+}
+
+/// Waits until a condition holds.
+async fn eventually(condition: impl Fn() -> bool) {
+    let wait = async {
+        while !condition() {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(Duration::from_secs(5), wait).await.expect("condition holds within 5 s");
+}
+
+/// Guards against a wrong outcome of a write whose connection breaks: `Failed`
+/// only without effect, `Unknown` once the `COMMIT` may have arrived.
+#[tokio::test]
+async fn broken_connection_gives_the_outcome_of_its_step() {
+    use Break::{After, Before};
+    let table = [
+        ("SET", Before, "40001"),
+        ("SELECT pomelopin_position", Before, "40001"),
+        ("BEGIN", Before, "40001"),
+        ("INSERT INTO pomelopin_requests", Before, "40001"),
+        ("INSERT INTO pomelopin_requests", After, "40001"),
+        ("INSERT INTO jobs", Before, "40001"),
+        ("INSERT INTO jobs", After, "40001"),
+        ("UPDATE", Before, "unknown"),
+        ("COMMIT", Before, "unknown"),
+        ("COMMIT", After, "unknown"),
+        ("SELECT pomelopin_wait", Before, "unknown"),
+        ("SELECT pomelopin_wait", After, "unknown"),
+    ];
+    for (step, when, expected) in table {
+        let fixture = Fixture::start().await;
+        fixture.backend.state.lock().break_at = Some((step, when));
+        let outcome = fixture.write("k", "d").await;
+        assert_eq!(kind(&outcome), expected, "{when:?} {step}");
+        let effects = fixture.backend.state.lock().committed.len();
+        if expected == "40001" {
+            assert_eq!(effects, 0, "failed write has an effect, {when:?} {step}");
+        }
+        fixture.backend.state.lock().break_at = None;
+        let settle = Mode::Settle { term: Term(1), record: record("k", "d") };
+        let settled = kind(&fixture.run(settle, "").await);
+        let present = if effects == 1 { "INSERT 0 1" } else { "NoRecord" };
+        assert_eq!(settled, present, "settle after {when:?} {step}");
+        assert_eq!(kind(&fixture.write("k", "d").await), "INSERT 0 1");
+        assert_eq!(fixture.backend.state.lock().committed.len(), 1, "{when:?} {step}");
+    }
+}
+
+/// Guards against a refusal that hides a sent statement, and against the opposite.
+#[tokio::test]
+async fn requests_that_cannot_start_are_refused_without_sending() {
+    let mut fixture = Fixture::start().await;
+    let write = Mode::Write { term: Term(1), record: None };
+    let mut stale = request(write.clone(), INSERT);
+    stale.epoch = Epoch(2);
+    assert_eq!(kind(&fixture.owner.execute(stale).await), "NotOwner");
+    assert_eq!(kind(&fixture.run(within(9), INSERT).await), "UnknownTransaction");
+
+    let promotion = Promotion { term: Term(2), preferred: None };
+    fixture.view.groups[0].promotion = Some(promotion);
+    fixture.update();
+    assert_eq!(kind(&fixture.run(write.clone(), INSERT).await), "NotPrimary");
+    assert_eq!(kind(&fixture.run(primary_read(), "SELECT 1").await), "NotPrimary");
+    assert_eq!(kind(&fixture.run(begin(1), "BEGIN").await), "NotPrimary");
+    assert!(!fixture.backend.state.lock().log.iter().any(|(_, sql)| sql == INSERT));
+
+    let unreachable = Fixture::start().await;
+    unreachable.backend.state.lock().refuse = true;
+    unreachable.owner.lease_ended();
+    unreachable.owner.lease_renewed();
+    assert_eq!(kind(&unreachable.run(write, INSERT).await), "NoConnection");
+}
+
+/// Guards against a second run under a used key and against a recorded answer for
+/// another request.
+#[tokio::test]
+async fn repeated_key_returns_the_recorded_answer() {
+    let fixture = Fixture::start().await;
+    let first = done(fixture.write("k", "d").await);
+    assert_eq!(first.mark, Some(Mark::new(1, 11)));
+    assert_eq!(kind(&fixture.write("k", "d").await), "INSERT 0 1");
+    assert_eq!(kind(&fixture.write("k", "other").await), "22023");
+    assert_eq!(fixture.backend.state.lock().committed.len(), 1);
+
+    fixture.backend.state.lock().held = false;
+    assert_eq!(kind(&fixture.write("k", "d").await), "unknown");
+    assert_eq!(kind(&fixture.write("k2", "d").await), "unknown");
+}
+
+/// Guards against writes and reads at an instance that is not the primary of the
+/// term, and against reads that are older than their bound.
+#[tokio::test]
+async fn position_is_verified_for_each_request() {
+    let fixture = Fixture::start().await;
+    let replica = |mark, age| {
+        let max_staleness_ms = Some(age);
+        Mode::Read(ReadBound { mark: Some(mark), max_staleness_ms, term: Term(1) })
+    };
+    let rows = done(fixture.run(primary_read(), "SELECT 1").await);
+    assert_eq!(first_column(&rows.rows[0]), "1");
+    assert_eq!(rows.mark, Some(Mark::new(1, 10)));
+    fixture.backend.state.lock().age_ms = 40;
+    fixture.backend.state.lock().primary = false;
+    let at = Mark::new(1, 10);
+    done(fixture.run(replica(at, 40), "SELECT 1").await);
+    for mode in [replica(at, 39), replica(Mark::new(1, 11), 40), replica(Mark::new(2, 1), 40)] {
+        let behind = Refusal::Behind { position: at, age_ms: 40 };
+        let outcome = fixture.run(mode, "SELECT 1").await;
+        assert!(matches!(outcome, Outcome::Refused(refusal) if refusal == behind));
+    }
+    assert_eq!(kind(&fixture.run(primary_read(), "SELECT 1").await), "NotPrimary");
+    assert_eq!(kind(&fixture.write("k", "d").await), "NotPrimary");
+    fixture.backend.state.lock().primary = true;
+    fixture.backend.state.lock().term = 2;
+    assert_eq!(kind(&fixture.write("k", "d").await), "NotPrimary");
+    assert!(fixture.backend.state.lock().committed.is_empty());
+    assert_eq!(fixture.owner.hint(&"a1".into()).map(|(mark, _)| mark), Some(Mark::new(2, 10)));
+}
+
+/// Guards against statements of two transactions on one connection, and against a
+/// statement of one workspace under the setting of another.
+#[tokio::test]
+async fn statements_of_two_transactions_never_share_a_connection() {
+    let fixture = Arc::new(Fixture::start().await);
+    let run = |number: u64| {
+        let fixture = fixture.clone();
+        async move {
+            let workspace = Workspace::from(format!("w{}", number % 3));
+            for step in 0..5 {
+                let (mode, sql) = match step {
+                    0 => (begin(number), "BEGIN".to_owned()),
+                    4 => (commit(number), String::new()),
+                    _ => (within(number), format!("INSERT INTO jobs VALUES ({number})")),
+                };
+                let mut req = request(mode, &sql);
+                req.workspace = Some(workspace.clone());
+                req.deadline_ms = 5_000;
+                done(fixture.owner.execute(req).await);
+            }
+        }
+    };
+    futures::future::join_all((0..40).map(run)).await;
+    let state = fixture.backend.state.lock();
+    assert_eq!(state.committed.len(), 120);
+    assert!(state.most_open <= 8, "{} connections with a budget of 8", state.most_open);
+    for connection in 1..=state.connections {
+        let mut current = None;
+        let mut workspace = String::new();
+        for (_, sql) in state.log.iter().filter(|(number, _)| *number == connection) {
+            if let Some(name) = sql.strip_prefix("SET pomelopin.workspace = ") {
+                workspace = name.trim_matches('\'').to_owned();
+            } else if sql == "COMMIT" {
+                current = None;
+            } else if let Some(number) = sql.strip_prefix("INSERT INTO jobs VALUES (") {
+                let number: u64 = number.trim_end_matches(')').parse().unwrap();
+                assert_eq!(*current.get_or_insert(number), number);
+                assert_eq!(workspace, format!("w{}", number % 3));
+            }
+        }
+    }
+}
+
+/// Guards against use of a transaction by another workspace and against a failed
+/// transaction that commits.
+#[tokio::test]
+async fn transactions_keep_their_workspace_and_their_failure() {
+    let fixture = Fixture::start().await;
+    done(fixture.run(begin(1), "BEGIN").await);
+    let mut foreign = request(within(1), INSERT);
+    foreign.workspace = Some("other".into());
+    assert_eq!(kind(&fixture.owner.execute(foreign).await), "UnknownTransaction");
+    done(fixture.run(within(1), INSERT).await);
+    assert_eq!(kind(&fixture.run(within(1), "FAIL").await), "22012");
+    assert_eq!(kind(&fixture.run(commit(1), "").await), "25P02");
+    assert_eq!(kind(&fixture.run(within(1), INSERT).await), "UnknownTransaction");
+
+    done(fixture.run(begin(2), "BEGIN").await);
+    done(fixture.run(within(2), INSERT).await);
+    let rollback = Mode::Rollback { transaction: transaction(2) };
+    assert_eq!(kind(&fixture.run(rollback, "").await), "ROLLBACK");
+    assert!(fixture.backend.state.lock().committed.is_empty());
+
+    for _ in 0..2 {
+        done(fixture.run(begin(3), "BEGIN").await);
+        done(fixture.run(within(3), INSERT).await);
+        let commit = Mode::Commit { transaction: transaction(3), record: Some(record("k", "d")) };
+        assert_eq!(kind(&fixture.run(commit, "").await), "COMMIT");
+    }
+    assert_eq!(fixture.backend.state.lock().committed.len(), 1);
+}
+
+/// Guards against a wrong outcome of a transaction whose connection breaks.
+#[tokio::test]
+async fn broken_transaction_is_rolled_back_or_unknown() {
+    let table = [
+        ("INSERT INTO jobs", "40001", "UnknownTransaction"),
+        ("SELECT pomelopin_position", "INSERT 0 1", "40001"),
+        ("COMMIT", "INSERT 0 1", "unknown"),
+    ];
+    for (step, within_kind, commit_kind) in table {
+        let fixture = Fixture::start().await;
+        done(fixture.run(begin(1), "BEGIN").await);
+        fixture.backend.state.lock().break_at = Some((step, Break::Before));
+        assert_eq!(kind(&fixture.run(within(1), INSERT).await), within_kind, "{step}");
+        assert_eq!(kind(&fixture.run(commit(1), "").await), commit_kind, "{step}");
+        assert!(fixture.backend.state.lock().committed.is_empty());
+    }
+}
+
+/// Guards against a connection that returns to the pool in an unknown state after
+/// its caller has gone, and against its late answers.
+#[tokio::test]
+async fn dropped_request_closes_its_connection() {
+    let fixture = Fixture::start().await;
+    let slow = fixture.run(primary_read(), "SELECT SLOW 100");
+    assert!(timeout(Duration::from_millis(50), slow).await.is_err());
+    done(fixture.run(begin(1), "BEGIN").await);
+    let slow = fixture.run(within(1), "SELECT SLOW 100");
+    assert!(timeout(Duration::from_millis(50), slow).await.is_err());
+    assert_eq!(kind(&fixture.run(within(1), INSERT).await), "UnknownTransaction");
+    for _ in 0..20 {
+        done(fixture.run(primary_read(), "SELECT 1").await);
+    }
+    let state = fixture.backend.state.lock();
+    let slow: Vec<_> = state.log.iter().filter(|(_, sql)| sql.contains("SLOW")).collect();
+    for (connection, _) in slow {
+        let last = state.log.iter().rfind(|(number, _)| number == connection).unwrap();
+        assert!(last.1.contains("SLOW"), "connection was used after {}", last.1);
+    }
+}
+
+/// Guards against a deadline that leaves a statement running without bound.
+#[tokio::test]
+async fn deadline_fails_a_write_before_its_commit() {
+    let fixture = Fixture::start().await;
+    let mut req = request(Mode::Write { term: Term(1), record: None }, "INSERT SLOW 500");
+    req.deadline_ms = 100;
+    assert_eq!(kind(&fixture.owner.execute(req).await), "57014");
+    eventually(|| fixture.backend.state.lock().cancels == 1).await;
+}
+
+/// Guards against connections that outlive the lease, and against an
+/// acknowledgement after its end.
+#[tokio::test]
+async fn end_of_the_lease_closes_all_connections() {
+    let fixture = Arc::new(Fixture::start().await);
+    done(fixture.run(begin(1), "BEGIN").await);
+    let running = fixture.clone();
+    let slow = tokio::spawn(async move { running.run(primary_read(), "SELECT SLOW 300").await });
+    eventually(|| fixture.backend.state.lock().log.iter().any(|(_, sql)| sql.contains("SLOW")))
+        .await;
+    fixture.owner.lease_ended();
+    assert_eq!(kind(&slow.await.unwrap()), "unknown");
+    eventually(|| fixture.open() == 0).await;
+    sleep(Duration::from_millis(300)).await;
+    assert_eq!(fixture.open(), 0, "connections were opened without a lease");
+    assert_eq!(kind(&fixture.run(within(1), INSERT).await), "UnknownTransaction");
+    assert_eq!(kind(&fixture.run(primary_read(), "SELECT 1").await), "NotOwner");
+    fixture.owner.lease_renewed();
+    done(fixture.run(primary_read(), "SELECT 1").await);
+}
+
+/// Guards against an earlier owner that keeps connections or gives new ones after
+/// the instance has moved.
+#[tokio::test]
+async fn moved_instance_is_released_as_transactions_end() {
+    let mut fixture = Fixture::start().await;
+    done(fixture.run(begin(1), "BEGIN").await);
+    let instance = fixture.instance();
+    instance.previous = instance.owner.take();
+    fixture.update();
+    assert_eq!(kind(&fixture.run(primary_read(), "SELECT 1").await), "NotOwner");
+    eventually(|| fixture.open() == 1).await;
+    eventually(|| fixture.owner.take_reports().0.iter().all(|release| release.kept == 1)).await;
+    done(fixture.run(within(1), INSERT).await);
+    assert_eq!(kind(&fixture.run(commit(1), "").await), "COMMIT");
+    let released = || {
+        let (releases, _) = fixture.owner.take_reports();
+        releases.iter().any(|release| release.epoch == Epoch(3) && release.kept == 0)
+    };
+    eventually(released).await;
+    assert_eq!(fixture.open(), 0);
+}
+
+/// Guards against new work on an instance that leaves, and against an interruption
+/// of its transactions.
+#[tokio::test]
+async fn drained_instance_gets_no_new_work() {
+    let mut fixture = Fixture::start().await;
+    done(fixture.run(begin(1), "BEGIN").await);
+    fixture.view.groups[0].primary = None;
+    fixture.view.desired.drains.push(Drain::Instance("a1".into()));
+    fixture.update();
+    assert_eq!(kind(&fixture.run(primary_read(), "SELECT 1").await), "Draining");
+    done(fixture.run(within(1), INSERT).await);
+    assert_eq!(kind(&fixture.run(commit(1), "").await), "COMMIT");
+}
+
+/// Guards against a missed failure of a primary, and against a suspicion that
+/// stems from slow statements.
+#[tokio::test]
+async fn silence_is_reported_and_slowness_is_not() {
+    let fixture = Fixture::start().await;
+    let silent = |fixture: &Fixture| {
+        let (_, observations) = fixture.owner.take_reports();
+        observations.iter().any(|o| o.role == Role::Primary && o.silent_ms >= 1_000)
+    };
+    let mut slow = request(primary_read(), "SELECT SLOW 1300");
+    slow.deadline_ms = 3_000;
+    done(fixture.owner.execute(slow).await);
+    assert!(!silent(&fixture));
+    fixture.backend.state.lock().refuse = true;
+    fixture.backend.state.lock().break_at = Some(("SELECT", Break::Before));
+    let urgent = fixture.owner.urgent_reports();
+    timeout(Duration::from_millis(1_600), urgent.notified()).await.expect("report within 1.6 s");
+    assert!(silent(&fixture));
+}
+
+/// Guards against a replica's suspicion that is lost or outlives its announcement.
+#[tokio::test]
+async fn announcements_of_replicas_become_observations() {
+    let fixture = Fixture::start().await;
+    let announcement = Announcement {
+        spec: fixture.view.instances[0].spec.clone(),
+        sequence: 1,
+        role: Role::Replica,
+        position: Mark::new(1, 9),
+        age_ms: 1_100,
+        primary_silent_ms: 1_100,
+    };
+    fixture.backend.state.lock().primary = false;
+    fixture.owner.announce(announcement);
+    fixture.owner.urgent_reports().notified().await;
+    let (_, observations) = fixture.owner.take_reports();
+    assert_eq!((observations[0].role, observations[0].silent_ms), (Role::Replica, 1_100));
+    sleep(Duration::from_millis(1_600)).await;
+    assert!(fixture.owner.take_reports().1.iter().all(|o| o.silent_ms < 1_000));
+}
+
+/// Guards against parameters that are lost on the way to the target.
+#[tokio::test]
+async fn extended_queries_and_descriptions_pass() {
+    let fixture = Fixture::start().await;
+    let mut req = request(primary_read(), "SELECT $1");
+    let values = vec![Some("1".into()), None];
+    req.statement.bind = Some(Bind { values, ..Bind::default() });
+    assert_eq!(done(fixture.owner.execute(req).await).rows.len(), 1);
+    fixture.owner.describe(&"a1".into(), Epoch(3), "SELECT 1").await.unwrap();
+    assert!(fixture.owner.describe(&"a1".into(), Epoch(2), "SELECT 1").await.is_err());
+}
