--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -4,3 +4,5 @@
 pub mod caller;
 pub mod log;
 pub mod peer;
+pub mod backend;
+pub mod backend_startup;
