Add the stand-in database instance

The proxy needs a database that carries terms and log positions, lags, can be fenced and promoted, and has few connections and slots.

Its decision code (rows, log, state, execution) has no I/O and takes the time.

--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,1 +1,3 @@
 //! Settings of each area, with defaults.
+
+pub mod target;
--- /dev/null
+++ b/src/target/replication.rs
@@ -0,0 +1,203 @@
+//! Replication over HTTP: replicas pull the log from the primary.
+
+use std::{sync::Arc, time::Duration};
+
+use eyre::{Result, eyre};
+use serde::{Deserialize, Serialize};
+
+use super::{
+    instance::Instance,
+    log::Entry,
+    state::{Received, State},
+};
+use crate::{
+    clock::Millis,
+    ids::{InstanceId, Mark, Term},
+    settings::target::Peer,
+};
+
+/// Longest time that a primary keeps a pull without new entries.
+const POLL_HOLD: Duration = Duration::from_millis(50);
+
+/// Longest time that a replica waits for the answer to a pull.
+const PULL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Pause of a replica after a pull that brought nothing.
+const PULL_PAUSE: Duration = Duration::from_millis(20);
+
+/// Time between two questions of a primary to its peers.
+const PRIMARY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Entries in one answer.
+const PULL_LIMIT: usize = 1_000;
+
+/// Pull of a replica; acknowledges what its log shares with the primary's.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct PullRequest {
+    pub from: InstanceId,
+    /// Term that the replica has accepted.
+    pub term: Term,
+    /// Last entry of each term in the replica's log.
+    pub ends: Vec<Mark>,
+}
+
+/// Answer to a pull.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum PullAnswer {
+    /// Receiver is not a primary; `primary` may be.
+    NotPrimary { primary: Option<InstanceId> },
+    Entries {
+        from: InstanceId,
+        term: Term,
+        /// Position up to which both logs are equal.
+        common: u64,
+        entries: Vec<Entry>,
+        /// There is no later entry.
+        complete: bool,
+        /// Time between receiving the pull and this answer.
+        held_ms: u64,
+    },
+}
+
+/// Answers a pull; waits for new entries for a bounded time.
+pub async fn answer(instance: &Instance, pull: &PullRequest) -> PullAnswer {
+    let received = instance.now();
+    if instance.with(|state| pull.term > state.term) {
+        instance.fence(pull.term);
+    }
+    loop {
+        let grew = instance.log_grew.notified();
+        let mut grew = std::pin::pin!(grew);
+        grew.as_mut().enable();
+        let answer = instance.with(|state| {
+            entries(state, &instance.settings.name, pull, instance.now().since(received))
+        });
+        instance.acknowledged.notify_waiters();
+        let rest = POLL_HOLD.saturating_sub(instance.now().since(received).duration());
+        let has_news = match &answer {
+            PullAnswer::NotPrimary { .. } => true,
+            PullAnswer::Entries { term, common, entries, .. } => {
+                let diverged = pull.ends.last().is_some_and(|last| last.position.0 > *common);
+                diverged || !entries.is_empty() || *term != pull.term
+            }
+        };
+        if has_news || rest.is_zero() {
+            return answer;
+        }
+        let _ = tokio::time::timeout(rest, grew).await;
+    }
+}
+
+fn entries(state: &mut State, name: &InstanceId, pull: &PullRequest, held: Millis) -> PullAnswer {
+    if !state.is_primary() {
+        return PullAnswer::NotPrimary { primary: state.primary.clone() };
+    }
+    let common = state.log.common(&pull.ends);
+    state.acknowledge(&pull.from, pull.term, common);
+    let entries = state.log.after(common, PULL_LIMIT).to_vec();
+    PullAnswer::Entries {
+        from: name.clone(),
+        term: state.term,
+        common,
+        complete: common + entries.len() as u64 == state.log.len(),
+        entries,
+        held_ms: held.0,
+    }
+}
+
+/// Pulls from the group's primary; the group must have other instances.
+///
+/// A primary asks its peers too, more rarely: after a partition it learns of a
+/// newer primary in this way, because no replica pulls from it any more.
+pub async fn pull(instance: Arc<Instance>) {
+    let client = reqwest::Client::new();
+    let peers = instance.settings.peers.clone();
+    let mut next = 0;
+    loop {
+        instance.faults.thaw().await;
+        if instance.with(|state| state.is_primary()) {
+            tokio::time::sleep(PRIMARY_PAUSE).await;
+        }
+        let peer = &peers[next % peers.len()];
+        match pull_from(&instance, &client, peer).await {
+            Ok(Pulled::Entries) => {}
+            Ok(Pulled::Elsewhere(primary)) => {
+                let known = peers.iter().position(|peer| Some(&peer.name) == primary.as_ref());
+                next = known.filter(|known| *known != next % peers.len()).unwrap_or(next + 1);
+                tokio::time::sleep(PULL_PAUSE).await;
+            }
+            Err(error) => {
+                spdlog::debug!("pull from {}: {error}", peer.name);
+                next += 1;
+                tokio::time::sleep(PULL_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Result of one pull.
+enum Pulled {
+    /// Peer is the primary.
+    Entries,
+    /// Peer is not the primary; it may know who is.
+    Elsewhere(Option<InstanceId>),
+}
+
+async fn pull_from(instance: &Instance, client: &reqwest::Client, peer: &Peer) -> Result<Pulled> {
+    if instance.faults.blocks(peer.name.as_str()) {
+        return Err(eyre!("cut off"));
+    }
+    let sent = instance.now();
+    let request = instance.with(|state| PullRequest {
+        from: instance.settings.name.clone(),
+        term: state.term,
+        ends: state.log.ends().to_vec(),
+    });
+    let response = client
+        .post(format!("http://{}/replication/pull", peer.http))
+        .timeout(PULL_TIMEOUT)
+        .body(postcard::to_stdvec(&request)?)
+        .send()
+        .await?
+        .error_for_status()?;
+    let answer: PullAnswer = postcard::from_bytes(&response.bytes().await?)?;
+    instance.faults.thaw().await;
+    if instance.faults.blocks(peer.name.as_str()) {
+        return Err(eyre!("cut off"));
+    }
+    match answer {
+        PullAnswer::NotPrimary { primary } => Ok(Pulled::Elsewhere(primary)),
+        PullAnswer::Entries { from, term, common, entries, complete, held_ms } => {
+            let current_at = sent + Millis(held_ms);
+            let batch = Received { from, term, common, entries, complete, current_at };
+            let lag = instance.faults.lag();
+            let (accepted, stepped_down) = instance.with(|state| {
+                let was_primary = state.is_primary();
+                let accepted = state.receive(batch, lag, instance.now());
+                (accepted, was_primary && !state.is_primary())
+            });
+            if stepped_down {
+                instance.role_changed();
+            }
+            Ok(if accepted { Pulled::Entries } else { Pulled::Elsewhere(None) })
+        }
+    }
+}
+
+/// Applies received entries when their lag has passed.
+pub async fn apply(instance: Arc<Instance>) {
+    loop {
+        instance.faults.thaw().await;
+        let now = instance.now();
+        let due = instance.with(|state| {
+            state.apply_due(now);
+            state.next_due()
+        });
+        // Reads apply due entries themselves; the task only keeps the age of idle replicas low.
+        let wait = due.map_or(APPLY_PAUSE, |due| due.since(now).duration().min(APPLY_PAUSE));
+        tokio::time::sleep(wait.max(Duration::from_millis(1))).await;
+    }
+}
+
+/// Longest time between two looks at the received entries.
+const APPLY_PAUSE: Duration = Duration::from_millis(10);
--- /dev/null
+++ b/src/target/state.rs
@@ -0,0 +1,291 @@
+//! State of an instance: rows, log, locks, term and role.
+//!
+//! All functions are synchronous and take the time; the runtime keeps the state
+//! behind one mutex and never waits while it holds it.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use super::{
+    error::SqlError,
+    log::{Entry, Log},
+    rows::{Database, RowKey},
+    transaction::{Transaction, TransactionNumber},
+};
+use crate::{
+    clock::Millis,
+    ids::{InstanceId, Mark, Term},
+    state::model::Role,
+    wire::control::FenceAnswer,
+};
+
+/// Received entries that wait for the lag to pass.
+#[derive(Debug, Clone, Copy)]
+struct Batch {
+    due: Millis,
+    /// Position up to which the batch leads.
+    end: u64,
+    /// Time at which the primary had no entry after `end`, if it said so.
+    current_at: Option<Millis>,
+}
+
+/// State of one instance.
+#[derive(Debug)]
+pub struct State {
+    pub rows: Database,
+    pub log: Log,
+    /// Largest term that the instance has accepted.
+    pub term: Term,
+    pub role: Role,
+    /// Position of the last applied entry.
+    applied: u64,
+    /// Position of the first entry of the own term, on a primary.
+    term_start: u64,
+    /// Positions that replicas hold under the own term, on a primary.
+    held: BTreeMap<InstanceId, u64>,
+    locks: BTreeMap<RowKey, TransactionNumber>,
+    pending: VecDeque<Batch>,
+    /// Time at which the applied data was the primary's newest.
+    current_at: Millis,
+    /// Time of the last answer of the primary.
+    heard_at: Millis,
+    /// Primary of the accepted term as far as it is known.
+    pub primary: Option<InstanceId>,
+    group_size: usize,
+}
+
+impl State {
+    /// Empty replica of a group with `group_size` instances.
+    pub fn new(group_size: usize, now: Millis) -> Self {
+        Self {
+            rows: Database::default(),
+            log: Log::default(),
+            term: Term(0),
+            role: Role::Replica,
+            applied: 0,
+            term_start: 0,
+            held: BTreeMap::new(),
+            locks: BTreeMap::new(),
+            pending: VecDeque::new(),
+            current_at: now,
+            heard_at: now,
+            primary: None,
+            group_size,
+        }
+    }
+
+    /// Whether writes are accepted.
+    pub fn is_primary(&self) -> bool {
+        self.role == Role::Primary
+    }
+
+    /// Mark of the last applied entry.
+    pub fn applied(&self) -> Mark {
+        self.log.mark(self.applied)
+    }
+
+    /// Age of the applied data; 0 on the primary.
+    pub fn age(&self, now: Millis) -> Millis {
+        if self.is_primary() { Millis(0) } else { now.since(self.current_at) }
+    }
+
+    /// Time since the last answer of the primary; 0 on the primary.
+    pub fn silence(&self, now: Millis) -> Millis {
+        if self.is_primary() { Millis(0) } else { now.since(self.heard_at) }
+    }
+
+    /// Locks `key` for the transaction unless another one holds it.
+    pub fn try_lock(&mut self, key: &RowKey, owner: TransactionNumber) -> bool {
+        match self.locks.get(key) {
+            Some(holder) => *holder == owner,
+            None => {
+                self.locks.insert(key.clone(), owner);
+                true
+            }
+        }
+    }
+
+    /// Releases the locks of `transaction`.
+    pub fn release(&mut self, transaction: &Transaction) {
+        for key in transaction.locked() {
+            if self.locks.get(key) == Some(&transaction.number()) {
+                self.locks.remove(key);
+            }
+        }
+    }
+
+    /// Whether a transaction that began to write under `term` may write.
+    pub fn check_writable(&self, term: Option<Term>) -> Result<(), SqlError> {
+        let same_term = term.is_none_or(|term| term == self.term);
+        if self.is_primary() && same_term { Ok(()) } else { Err(SqlError::read_only()) }
+    }
+
+    /// Commits the writes of `transaction` and releases its locks.
+    pub fn commit(&mut self, transaction: Transaction) -> Result<Mark, SqlError> {
+        self.release(&transaction);
+        if !transaction.has_writes() {
+            return Ok(self.applied());
+        }
+        self.check_writable(transaction.term())?;
+        let entry = Entry { term: self.term, changes: transaction.into_changes() };
+        Ok(self.append(entry))
+    }
+
+    fn append(&mut self, entry: Entry) -> Mark {
+        for change in &entry.changes {
+            self.rows.apply(change);
+        }
+        let mark = self.log.push(entry);
+        self.applied = mark.position.0;
+        mark
+    }
+
+    /// Stops accepting terms older than `term`.
+    pub fn fence(&mut self, term: Term, now: Millis) -> FenceAnswer {
+        if term > self.term {
+            self.adopt_term(term, now);
+        }
+        self.answer(self.term == term)
+    }
+
+    /// Becomes the primary of `term`.
+    pub fn promote(&mut self, term: Term, name: &InstanceId, now: Millis) -> FenceAnswer {
+        if term == self.term && self.is_primary() {
+            return self.answer(true);
+        }
+        // A term has one primary; entries of it show that another instance was that primary.
+        let taken = self.primary.is_some() || self.log.last().term == term;
+        if term < self.term || (term == self.term && taken) {
+            return self.answer(false);
+        }
+        self.adopt_term(term, now);
+        self.apply_to(self.log.len());
+        self.pending.clear();
+        self.role = Role::Primary;
+        self.primary = Some(name.clone());
+        self.held.clear();
+        // The empty entry moves the term of the last position to the new term.
+        self.append(Entry { term, changes: Vec::new() });
+        self.term_start = self.log.len();
+        self.answer(true)
+    }
+
+    fn answer(&self, accepted: bool) -> FenceAnswer {
+        FenceAnswer { accepted, term: self.term, last: self.log.last() }
+    }
+
+    fn adopt_term(&mut self, term: Term, now: Millis) {
+        if term <= self.term {
+            return;
+        }
+        if self.is_primary() {
+            self.current_at = now;
+            self.heard_at = now;
+        }
+        self.term = term;
+        self.role = Role::Replica;
+        self.primary = None;
+        self.held.clear();
+    }
+
+    /// Notes that `replica` has accepted `term` and holds the log up to `position`.
+    pub fn acknowledge(&mut self, replica: &InstanceId, term: Term, position: u64) {
+        if self.is_primary() && term == self.term {
+            let held = self.held.entry(replica.clone()).or_default();
+            *held = position.max(*held);
+        }
+    }
+
+    /// Whether a majority holds `mark`; `None` if the instance can no longer tell.
+    ///
+    /// Entries of earlier terms count only together with one of the own term:
+    /// otherwise a primary of a term in between could still replace them.
+    pub fn majority_holds(&self, mark: Mark) -> Option<bool> {
+        if !self.is_primary() || !self.log.holds(mark) {
+            return None;
+        }
+        let needed = mark.position.0.max(self.term_start);
+        let holders = 1 + self.held.values().filter(|held| **held >= needed).count();
+        Some(holders > self.group_size / 2)
+    }
+
+    /// Accepts what the primary `from` of `term` has sent.
+    ///
+    /// The log is cut at `common` first, because entries after it are not in the
+    /// primary's log and were never acknowledged.
+    pub fn receive(&mut self, batch: Received, lag: Millis, now: Millis) -> bool {
+        if batch.term < self.term || (batch.term == self.term && self.is_primary()) {
+            return false;
+        }
+        self.adopt_term(batch.term, now);
+        self.primary = Some(batch.from);
+        self.heard_at = now;
+        if batch.common < self.log.len() {
+            self.truncate(batch.common);
+        }
+        for entry in batch.entries {
+            self.log.push(entry);
+        }
+        let end = self.log.len();
+        let current_at = batch.complete.then_some(batch.current_at);
+        self.pending.push_back(Batch { due: now + lag, end, current_at });
+        self.apply_due(now);
+        true
+    }
+
+    /// Applies what has waited for the lag.
+    pub fn apply_due(&mut self, now: Millis) {
+        while let Some(batch) = self.pending.front().copied() {
+            if batch.due > now {
+                break;
+            }
+            self.pending.pop_front();
+            self.apply_to(batch.end);
+            if let Some(current_at) = batch.current_at {
+                self.current_at = current_at.max(self.current_at);
+            }
+        }
+    }
+
+    /// Time at which the next batch is due.
+    pub fn next_due(&self) -> Option<Millis> {
+        self.pending.front().map(|batch| batch.due)
+    }
+
+    fn apply_to(&mut self, end: u64) {
+        while self.applied < end {
+            let Some(entry) = self.log.get(self.applied + 1) else { break };
+            for change in &entry.changes {
+                self.rows.apply(change);
+            }
+            self.applied += 1;
+        }
+    }
+
+    /// Cuts the log at `position` and rebuilds the rows if they hold later entries.
+    fn truncate(&mut self, position: u64) {
+        self.log.truncate(position);
+        for batch in &mut self.pending {
+            batch.end = batch.end.min(position);
+            batch.current_at = None;
+        }
+        if self.applied > position {
+            self.rows = Database::default();
+            self.applied = 0;
+            self.apply_to(position);
+        }
+    }
+}
+
+/// Answer of a primary to a replica.
+#[derive(Debug)]
+pub struct Received {
+    pub from: InstanceId,
+    pub term: Term,
+    /// Position up to which both logs are equal.
+    pub common: u64,
+    pub entries: Vec<Entry>,
+    /// Primary had no later entry when it answered.
+    pub complete: bool,
+    /// Time on this instance's clock that is not after the primary's answer.
+    pub current_at: Millis,
+}
--- /dev/null
+++ b/src/target/wire.rs
@@ -0,0 +1,102 @@
+//! Encoding of answers with the messages of `pgwire`.
+
+use bytes::{BufMut, BytesMut};
+use pgwire::{
+    error::PgWireResult,
+    messages::{
+        Message,
+        data::{FieldDescription, NoData, RowDescription},
+        response::{CommandComplete, ErrorResponse, ReadyForQuery, TransactionStatus},
+    },
+};
+
+use super::{
+    error::SqlError,
+    plan::Field,
+    session::Status,
+    value::{BINARY_FORMAT, Value},
+};
+
+/// Type byte of DataRow messages.
+const DATA_ROW: u8 = b'D';
+
+/// Formats of result columns as a Bind message states them.
+#[derive(Debug, Clone, Default)]
+pub struct Formats(pub Vec<i16>);
+
+impl Formats {
+    /// Format of the column `index`.
+    pub fn of(&self, index: usize) -> i16 {
+        match self.0.as_slice() {
+            [] => 0,
+            [format] => *format,
+            formats => formats.get(index).copied().unwrap_or(0),
+        }
+    }
+
+    /// Whether all formats are known.
+    pub fn are_valid(&self) -> bool {
+        self.0.iter().all(|format| (0..=BINARY_FORMAT).contains(format))
+    }
+}
+
+/// Appends a RowDescription, or NoData without columns.
+pub fn describe(fields: &[Field], formats: &Formats, out: &mut BytesMut) -> PgWireResult<()> {
+    if fields.is_empty() {
+        return NoData::new().encode(out);
+    }
+    row_description(fields, formats, out)
+}
+
+/// Appends a RowDescription.
+pub fn row_description(
+    fields: &[Field],
+    formats: &Formats,
+    out: &mut BytesMut,
+) -> PgWireResult<()> {
+    let fields = fields.iter().enumerate().map(|(index, field)| {
+        let name = field.name.to_owned();
+        let kind = field.kind;
+        FieldDescription::new(name, 0, 0, kind.oid(), kind.size(), -1, formats.of(index))
+    });
+    RowDescription::new(fields.collect()).encode(out)
+}
+
+/// Appends a DataRow; written in place because `pgwire` copies each row.
+pub fn data_row(values: &[Value], formats: &Formats, out: &mut BytesMut) {
+    out.put_u8(DATA_ROW);
+    let start = out.len();
+    out.put_i32(0);
+    out.put_i16(values.len() as i16);
+    for (index, value) in values.iter().enumerate() {
+        value.encode(formats.of(index), out);
+    }
+    let length = (out.len() - start) as i32;
+    out[start..start + 4].copy_from_slice(&length.to_be_bytes());
+}
+
+/// Appends a CommandComplete.
+pub fn complete(tag: String, out: &mut BytesMut) -> PgWireResult<()> {
+    CommandComplete::new(tag).encode(out)
+}
+
+/// Appends a ReadyForQuery.
+pub fn ready(status: Status, out: &mut BytesMut) -> PgWireResult<()> {
+    let status = match status {
+        Status::Idle => TransactionStatus::Idle,
+        Status::Open => TransactionStatus::Transaction,
+        Status::Failed => TransactionStatus::Error,
+    };
+    ReadyForQuery::new(status).encode(out)
+}
+
+/// Appends an ErrorResponse of the given severity.
+pub fn error(severity: &str, error: &SqlError, out: &mut BytesMut) -> PgWireResult<()> {
+    let fields = vec![
+        (b'S', severity.to_owned()),
+        (b'V', severity.to_owned()),
+        (b'C', error.code.to_owned()),
+        (b'M', error.message.to_string()),
+    ];
+    ErrorResponse::new(fields).encode(out)
+}
