--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -6,3 +6,4 @@
 pub mod owner;
 pub mod promotion;
 pub mod routing;
+pub mod target;
