--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,3 +1,4 @@
 //! Settings of each area, with defaults.
 
 pub mod routing;
+pub mod session;
