Separate waiting and expected requests in token requests

The limiter owner has to serve requests that wait before it serves forecasts: granted tokens that stay unused are lost, and at low rates forecasts alone could use up a workspace's rate. GrantRequest.demand becomes waiting and expected.

--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -199,8 +199,11 @@
 pub struct GrantRequest {
     pub workspace: Workspace,
     pub host: HostId,
-    /// Requests that wait or are expected within a grant's lifetime.
-    pub demand: u32,
+    /// Requests that wait now.
+    pub waiting: u32,
+    /// Further requests that are expected soon; served only while tokens are plentiful,
+    /// because unused tokens are lost.
+    pub expected: u32,
 }
 
 /// Tokens that may be used until the grant ends.
@@ -209,6 +212,7 @@
     pub tokens: u32,
     /// Lifetime in milliseconds, counted from when the request was sent.
     pub ttl_ms: u64,
-    /// When asking again is useful, in milliseconds from now.
+    /// When asking again is useful, in milliseconds from now; more than the longest
+    /// wait in a queue if the owner does not grant yet.
     pub retry_after_ms: u64,
 }
