--- a/src/session/homes.rs
+++ b/src/session/homes.rs
@@ -1,10 +1,8 @@
 //! Home hosts of sessions, and the rule that makes one answer enough.
 //!
 //! A session's *home set* is its home host and a second host in another failure
-//! domain, computed from the live hosts of a view. Hosts learn of a new view at
-//! different times. A host with a valid lease never acts on a view later than
-//! `view_overlap` after any other host learned of its successor, because each
-//! lease renewal brings the leader's current view.
+//! domain, computed from the live hosts of a view. Hosts with different views may compute
+//! different sets; [`history`] bounds for how long.
 //!
 //! *Store rule.* A write is acknowledged when every host of the store set has
 //! confirmed its mark: the home set of the current view, and the home sets of
@@ -24,8 +22,8 @@
 //! writes*: a restarted host has an empty table and no history.
 //!
 //! Under both rules one known answer contains every acknowledged write.
-
-use std::{collections::VecDeque, sync::Arc};
+//!
+//! [`history`]: crate::session::history
 
 use derive_more::{Display, Error};
 use indexmap::{IndexMap, IndexSet};
@@ -34,16 +32,11 @@
     clock::Millis,
     ids::{HostId, SessionId, Workspace},
     ownership::rendezvous::owner_and_second,
+    session::history::{HostHistory, HostList, HostsVersion},
     settings::session::SessionSettings,
     state::model::Host,
 };
 
-/// Host lists kept; a mark from before the oldest one is unknown.
-const KEPT_VERSIONS: usize = 64;
-
-/// Number of a host list; increases with each change.
-pub type HostsVersion = u64;
-
 /// History is too short to know which hosts may still be asked for the mark.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
 #[display("the host has joined recently and stores session marks from {until} on")]
@@ -61,84 +54,38 @@
     }
 }
 
-#[derive(Debug, Clone)]
-struct Hosts {
-    version: HostsVersion,
-    learned_at: Millis,
-    /// Ordered by id; lists share the hosts that did not change.
-    live: Vec<Arc<Host>>,
+fn home_set<'a>(list: &'a HostList, item: &SessionItem) -> impl Iterator<Item = &'a HostId> {
+    let (home, second) = owner_and_second(&item.0, list.iter());
+    home.into_iter().chain(second).map(|host| &host.id)
 }
 
-impl Hosts {
-    fn home_set(&self, item: &SessionItem) -> impl Iterator<Item = &HostId> {
-        let (home, second) = owner_and_second(&item.0, self.live.iter().map(Arc::as_ref));
-        home.into_iter().chain(second).map(|host| &host.id)
-    }
-
-    fn get(&self, id: &HostId) -> Option<&Arc<Host>> {
-        let index = self.live.binary_search_by(|host| host.id.cmp(id)).ok()?;
-        Some(&self.live[index])
-    }
-
-    fn is_same(&self, hosts: &IndexMap<HostId, Host>) -> bool {
-        let unchanged = |host: &Host| self.get(&host.id).is_some_and(|known| **known == *host);
-        self.live.len() == hosts.len() && hosts.values().all(unchanged)
-    }
-}
-
-/// Recent host lists as this host learned them.
+/// Home sets of the recent views, as seen by one host.
 #[derive(Debug)]
 pub struct HomeHistory {
     me: HostId,
     settings: SessionSettings,
-    /// Oldest first.
-    lists: VecDeque<Hosts>,
-    /// When the unbroken history began.
-    since: Millis,
+    hosts: HostHistory,
 }
 
 impl HomeHistory {
     /// Empty history of host `me`.
     pub fn new(me: HostId, settings: SessionSettings) -> Self {
-        Self { me, settings, lists: VecDeque::new(), since: Millis(0) }
+        Self { me, settings, hosts: HostHistory::default() }
     }
 
-    /// Records the live hosts of a view.
-    ///
-    /// Must be called for every change of the hosts, also for several within one
-    /// update. `unbroken` is false for a snapshot, which may hide changes.
+    /// Records the live hosts of a view; see [`HostHistory::learn`].
     pub fn learn(&mut self, now: Millis, hosts: &IndexMap<HostId, Host>, unbroken: bool) {
-        if unbroken && self.lists.back().is_some_and(|known| known.is_same(hosts)) {
-            return;
-        }
-        let live = self.share_hosts(hosts);
-        let version = self.lists.back().map_or(0, |known| known.version + 1);
-        if !unbroken || self.lists.is_empty() {
-            self.lists.clear();
-            self.since = now;
-        }
-        self.lists.push_back(Hosts { version, learned_at: now, live });
-        if self.lists.len() > KEPT_VERSIONS {
-            self.lists.pop_front();
-            // The list that replaced the dropped one begins the known history.
-            self.since = self.lists.front().map_or(now, |hosts| hosts.learned_at);
-        }
+        self.hosts.learn(now, hosts, unbroken);
     }
 
-    fn share_hosts(&self, hosts: &IndexMap<HostId, Host>) -> Vec<Arc<Host>> {
-        let known = |host: &Host| self.lists.back().and_then(|known| known.get(&host.id));
-        let shared = hosts.values().map(|host| match known(host) {
-            Some(known) if **known == *host => known.clone(),
-            _ => Arc::new(host.clone()),
-        });
-        let mut live: Vec<Arc<Host>> = shared.collect();
-        live.sort_unstable_by(|a, b| a.id.cmp(&b.id));
-        live
+    /// Underlying host lists.
+    pub fn hosts(&self) -> &HostHistory {
+        &self.hosts
     }
 
     /// Hosts to ask for the marks of `item`.
     pub fn home_set(&self, item: &SessionItem) -> Vec<HostId> {
-        self.lists.back().into_iter().flat_map(|hosts| hosts.home_set(item)).cloned().collect()
+        self.hosts.current().into_iter().flat_map(|list| home_set(list, item)).cloned().collect()
     }
 
     /// Hosts that must confirm a mark of `item` now.
@@ -147,45 +94,39 @@
         now: Millis,
         item: &SessionItem,
     ) -> Result<IndexSet<HostId>, HistoryTooShort> {
-        let until = self.since + self.settings.view_overlap;
-        let Some(current) = self.lists.back().filter(|_| now >= until) else {
+        let overlap = self.settings.view_overlap;
+        let until = self.hosts.since() + overlap;
+        let Some(current) = self.hosts.current().filter(|_| now >= until) else {
             return Err(HistoryTooShort { until });
         };
-        let in_use = self.in_force_within(now, self.settings.view_overlap);
-        let hosts = in_use.flat_map(|hosts| hosts.home_set(item));
+        let in_use = self.hosts.in_force_within(now, overlap);
+        let hosts = in_use.flat_map(|list| home_set(list, item));
         Ok(hosts.filter(|id| current.get(id).is_some()).cloned().collect())
     }
 
     /// Number of the current host list.
     pub fn version(&self) -> HostsVersion {
-        self.lists.back().map_or(0, |hosts| hosts.version)
+        self.hosts.version()
     }
 
     /// Whether a mark of `item` that arrives now includes all earlier ones.
     pub fn is_settled(&self, now: Millis, item: &SessionItem) -> bool {
         let settle = self.settings.settle();
-        let long_enough = !self.lists.is_empty() && now >= self.since + settle;
-        long_enough && self.in_force_within(now, settle).all(|hosts| self.is_home(hosts, item))
+        let long_enough = self.hosts.current().is_some() && now >= self.hosts.since() + settle;
+        let mut in_use = self.hosts.in_force_within(now, settle);
+        long_enough && in_use.all(|list| self.is_home(list, item))
     }
 
     /// Whether this host has been in the home set of `item` in every list since `version`.
     pub fn is_home_since(&self, version: HostsVersion, item: &SessionItem) -> bool {
-        let known = self.lists.front().is_some_and(|oldest| oldest.version <= version);
-        let mut later = self.lists.iter().filter(|hosts| hosts.version >= version);
-        known && later.all(|hosts| self.is_home(hosts, item))
-    }
-
-    fn is_home(&self, hosts: &Hosts, item: &SessionItem) -> bool {
-        hosts.home_set(item).any(|id| *id == self.me)
+        let mut lists = self.hosts.lists();
+        let known = lists.next().is_some_and(|oldest| oldest.version() <= version);
+        let mut later = self.hosts.lists().filter(|list| list.version() >= version);
+        known && later.all(|list| self.is_home(list, item))
     }
 
-    /// Current list and those replaced less than `span` ago.
-    fn in_force_within(&self, now: Millis, span: Millis) -> impl Iterator<Item = &Hosts> {
-        let successors = self.lists.iter().skip(1).map(|hosts| Some(hosts.learned_at));
-        let replaced_at = successors.chain(std::iter::once(None));
-        self.lists.iter().zip(replaced_at).filter_map(move |(hosts, replaced_at)| {
-            replaced_at.is_none_or(|at| now < at + span).then_some(hosts)
-        })
+    fn is_home(&self, list: &HostList, item: &SessionItem) -> bool {
+        home_set(list, item).any(|id| *id == self.me)
     }
 }
 
--- a/src/session/marks.rs
+++ b/src/session/marks.rs
@@ -13,7 +13,10 @@
 use crate::{
     clock::Millis,
     ids::{Mark, Service, SessionId, Workspace},
-    session::homes::{HomeHistory, HostsVersion, SessionItem},
+    session::{
+        history::HostsVersion,
+        homes::{HomeHistory, SessionItem},
+    },
     settings::session::SessionSettings,
 };
 
