--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -7,3 +7,4 @@
 pub mod promotion;
 pub mod routing;
 pub mod target;
+pub mod session;
