--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -6,5 +6,5 @@
 pub mod owner;
 pub mod promotion;
 pub mod routing;
-pub mod target;
 pub mod session;
+pub mod target;
