Add the statement path of entry hosts

Cause: statements need admission, routing and an answer with a mark. A write outside a transaction repeats an attempt of unknown outcome with the same request record; the record's unique key lets at most one attempt commit. Rates and marks of other hosts are not wired yet.

--- /dev/null
+++ b/src/entry/caller.rs
@@ -0,0 +1,257 @@
+//! Connections of callers: login, variables and the way of each statement.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::{sync::Mutex, time::Instant};
+
+use super::{cx::Cx, error, transaction::Transaction};
+use crate::{
+    adapters::caller::{CallerHandler, CancelSignal, Login, Reply, ReplyResult},
+    ids::{Mark, RequestKey, Service, SessionId, Workspace},
+    keys::check::{HeldKey, KeyCheck},
+    routing::classify::Classified,
+    wire::peer::{Description, Failure, Field, Rows, Statement},
+};
+
+/// User name of callers without a key.
+pub const OPEN_USER: &str = "open";
+
+/// Time for one statement, waits and retries included.
+pub const REQUEST_DEADLINE: Duration = Duration::from_secs(5);
+
+/// Type number of `text` in the protocol.
+const TEXT_OID: u32 = 25;
+
+/// Connection of one caller.
+pub struct Caller {
+    pub service: Service,
+    /// Workspace whose key was checked; `None` for open routes only.
+    pub workspace: Option<(Workspace, HeldKey)>,
+    /// Statements of one caller run one after the other.
+    pub state: Mutex<CallerState>,
+}
+
+/// State that statements of one caller change.
+#[derive(Default)]
+pub struct CallerState {
+    /// Session that the caller named; without a name the connection is its session.
+    pub session: Option<SessionId>,
+    /// Whether all earlier writes of the session are in `mark`.
+    pub history_known: bool,
+    pub mark: Option<Mark>,
+    /// Idempotency key for the next write or transaction.
+    pub request_key: Option<RequestKey>,
+    pub transaction: Option<Transaction>,
+}
+
+impl Caller {
+    /// Name of the caller's workspace.
+    pub fn workspace_name(&self) -> Option<&Workspace> {
+        self.workspace.as_ref().map(|(workspace, _)| workspace)
+    }
+}
+
+/// Handler of all callers of this host.
+pub struct CallerService {
+    pub cx: Arc<Cx>,
+}
+
+impl CallerHandler for CallerService {
+    type Session = Caller;
+
+    fn is_open(&self, user: &str) -> bool {
+        user == OPEN_USER
+    }
+
+    async fn login(&self, login: Login) -> Result<Caller, Failure> {
+        let workspace = self.authenticate(&login)?;
+        let service = Service::from(login.database.as_str());
+        if !self.cx.view.load().view.desired.services.contains_key(&service) {
+            let message = format!("service `{service}` does not exist");
+            return Err(Failure { code: "3D000".to_owned(), message });
+        }
+        let mut state = CallerState { history_known: true, ..CallerState::default() };
+        for (name, value) in &login.options {
+            if name.starts_with("pomelopin.") {
+                state.set(&service, name, value)?;
+            }
+        }
+        Ok(Caller { service, workspace, state: Mutex::new(state) })
+    }
+
+    async fn run(&self, caller: &Caller, statement: Statement, cancel: &CancelSignal) -> Reply {
+        let mut state = caller.state.lock().await;
+        let deadline = Instant::now() + REQUEST_DEADLINE;
+        let work = self.cx.statement(caller, &mut state, &statement, deadline);
+        tokio::pin!(work);
+        // A cancelled statement is not dropped, because its outcome must be known.
+        // Cancellation ends only waits; see `CallerState::cancelled`.
+        tokio::select! {
+            reply = &mut work => reply,
+            () = cancel.cancelled() => work.await,
+        }
+    }
+
+    async fn describe(&self, caller: &Caller, sql: &str) -> Result<Description, Failure> {
+        self.cx.describe(caller, sql).await
+    }
+
+    fn closed(&self, caller: &Caller) {
+        if let Ok(mut state) = caller.state.try_lock()
+            && let Some(transaction) = state.transaction.take()
+        {
+            self.cx.clone().abandon(transaction);
+        }
+    }
+}
+
+impl CallerService {
+    fn authenticate(&self, login: &Login) -> Result<Option<(Workspace, HeldKey)>, Failure> {
+        if self.is_open(&login.user) {
+            return Ok(None);
+        }
+        if !self.cx.has_lease() {
+            return Err(error::no_lease());
+        }
+        let workspace = Workspace::from(login.user.as_str());
+        let state = self.cx.view.load();
+        let key = KeyCheck::new(&state.view).authenticate(&workspace, &login.password);
+        let key = key.map_err(|refusal| error::key(&refusal))?;
+        Ok(Some((workspace, key)))
+    }
+}
+
+impl CallerState {
+    /// Sets a variable of the proxy.
+    pub fn set(&mut self, service: &Service, name: &str, value: &str) -> Result<(), Failure> {
+        match name {
+            "pomelopin.session" => {
+                self.session = Some(SessionId::from(value));
+                self.history_known = false;
+                self.mark = None;
+            }
+            "pomelopin.request_key" => self.request_key = Some(RequestKey::from(value)),
+            "pomelopin.mark" => self.raise_to_text(service, value)?,
+            _ => {}
+        }
+        Ok(())
+    }
+
+    /// Raises the mark to `service:term/position`; marks of other services are skipped.
+    fn raise_to_text(&mut self, service: &Service, text: &str) -> Result<(), Failure> {
+        let (of, mark) = text.rsplit_once(':').unwrap_or(("", text));
+        let mark: Mark = mark.parse().map_err(error::invalid_value)?;
+        if of == service.as_str() {
+            self.raise(mark);
+            // The caller states its last write, so nothing else need be looked up.
+            self.history_known = true;
+        }
+        Ok(())
+    }
+
+    /// Raises the mark; it never goes back.
+    pub fn raise(&mut self, mark: Mark) {
+        self.mark = self.mark.max(Some(mark));
+    }
+
+    /// Value of a variable as text.
+    pub fn show(&self, service: &Service, name: &str) -> String {
+        let session = || self.session.as_ref().map(|session| session.as_str().to_owned());
+        match name {
+            "pomelopin.session" => session().unwrap_or_default(),
+            "pomelopin.mark" => self.mark.map(|mark| mark_text(service, mark)).unwrap_or_default(),
+            "pomelopin.request_key" => {
+                self.request_key.as_ref().map(|key| key.as_str().to_owned()).unwrap_or_default()
+            }
+            "server_version" => "16.6".to_owned(),
+            "transaction_isolation" => "read committed".to_owned(),
+            "transaction_read_only" => "off".to_owned(),
+            _ => String::new(),
+        }
+    }
+}
+
+/// Mark as callers see it.
+pub fn mark_text(service: &Service, mark: Mark) -> String {
+    format!("{service}:{mark}")
+}
+
+impl Cx {
+    /// Runs one statement of a caller.
+    pub(super) async fn statement(
+        self: &Arc<Self>,
+        caller: &Caller,
+        state: &mut CallerState,
+        statement: &Statement,
+        deadline: Instant,
+    ) -> Reply {
+        let classified = match self.statements.classify(&statement.sql) {
+            Ok(classified) => classified,
+            Err(unsupported) => {
+                state.fail_transaction();
+                return error::reply(error::unsupported(&unsupported));
+            }
+        };
+        if state.is_failed() && !matches!(classified, Classified::Commit | Classified::Rollback) {
+            return error::reply(error::failed_transaction());
+        }
+        let result = match &classified {
+            Classified::Empty => Ok(ReplyResult::Empty.into()),
+            Classified::Set { name, value } => state
+                .set(&caller.service, name, value)
+                .map(|()| ReplyResult::Command("SET".to_owned()).into()),
+            Classified::Show { name } => Ok(show(&state.show(&caller.service, name), name).into()),
+            Classified::Begin => Ok(state.begin().into()),
+            Classified::Commit => Ok(self
+                .commit(caller, state, deadline)
+                .await
+                .unwrap_or_else(|failure| ReplyResult::TransactionFailed(failure).into())),
+            Classified::Rollback => Ok(self.rollback(state).await.into()),
+            Classified::NoTable | Classified::Statement { .. } => {
+                self.run_on_target(caller, state, statement, &classified, deadline).await
+            }
+        };
+        result.unwrap_or_else(|failure| {
+            state.fail_transaction();
+            error::reply(failure)
+        })
+    }
+
+    async fn run_on_target(
+        self: &Arc<Self>,
+        caller: &Caller,
+        state: &mut CallerState,
+        statement: &Statement,
+        classified: &Classified,
+        deadline: Instant,
+    ) -> Result<Reply, Failure> {
+        let rule = self.admit(caller, classified, deadline).await?;
+        if state.transaction.is_some() {
+            return self.within(caller, state, statement, &rule, deadline).await;
+        }
+        if rule.is_write {
+            self.write(caller, state, statement, &rule, deadline).await
+        } else {
+            self.read(caller, state, statement, &rule, deadline).await
+        }
+    }
+}
+
+/// One row with the value of a variable.
+fn show(value: &str, name: &str) -> ReplyResult {
+    let mut body = Vec::with_capacity(value.len() + 6);
+    body.extend_from_slice(&1_i16.to_be_bytes());
+    body.extend_from_slice(&i32::try_from(value.len()).unwrap_or(i32::MAX).to_be_bytes());
+    body.extend_from_slice(value.as_bytes());
+    ReplyResult::Rows(Rows {
+        fields: vec![text_field(name)],
+        rows: vec![body.into()],
+        tag: "SHOW".to_owned(),
+        ..Rows::default()
+    })
+}
+
+/// Column of type `text`.
+pub fn text_field(name: &str) -> Field {
+    Field { name: name.to_owned(), type_oid: TEXT_OID, format: 0 }
+}
--- /dev/null
+++ b/src/entry/cx.rs
@@ -0,0 +1,89 @@
+//! Context of an entry host: settings, clock and shared tables.
+//!
+//! Lock order: view, sessions, limits, hints. No lock is held across an await.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use parking_lot::Mutex;
+use rand::{SeedableRng, rngs::SmallRng};
+use tokio::sync::Notify;
+
+use super::{
+    http::ReadCounters,
+    lease::Lease,
+    stop::Stop,
+    view::{ViewCell, ViewState},
+};
+use crate::{
+    adapters::peer::client::PeerClient,
+    clock::{Clock, SystemClock},
+    ids::{Incarnation, InstanceId, Mark},
+    owner::Owner,
+    routing::{cache::ClassifyCache, hints::Hints},
+    settings::{entry::EntrySettings, routing::RoutingSettings},
+    state::model::InstanceSpec,
+};
+
+/// Everything that the parts of an entry host share.
+pub struct Cx {
+    pub settings: EntrySettings,
+    pub routing: RoutingSettings,
+    pub incarnation: Incarnation,
+    pub clock: SystemClock,
+    pub view: ViewCell,
+    pub lease: Mutex<Lease>,
+    pub owner: Owner,
+    pub peers: PeerClient,
+    pub hints: Mutex<Hints>,
+    pub rng: Mutex<SmallRng>,
+    pub statements: ClassifyCache,
+    pub metrics: ReadCounters,
+    pub stop: Stop,
+    /// Wakes the control link when something must be reported at once.
+    pub report_soon: Arc<Notify>,
+    /// Announced properties that the view may not show yet.
+    pub announced: Mutex<IndexMap<InstanceId, InstanceSpec>>,
+}
+
+impl Cx {
+    /// Context with empty tables.
+    pub fn new(settings: EntrySettings, incarnation: Incarnation, owner: Owner) -> Self {
+        let routing = RoutingSettings::default();
+        let peers = PeerClient::new(settings.host.clone(), settings.host_key.clone());
+        Self {
+            statements: ClassifyCache::new(&routing),
+            metrics: ReadCounters::default(),
+            settings,
+            routing,
+            incarnation,
+            clock: SystemClock::default(),
+            view: ViewCell::default(),
+            lease: Mutex::default(),
+            report_soon: owner.urgent_reports(),
+            owner,
+            peers,
+            hints: Mutex::default(),
+            rng: Mutex::new(SmallRng::from_os_rng()),
+            stop: Stop::default(),
+            announced: Mutex::default(),
+        }
+    }
+
+    /// Whether this host holds a valid lease.
+    pub fn has_lease(&self) -> bool {
+        self.lease.lock().is_valid(self.clock.now())
+    }
+
+    /// Passes a new view on to the tables that depend on it.
+    pub fn view_changed(&self, state: &Arc<ViewState>) {
+        self.owner.update_view(&state.view);
+        self.hints.lock().retain(|instance| state.view.instances.contains_key(instance));
+    }
+
+    /// Records where an instance stands.
+    pub fn observe(&self, instance: &InstanceId, position: Mark, age_ms: u64) {
+        let now = self.clock.now();
+        self.hints.lock().observe(now, instance, position, age_ms);
+    }
+}
--- /dev/null
+++ b/src/entry/error.rs
@@ -0,0 +1,95 @@
+//! Errors that callers see, with their SQLSTATEs.
+//!
+//! A message ends with "the statement did not run" only if that is certain.
+
+use std::fmt::Display;
+
+use crate::{
+    adapters::caller::{Reply, ReplyResult},
+    keys::check::KeyRefusal,
+    routing::{choice::ChoiceError, classify::Unsupported, route::RouteError},
+    wire::peer::{Failure, Refusal},
+};
+
+fn failure(code: &str, message: impl Into<String>) -> Failure {
+    Failure { code: code.to_owned(), message: message.into() }
+}
+
+/// Reply that reports `failure`.
+pub fn reply(failure: Failure) -> Reply {
+    ReplyResult::Error(failure).into()
+}
+
+/// This host has no lease.
+pub fn no_lease() -> Failure {
+    failure("57P03", "this host has no lease from the control group; the statement did not run")
+}
+
+/// Key is wrong or withdrawn.
+pub fn key(refusal: &KeyRefusal) -> Failure {
+    failure(refusal.sqlstate(), format!("{refusal}; the statement did not run"))
+}
+
+/// Statement is not supported.
+pub fn unsupported(unsupported: &Unsupported) -> Failure {
+    failure(unsupported.code(), unsupported.to_string())
+}
+
+/// No route serves the statement.
+pub fn route(error: &RouteError) -> Failure {
+    failure(error.code(), error.to_string())
+}
+
+/// No instance can serve the statement.
+pub fn choice(error: &ChoiceError) -> Failure {
+    failure(error.code(), format!("{error}; the statement did not run"))
+}
+
+/// Variable has an invalid value.
+pub fn invalid_value(error: impl Display) -> Failure {
+    failure("22023", error.to_string())
+}
+
+/// Transaction has failed and must be rolled back.
+pub fn failed_transaction() -> Failure {
+    failure("25P02", "the transaction has failed; statements are ignored until it is rolled back")
+}
+
+/// Statement was refused before it reached a target.
+pub fn refused(refusal: &Refusal) -> Failure {
+    let code = match refusal {
+        Refusal::Deadline => "57014",
+        Refusal::UnknownTransaction => "40001",
+        Refusal::QueueFull | Refusal::NoConnection => "53300",
+        _ => "57P03",
+    };
+    failure(code, format!("{refusal}; the statement did not run"))
+}
+
+/// Statement may have run.
+pub fn unknown(reason: &str, key: Option<&str>) -> Failure {
+    let hint = key.map_or_else(String::new, |key| {
+        format!("; repeat it with request key `{key}` to learn its outcome")
+    });
+    failure("08007", format!("the outcome of the statement is not known: {reason}{hint}"))
+}
+
+/// Transaction was rolled back by a fault.
+pub fn rolled_back(reason: &str) -> Failure {
+    failure("40001", format!("the transaction was rolled back: {reason}"))
+}
+
+/// Workspace is over its rate.
+pub fn over_rate() -> Failure {
+    failure("53400", "the workspace is over its rate; the statement did not run")
+}
+
+/// Service has no primary that could serve before the deadline.
+pub fn no_primary() -> Failure {
+    failure("57P03", "the service has no primary at present; the statement did not run")
+}
+
+/// Transaction uses keyed and open routes.
+pub fn mixed_routes() -> Failure {
+    failure("0A000", "a transaction cannot use both keyed and open routes")
+}
--- /dev/null
+++ b/src/entry/read.rs
@@ -0,0 +1,202 @@
+//! Reads outside transactions.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::time::Instant;
+
+use super::{
+    admission::Rule,
+    caller::{Caller, CallerState},
+    cx::Cx,
+    dispatch::{OwnerRef, Work},
+    error,
+};
+use crate::{
+    adapters::caller::{Reply, ReplyResult},
+    clock::{Clock, Millis},
+    ids::{InstanceId, Mark, Term},
+    routing::choice::{Choice, ReadNeed, choose},
+    wire::peer::{Failure, Mode, Outcome, ReadBound, Refusal, Rows, Statement},
+};
+
+/// Pause before a replica that lags slightly is asked again.
+const LAG_POLL: Duration = Duration::from_millis(4);
+
+/// Pause before a read is sent to another instance after a fault.
+const RETRY_PAUSE: Duration = Duration::from_millis(10);
+
+/// Replicas that are tried before the primary serves the read.
+const MAX_REPLICA_ATTEMPTS: u32 = 2;
+
+/// Read with its progress over several attempts.
+struct Read<'a> {
+    caller: &'a Caller,
+    statement: &'a Statement,
+    rule: &'a Rule,
+    mark: Option<Mark>,
+    max_staleness_ms: Option<u64>,
+    deadline: Instant,
+    replica_attempts: u32,
+    /// Until when a lagging replica may be asked again.
+    wait_until: Option<Instant>,
+}
+
+/// How one attempt ended.
+enum Step {
+    Answer(Rows),
+    Fail(Failure),
+    Again(Duration),
+}
+
+impl Cx {
+    /// Serves a read by a replica that satisfies it, or by the primary.
+    pub(super) async fn read(
+        self: &Arc<Self>,
+        caller: &Caller,
+        state: &mut CallerState,
+        statement: &Statement,
+        rule: &Rule,
+        deadline: Instant,
+    ) -> Result<Reply, Failure> {
+        // A session whose earlier writes are not known must read from the primary.
+        let known = rule.max_staleness_ms.is_none() || self.learn_mark(caller, state).await;
+        let mut read = Read {
+            caller,
+            statement,
+            rule,
+            mark: state.mark,
+            max_staleness_ms: rule.max_staleness_ms.filter(|_| known),
+            deadline,
+            replica_attempts: 0,
+            wait_until: None,
+        };
+        loop {
+            match self.attempt_read(&mut read).await {
+                Step::Answer(rows) => return Ok(ReplyResult::Rows(rows).into()),
+                Step::Fail(failure) => return Err(failure),
+                Step::Again(pause) => tokio::time::sleep(pause).await,
+            }
+        }
+    }
+
+    async fn attempt_read(&self, read: &mut Read<'_>) -> Step {
+        let remaining = read.deadline.saturating_duration_since(Instant::now());
+        if remaining.is_zero() {
+            return Step::Fail(error::refused(&Refusal::Deadline));
+        }
+        let state = self.view.load();
+        let need = ReadNeed {
+            service: &read.caller.service,
+            mark: read.mark,
+            max_staleness_ms: read.max_staleness_ms,
+            local_domain: &self.settings.failure_domain,
+            remaining: Millis(u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX)),
+        };
+        let now = self.clock.now();
+        let choice = {
+            let hints = self.hints.lock();
+            let mut rng = self.rng.lock();
+            choose(now, &state.view, &hints, &need, &self.routing, &mut *rng)
+        };
+        let (instance, is_primary) = match choice {
+            Ok(Choice::Replica { instance }) => (instance, false),
+            Ok(Choice::WaitFor { instance, up_to }) => {
+                read.wait_until.get_or_insert(Instant::now() + up_to.duration());
+                (instance, false)
+            }
+            Ok(Choice::Primary { instance }) => (instance, true),
+            // A new primary is expected within the deadline.
+            Err(_) => return self.wait_for_view(read.deadline).await,
+        };
+        let Some(owner) = OwnerRef::find(&state.view, &instance) else {
+            return self.wait_for_view(read.deadline).await;
+        };
+        let term = state.view.groups.get(&read.caller.service).map_or(Term(0), |group| group.term);
+        let max_staleness_ms = if is_primary { None } else { read.max_staleness_ms };
+        let bound = ReadBound { mark: read.mark, max_staleness_ms, term };
+        let work = Work {
+            workspace: read.rule.workspace.as_ref(),
+            weight: read.rule.weight,
+            statement: read.statement,
+        };
+        self.hints.lock().started(now, &instance);
+        let started = Instant::now();
+        let outcome = self.execute(&owner, work, Mode::Read(bound), remaining).await;
+        let latency_us = u64::try_from(started.elapsed().as_micros()).unwrap_or(u64::MAX);
+        self.judge_read(read, &instance, is_primary, outcome, latency_us)
+    }
+
+    fn judge_read(
+        &self,
+        read: &mut Read<'_>,
+        instance: &InstanceId,
+        is_primary: bool,
+        outcome: Outcome,
+        latency_us: u64,
+    ) -> Step {
+        let now = self.clock.now();
+        match outcome {
+            Outcome::Done(rows) => {
+                self.hints.lock().answered(instance, latency_us);
+                if let Some(position) = rows.mark {
+                    self.observe(instance, position, rows.age_ms);
+                }
+                self.metrics.read(!is_primary);
+                Step::Answer(rows)
+            }
+            Outcome::Failed(failure) => {
+                self.hints.lock().answered(instance, latency_us);
+                Step::Fail(failure)
+            }
+            Outcome::Refused(Refusal::Behind { position, age_ms }) => {
+                self.hints.lock().answered(instance, latency_us);
+                self.observe(instance, position, age_ms);
+                read.after_lag()
+            }
+            Outcome::Refused(refusal) => {
+                spdlog::debug!("instance {instance} refused a read: {refusal}");
+                self.hints.lock().failed(now, instance, &self.routing);
+                read.after_fault(is_primary)
+            }
+            // A read has no effect, so a lost answer may be asked for again.
+            Outcome::Unknown { reason } => {
+                spdlog::debug!("answer of instance {instance} was lost: {reason}");
+                self.hints.lock().failed(now, instance, &self.routing);
+                read.after_fault(is_primary)
+            }
+        }
+    }
+
+    /// Waits for a newer view, at most until the deadline.
+    async fn wait_for_view(&self, deadline: Instant) -> Step {
+        let mut revision = self.view.subscribe();
+        let pause = (Instant::now() + Duration::from_millis(50)).min(deadline);
+        let _ = tokio::time::timeout_at(pause, revision.changed()).await;
+        Step::Again(Duration::ZERO)
+    }
+}
+
+impl Read<'_> {
+    /// Asks the lagging replica again while the wait lasts, then the primary.
+    fn after_lag(&mut self) -> Step {
+        if self.wait_until.is_some_and(|until| Instant::now() < until) {
+            return Step::Again(LAG_POLL);
+        }
+        self.count_replica_attempt();
+        Step::Again(Duration::ZERO)
+    }
+
+    fn after_fault(&mut self, is_primary: bool) -> Step {
+        if !is_primary {
+            self.count_replica_attempt();
+        }
+        Step::Again(RETRY_PAUSE)
+    }
+
+    fn count_replica_attempt(&mut self) {
+        self.replica_attempts += 1;
+        if self.replica_attempts >= MAX_REPLICA_ATTEMPTS {
+            self.max_staleness_ms = None;
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/write.rs
@@ -0,0 +1,186 @@
+//! Writes outside transactions.
+//!
+//! A write that is not idempotent carries a request record, which the target
+//! stores in the same transaction. An attempt with the same record can therefore
+//! follow an attempt of unknown outcome: the target's unique key on the record
+//! lets at most one of them commit.
+
+use std::{sync::Arc, time::Duration};
+
+use sha2::{Digest, Sha256};
+use tokio::time::Instant;
+
+use super::{
+    admission::Rule,
+    caller::{Caller, CallerState, mark_text},
+    cx::Cx,
+    dispatch::{OwnerRef, Work},
+    error,
+};
+use crate::{
+    adapters::caller::{Reply, ReplyResult},
+    ids::{Mark, RequestKey, Term},
+    routing::choice::primary,
+    wire::peer::{Failure, Mode, Outcome, Refusal, RequestRecord, Rows, Statement},
+};
+
+/// First pause before an attempt is repeated; it doubles up to [`MAX_PAUSE`].
+const FIRST_PAUSE: Duration = Duration::from_millis(5);
+
+/// Longest pause between two attempts.
+const MAX_PAUSE: Duration = Duration::from_millis(100);
+
+/// Primary of a service with its owner, as the view names them.
+pub struct PrimaryRef {
+    pub owner: OwnerRef,
+    pub term: Term,
+}
+
+impl Cx {
+    /// Runs a write at the primary and reports its mark.
+    pub(super) async fn write(
+        self: &Arc<Self>,
+        caller: &Caller,
+        state: &mut CallerState,
+        statement: &Statement,
+        rule: &Rule,
+        deadline: Instant,
+    ) -> Result<Reply, Failure> {
+        let record = (!rule.idempotent).then(|| RequestRecord {
+            key: state.request_key.take().unwrap_or_else(random_key),
+            digest: digest(std::slice::from_ref(statement)),
+        });
+        let rows = self.write_rows(caller, statement, rule, record, deadline).await?;
+        let mark = rows.mark;
+        let result = if rows.fields.is_empty() {
+            ReplyResult::Command(rows.tag)
+        } else {
+            ReplyResult::Rows(rows)
+        };
+        self.acknowledge(caller, state, result, mark, deadline).await
+    }
+
+    /// Stores the mark of an acknowledged write before its caller sees the answer.
+    pub(super) async fn acknowledge(
+        self: &Arc<Self>,
+        caller: &Caller,
+        state: &mut CallerState,
+        result: ReplyResult,
+        mark: Option<Mark>,
+        deadline: Instant,
+    ) -> Result<Reply, Failure> {
+        let Some(mark) = mark else { return Ok(result.into()) };
+        state.raise(mark);
+        self.store_mark(caller, state, mark, deadline).await?;
+        let parameters = vec![("pomelopin.mark", mark_text(&caller.service, mark))];
+        Ok(Reply { result, parameters })
+    }
+
+    async fn write_rows(
+        &self,
+        caller: &Caller,
+        statement: &Statement,
+        rule: &Rule,
+        record: Option<RequestRecord>,
+        deadline: Instant,
+    ) -> Result<Rows, Failure> {
+        let key = record.as_ref().map(|record| record.key.clone());
+        let work = Work { workspace: rule.workspace.as_ref(), weight: rule.weight, statement };
+        let mut pause = FIRST_PAUSE;
+        let mut last: Option<Outcome> = None;
+        loop {
+            let Some(primary) = self.primary(caller, deadline).await else {
+                return Err(give_up(last, key.as_ref()));
+            };
+            let remaining = deadline.saturating_duration_since(Instant::now());
+            let mode = Mode::Write { term: primary.term, record: record.clone() };
+            let outcome = self.execute(&primary.owner, work, mode, remaining).await;
+            match outcome {
+                Outcome::Done(rows) => return Ok(rows),
+                Outcome::Failed(failure) => return Err(failure),
+                Outcome::Refused(_) => {
+                    // An earlier attempt of unknown outcome stays unknown.
+                    last = last
+                        .filter(|last| matches!(last, Outcome::Unknown { .. }))
+                        .or(Some(outcome));
+                }
+                Outcome::Unknown { .. } => last = Some(outcome),
+            }
+            let remaining = deadline.saturating_duration_since(Instant::now());
+            if remaining.is_zero() {
+                return Err(give_up(last, key.as_ref()));
+            }
+            tokio::time::sleep(jittered(pause).min(remaining)).await;
+            pause = (pause * 2).min(MAX_PAUSE);
+        }
+    }
+
+    /// Primary of the caller's service; waits for one until the deadline.
+    pub(super) async fn primary(&self, caller: &Caller, deadline: Instant) -> Option<PrimaryRef> {
+        let mut revision = self.view.subscribe();
+        loop {
+            if let Some(primary) = self.primary_now(caller) {
+                return (Instant::now() < deadline).then_some(primary);
+            }
+            tokio::time::timeout_at(deadline, revision.changed()).await.ok()?.ok()?;
+        }
+    }
+
+    fn primary_now(&self, caller: &Caller) -> Option<PrimaryRef> {
+        let state = self.view.load();
+        let id = primary(&state.view, &caller.service).ok()?;
+        let owner = OwnerRef::find(&state.view, &id)?;
+        let term = state.view.groups.get(&caller.service)?.term;
+        Some(PrimaryRef { owner, term })
+    }
+}
+
+/// Error after the last attempt; names what is certain.
+fn give_up(last: Option<Outcome>, key: Option<&RequestKey>) -> Failure {
+    match last {
+        Some(Outcome::Unknown { reason }) => error::unknown(&reason, key.map(RequestKey::as_str)),
+        Some(Outcome::Refused(refusal)) => error::refused(&refusal),
+        _ => error::no_primary(),
+    }
+}
+
+/// Half of `pause` plus a random part up to the other half.
+fn jittered(pause: Duration) -> Duration {
+    pause.mul_f64(rand::random_range(0.5..1.0))
+}
+
+/// Key for a write whose caller gave none.
+pub fn random_key() -> RequestKey {
+    RequestKey::from(hex::encode(rand::random::<[u8; 16]>()))
+}
+
+/// Hexadecimal digest of statements with their parameters.
+pub fn digest(statements: &[Statement]) -> String {
+    let mut hash = Sha256::new();
+    for statement in statements {
+        update_digest(&mut hash, statement);
+    }
+    hex::encode(hash.finalize())
+}
+
+/// Adds `statement` to a digest; lengths keep neighbouring values apart.
+pub fn update_digest(hash: &mut Sha256, statement: &Statement) {
+    let mut part = |bytes: &[u8]| {
+        hash.update((bytes.len() as u64).to_be_bytes());
+        hash.update(bytes);
+    };
+    part(statement.sql.as_bytes());
+    let Some(bind) = &statement.bind else { return };
+    for value in &bind.values {
+        match value {
+            Some(value) => part(value),
+            None => part(b"\0null"),
+        }
+    }
+}
+
+impl From<Refusal> for Failure {
+    fn from(refusal: Refusal) -> Self {
+        error::refused(&refusal)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,7 +10,7 @@
 pub mod clock;
 pub mod configuration;
 pub mod control;
-
+pub mod entry;
 pub mod ids;
 pub mod keys;
 pub mod limits;
--- a/src/settings/entry.rs
+++ b/src/settings/entry.rs
@@ -1,10 +1,16 @@
 //! Settings of an entry host.
 
-use std::{net::SocketAddr, path::PathBuf};
+use std::{
+    net::SocketAddr,
+    path::{Path, PathBuf},
+};
 
 use bpaf::Bpaf;
 
-use super::{finding::{SettingFinding, SettingFindings}, log::LogSettings};
+use super::{
+    finding::{SettingFinding, SettingFindings},
+    log::LogSettings,
+};
 use crate::{
     clock::Millis,
     ids::{ControlId, FailureDomain, HostId},
@@ -195,11 +201,11 @@
     Some(hosts)
 }
 
-fn key(findings: &mut SettingFindings, flag: &'static str, file: &PathBuf) -> Option<HostKey> {
+fn key(findings: &mut SettingFindings, flag: &'static str, file: &Path) -> Option<HostKey> {
     findings.take(flag, file.display(), HostKey::from_file(file))
 }
 
-fn password(findings: &mut SettingFindings, file: &PathBuf) -> Option<String> {
+fn password(findings: &mut SettingFindings, file: &Path) -> Option<String> {
     let text = std::fs::read_to_string(file);
     let text = findings.take("--target-password-file", file.display(), text)?;
     Some(text.trim().to_owned())
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,6 +1,8 @@
 //! Settings of each area, with defaults.
 
 pub mod control;
+pub mod entry;
+pub mod finding;
 pub mod log;
 pub mod operator;
 pub mod owner;
