Keep session marks at home hosts

Cause: a session that moves to another entry host must read its own writes. Change: a write of a named session is acknowledged after every host of the store set has confirmed its mark; a read that may use a replica asks the home hosts first and uses the primary when none of them knows the mark. Each change of hosts inside a delta is learned by itself, because a hidden change could make an outdated mark count as the last one.

--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -10,6 +10,8 @@
     ids::{Mark, RequestKey, Service, SessionId, Workspace},
     keys::check::{HeldKey, KeyCheck},
     routing::classify::Classified,
+    session::state::SessionState,
+    settings::session::LookupPolicy,
     wire::peer::{Description, Failure, Field, Rows, Statement},
 };
 
@@ -32,13 +34,10 @@
 }
 
 /// State that statements of one caller change.
-#[derive(Default)]
 pub struct CallerState {
     /// Session that the caller named; without a name the connection is its session.
-    pub session: Option<SessionId>,
-    /// Whether all earlier writes of the session are in `mark`.
-    pub history_known: bool,
-    pub mark: Option<Mark>,
+    pub session: SessionState,
+    lookup: LookupPolicy,
     /// Idempotency key for the next write or transaction.
     pub request_key: Option<RequestKey>,
     pub transaction: Option<Transaction>,
@@ -70,7 +69,7 @@
             let message = format!("service `{service}` does not exist");
             return Err(Failure { code: "3D000".to_owned(), message });
         }
-        let mut state = CallerState { history_known: true, ..CallerState::default() };
+        let mut state = CallerState::new(self.cx.session_settings.lookup);
         for (name, value) in &login.options {
             if name.starts_with("pomelopin.") {
                 state.set(&service, name, value)?;
@@ -122,13 +121,21 @@
 }
 
 impl CallerState {
+    fn new(lookup: LookupPolicy) -> Self {
+        let id = SessionId::from(hex::encode(rand::random::<[u8; 16]>()));
+        let session = SessionState::generated(id, lookup);
+        Self { session, lookup, request_key: None, transaction: None }
+    }
+
     /// Sets a variable of the proxy.
     pub fn set(&mut self, service: &Service, name: &str, value: &str) -> Result<(), Failure> {
         match name {
             "pomelopin.session" => {
-                self.session = Some(SessionId::from(value));
-                self.history_known = false;
-                self.mark = None;
+                let earlier = self.session.mark(service);
+                self.session = SessionState::named(SessionId::from(value), self.lookup);
+                if let Some(mark) = earlier {
+                    self.session.raise(service, mark);
+                }
             }
             "pomelopin.request_key" => self.request_key = Some(RequestKey::from(value)),
             "pomelopin.mark" => self.raise_to_text(service, value)?,
@@ -142,24 +149,18 @@
         let (of, mark) = text.rsplit_once(':').unwrap_or(("", text));
         let mark: Mark = mark.parse().map_err(error::invalid_value)?;
         if of == service.as_str() {
-            self.raise(mark);
-            // The caller states its last write, so nothing else need be looked up.
-            self.history_known = true;
+            self.session.raise(service, mark);
         }
         Ok(())
     }
 
-    /// Raises the mark; it never goes back.
-    pub fn raise(&mut self, mark: Mark) {
-        self.mark = self.mark.max(Some(mark));
-    }
-
     /// Value of a variable as text.
     pub fn show(&self, service: &Service, name: &str) -> String {
-        let session = || self.session.as_ref().map(|session| session.as_str().to_owned());
         match name {
-            "pomelopin.session" => session().unwrap_or_default(),
-            "pomelopin.mark" => self.mark.map(|mark| mark_text(service, mark)).unwrap_or_default(),
+            "pomelopin.session" if self.session.is_shared() => self.session.id().to_string(),
+            "pomelopin.mark" => {
+                self.session.mark(service).map(|mark| mark_text(service, mark)).unwrap_or_default()
+            }
             "pomelopin.request_key" => {
                 self.request_key.as_ref().map(|key| key.as_str().to_owned()).unwrap_or_default()
             }
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -168,8 +168,8 @@
         }
         // The update comes first: a renewed lease must not serve an old configuration.
         match self.cx.view.update(update) {
-            Ok(Some(state)) => {
-                self.cx.view_changed(&state);
+            Ok(Some(change)) => {
+                self.cx.view_changed(&change);
                 self.cx.report_soon.notify_one();
             }
             Ok(None) => {}
--- a/src/entry/cx.rs
+++ b/src/entry/cx.rs
@@ -12,8 +12,9 @@
 use super::{
     http::ReadCounters,
     lease::Lease,
+    marks::HomeMarks,
     stop::Stop,
-    view::{ViewCell, ViewState},
+    view::{ViewCell, ViewChange},
 };
 use crate::{
     adapters::peer::client::PeerClient,
@@ -21,7 +22,7 @@
     ids::{Incarnation, InstanceId, Mark},
     owner::Owner,
     routing::{cache::ClassifyCache, hints::Hints},
-    settings::{entry::EntrySettings, routing::RoutingSettings},
+    settings::{entry::EntrySettings, routing::RoutingSettings, session::SessionSettings},
     state::model::InstanceSpec,
 };
 
@@ -35,6 +36,8 @@
     pub lease: Mutex<Lease>,
     pub owner: Owner,
     pub peers: PeerClient,
+    pub session_settings: SessionSettings,
+    pub sessions: Mutex<HomeMarks>,
     pub hints: Mutex<Hints>,
     pub rng: Mutex<SmallRng>,
     pub statements: ClassifyCache,
@@ -50,6 +53,8 @@
     /// Context with empty tables.
     pub fn new(settings: EntrySettings, incarnation: Incarnation, owner: Owner) -> Self {
         let routing = RoutingSettings::default();
+        let session_settings = SessionSettings::default();
+        let sessions = HomeMarks::new(settings.host.clone(), &session_settings);
         let peers = PeerClient::new(settings.host.clone(), settings.host_key.clone());
         Self {
             statements: ClassifyCache::new(&routing),
@@ -63,6 +68,8 @@
             report_soon: owner.urgent_reports(),
             owner,
             peers,
+            session_settings,
+            sessions: Mutex::new(sessions),
             hints: Mutex::default(),
             rng: Mutex::new(SmallRng::from_os_rng()),
             stop: Stop::default(),
@@ -76,9 +83,16 @@
     }
 
     /// Passes a new view on to the tables that depend on it.
-    pub fn view_changed(&self, state: &Arc<ViewState>) {
-        self.owner.update_view(&state.view);
-        self.hints.lock().retain(|instance| state.view.instances.contains_key(instance));
+    pub fn view_changed(&self, change: &ViewChange) {
+        let now = self.clock.now();
+        let mut sessions = self.sessions.lock();
+        for hosts in &change.host_lists {
+            sessions.history.learn(now, hosts, change.unbroken);
+        }
+        drop(sessions);
+        let view = &change.state.view;
+        self.owner.update_view(view);
+        self.hints.lock().retain(|instance| view.instances.contains_key(instance));
     }
 
     /// Records where an instance stands.
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -6,6 +6,7 @@
 use crate::{
     adapters::peer::server::PeerService,
     ids::HostId,
+    session::marks::MarkKey,
     wire::peer::{PeerAnswer, PeerRequest},
 };
 
@@ -30,8 +31,13 @@
                 PeerAnswer::Done
             }
             PeerRequest::Grant(req) => PeerAnswer::Granted(self.cx.grant(&req)),
-            PeerRequest::PutMark { .. } => PeerAnswer::Done,
-            PeerRequest::GetMark { .. } => PeerAnswer::Mark(None),
+            PeerRequest::PutMark { session, workspace, service, mark } => {
+                self.cx.keep_mark(&MarkKey { workspace, session, service }, mark);
+                PeerAnswer::Done
+            }
+            PeerRequest::GetMark { session, workspace, service } => {
+                PeerAnswer::Mark(self.cx.stored_mark(&MarkKey { workspace, session, service }))
+            }
         }
     }
 }
--- a/src/entry/read.rs
+++ b/src/entry/read.rs
@@ -10,6 +10,7 @@
     cx::Cx,
     dispatch::{OwnerRef, Work},
     error,
+    marks::Observed,
 };
 use crate::{
     adapters::caller::{Reply, ReplyResult},
@@ -43,7 +44,7 @@
 
 /// How one attempt ended.
 enum Step {
-    Answer(Rows),
+    Answer { rows: Rows, from_primary: bool },
     Fail(Failure),
     Again(Duration),
 }
@@ -59,12 +60,18 @@
         deadline: Instant,
     ) -> Result<Reply, Failure> {
         // A session whose earlier writes are not known must read from the primary.
-        let known = rule.max_staleness_ms.is_none() || self.learn_mark(caller, state).await;
+        let (known, mark) = match rule.max_staleness_ms {
+            None => (false, None),
+            Some(_) => match self.learn_mark(caller, state).await {
+                Observed::Known(mark) => (true, mark),
+                Observed::Unknown => (false, state.session.mark(&caller.service)),
+            },
+        };
         let mut read = Read {
             caller,
             statement,
             rule,
-            mark: state.mark,
+            mark,
             max_staleness_ms: rule.max_staleness_ms.filter(|_| known),
             deadline,
             replica_attempts: 0,
@@ -72,7 +79,12 @@
         };
         loop {
             match self.attempt_read(&mut read).await {
-                Step::Answer(rows) => return Ok(ReplyResult::Rows(rows).into()),
+                Step::Answer { rows, from_primary } => {
+                    if let Some(position) = rows.mark.filter(|_| from_primary) {
+                        state.session.complete(&caller.service, position);
+                    }
+                    return Ok(ReplyResult::Rows(rows).into());
+                }
                 Step::Fail(failure) => return Err(failure),
                 Step::Again(pause) => tokio::time::sleep(pause).await,
             }
@@ -142,7 +154,7 @@
                     self.observe(instance, position, rows.age_ms);
                 }
                 self.metrics.read(!is_primary);
-                Step::Answer(rows)
+                Step::Answer { rows, from_primary: is_primary }
             }
             Outcome::Failed(failure) => {
                 self.hints.lock().answered(instance, latency_us);
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -2,13 +2,17 @@
 
 use std::sync::Arc;
 
+use indexmap::IndexMap;
 use parking_lot::RwLock;
 use tokio::sync::watch;
 
 use crate::{
-    ids::Revision,
+    ids::{HostId, Revision},
     routing::route::RouteIndex,
-    state::{delta::UpdateError, model::ClusterView},
+    state::{
+        delta::UpdateError,
+        model::{Change, ClusterView, Host},
+    },
     wire::control::Update,
 };
 
@@ -19,6 +23,32 @@
     pub routes: RouteIndex,
 }
 
+/// Effect of an update.
+#[derive(Debug)]
+pub struct ViewChange {
+    pub state: Arc<ViewState>,
+    /// Live hosts after each change of hosts within the update.
+    pub host_lists: Vec<IndexMap<HostId, Host>>,
+    /// Whether no change of hosts is hidden; false for a snapshot.
+    pub unbroken: bool,
+}
+
+/// Live hosts after each change of hosts in a delta.
+fn host_lists(hosts: &IndexMap<HostId, Host>, update: &Update) -> Vec<IndexMap<HostId, Host>> {
+    let Update::Delta { changes, .. } = update else { return Vec::new() };
+    let mut hosts = hosts.clone();
+    let mut lists = Vec::new();
+    for change in changes {
+        let Change::Host(id, host) = change else { continue };
+        match host {
+            Some(host) => hosts.insert(id.clone(), host.clone()),
+            None => hosts.shift_remove(id),
+        };
+        lists.push(hosts.clone());
+    }
+    lists
+}
+
 /// Current view; readers keep the one they loaded.
 #[derive(Debug)]
 pub struct ViewCell {
@@ -39,12 +69,14 @@
     }
 
     /// Applies an update; returns the new view if it differs.
-    pub fn update(&self, update: Update) -> Result<Option<Arc<ViewState>>, UpdateError> {
+    pub fn update(&self, update: Update) -> Result<Option<ViewChange>, UpdateError> {
         if matches!(update, Update::None) {
             return Ok(None);
         }
         let old = self.load();
         let mut view = old.view.clone();
+        let unbroken = matches!(update, Update::Delta { .. });
+        let mut host_lists = host_lists(&view.hosts, &update);
         if !view.apply_update(update)? {
             return Ok(None);
         }
@@ -53,7 +85,10 @@
         let state = Arc::new(ViewState { view, routes });
         *self.current.write() = state.clone();
         self.revision.send_replace(revision);
-        Ok(Some(state))
+        if !unbroken {
+            host_lists.push(state.view.hosts.clone());
+        }
+        Ok(Some(ViewChange { state, host_lists, unbroken }))
     }
 
     /// Receiver that wakes at each new revision.
--- a/src/entry/write.rs
+++ b/src/entry/write.rs
@@ -70,7 +70,6 @@
         deadline: Instant,
     ) -> Result<Reply, Failure> {
         let Some(mark) = mark else { return Ok(result.into()) };
-        state.raise(mark);
         self.store_mark(caller, state, mark, deadline).await?;
         let parameters = vec![("pomelopin.mark", mark_text(&caller.service, mark))];
         Ok(Reply { result, parameters })
