--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -1,3 +1,4 @@
 //! Adapters to sockets, disks, clocks, logs and metrics.
 
 pub mod bus;
+pub mod disk;
