--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod bus;
 pub mod disk;
+pub mod log;
--- a/src/keys/mod.rs
+++ b/src/keys/mod.rs
@@ -1,3 +1,7 @@
 //! Keys of callers and authentication between hosts.
 
 pub mod host;
+pub mod announcement;
+pub mod check;
+pub mod host;
+pub mod key;
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -6,4 +6,5 @@
 pub mod announcement;
 pub mod control;
 pub mod group;
+pub mod operator;
 pub mod peer;
