--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -3,3 +3,5 @@
 pub mod control;
 pub mod log;
 pub mod operator;
+pub mod owner;
+pub mod promotion;
