--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -4,6 +4,7 @@
 pub mod election;
 pub mod follower;
 pub mod leader;
+pub mod leases;
 pub mod log;
 pub mod membership;
 pub mod node;
--- a/src/keys/mod.rs
+++ b/src/keys/mod.rs
@@ -1,6 +1,5 @@
 //! Keys of callers and authentication between hosts.
 
-pub mod host;
 pub mod announcement;
 pub mod check;
 pub mod host;
--- a/src/settings/control.rs
+++ b/src/settings/control.rs
@@ -53,3 +53,38 @@
         Millis(self.election_min.0 * (100 - self.drift_percent) / 100)
     }
 }
+
+/// Leases of entry hosts.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LeaseTiming {
+    /// Lease that an entry host counts from the time it sent its renewal.
+    pub lease: Millis,
+    /// Largest drift between two clocks in percent.
+    pub drift_percent: u64,
+    /// Time for an entry host to close its connections.
+    pub margin: Millis,
+    /// Time after which a proposal without effect is repeated.
+    pub repeat: Millis,
+    /// Silence after which a host that has not joined is forgotten.
+    pub forget: Millis,
+}
+
+impl Default for LeaseTiming {
+    fn default() -> Self {
+        Self {
+            lease: Millis(2_000),
+            drift_percent: 10,
+            margin: Millis(200),
+            repeat: Millis(1_000),
+            forget: Millis(5_000),
+        }
+    }
+}
+
+impl LeaseTiming {
+    /// Time after which the leader regards a lease as ended, from the receipt of
+    /// the renewal.
+    pub fn span(&self) -> Millis {
+        Millis(self.lease.0 * (100 + self.drift_percent) / 100 + self.margin.0)
+    }
+}
--- /dev/null
+++ b/src/settings/finding.rs
@@ -0,0 +1,53 @@
+//! Settings that cannot be used, reported together.
+
+use derive_more::Display;
+
+/// Setting that cannot be used.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+#[display("{flag}: `{value}` is not allowed; {allowed}")]
+pub struct SettingFinding {
+    /// Flag with its dashes.
+    pub flag: &'static str,
+    pub value: String,
+    /// Allowed values or range.
+    pub allowed: String,
+}
+
+/// Findings of all settings of a process.
+#[derive(Debug, Default)]
+pub struct SettingFindings(Vec<SettingFinding>);
+
+impl SettingFindings {
+    /// Adds a finding for `flag`.
+    pub fn add(&mut self, flag: &'static str, value: impl ToString, allowed: impl ToString) {
+        let finding =
+            SettingFinding { flag, value: value.to_string(), allowed: allowed.to_string() };
+        self.0.push(finding);
+    }
+
+    /// Value of `result`, or a finding with its error.
+    pub fn take<T, E: ToString>(
+        &mut self,
+        flag: &'static str,
+        value: impl ToString,
+        result: Result<T, E>,
+    ) -> Option<T> {
+        match result {
+            Ok(value) => Some(value),
+            Err(error) => {
+                self.add(flag, value, error.to_string());
+                None
+            }
+        }
+    }
+
+    /// All findings.
+    pub fn into_vec(self) -> Vec<SettingFinding> {
+        self.0
+    }
+
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,6 +1,7 @@
 //! Settings of each area, with defaults.
 
 pub mod control;
+pub mod finding;
 pub mod log;
 pub mod operator;
 pub mod owner;
