Add the runtime of control hosts and pomelopin-control

Entry hosts and operators need a running control group. One thread owns the node, the data folder, the state machine and the leader's tables; HTTP requests and answers of fenced instances reach it as events. Deltas are pushed after each commit under the echo of the last renewal.

--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -2,4 +2,6 @@
 
 pub mod bus;
 pub mod disk;
+pub mod fencing;
 pub mod log;
+pub mod operator_http;
--- /dev/null
+++ b/src/adapters/operator_http.rs
@@ -0,0 +1,176 @@
+//! HTTP listener of a control host: operators, readiness and metrics.
+
+use std::{
+    sync::Arc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use axum::{
+    Json, Router,
+    extract::{DefaultBodyLimit, Query, Request as HttpRequest, State},
+    http::{StatusCode, header::AUTHORIZATION},
+    middleware::{self, Next},
+    response::{IntoResponse, Response},
+    routing::{get, post},
+};
+use serde::Deserialize;
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::timeout,
+};
+
+use crate::{
+    adapters::bus::Bus,
+    clock::{Clock, Millis, SystemClock},
+    configuration,
+    control::{
+        core::Event,
+        operators::{Answer, Request},
+        report::Report,
+    },
+    ids::Revision,
+    settings::operator::OperatorToken,
+    state::model::{ApplyAnswer, ApplyCommand},
+    wire::operator::{APPLY_PATH, AUDIT_PATH, ApplyRequest, FILE_PATH, InvalidFile, STATUS_PATH},
+};
+
+/// Longest time for an answer, beyond what the request asks to wait for hosts.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Longest accepted wait for hosts.
+const MAX_WAIT: Millis = Millis(60_000);
+
+/// Largest request in bytes.
+const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
+
+/// What the handlers share.
+#[derive(Clone)]
+pub struct HttpCx {
+    pub clock: SystemClock,
+    pub token: OperatorToken,
+    pub bus: Bus,
+    pub report: Arc<Report>,
+    pub events: mpsc::Sender<Event>,
+}
+
+/// Routes of the listener.
+pub fn router(cx: HttpCx) -> Router {
+    let operators = Router::new()
+        .route(APPLY_PATH, post(apply))
+        .route(STATUS_PATH, get(status))
+        .route(AUDIT_PATH, get(audit))
+        .route(FILE_PATH, get(file))
+        .layer(DefaultBodyLimit::max(MAX_BODY_BYTES))
+        .layer(middleware::from_fn_with_state(cx.clone(), authenticate));
+    Router::new()
+        .route("/ready", get(ready))
+        .route("/health", get(health))
+        .route("/metrics", get(metrics))
+        .merge(operators)
+        .with_state(cx)
+}
+
+async fn authenticate(State(cx): State<HttpCx>, request: HttpRequest, next: Next) -> Response {
+    let header = request.headers().get(AUTHORIZATION).and_then(|value| value.to_str().ok());
+    if header.is_some_and(|header| cx.token.accepts(header)) {
+        return next.run(request).await;
+    }
+    StatusCode::UNAUTHORIZED.into_response()
+}
+
+async fn ready(State(cx): State<HttpCx>) -> StatusCode {
+    state_code(cx.report.is_ready(cx.clock.now()))
+}
+
+async fn health(State(cx): State<HttpCx>) -> StatusCode {
+    state_code(cx.report.is_healthy(cx.clock.now()))
+}
+
+fn state_code(ok: bool) -> StatusCode {
+    if ok { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }
+}
+
+async fn metrics(State(cx): State<HttpCx>) -> Response {
+    match cx.report.metrics(&cx.bus) {
+        Ok(text) => text.into_response(),
+        Err(_) => StatusCode::INTERNAL_SERVER_ERROR.into_response(),
+    }
+}
+
+async fn apply(State(cx): State<HttpCx>, Json(request): Json<ApplyRequest>) -> Response {
+    let desired = match configuration::read_successor(&request.file, request.expected_version) {
+        Ok(configuration) => configuration.desired,
+        Err(findings) => {
+            let invalid = Json(InvalidFile { findings });
+            return (StatusCode::UNPROCESSABLE_ENTITY, invalid).into_response();
+        }
+    };
+    let wait = Millis(request.wait_ms).min(MAX_WAIT);
+    let command = Box::new(ApplyCommand {
+        id: request.id,
+        operator: request.operator,
+        at_unix_ms: unix_ms(),
+        expected_version: request.expected_version,
+        file: request.file,
+        desired,
+    });
+    ask(&cx, Request::Apply { command, wait }, wait.duration()).await
+}
+
+async fn status(State(cx): State<HttpCx>) -> Response {
+    ask(&cx, Request::Status, Duration::ZERO).await
+}
+
+/// Query of the audit request.
+#[derive(Debug, Deserialize)]
+struct AuditQuery {
+    #[serde(default)]
+    from: u64,
+}
+
+async fn audit(State(cx): State<HttpCx>, Query(query): Query<AuditQuery>) -> Response {
+    ask(&cx, Request::Audit { from: Revision(query.from) }, Duration::ZERO).await
+}
+
+async fn file(State(cx): State<HttpCx>) -> Response {
+    ask(&cx, Request::File, Duration::ZERO).await
+}
+
+async fn ask(cx: &HttpCx, request: Request, wait: Duration) -> Response {
+    let (reply, answer) = oneshot::channel();
+    let exchange = async {
+        cx.events.send(Event::Operator { request, reply }).await.ok()?;
+        answer.await.ok()
+    };
+    match timeout(ANSWER_TIMEOUT + wait, exchange).await {
+        Ok(Some(answer)) => answer.into_response(),
+        Ok(None) => Answer::unavailable("this host is stopping").into_response(),
+        Err(_) => Answer::unavailable("no majority answered in time; send the request again")
+            .into_response(),
+    }
+}
+
+impl IntoResponse for Answer {
+    fn into_response(self) -> Response {
+        match self {
+            Self::Apply(answer) if matches!(answer.answer, ApplyAnswer::Conflict { .. }) => {
+                (StatusCode::CONFLICT, Json(answer)).into_response()
+            }
+            Self::Apply(answer) => Json(answer).into_response(),
+            Self::Status(answer) => Json(answer).into_response(),
+            Self::Audit(answer) => Json(answer).into_response(),
+            Self::File(answer) => Json(answer).into_response(),
+            Self::NotLeader(answer) => {
+                (StatusCode::MISDIRECTED_REQUEST, Json(answer)).into_response()
+            }
+            Self::Unavailable(answer) => {
+                (StatusCode::SERVICE_UNAVAILABLE, Json(answer)).into_response()
+            }
+        }
+    }
+}
+
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/src/bin/pomelopin-control.rs
@@ -0,0 +1,46 @@
+//! Control host.
+
+use std::process::ExitCode;
+
+use pomelopin::{
+    adapters::log,
+    control::runtime,
+    settings::control::{ControlSettings, control_arguments},
+};
+
+/// Worker threads for HTTP; the event loop has its own thread.
+const WORKERS: usize = 2;
+
+fn main() -> ExitCode {
+    let arguments = control_arguments().run();
+    let settings = match arguments.check() {
+        Ok(settings) => settings,
+        Err(findings) => {
+            for finding in findings {
+                eprintln!("pomelopin-control: {finding}");
+            }
+            return ExitCode::from(2);
+        }
+    };
+    if arguments.check_settings {
+        println!("all settings are valid");
+        return ExitCode::SUCCESS;
+    }
+    if let Err(error) = log::init(arguments.log, &settings.name) {
+        eprintln!("pomelopin-control: cannot set up the log: {error}");
+        return ExitCode::FAILURE;
+    }
+    match run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            spdlog::critical!("the control host stops: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(settings: ControlSettings) -> eyre::Result<()> {
+    let runtime =
+        tokio::runtime::Builder::new_multi_thread().worker_threads(WORKERS).enable_all().build()?;
+    runtime.block_on(runtime::run(settings))
+}
--- /dev/null
+++ b/src/control/core.rs
@@ -0,0 +1,397 @@
+//! Event loop of a control host.
+//!
+//! One thread owns the node, the data folder, the state machine and, while the
+//! host leads, the lease table and the promotions. It carries out the outputs of
+//! the node in order.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use bytes::Bytes;
+use eyre::{Result, WrapErr};
+use tokio::sync::mpsc;
+
+use crate::{
+    adapters::{
+        bus::{Bus, Inbound},
+        disk::Disk,
+        fencing::Fencing,
+    },
+    clock::{Clock, Millis, SystemClock},
+    control::{
+        leases::LeaseTable,
+        node::{Input, Node, Output, Proposal, Role, RoleChange},
+        operators::{Answer, Operators, Reply, Request},
+        promotions::Promotions,
+        report::Report,
+    },
+    ids::Service,
+    promotion::decision::{Action, Event as PromotionEvent},
+    settings::{control::ControlSettings, promotion::PromotionSettings},
+    state::{
+        delta::History,
+        model::{Change, ClusterState, Command},
+    },
+    wire::{
+        control::ControlMessage,
+        group::{GroupMessage, GroupTerm},
+        operator::NotLeader,
+    },
+};
+
+/// Changes kept for hosts that are a little behind; about a day of changes at the
+/// target size.
+const HISTORY_CHANGES: usize = 50_000;
+
+/// Entries after which the state is stored and the log shortened.
+const SNAPSHOT_ENTRIES: u64 = 1_000;
+
+/// Messages that are processed before other work.
+const BATCH_MESSAGES: usize = 256;
+
+/// Silence after which the connection to another control host is opened anew.
+const PEER_SILENCE: Millis = Millis(2_000);
+
+/// Event from another task.
+#[derive(Debug)]
+pub enum Event {
+    Operator { request: Request, reply: Reply },
+    Promotion { service: Service, event: PromotionEvent },
+}
+
+/// State that exists only while the host leads.
+pub(super) struct Leading {
+    pub(super) leases: LeaseTable,
+    pub(super) promotions: Promotions,
+}
+
+/// State of a control host.
+pub struct Core {
+    pub(super) settings: Arc<ControlSettings>,
+    pub(super) clock: SystemClock,
+    pub(super) node: Node,
+    disk: Disk,
+    pub(super) bus: Bus,
+    fencing: Fencing,
+    pub(super) state: ClusterState,
+    pub(super) history: History,
+    pub(super) leading: Option<Leading>,
+    operators: Operators,
+    /// Commands to propose after the current batch, with one sync for all.
+    pub(super) proposals: Vec<Proposal>,
+    tickets: u64,
+    /// Committed changes that have not been sent to the hosts.
+    pub(super) unsent: bool,
+    /// When each control host was last heard.
+    heard: BTreeMap<String, Millis>,
+    report: Arc<Report>,
+}
+
+/// Parts that a [`Core`] joins.
+pub struct Parts {
+    pub settings: Arc<ControlSettings>,
+    pub clock: SystemClock,
+    pub node: Node,
+    pub disk: Disk,
+    pub bus: Bus,
+    pub fencing: Fencing,
+    pub state: ClusterState,
+    pub report: Arc<Report>,
+}
+
+impl Core {
+    /// Joins the parts.
+    pub fn new(parts: Parts) -> Self {
+        let Parts { settings, clock, node, disk, bus, fencing, state, report } = parts;
+        Self {
+            settings,
+            clock,
+            node,
+            disk,
+            bus,
+            fencing,
+            state,
+            history: History::new(HISTORY_CHANGES),
+            leading: None,
+            operators: Operators::default(),
+            proposals: Vec::new(),
+            tickets: 0,
+            unsent: false,
+            heard: BTreeMap::new(),
+            report,
+        }
+    }
+
+    /// Runs until an error or until the senders of events are gone.
+    pub async fn run(
+        mut self,
+        mut inbound: mpsc::Receiver<Inbound>,
+        mut events: mpsc::Receiver<Event>,
+    ) -> Result<()> {
+        let tick = self.settings.group_timing.tick.duration();
+        let mut ticks = tokio::time::interval(tick);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                biased;
+                _ = ticks.tick() => self.tick()?,
+                Some(message) = inbound.recv() => self.receive(message)?,
+                event = events.recv() => match event {
+                    Some(event) => self.handle(event),
+                    None => return Ok(()),
+                },
+            }
+            for _ in 0..BATCH_MESSAGES {
+                let Ok(message) = inbound.try_recv() else { break };
+                self.receive(message)?;
+            }
+            self.finish_batch()?;
+        }
+    }
+
+    fn tick(&mut self) -> Result<()> {
+        self.step(Input::Tick)?;
+        self.reconnect();
+        let now = self.clock.now();
+        if !self.node.is_serving(now) {
+            return Ok(());
+        }
+        let Some(leading) = &mut self.leading else { return Ok(()) };
+        let commands = leading.leases.tick(now);
+        self.operators.check(now, &leading.leases);
+        let actions = leading.promotions.tick(now, &self.state.view, &leading.leases);
+        self.propose_all(commands);
+        self.act(actions);
+        Ok(())
+    }
+
+    fn receive(&mut self, inbound: Inbound) -> Result<()> {
+        match postcard::from_bytes(&inbound.body) {
+            Ok(ControlMessage::Group(message)) => {
+                self.heard.insert(inbound.from, self.clock.now());
+                self.step(Input::Message(message))?;
+            }
+            Ok(ControlMessage::Renew(renew)) if inbound.from == renew.host.id.as_str() => {
+                self.renew(&renew);
+            }
+            Ok(_) => spdlog::debug!("ignoring a message of another kind from {}", inbound.from),
+            Err(error) => spdlog::warn!("invalid message from {}: {error}", inbound.from),
+        }
+        Ok(())
+    }
+
+    fn handle(&mut self, event: Event) {
+        let now = self.clock.now();
+        match event {
+            Event::Operator { request, reply } => self.answer_operator(now, request, reply),
+            Event::Promotion { service, event } => {
+                if !self.node.is_serving(now) {
+                    return;
+                }
+                let Some(leading) = &mut self.leading else { return };
+                let actions = leading.promotions.answered(now, &service, event);
+                self.act(actions);
+            }
+        }
+    }
+
+    /// Proposes what the batch brought, sends committed changes and reports.
+    fn finish_batch(&mut self) -> Result<()> {
+        while !self.proposals.is_empty() {
+            let proposals = std::mem::take(&mut self.proposals);
+            self.step(Input::Propose(proposals))?;
+        }
+        if std::mem::take(&mut self.unsent) {
+            self.push_updates();
+            if let Some(leading) = &self.leading {
+                self.operators.check(self.clock.now(), &leading.leases);
+            }
+        }
+        if self.node.entries_since_snapshot() >= SNAPSHOT_ENTRIES {
+            let data = postcard::to_stdvec(&self.state).wrap_err("cannot encode the state")?;
+            self.step(Input::Compact { data: data.into() })?;
+        }
+        self.report.update(self.clock.now(), &self.node, &self.state, self.leading.as_ref());
+        Ok(())
+    }
+
+    fn step(&mut self, input: Input) -> Result<()> {
+        let outputs = self.node.step(self.clock.now(), input);
+        let (writes, outputs): (Vec<_>, Vec<_>) =
+            outputs.into_iter().partition(|output| matches!(output, Output::Persist(_)));
+        let writes: Vec<_> = writes
+            .into_iter()
+            .filter_map(|output| match output {
+                Output::Persist(write) => Some(write),
+                _ => None,
+            })
+            .collect();
+        if !writes.is_empty() {
+            self.disk.write(&writes)?;
+        }
+        outputs.into_iter().try_for_each(|output| self.execute(output))
+    }
+
+    fn execute(&mut self, output: Output) -> Result<()> {
+        match output {
+            Output::Persist(_) => {}
+            Output::Send { addr, message } => self.send_group(&addr, message)?,
+            Output::RestoreSnapshot { index, data } => {
+                self.state = decode_state(&data)?;
+                self.history = History::new(HISTORY_CHANGES);
+                spdlog::info!("restored a snapshot", kv: {index, revision = self.state.view.revision.0});
+            }
+            Output::Committed { index, term, bytes } => self.apply(index, term, &bytes)?,
+            Output::Proposed { ticket, index, term } => self.operators.logged(ticket, index, term),
+            Output::ProposalRejected { ticket, .. } => self.operators.rejected(ticket),
+            Output::RoleChanged(change) => self.change_role(&change),
+            Output::Frozen { gap } => {
+                spdlog::warn!("the process did not run for {gap}");
+                if let Some(leading) = &mut self.leading {
+                    leading.leases.thaw(self.clock.now());
+                }
+            }
+            Output::Removed { by } => {
+                spdlog::warn!("control host {by} regards this host as removed from the group");
+            }
+        }
+        Ok(())
+    }
+
+    fn send_group(&self, addr: &str, message: GroupMessage) -> Result<()> {
+        let body = postcard::to_stdvec(&ControlMessage::Group(message))?;
+        self.bus.send(addr, &body);
+        Ok(())
+    }
+
+    fn apply(&mut self, index: u64, term: GroupTerm, bytes: &Bytes) -> Result<()> {
+        let command: Command = postcard::from_bytes(bytes)
+            .wrap_err_with(|| format!("cannot decode the command at index {index}"))?;
+        let applied = self.state.apply(&command);
+        let now = self.clock.now();
+        let mut actions = Vec::new();
+        if let Some(leading) = &mut self.leading {
+            for change in &applied.changes {
+                if let Change::Host(id, host) = change {
+                    leading.leases.set_host(now, id, host.as_ref());
+                }
+            }
+            actions = leading.promotions.committed(now, &command, &self.state.view);
+        }
+        if !applied.changes.is_empty() {
+            self.history.record(self.state.view.revision, applied.changes);
+            self.unsent = true;
+        }
+        self.operators.committed(now, index, term, applied.answer);
+        self.act(actions);
+        Ok(())
+    }
+
+    fn change_role(&mut self, change: &RoleChange) {
+        let leader = change.leader.as_ref().map_or("none", |leader| leader.as_str());
+        spdlog::info!("role changed", kv: {role = change.role.to_string().as_str(), term = change.term.0, leader});
+        if change.role == Role::Leader {
+            let now = self.clock.now();
+            let timing = self.settings.lease_timing.clone();
+            self.leading.get_or_insert_with(|| Leading {
+                leases: LeaseTable::new(now, &self.state.view, timing),
+                promotions: Promotions::new(PromotionSettings::default()),
+            });
+        } else if self.leading.take().is_some() {
+            self.operators.abandon();
+            self.proposals.clear();
+        }
+    }
+
+    fn answer_operator(&mut self, now: Millis, request: Request, reply: Reply) {
+        if !self.node.is_serving(now) {
+            let _ = reply.send(self.refusal());
+            return;
+        }
+        match request {
+            Request::Apply { command, wait } => match self.state.answers.get(&command.id) {
+                Some(answer) => self.operators.answer(now, answer.clone(), wait, reply),
+                None => {
+                    let ticket = self.propose(&Command::Apply(command));
+                    self.operators.propose(ticket, wait, reply);
+                }
+            },
+            request => {
+                let _ = reply.send(self.read(now, &request));
+            }
+        }
+    }
+
+    /// Names the leader, unless this host leads without a majority.
+    fn refusal(&self) -> Answer {
+        let leader = self.node.role().leader;
+        let member = leader.as_ref().and_then(|id| self.node.members().0.get(id));
+        match member {
+            Some(_) if leader.as_ref() == Some(self.node.id()) => {
+                Answer::unavailable("this host leads without a majority")
+            }
+            member => Answer::NotLeader(NotLeader {
+                leader_http_addr: member.map(|member| member.http_addr.clone()),
+                leader,
+            }),
+        }
+    }
+
+    pub(super) fn propose_all(&mut self, commands: impl IntoIterator<Item = Command>) {
+        for command in commands {
+            self.propose(&command);
+        }
+    }
+
+    fn propose(&mut self, command: &Command) -> u64 {
+        self.tickets += 1;
+        match postcard::to_stdvec(command) {
+            Ok(bytes) => {
+                self.proposals.push(Proposal { ticket: self.tickets, bytes: bytes.into() });
+            }
+            Err(error) => spdlog::error!("cannot encode a command: {error}"),
+        }
+        self.tickets
+    }
+
+    fn act(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::LogStart { service, term, preferred, reason } => {
+                    spdlog::warn!("promotion starts", kv: {service = service.as_str(), term = term.0, reason = reason.as_str()});
+                    self.propose(&Command::PromotionStarted { service, term, preferred, reason });
+                }
+                Action::LogFinish { service, term, primary } => {
+                    spdlog::info!("promotion ends", kv: {service = service.as_str(), term = term.0, primary = primary.as_str()});
+                    self.propose(&Command::PromotionFinished { service, term, primary });
+                }
+                Action::Fence { instance, term } => {
+                    if let Some(target) = self.state.view.instances.get(&instance) {
+                        self.fencing.fence(&target.spec, term);
+                    }
+                }
+                Action::Promote { instance, term } => {
+                    if let Some(target) = self.state.view.instances.get(&instance) {
+                        self.fencing.promote(&target.spec, term);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Opens connections to silent control hosts anew.
+    fn reconnect(&mut self) {
+        let now = self.clock.now();
+        for (name, addr) in &self.settings.group {
+            let heard = self.heard.entry(name.clone()).or_insert(now);
+            if *name != self.settings.name && now.since(*heard) > PEER_SILENCE {
+                self.bus.reset(addr);
+                *heard = now;
+            }
+        }
+    }
+}
+
+/// State from a snapshot.
+pub fn decode_state(data: &[u8]) -> Result<ClusterState> {
+    postcard::from_bytes(data).wrap_err("cannot decode the state in the snapshot")
+}
--- a/src/control/election.rs
+++ b/src/control/election.rs
@@ -4,7 +4,7 @@
 
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
-use crate::{clock::Millis, ids::ControlId, settings::control::GroupTiming, wire::group::Members};
+use crate::{clock::Millis, ids::ControlId, settings::timing::GroupTiming, wire::group::Members};
 
 /// Time of the next election; random, so that two hosts rarely start together.
 #[derive(Debug)]
--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -1,12 +1,12 @@
 //! Leader: replication, lease and changes of the voters.
 
-use bytes::Bytes;
+use std::collections::BTreeMap;
 
 use crate::{
     clock::Millis,
     control::{
         membership::MAX_VOTERS,
-        node::{Node, Output, State},
+        node::{Node, Output, Proposal, State},
         replication::{Progress, Replication},
         snapshot::Transfer,
     },
@@ -56,6 +56,13 @@
         acked.is_some_and(|at| now.since(at) < span)
     }
 
+    /// When the leader last heard each other host; empty on other hosts.
+    pub fn heard(&self) -> BTreeMap<ControlId, Millis> {
+        let State::Leader(leading) = &self.state else { return BTreeMap::new() };
+        let hosts = leading.replication.hosts.iter();
+        hosts.map(|(id, progress)| (id.clone(), progress.heard)).collect()
+    }
+
     pub(super) fn become_leader(&mut self, now: Millis) {
         let own = self.settings.id.clone();
         let last = self.log.last().index;
@@ -73,15 +80,22 @@
         self.append_as_leader(now, payloads);
     }
 
-    pub(super) fn propose(&mut self, now: Millis, ticket: u64, bytes: Bytes) {
-        if !self.is_serving(now) || bytes.len() > MAX_PROPOSAL_BYTES {
-            let leader = self.leader.clone();
-            self.out.push(Output::ProposalRejected { ticket, leader });
-            return;
+    pub(super) fn propose(&mut self, now: Millis, proposals: Vec<Proposal>) {
+        let serving = self.is_serving(now);
+        let mut payloads = Vec::new();
+        for Proposal { ticket, bytes } in proposals {
+            if !serving || bytes.len() > MAX_PROPOSAL_BYTES {
+                let leader = self.leader.clone();
+                self.out.push(Output::ProposalRejected { ticket, leader });
+                continue;
+            }
+            payloads.push(Payload::Command(bytes));
+            let index = self.log.last().index + payloads.len() as u64;
+            self.out.push(Output::Proposed { ticket, index, term: self.vote.term });
+        }
+        if !payloads.is_empty() {
+            self.append_as_leader(now, payloads);
         }
-        let index = self.log.last().index + 1;
-        self.out.push(Output::Proposed { ticket, index, term: self.vote.term });
-        self.append_as_leader(now, vec![Payload::Command(bytes)]);
     }
 
     fn append_as_leader(&mut self, now: Millis, payloads: Vec<Payload>) {
--- a/src/control/leases.rs
+++ b/src/control/leases.rs
@@ -10,7 +10,7 @@
 use crate::{
     clock::Millis,
     ids::{HostId, Incarnation, Revision},
-    settings::control::LeaseTiming,
+    settings::timing::LeaseTiming,
     state::model::{ClusterView, Command, Host},
     wire::control::Renew,
 };
@@ -208,6 +208,13 @@
         }
     }
 
+    /// Notes that the host was sent everything up to `revision`.
+    pub fn mark_sent(&mut self, id: &HostId, revision: Revision) {
+        if let Some(lease) = self.hosts.get_mut(id) {
+            lease.pushed = revision;
+        }
+    }
+
     /// Lease that a renewal grants on the host's clock.
     pub fn granted(&self) -> Millis {
         self.timing.lease
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! Control group: replicated log, elections, leases of entry hosts.
 
 pub mod campaign;
+pub mod core;
 pub mod election;
 pub mod follower;
 pub mod leader;
@@ -8,6 +9,12 @@
 pub mod log;
 pub mod membership;
 pub mod node;
+pub mod operators;
+pub mod promotions;
+pub mod renewals;
 pub mod replication;
+pub mod report;
+pub mod runtime;
 pub mod snapshot;
+pub mod status;
 pub mod storage;
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -21,7 +21,7 @@
         storage::{Snapshot, SnapshotWrite, Stored, Vote, Write},
     },
     ids::ControlId,
-    settings::control::GroupTiming,
+    settings::timing::GroupTiming,
     wire::group::{
         GroupBody, GroupMessage, GroupTerm, Hello, LogEntry, LogMark, Member, Members, Payload,
     },
@@ -49,17 +49,21 @@
 pub enum Input {
     Tick,
     Message(GroupMessage),
-    /// Command for the log; `ticket` is returned with the outcome.
-    Propose {
-        ticket: u64,
-        bytes: Bytes,
-    },
+    /// Commands for the log, stored with one sync.
+    Propose(Vec<Proposal>),
     /// State machine's snapshot as of the commit index.
     Compact {
         data: Bytes,
     },
 }
 
+/// Command with a number that is returned with its outcome.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Proposal {
+    pub ticket: u64,
+    pub bytes: Bytes,
+}
+
 /// Action for the runtime.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Output {
@@ -193,7 +197,7 @@
         match input {
             Input::Tick => self.tick(now),
             Input::Message(message) => self.receive(now, message),
-            Input::Propose { ticket, bytes } => self.propose(now, ticket, bytes),
+            Input::Propose(proposals) => self.propose(now, proposals),
             Input::Compact { data } => self.compact(data),
         }
         let role = self.role();
--- /dev/null
+++ b/src/control/renewals.rs
@@ -0,0 +1,113 @@
+//! Renewals of entry hosts and the updates sent to them.
+
+use crate::{
+    clock::{Clock, Millis},
+    control::{core::Core, leases::Decision},
+    ids::{ControlId, Revision},
+    state::model::{Command, Instance},
+    wire::control::{ControlMessage, Release, Renew, RenewAnswer, Update},
+};
+
+impl Core {
+    pub(super) fn renew(&mut self, renew: &Renew) {
+        let now = self.clock.now();
+        let addr = &renew.host.bus_addr;
+        if !self.node.is_serving(now) {
+            let role = self.node.role();
+            let leader = role.leader.filter(|leader| leader != self.node.id());
+            // Entry hosts know control hosts by their configured names.
+            let member = leader.and_then(|leader| self.node.members().0.get(&leader).cloned());
+            let leader = member.map(|member| ControlId::from(member.name));
+            self.send_answer(addr, RenewAnswer::NotLeader { leader });
+            return;
+        }
+        let Some(leading) = &mut self.leading else { return };
+        let (decision, mut commands) = leading.leases.renew(now, renew);
+        match decision {
+            Decision::Waiting => {}
+            Decision::Removed => {
+                let host = renew.host.id.clone();
+                self.send_answer(addr, RenewAnswer::Removed { host });
+            }
+            Decision::Granted => {
+                commands.extend(self.reported(now, renew));
+                self.grant(renew);
+            }
+        }
+        self.propose_all(commands);
+    }
+
+    /// Commands that follow from the reports of a live host.
+    fn reported(&mut self, now: Millis, renew: &Renew) -> Vec<Command> {
+        let view = &self.state.view;
+        let mut commands = Vec::new();
+        for spec in &renew.announced {
+            let known = view.instances.get(&spec.id);
+            let is_new = known.is_none_or(|known| {
+                known.spec.incarnation <= spec.incarnation && known.spec != *spec
+            });
+            if is_new {
+                commands.push(Command::InstanceAnnounced(spec.clone()));
+            }
+        }
+        for Release { instance, epoch, kept } in &renew.releases {
+            let is_held = |it: &Instance| {
+                let mut held = it.owner.iter().chain(&it.previous);
+                held.any(|held| held.epoch == *epoch && held.is_held_by(&renew.host))
+            };
+            if view.instances.get(instance).is_some_and(is_held) {
+                let (instance, epoch, kept) = (instance.clone(), *epoch, *kept);
+                commands.push(Command::OwnershipReleased { instance, epoch, kept });
+            }
+        }
+        if let Some(leading) = &mut self.leading {
+            for observation in &renew.observations {
+                commands.extend(leading.promotions.observe(now, observation, view));
+            }
+        }
+        commands
+    }
+
+    fn grant(&mut self, renew: &Renew) {
+        let Some(leading) = &mut self.leading else { return };
+        let update = self.history.update_for(renew.revision, &self.state.view);
+        let lease = leading.leases.granted();
+        let current = self.state.view.revision;
+        leading.leases.mark_sent(&renew.host.id, current);
+        let answer = RenewAnswer::Lease { echo: renew.sent_at, lease, update };
+        self.send_answer(&renew.host.bus_addr, answer);
+    }
+
+    /// Sends committed changes at once. The answers repeat the echo of the last
+    /// renewal, so they do not extend a lease.
+    pub(super) fn push_updates(&mut self) {
+        if !self.node.is_serving(self.clock.now()) {
+            return;
+        }
+        let Some(leading) = &mut self.leading else { return };
+        let (lease, current) = (leading.leases.granted(), self.state.view.revision);
+        let mut update: Option<(Revision, Update)> = None;
+        for host in leading.leases.push_targets(current) {
+            let Some(echo) = host.echo else { continue };
+            let base = host.pushed;
+            if update.as_ref().is_none_or(|(from, _)| *from != base) {
+                update = Some((base, self.history.update_for(base, &self.state.view)));
+            }
+            let Some((_, update)) = &update else { continue };
+            host.pushed = current;
+            let answer = RenewAnswer::Lease { echo, lease, update: update.clone() };
+            send(&self.bus, &host.host.bus_addr, &ControlMessage::RenewAnswer(answer));
+        }
+    }
+
+    fn send_answer(&self, addr: &str, answer: RenewAnswer) {
+        send(&self.bus, addr, &ControlMessage::RenewAnswer(answer));
+    }
+}
+
+fn send(bus: &crate::adapters::bus::Bus, addr: &str, message: &ControlMessage) {
+    match postcard::to_stdvec(message) {
+        Ok(body) => bus.send(addr, &body),
+        Err(error) => spdlog::error!("cannot encode an answer: {error}"),
+    }
+}
--- /dev/null
+++ b/src/control/report.rs
@@ -0,0 +1,143 @@
+//! Readiness and metrics of a control host.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use parking_lot::Mutex;
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text},
+    metrics::{counter::Counter, family::Family, gauge::Gauge},
+    registry::Registry,
+};
+
+use crate::{
+    adapters::bus::{Bus, BusCounters},
+    clock::Millis,
+    control::{
+        core::Leading,
+        node::{Node, Role},
+    },
+    state::model::ClusterState,
+};
+
+/// Age of the last report from which the process counts as unhealthy.
+const MAX_REPORT_AGE: Millis = Millis(2_000);
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Outcome {
+    outcome: &'static str,
+}
+
+/// Gauges that the event loop updates and HTTP requests read.
+pub struct Report {
+    registry: Mutex<Registry>,
+    updated_at: AtomicU64,
+    ready: Gauge,
+    leads: Gauge,
+    term: Gauge,
+    commit: Gauge,
+    last: Gauge,
+    members: Gauge,
+    revision: Gauge,
+    version: Gauge,
+    hosts: Gauge,
+    promotions: Gauge,
+    messages: Family<Outcome, Counter>,
+}
+
+impl Report {
+    /// Report before the first update.
+    pub fn new() -> Self {
+        let mut registry = Registry::with_prefix("pomelopin_control");
+        let mut gauge = |name, help| {
+            let gauge = Gauge::default();
+            registry.register(name, help, gauge.clone());
+            gauge
+        };
+        let report = Self {
+            updated_at: AtomicU64::new(0),
+            ready: gauge("ready", "Whether the host leads with a majority or knows a leader"),
+            leads: gauge("leads", "Whether the host leads with a majority"),
+            term: gauge("term", "Term of the control group"),
+            commit: gauge("commit_index", "Index of the last committed entry"),
+            last: gauge("last_index", "Index of the last entry"),
+            members: gauge("voters", "Control hosts with a vote"),
+            revision: gauge("revision", "Revision of the cluster state"),
+            version: gauge("version", "Version of the accepted file"),
+            hosts: gauge("hosts", "Live entry hosts"),
+            promotions: gauge("promotions", "Running promotions"),
+            messages: Family::default(),
+            registry: Mutex::default(),
+        };
+        registry.register("bus_messages", "Messages by outcome", report.messages.clone());
+        *report.registry.lock() = registry;
+        report
+    }
+
+    pub(super) fn update(
+        &self,
+        now: Millis,
+        node: &Node,
+        state: &ClusterState,
+        leading: Option<&Leading>,
+    ) {
+        let role = node.role();
+        let serving = node.is_serving(now);
+        let follows = role.role == Role::Follower && role.leader.is_some();
+        self.updated_at.store(now.0, Ordering::Relaxed);
+        self.ready.set(i64::from(serving || follows));
+        self.leads.set(i64::from(serving));
+        set(&self.term, role.term.0);
+        set(&self.commit, node.commit());
+        set(&self.last, node.last().index);
+        set(&self.members, node.members().0.len() as u64);
+        set(&self.revision, state.view.revision.0);
+        set(&self.version, state.view.version);
+        set(&self.hosts, state.view.hosts.len() as u64);
+        set(&self.promotions, leading.map_or(0, |it| it.promotions.running() as u64));
+    }
+
+    /// Whether the host can answer operators or name the leader.
+    pub fn is_ready(&self, now: Millis) -> bool {
+        self.is_healthy(now) && self.ready.get() == 1
+    }
+
+    /// Whether the event loop runs.
+    pub fn is_healthy(&self, now: Millis) -> bool {
+        now.since(Millis(self.updated_at.load(Ordering::Relaxed))) < MAX_REPORT_AGE
+    }
+
+    /// Metrics in the text format.
+    pub fn metrics(&self, bus: &Bus) -> Result<String, std::fmt::Error> {
+        for (outcome, count) in outcomes(bus.counters()) {
+            let count = count.load(Ordering::Relaxed);
+            let counter = self.messages.get_or_create(&Outcome { outcome });
+            counter.inner().store(count, Ordering::Relaxed);
+        }
+        let mut buf = String::new();
+        text::encode(&mut buf, &self.registry.lock())?;
+        Ok(buf)
+    }
+}
+
+impl Default for Report {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+fn set(gauge: &Gauge, value: u64) {
+    gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
+}
+
+fn outcomes(counters: &BusCounters) -> [(&'static str, &AtomicU64); 8] {
+    [
+        ("sent", &counters.sent),
+        ("unsent", &counters.unsent),
+        ("received", &counters.received),
+        ("forged", &counters.forged),
+        ("repeated", &counters.repeated),
+        ("outdated", &counters.outdated),
+        ("oversized", &counters.oversized),
+        ("overflow", &counters.overflow),
+    ]
+}
--- a/src/settings/control.rs
+++ b/src/settings/control.rs
@@ -1,90 +1,195 @@
 //! Settings of a control host.
 
-use crate::clock::Millis;
-
-/// Timing of the control group.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct GroupTiming {
-    /// Interval between ticks.
-    pub tick: Millis,
-    /// Interval between messages of an idle leader.
-    pub heartbeat: Millis,
-    /// Time without a leader before which no vote is granted.
-    pub election_min: Millis,
-    /// Longest time without a leader before an election starts, and longest time
-    /// that a leader waits for answers from a majority.
-    pub election_max: Millis,
-    /// Shortest time before an undecided election is repeated.
-    pub retry_min: Millis,
-    /// Longest time before an undecided election is repeated.
-    pub retry_max: Millis,
-    /// Interval between introductions of a host that is no voter.
-    pub hello: Millis,
-    /// Gap between two ticks that counts as a freeze of the process.
-    pub freeze: Millis,
-    /// Silence of a voter after which a host of the same name may replace it.
-    pub replace: Millis,
-    /// Largest drift between two clocks in percent.
-    pub drift_percent: u64,
+use std::{collections::BTreeMap, env, fs, net::SocketAddr, path::PathBuf};
+
+use bpaf::Bpaf;
+
+use super::{
+    finding::{SettingFinding, SettingFindings},
+    log::{LogSettings, log_settings},
+    operator::{MIN_TOKEN_BYTES, OperatorToken, TOKEN_VARIABLE},
+};
+use crate::{
+    clock::Millis,
+    control::membership::MAX_VOTERS,
+    keys::host::{HostKey, MIN_KEY_BYTES},
+    settings::timing::{GroupTiming, LeaseTiming},
+};
+
+/// Shortest accepted lease of entry hosts in milliseconds. Entry hosts renew every
+/// 500 ms and must survive two lost messages.
+const MIN_LEASE_MS: u64 = 1_500;
+
+/// Longest accepted lease of entry hosts in milliseconds.
+const MAX_LEASE_MS: u64 = 10_000;
+
+/// Longest name of a host in bytes.
+const MAX_NAME_BYTES: usize = 63;
+
+/// Command line and environment of `pomelopin-control`.
+///
+/// Values stay text so that all faulty settings are reported at once.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version)]
+pub struct ControlArguments {
+    /// Name of this host, one of the control hosts
+    #[bpaf(env("POMELOPIN_HOST"), argument("NAME"))]
+    pub host: String,
+    /// All control hosts with the addresses of their message bus, separated by commas
+    #[bpaf(env("POMELOPIN_CONTROL_HOSTS"), argument("NAME=IP:PORT,..."))]
+    pub control_hosts: String,
+    /// Address of the message bus
+    #[bpaf(
+        env("POMELOPIN_BUS_LISTEN"),
+        argument("IP:PORT"),
+        fallback("127.0.0.1:7434".to_owned()),
+        display_fallback
+    )]
+    pub bus_listen: String,
+    /// Address of the HTTP listener for operators, readiness and metrics
+    #[bpaf(
+        env("POMELOPIN_HTTP_LISTEN"),
+        argument("IP:PORT"),
+        fallback("127.0.0.1:7435".to_owned()),
+        display_fallback
+    )]
+    pub http_listen: String,
+    /// Folder for the files of this host
+    #[bpaf(
+        env("POMELOPIN_DATA_FOLDER"),
+        argument("FOLDER"),
+        fallback(PathBuf::from("data")),
+        debug_fallback
+    )]
+    pub data_folder: PathBuf,
+    /// File with the key that all hosts share, at least 16 bytes
+    #[bpaf(env("POMELOPIN_HOST_KEY_FILE"), argument("FILE"))]
+    pub host_key_file: PathBuf,
+    /// File with the operator token, at least 16 bytes; without it POMELOPIN_OPERATOR_TOKEN
+    /// holds the token
+    #[bpaf(long("token-file"), env("POMELOPIN_OPERATOR_TOKEN_FILE"), argument("FILE"), optional)]
+    pub token_file: Option<PathBuf>,
+    /// Lease of entry hosts in milliseconds
+    #[bpaf(env("POMELOPIN_LEASE_MS"), argument("MS"), fallback("2000".to_owned()), display_fallback)]
+    pub lease_ms: String,
+    #[bpaf(external(log_settings))]
+    pub log: LogSettings,
+    /// Report all faulty settings and exit
+    pub check_settings: bool,
 }
 
-impl Default for GroupTiming {
-    fn default() -> Self {
-        Self {
-            tick: Millis(25),
-            heartbeat: Millis(100),
-            election_min: Millis(500),
-            election_max: Millis(900),
-            retry_min: Millis(150),
-            retry_max: Millis(400),
-            hello: Millis(200),
-            freeze: Millis(250),
-            replace: Millis(1_000),
-            drift_percent: 10,
+/// Checked settings of a control host.
+#[derive(Debug, Clone)]
+pub struct ControlSettings {
+    pub name: String,
+    /// Names and bus addresses of all control hosts.
+    pub group: BTreeMap<String, String>,
+    pub bus_listen: SocketAddr,
+    pub http_listen: SocketAddr,
+    pub data_folder: PathBuf,
+    pub host_key: HostKey,
+    pub token: OperatorToken,
+    pub group_timing: GroupTiming,
+    pub lease_timing: LeaseTiming,
+}
+
+impl ControlArguments {
+    /// Checked settings, or all findings.
+    pub fn check(&self) -> Result<ControlSettings, Vec<SettingFinding>> {
+        let mut findings = SettingFindings::default();
+        match self.collect(&mut findings) {
+            Some(settings) if findings.is_empty() => Ok(settings),
+            _ => Err(findings.into_vec()),
         }
     }
-}
 
-impl GroupTiming {
-    /// Time for which a leader may act after a majority answered it. Shorter than
-    /// [`Self::election_min`] by the drift, because the voters count on their own
-    /// clocks.
-    pub fn leader_lease(&self) -> Millis {
-        Millis(self.election_min.0 * (100 - self.drift_percent) / 100)
+    fn collect(&self, findings: &mut SettingFindings) -> Option<ControlSettings> {
+        let group = group(findings, &self.control_hosts);
+        let name = self.name(findings, &group);
+        let bus_listen = address(findings, "--bus-listen", &self.bus_listen);
+        let http_listen = address(findings, "--http-listen", &self.http_listen);
+        let host_key = self.host_key(findings);
+        let token = self.token(findings);
+        let lease = lease(findings, &self.lease_ms);
+        Some(ControlSettings {
+            name: name?,
+            group,
+            bus_listen: bus_listen?,
+            http_listen: http_listen?,
+            data_folder: self.data_folder.clone(),
+            host_key: host_key?,
+            token: token?,
+            group_timing: GroupTiming::default(),
+            lease_timing: LeaseTiming { lease: lease?, ..LeaseTiming::default() },
+        })
+    }
+
+    fn name(
+        &self,
+        findings: &mut SettingFindings,
+        group: &BTreeMap<String, String>,
+    ) -> Option<String> {
+        if !group.contains_key(&self.host) {
+            findings.add("--host", &self.host, "a name in --control-hosts is needed");
+            return None;
+        }
+        Some(self.host.clone())
+    }
+
+    fn host_key(&self, findings: &mut SettingFindings) -> Option<HostKey> {
+        let key = HostKey::from_file(&self.host_key_file).map_err(|error| {
+            format!("a readable file with at least {MIN_KEY_BYTES} bytes is needed ({error})")
+        });
+        findings.take("--host-key-file", self.host_key_file.display(), key)
     }
-}
 
-/// Leases of entry hosts.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct LeaseTiming {
-    /// Lease that an entry host counts from the time it sent its renewal.
-    pub lease: Millis,
-    /// Largest drift between two clocks in percent.
-    pub drift_percent: u64,
-    /// Time for an entry host to close its connections.
-    pub margin: Millis,
-    /// Time after which a proposal without effect is repeated.
-    pub repeat: Millis,
-    /// Silence after which a host that has not joined is forgotten.
-    pub forget: Millis,
+    fn token(&self, findings: &mut SettingFindings) -> Option<OperatorToken> {
+        let allowed = format!("at least {MIN_TOKEN_BYTES} bytes in a file or {TOKEN_VARIABLE}");
+        let (value, text) = match &self.token_file {
+            Some(file) => (file.display().to_string(), fs::read_to_string(file).ok()),
+            None => (String::new(), env::var(TOKEN_VARIABLE).ok()),
+        };
+        let token = text.and_then(|text| text.parse().ok()).ok_or(allowed);
+        findings.take("--token-file", value, token)
+    }
 }
 
-impl Default for LeaseTiming {
-    fn default() -> Self {
-        Self {
-            lease: Millis(2_000),
-            drift_percent: 10,
-            margin: Millis(200),
-            repeat: Millis(1_000),
-            forget: Millis(5_000),
+fn group(findings: &mut SettingFindings, text: &str) -> BTreeMap<String, String> {
+    let mut group = BTreeMap::new();
+    for pair in text.split(',').map(str::trim).filter(|pair| !pair.is_empty()) {
+        let parsed = pair.split_once('=').filter(|(name, addr)| {
+            is_name(name) && addr.parse::<SocketAddr>().is_ok() && !group.contains_key(*name)
+        });
+        match parsed {
+            Some((name, addr)) => {
+                group.insert(name.to_owned(), addr.to_owned());
+            }
+            None => findings.add(
+                "--control-hosts",
+                pair,
+                "NAME=IP:PORT is needed, with each name once and made of at most 63 letters, \
+                 digits, `-` and `_`",
+            ),
         }
     }
+    if group.is_empty() || group.len() > MAX_VOTERS {
+        findings.add("--control-hosts", text, format!("1 to {MAX_VOTERS} hosts are allowed"));
+    }
+    group
 }
 
-impl LeaseTiming {
-    /// Time after which the leader regards a lease as ended, from the receipt of
-    /// the renewal.
-    pub fn span(&self) -> Millis {
-        Millis(self.lease.0 * (100 + self.drift_percent) / 100 + self.margin.0)
-    }
+/// A name has no dot, because the id of a host is its name, a dot and a number.
+fn is_name(name: &str) -> bool {
+    let allowed = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_';
+    (1..=MAX_NAME_BYTES).contains(&name.len()) && name.chars().all(allowed)
+}
+
+fn address(findings: &mut SettingFindings, flag: &'static str, text: &str) -> Option<SocketAddr> {
+    findings.take(flag, text, text.parse().map_err(|_| "an IP address with a port is needed"))
+}
+
+fn lease(findings: &mut SettingFindings, text: &str) -> Option<Millis> {
+    let allowed = format!("{MIN_LEASE_MS} to {MAX_LEASE_MS} milliseconds are allowed");
+    let lease = text.parse().ok().filter(|ms| (MIN_LEASE_MS..=MAX_LEASE_MS).contains(ms));
+    findings.take("--lease-ms", text, lease.map(Millis).ok_or(allowed))
 }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -6,3 +6,4 @@
 pub mod operator;
 pub mod owner;
 pub mod promotion;
+pub mod timing;
