--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -6,3 +6,8 @@
 pub mod caller;
 pub mod log;
 pub mod peer;
+pub mod bus;
+pub mod disk;
+pub mod fencing;
+pub mod log;
+pub mod operator_http;
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -10,3 +10,4 @@
 pub mod routing;
 pub mod session;
 pub mod target;
+pub mod timing;
