Give the slot of a long statement back and commit without a slot

Statements that wait for a row lock could hold all slots of an instance while the transaction with the lock waited for a slot, until the target's lock timeout. Writes that the target refuses because it lost its role are refused as NotPrimary, after the rollback.

--- a/src/owner/execute.rs
+++ b/src/owner/execute.rs
@@ -70,7 +70,7 @@
     if bound.max_staleness_ms.is_none() && instance.is_fenced(bound.term) {
         return Err(Outcome::Refused(Refusal::NotPrimary));
     }
-    let (_permit, mut lent) = cx.enter(&instance).await?;
+    let mut lent = cx.enter(&instance).await?;
     let flow = &cx.req.workspace;
     let send = |lent: &mut Lent| {
         lent.set_workspace(flow)?;
@@ -114,13 +114,14 @@
     }
 
     /// Waits for a slot and a connection.
-    pub(crate) async fn enter(&self, instance: &Arc<Instance>) -> Run<(Permit, Lent)> {
+    pub(crate) async fn enter(&self, instance: &Arc<Instance>) -> Run<Lent> {
         instance.accepts_work().map_err(Outcome::Refused)?;
-        let permit = self.slot(instance).await?;
+        let slot = self.slot(instance).await?;
         // Ownership may have changed in the queue.
         instance.accepts_work().map_err(Outcome::Refused)?;
-        let lent = instance.checkout(self.deadline).await.map_err(Outcome::Refused)?;
-        Ok((permit, lent))
+        let mut lent = instance.checkout(self.deadline).await.map_err(Outcome::Refused)?;
+        lent.occupy(slot);
+        Ok(lent)
     }
 
     /// Waits for a slot.
--- a/src/owner/lent.rs
+++ b/src/owner/lent.rs
@@ -1,8 +1,11 @@
 //! Connection that is in use by one request or transaction.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, Ordering},
+use std::{
+    pin::{Pin, pin},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
 };
 
 use tokio::time::{Instant, timeout_at};
@@ -12,7 +15,7 @@
     adapters::backend::{Answer, BackendError, CancelKey, Connection, cancel},
     clock::{Clock, Millis},
     ids::Workspace,
-    owner::{instance::Instance, statements},
+    owner::{gate::Permit, instance::Instance, statements},
     pool::connections::Checkout,
     wire::peer::{Description, Failure, Statement},
 };
@@ -39,8 +42,11 @@
     stop: CancellationToken,
     /// A CancelRequest was sent; it may arrive late and hit a later statement.
     cancelled: Arc<AtomicBool>,
-    /// Answers to receive before the first one of the batch: the workspace setting.
+    /// The batch began with the setting of the workspace.
     settings_pending: bool,
+    slot: Option<Permit>,
+    /// When the slot is given back although the statement still runs.
+    slot_end: Instant,
 }
 
 impl Lent {
@@ -52,7 +58,26 @@
     ) -> Self {
         let cancelled = Arc::default();
         let socket = Some(socket);
-        Self { instance, checkout, socket, stop, cancelled, settings_pending: false }
+        Self {
+            instance,
+            checkout,
+            socket,
+            stop,
+            cancelled,
+            settings_pending: false,
+            slot: None,
+            slot_end: Instant::now(),
+        }
+    }
+
+    /// Takes the slot for the next batch.
+    pub(crate) fn occupy(&mut self, slot: Permit) {
+        self.slot = Some(slot);
+    }
+
+    /// Gives the slot back.
+    pub(crate) fn release_slot(&mut self) {
+        self.slot = None;
     }
 
     pub(crate) fn instance(&self) -> &Arc<Instance> {
@@ -110,6 +135,7 @@
     /// Writes the batch.
     pub(crate) async fn flush(&mut self, deadline: Millis) -> Result<(), BackendError> {
         let (until, stop) = (self.until(deadline), self.stop.clone());
+        self.slot_end = Instant::now() + self.instance.settings.slot_hold.duration();
         let socket = self.socket()?;
         bounded(until, &stop, socket.connection.flush()).await
     }
@@ -118,8 +144,9 @@
     /// connection was taken away are dropped.
     pub(crate) async fn receive(&mut self, deadline: Millis) -> Result<Answer, BackendError> {
         let (until, stop) = (self.until(deadline), self.stop.clone());
-        let socket = self.socket()?;
-        let answer = bounded(until, &stop, socket.connection.receive()).await?;
+        let socket = self.socket.as_mut().ok_or(BackendError::Closed)?;
+        let receive = pin!(bounded(until, &stop, socket.connection.receive()));
+        let answer = hold_slot(&mut self.slot, self.slot_end, receive).await?;
         if !self.instance.is_current(self.checkout) {
             return Err(BackendError::Closed);
         }
@@ -159,6 +186,21 @@
     }
 }
 
+/// Waits for an answer and gives the slot back at `end` if it takes longer.
+async fn hold_slot<T>(
+    slot: &mut Option<Permit>,
+    end: Instant,
+    mut answer: Pin<&mut impl Future<Output = T>>,
+) -> T {
+    if slot.is_some() {
+        if let Ok(answer) = timeout_at(end, answer.as_mut()).await {
+            return answer;
+        }
+        *slot = None;
+    }
+    answer.await
+}
+
 /// Cancels what runs on a connection that is about to be closed, because the
 /// target notices the end of a connection only after the statement.
 fn cancel_running(connection: &Connection) {
--- a/src/owner/transaction.rs
+++ b/src/owner/transaction.rs
@@ -8,11 +8,10 @@
     ids::Term,
     owner::{
         execute::{Cx, Run, failed, is_primary_of, rolled_back},
-        gate::Permit,
         lent::Lent,
         statements::{COMMIT, POSITION, ROLLBACK, insert_record},
         transactions::Pinned,
-        write::{self, replay, roll_back},
+        write::{self, READ_ONLY, UNIQUE_VIOLATION, replay, roll_back},
     },
     wire::peer::{Outcome, Refusal, RequestRecord, Rows, TransactionId},
 };
@@ -27,7 +26,7 @@
     let workspace = &cx.req.workspace;
     let permit = instance.transactions.acquire(workspace, cx.req.weight, cx.deadline);
     let permit = permit.await.map_err(Outcome::Refused)?;
-    let (_slot, mut lent) = cx.enter(&instance).await?;
+    let mut lent = cx.enter(&instance).await?;
     let batch = |lent: &mut Lent| {
         lent.set_workspace(workspace)?;
         lent.query(POSITION)?;
@@ -44,7 +43,7 @@
         result.map_err(Outcome::Failed)?;
         return Err(Outcome::Refused(Refusal::NotPrimary));
     }
-    let pinned = Pinned { lent, permit, term, workspace: workspace.clone(), failed: false };
+    let mut pinned = Pinned { lent, permit, term, workspace: workspace.clone(), failed: false };
     pinned.park(cx);
     cx.shared.transactions.insert(id, pinned);
     result.map_err(Outcome::Failed)
@@ -57,9 +56,13 @@
     let limit = cx.deadline.since(cx.shared.clock.now()).duration();
     let guard = timeout(limit, transaction.pinned.lock()).await;
     let mut guard = guard.map_err(|_| Outcome::Refused(Refusal::Deadline))?;
-    let (mut pinned, _slot) = take(cx, &mut guard).await?;
-    let run = run(cx, &mut pinned).await;
-    match run {
+    let mut pinned = take(cx, &mut guard)?;
+    if let Err(outcome) = wait_for_slot(cx, &mut pinned).await {
+        pinned.park(cx);
+        *guard = Some(pinned);
+        return Err(outcome);
+    }
+    match run(cx, &mut pinned).await {
         Ok((result, failed)) => {
             pinned.failed = failed;
             pinned.park(cx);
@@ -73,13 +76,14 @@
     }
 }
 
-/// Commits a transaction, with its record if it has one.
+/// Commits a transaction, with its record if it has one. It needs no slot, since
+/// it frees what others wait for.
 pub(crate) async fn commit(
     cx: &Cx<'_>,
     id: &TransactionId,
     record: Option<&RequestRecord>,
 ) -> Run<Rows> {
-    let (pinned, slot) = end(cx, id).await?;
+    let pinned = end(cx, id).await?;
     let Pinned { mut lent, permit: _permit, term, workspace, failed: has_failed } = pinned;
     if has_failed {
         roll_back(cx, lent).await;
@@ -103,11 +107,11 @@
         head.as_ref().is_ok_and(|position| is_primary_of(lent.instance(), position, term));
     if !is_primary {
         roll_back(cx, lent).await;
-        return Err(failed("40001", "the primary was replaced; the transaction was rolled back"));
+        return Err(replaced());
     }
     match (record, recorded) {
-        (Some(record), Err(failure)) if failure.code == "23505" => {
-            replay(cx, lent, slot, term, record).await
+        (Some(record), Err(failure)) if failure.code == UNIQUE_VIOLATION => {
+            replay(cx, lent, term, record).await
         }
         (_, Err(failure)) => {
             roll_back(cx, lent).await;
@@ -115,63 +119,53 @@
         }
         (_, Ok(_)) => {
             let rows = Rows { tag: COMMIT.to_owned(), ..Rows::default() };
-            write::commit(cx, lent, slot, term, None, rows).await
+            let committed = write::commit(cx, lent, term, None, rows).await;
+            committed.map_err(|outcome| match outcome {
+                Outcome::Refused(_) => replaced(),
+                other => other,
+            })
         }
     }
 }
 
 /// Rolls a transaction back. It needs no slot, since it frees what it holds.
 pub(crate) async fn rollback(cx: &Cx<'_>, id: &TransactionId) -> Run<Rows> {
-    let transactions = &cx.shared.transactions;
-    let transaction = transactions.get(id).ok_or(unknown_transaction())?;
-    let limit = cx.deadline.since(cx.shared.clock.now()).duration();
-    let guard = timeout(limit, transaction.pinned.lock()).await;
-    let mut guard = guard.map_err(|_| Outcome::Refused(Refusal::Deadline))?;
-    let pinned = guard.take().filter(|pinned| pinned.workspace == cx.req.workspace);
-    let pinned = pinned.ok_or(unknown_transaction())?;
-    transactions.remove(id);
+    let pinned = end(cx, id).await?;
     roll_back(cx, pinned.lent).await;
     Ok(Rows { tag: ROLLBACK.to_owned(), ..Rows::default() })
 }
 
 /// Takes a transaction out of the table for its last statement.
-async fn end(cx: &Cx<'_>, id: &TransactionId) -> Run<(Pinned, Permit)> {
+async fn end(cx: &Cx<'_>, id: &TransactionId) -> Run<Pinned> {
     let transactions = &cx.shared.transactions;
     let transaction = transactions.get(id).ok_or(unknown_transaction())?;
     let limit = cx.deadline.since(cx.shared.clock.now()).duration();
     let guard = timeout(limit, transaction.pinned.lock()).await;
     let mut guard = guard.map_err(|_| Outcome::Refused(Refusal::Deadline))?;
-    let taken = take(cx, &mut guard).await?;
+    let pinned = take(cx, &mut guard)?;
     transactions.remove(id);
-    Ok(taken)
+    Ok(pinned)
 }
 
-/// Takes the connection of a transaction and waits for a slot. The transaction
-/// keeps its connection if there is no slot.
-async fn take(cx: &Cx<'_>, place: &mut Option<Pinned>) -> Run<(Pinned, Permit)> {
-    let is_own = |pinned: &Pinned| {
+/// Takes the connection of a transaction that belongs to the request.
+fn take(cx: &Cx<'_>, place: &mut Option<Pinned>) -> Run<Pinned> {
+    let is_own = |pinned: &mut Pinned| {
         pinned.workspace == cx.req.workspace && pinned.lent.instance().id == cx.req.instance
     };
-    if !place.as_ref().is_some_and(is_own) {
-        return Err(unknown_transaction());
-    }
-    let pinned = place.take().ok_or(unknown_transaction())?;
-    let (instance, checkout) = (pinned.lent.instance().clone(), pinned.lent.checkout());
-    instance.park(checkout, None);
-    match cx.slot(&instance).await {
-        Ok(slot) => Ok((pinned, slot)),
-        Err(outcome) => {
-            pinned.park(cx);
-            *place = Some(pinned);
-            Err(outcome)
-        }
-    }
+    let pinned = place.take_if(is_own).ok_or(unknown_transaction())?;
+    pinned.lent.instance().park(pinned.lent.checkout(), None);
+    Ok(pinned)
+}
+
+async fn wait_for_slot(cx: &Cx<'_>, pinned: &mut Pinned) -> Run<()> {
+    let slot = cx.slot(pinned.lent.instance()).await?;
+    pinned.lent.occupy(slot);
+    Ok(())
 }
 
 /// Runs a statement. The error is the outcome of a transaction that has ended;
 /// otherwise the statement's result is returned with whether it failed.
 async fn run(cx: &Cx<'_>, pinned: &mut Pinned) -> Run<(Run<Rows>, bool)> {
-    let replaced = || failed("40001", "the primary was replaced; the transaction was rolled back");
     if pinned.lent.instance().is_fenced(pinned.term) {
         return Err(replaced());
     }
@@ -182,6 +176,9 @@
         return Err(replaced());
     }
     match answer.status {
+        _ if answer.result.as_ref().is_err_and(|failure| failure.code == READ_ONLY) => {
+            Err(replaced())
+        }
         Status::Idle => {
             Err(Outcome::Unknown { reason: "the statement ended its transaction".to_owned() })
         }
@@ -194,12 +191,17 @@
 
 impl Pinned {
     /// Counts the transaction as idle from now on.
-    fn park(&self, cx: &Cx<'_>) {
+    fn park(&mut self, cx: &Cx<'_>) {
+        self.lent.release_slot();
         let now = cx.shared.clock.now();
         self.lent.instance().park(self.lent.checkout(), Some(now));
     }
 }
 
+fn replaced() -> Outcome {
+    failed("40001", "the primary was replaced; the transaction was rolled back")
+}
+
 fn unknown_transaction() -> Outcome {
     Outcome::Refused(Refusal::UnknownTransaction)
 }
--- a/src/owner/write.rs
+++ b/src/owner/write.rs
@@ -8,7 +8,6 @@
     ids::Term,
     owner::{
         execute::{Cx, Run, failed, is_primary_of, rolled_back, unknown},
-        gate::Permit,
         lent::Lent,
         statements::{
             BEGIN, COMMIT, Held, POSITION, ROLLBACK, held, insert_record, select_record, stored,
@@ -19,7 +18,9 @@
 };
 
 /// SQLSTATE of an insert whose key exists.
-const UNIQUE_VIOLATION: &str = "23505";
+pub(crate) const UNIQUE_VIOLATION: &str = "23505";
+/// SQLSTATE of a write on an instance that is not the primary.
+pub(crate) const READ_ONLY: &str = "25006";
 
 /// Runs a write in its own transaction.
 pub(crate) async fn write(cx: &Cx<'_>, term: Term, record: Option<&RequestRecord>) -> Run<Rows> {
@@ -27,7 +28,7 @@
     if instance.is_fenced(term) {
         return Err(Outcome::Refused(Refusal::NotPrimary));
     }
-    let (permit, mut lent) = cx.enter(&instance).await?;
+    let mut lent = cx.enter(&instance).await?;
     let workspace = &cx.req.workspace;
     let batch = |lent: &mut Lent| {
         lent.set_workspace(workspace)?;
@@ -58,25 +59,24 @@
     if let (Some(record), Err(failure)) = (record, &recorded)
         && failure.code == UNIQUE_VIOLATION
     {
-        return replay(cx, lent, permit, term, record).await;
+        return replay(cx, lent, term, record).await;
     }
     let result = head.and(begun.result).and(recorded).and(ran.result);
     let rows = match result {
         Ok(rows) => rows,
         Err(failure) => {
             roll_back(cx, lent).await;
-            return Err(Outcome::Failed(failure));
+            return Err(refused_or_failed(failure));
         }
     };
     let update = record.map(|record| update_record(workspace.as_ref(), record, &rows.tag));
-    commit(cx, lent, permit, term, update, rows).await
+    commit(cx, lent, term, update, rows).await
 }
 
 /// Commits and waits until a majority holds the commit under `term`.
 pub(crate) async fn commit(
     cx: &Cx<'_>,
     mut lent: Lent,
-    permit: Permit,
     term: Term,
     update: Option<String>,
     mut rows: Rows,
@@ -101,14 +101,14 @@
     };
     let committed = lent.receive(cx.deadline).await.map_err(unknown)?.result;
     // Waiting for the majority occupies no slot.
-    drop(permit);
+    lent.release_slot();
     match updated.and(committed) {
         Ok(rows) if rows.tag == COMMIT => {}
         Ok(_) => return Err(failed("40001", "the target rolled the transaction back")),
         Err(failure) if is_ambiguous(&failure) => {
             return Err(Outcome::Unknown { reason: failure.to_string() });
         }
-        Err(failure) => return Err(Outcome::Failed(failure)),
+        Err(failure) => return Err(refused_or_failed(failure)),
     }
     rows.mark = Some(wait(cx, &mut lent, term).await?.mark);
     Ok(rows)
@@ -120,7 +120,7 @@
     if instance.is_fenced(term) {
         return Err(Outcome::Refused(Refusal::NotPrimary));
     }
-    let (permit, mut lent) = cx.enter(&instance).await?;
+    let mut lent = cx.enter(&instance).await?;
     let workspace = &cx.req.workspace;
     let batch = |lent: &mut Lent| {
         lent.set_workspace(workspace)?;
@@ -135,7 +135,7 @@
     if !is_primary_of(&instance, &position, term) {
         return Err(Outcome::Refused(Refusal::NotPrimary));
     }
-    match recorded_answer(cx, &mut lent, permit, term, record).await? {
+    match recorded_answer(cx, &mut lent, term, record).await? {
         Some(rows) => Ok(rows),
         None => Err(Outcome::Refused(Refusal::NoRecord)),
     }
@@ -145,7 +145,6 @@
 pub(crate) async fn replay(
     cx: &Cx<'_>,
     mut lent: Lent,
-    permit: Permit,
     term: Term,
     record: &RequestRecord,
 ) -> Run<Rows> {
@@ -157,7 +156,7 @@
     batch(&mut lent).map_err(unknown)?;
     lent.flush(cx.deadline).await.map_err(unknown)?;
     lent.receive(cx.deadline).await.map_err(unknown)?.result.map_err(Outcome::Failed)?;
-    let answer = recorded_answer(cx, &mut lent, permit, term, record).await?;
+    let answer = recorded_answer(cx, &mut lent, term, record).await?;
     answer.ok_or_else(|| failed("40001", "another attempt of the request is running"))
 }
 
@@ -166,12 +165,11 @@
 async fn recorded_answer(
     cx: &Cx<'_>,
     lent: &mut Lent,
-    permit: Permit,
     term: Term,
     record: &RequestRecord,
 ) -> Run<Option<Rows>> {
     let read = lent.receive(cx.deadline).await.map_err(unknown)?.result;
-    drop(permit);
+    lent.release_slot();
     let stored = stored(&read.map_err(Outcome::Failed)?);
     let held = wait(cx, lent, term).await?;
     match stored {
@@ -203,6 +201,15 @@
     }
 }
 
+/// Outcome of a rolled back write. An instance that lost its role between the
+/// check of its position and the write has refused it.
+fn refused_or_failed(failure: Failure) -> Outcome {
+    match failure.code.as_str() {
+        READ_ONLY => Outcome::Refused(Refusal::NotPrimary),
+        _ => Outcome::Failed(failure),
+    }
+}
+
 /// Whether the target's error leaves open if the commit took effect.
 fn is_ambiguous(failure: &Failure) -> bool {
     failure.code.starts_with("08") || failure.code.starts_with("57P")
--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -390,6 +390,21 @@
     eventually(|| fixture.backend.state.lock().cancels == 1).await;
 }
 
+/// Guards against statements that wait for row locks in all slots while the holder
+/// of the locks waits for a slot.
+#[tokio::test]
+async fn long_statements_give_their_slots_back() {
+    let fixture = Fixture::start().await;
+    let slow = || fixture.run(primary_read(), "SELECT SLOW 600");
+    let quick = async {
+        sleep(Duration::from_millis(20)).await;
+        let quick = fixture.run(primary_read(), "SELECT 1");
+        timeout(Duration::from_millis(300), quick).await.is_ok()
+    };
+    let (_, _, in_time) = tokio::join!(slow(), slow(), quick);
+    assert!(in_time);
+}
+
 /// Guards against connections that outlive the lease, and against an
 /// acknowledgement after its end.
 #[tokio::test]
