Cancel statements inside transactions and end a joint stop early

Cause: a cancel request had no effect; when all hosts stopped together each waited 10 s for a host to take its instances over. Change: a cancel request reaches the owner of the running transaction; the wait for release ends when no other host can take over; the end of the lease is logged once.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -115,9 +115,17 @@
     "$BIN/pomelopin" "$command" --control "$list" "$@"
 }
 
-# Stops everything that was started here, by process id.
+# Stops one process that was started here.
+stop() { # NAME [SIGNAL]
+    kill "-${2:-TERM}" "$(cat "$CLUSTER/$1.pid")" 2>/dev/null
+    wait "$(cat "$CLUSTER/$1.pid")" 2>/dev/null
+}
+
+# Stops everything that was started here, by process id, entry hosts first.
 stop_cluster() {
-    local pid
+    local pid file
+    for file in "$CLUSTER"/entry-*.pid; do kill "$(cat "$file")" 2>/dev/null; done
+    for file in "$CLUSTER"/entry-*.pid; do wait "$(cat "$file")" 2>/dev/null; done
     for pid in "${PIDS[@]}"; do kill "$pid" 2>/dev/null; done
     for pid in "${PIDS[@]}"; do wait "$pid" 2>/dev/null; done
     PIDS=()
--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -4,7 +4,7 @@
 
 use tokio::{sync::Mutex, time::Instant};
 
-use super::{cx::Cx, error, transaction::Transaction};
+use super::{cx::Cx, dispatch::OwnerRef, error, transaction::Transaction};
 use crate::{
     adapters::caller::{CallerHandler, CancelSignal, Login, Reply, ReplyResult},
     ids::{Mark, RequestKey, Service, SessionId, Workspace},
@@ -12,7 +12,7 @@
     routing::classify::Classified,
     session::state::SessionState,
     settings::session::LookupPolicy,
-    wire::peer::{Description, Failure, Field, Rows, Statement},
+    wire::peer::{Description, Failure, Field, Rows, Statement, TransactionId},
 };
 
 /// User name of callers without a key.
@@ -31,6 +31,15 @@
     pub workspace: Option<(Workspace, HeldKey)>,
     /// Statements of one caller run one after the other.
     pub state: Mutex<CallerState>,
+    /// Statement inside a transaction that runs now, for cancel requests.
+    pub running: parking_lot::Mutex<Option<Running>>,
+}
+
+/// Statement that a cancel request can reach.
+#[derive(Debug, Clone)]
+pub struct Running {
+    pub owner: OwnerRef,
+    pub transaction: TransactionId,
 }
 
 /// State that statements of one caller change.
@@ -75,7 +84,8 @@
                 state.set(&service, name, value)?;
             }
         }
-        Ok(Caller { service, workspace, state: Mutex::new(state) })
+        let (state, running) = (Mutex::new(state), parking_lot::Mutex::default());
+        Ok(Caller { service, workspace, state, running })
     }
 
     async fn run(&self, caller: &Caller, statement: Statement, cancel: &CancelSignal) -> Reply {
@@ -84,11 +94,16 @@
         let work = self.cx.statement(caller, &mut state, &statement, deadline);
         tokio::pin!(work);
         // A cancelled statement is not dropped, because its outcome must be known.
-        // Cancellation ends only waits; see `CallerState::cancelled`.
+        // Statements outside transactions are short and run to their end.
         tokio::select! {
-            reply = &mut work => reply,
-            () = cancel.cancelled() => work.await,
+            reply = &mut work => return reply,
+            () = cancel.cancelled() => {}
+        }
+        let running = caller.running.lock().clone();
+        if let Some(running) = running {
+            self.cx.cancel(running).await;
         }
+        work.await
     }
 
     async fn describe(&self, caller: &Caller, sql: &str) -> Result<Description, Failure> {
--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -32,12 +32,13 @@
     heard_at: Millis,
     /// The next renewal asks for a snapshot.
     resync: bool,
+    had_lease: bool,
 }
 
 impl ControlLink {
     /// Link over `bus`.
     pub fn new(cx: Arc<Cx>, bus: Bus, inbound: mpsc::Receiver<Inbound>) -> Self {
-        Self { cx, bus, inbound, current: 0, heard_at: Millis(0), resync: false }
+        Self { cx, bus, inbound, current: 0, heard_at: Millis(0), resync: false, had_lease: false }
     }
 
     /// Renews until the host has stopped.
@@ -70,8 +71,8 @@
         self.cx.lease.lock().until().since(now).duration()
     }
 
-    fn check_lease(&self) {
-        if !self.cx.has_lease() {
+    fn check_lease(&mut self) {
+        if std::mem::replace(&mut self.had_lease, self.cx.has_lease()) && !self.had_lease {
             spdlog::warn!("the lease has ended; keyed requests are refused");
             self.cx.owner.lease_ended();
         }
@@ -154,7 +155,7 @@
             RenewAnswer::Removed { host } => {
                 spdlog::error!("host {host} was removed; it must restart under a new incarnation");
                 self.cx.lease.lock().end();
-                self.cx.owner.lease_ended();
+                self.check_lease();
                 self.cx.stop.removed();
             }
         }
@@ -180,9 +181,10 @@
                 return;
             }
         }
-        let valid_before = self.cx.has_lease();
+        self.check_lease();
         self.cx.lease.lock().extend(echo, lease);
-        if !valid_before && self.cx.has_lease() {
+        if !self.had_lease && self.cx.has_lease() {
+            self.had_lease = true;
             spdlog::info!("the lease is valid again");
             self.cx.owner.lease_renewed();
         }
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
-use super::cx::Cx;
+use super::{caller::Running, cx::Cx};
 use crate::{
+    adapters::peer::client::CallError,
     ids::{Epoch, HostId, InstanceId, Workspace},
     state::model::{Assignment, ClusterView},
     wire::peer::{Execute, Mode, Outcome, PeerAnswer, PeerRequest, Refusal, Statement},
@@ -71,13 +72,24 @@
         match self.peers.call(&owner.peer_addr, &req, remaining + ANSWER_GRACE).await {
             Ok(PeerAnswer::Executed(outcome)) => outcome,
             Ok(_) => Outcome::Unknown { reason: "the owner sent an answer of another kind".into() },
-            Err(crate::adapters::peer::client::CallError::NotSent) => {
-                Outcome::Refused(Refusal::Unreachable)
-            }
+            Err(CallError::NotSent) => Outcome::Refused(Refusal::Unreachable),
             Err(error) => Outcome::Unknown { reason: format!("host {}: {error}", owner.host) },
         }
     }
 
+    /// Asks the owner to cancel the statement that runs in a transaction.
+    pub async fn cancel(&self, running: Running) {
+        let Running { owner, transaction } = running;
+        if owner.host == self.settings.host {
+            self.owner.cancel(&transaction);
+            return;
+        }
+        let req = PeerRequest::Cancel { transaction };
+        if let Err(error) = self.peers.call(&owner.peer_addr, &req, ANSWER_GRACE).await {
+            spdlog::debug!("cancel request to host {} failed: {error}", owner.host);
+        }
+    }
+
     /// Runs a statement on an instance that this host owns.
     pub async fn execute_here(&self, req: Execute) -> Outcome {
         // Without a lease another host may already own the instance.
--- a/src/entry/runtime.rs
+++ b/src/entry/runtime.rs
@@ -137,7 +137,9 @@
                 instance.owner.as_ref().is_some_and(here)
                     || instance.previous.as_ref().is_some_and(here)
             });
-            if !held {
+            let other_takes_over =
+                state.view.hosts.values().any(|host| host.id != cx.settings.host && !host.leaving);
+            if !held || !other_takes_over {
                 return;
             }
             tokio::time::sleep(Duration::from_millis(20)).await;
--- a/src/entry/transaction.rs
+++ b/src/entry/transaction.rs
@@ -17,7 +17,7 @@
 
 use super::{
     admission::Rule,
-    caller::{Caller, CallerState},
+    caller::{Caller, CallerState, Running},
     cx::Cx,
     dispatch::{OwnerRef, Work},
     error,
@@ -111,7 +111,10 @@
         update_digest(&mut transaction.digest, statement);
         transaction.has_written |= rule.is_write;
         let mode = Mode::Within { transaction: open.id.clone() };
+        let running = Running { owner: open.owner.clone(), transaction: open.id.clone() };
+        *caller.running.lock() = Some(running);
         let outcome = self.execute_in(&open, statement, mode, deadline).await;
+        caller.running.lock().take();
         match outcome {
             Outcome::Done(rows) if rows.fields.is_empty() => {
                 Ok(ReplyResult::Command(rows.tag).into())
