Test the control group in virtual time

The tests found that a removed voter was taken for a host that wants to join and was added again; the leader now forgets its progress at the removal.

--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -13,7 +13,7 @@
     ids::ControlId,
     wire::group::{
         Append, AppendAnswer, AppendResult, GroupBody, Install, InstallAnswer, LogEntry, Member,
-        Members, Payload,
+        Payload,
     },
 };
 
@@ -284,34 +284,35 @@
     /// change and an entry of the own term must be committed first; otherwise
     /// two majorities without a common host could exist.
     fn change_members(&mut self, now: Millis) {
-        let State::Leader(leading) = &self.state else { return };
+        let State::Leader(leading) = &mut self.state else { return };
         if self.commit < leading.first.max(self.history.last_change()) {
             return;
         }
-        let members = self.members();
-        let next = members.replaced().cloned().map_or_else(
-            || self.with_learner(members, leading),
-            |id| {
-                let mut next = members.clone();
-                next.0.remove(&id);
-                Some(next)
-            },
-        );
-        if let Some(next) = next {
-            self.append_as_leader(now, vec![Payload::Members(next)]);
+        let mut next = self.history.current().clone();
+        if let Some(id) = next.replaced().cloned() {
+            next.0.remove(&id);
+            // Without its progress the host is not taken for one that wants to join.
+            leading.replication.hosts.remove(&id);
+        } else if let Some((id, member)) = self.learner(now) {
+            next.0.insert(id, member);
+        } else {
+            return;
         }
+        self.append_as_leader(now, vec![Payload::Members(next)]);
     }
 
-    fn with_learner(&self, members: &Members, leading: &Leading) -> Option<Members> {
-        if members.0.len() >= MAX_VOTERS {
-            return None;
-        }
-        let last = self.log.last().index;
+    /// Host that is no voter yet, holds nearly all entries and answers.
+    fn learner(&self, now: Millis) -> Option<(ControlId, Member)> {
+        let State::Leader(leading) = &self.state else { return None };
+        let (members, last) = (self.members(), self.log.last().index);
+        let silence = self.settings.timing.replace;
         let mut learners = leading.replication.hosts.iter();
-        let (id, progress) =
-            learners.find(|(id, p)| !members.0.contains_key(*id) && p.is_caught_up(last))?;
-        let mut next = members.clone();
-        next.0.insert(id.clone(), Member { since: last + 1, ..progress.member.clone() });
-        Some(next)
+        let (id, progress) = learners.find(|(id, progress)| {
+            !members.0.contains_key(*id)
+                && progress.is_caught_up(last)
+                && now.since(progress.heard) < silence
+        })?;
+        let member = Member { since: last + 1, ..progress.member.clone() };
+        (members.0.len() < MAX_VOTERS).then(|| (id.clone(), member))
     }
 }
--- /dev/null
+++ b/tests/control_group.rs
@@ -0,0 +1,204 @@
+//! Failures of control hosts: the group keeps one log and goes on.
+
+#![allow(clippy::unwrap_used, reason = "helper functions of tests")]
+
+mod group;
+
+use group::Group;
+use pomelopin::control::node::Role;
+
+/// Failure, number of hosts and script. After the script, every case must commit
+/// further commands and all running hosts must agree.
+type Case = (&'static str, usize, fn(&mut Group));
+
+const CASES: &[Case] = &[
+    ("leader killed", 3, leader_killed),
+    ("leader killed, five hosts", 5, leader_killed),
+    ("leader cut off, its late messages arrive", 3, leader_cut_off),
+    ("leader cut off, its late messages arrive, five hosts", 5, leader_cut_off),
+    ("disk of a follower lost", 3, follower_disk_lost),
+    ("disk of the leader lost", 3, leader_disk_lost),
+    ("second host lost right after a repair", 3, second_host_lost),
+    ("leader frozen", 3, leader_frozen),
+    ("follower cut off for long, then back", 3, follower_returns),
+    ("restart of all hosts after hundreds of entries", 3, all_restarted),
+    ("follower behind the snapshot", 3, follower_needs_snapshot),
+    ("blank host joins after compaction", 5, blank_host_needs_snapshot),
+    ("crash between the outputs of a step", 3, crash_between_outputs),
+    ("lossy and slow network", 5, lossy_network),
+];
+
+#[test]
+fn the_group_survives_each_failure() {
+    for (what, size, script) in CASES {
+        for seed in 0..10 {
+            println!("case: {what}, seed {seed}");
+            let mut group = Group::formed(*size, seed);
+            group.commit(3);
+            script(&mut group);
+            group.commit(3);
+            group.until("agreement", 10_000, Group::all_agree);
+        }
+    }
+}
+
+fn leader_killed(group: &mut Group) {
+    let leader = group.leader().unwrap();
+    group.kill(&leader);
+    // Guards against a gap that outlasts the leases of entry hosts.
+    group.until("a new leader", 1_500, |group| group.leader().is_some());
+    group.commit(2);
+    group.start(&leader);
+}
+
+fn leader_cut_off(group: &mut Group) {
+    let old = group.leader().unwrap();
+    group.hold_cut = true;
+    group.cut.insert(old.clone());
+    // Its proposals must not be committed, and it must know that it does not lead.
+    group.propose(&old);
+    let before = group.committed();
+    group.until("the old leader stops", 500, |group| group.leader().is_none());
+    group.until("another leader", 1_500, |group| group.leader().is_some());
+    assert_ne!(group.leader().unwrap(), old);
+    assert_eq!(group.committed(), before);
+    group.run(2_000);
+    assert_eq!(group.hosts[&old].node.as_ref().unwrap().role().role, Role::Candidate);
+    group.commit(2);
+    group.cut.clear();
+    group.run(1_000);
+    assert_ne!(group.leader().unwrap(), old, "late messages brought the old leader back");
+}
+
+fn follower_disk_lost(group: &mut Group) {
+    let lost = group.followers().remove(0);
+    lose_and_replace(group, &lost);
+}
+
+fn leader_disk_lost(group: &mut Group) {
+    let lost = group.leader().unwrap();
+    lose_and_replace(group, &lost);
+}
+
+/// The host returns under a new id, and the old id is removed.
+fn lose_and_replace(group: &mut Group, lost: &str) {
+    let old = group.hosts[lost].node.as_ref().unwrap().id().clone();
+    group.lose_disk(lost);
+    group.run(1_500);
+    group.start(lost);
+    group.until("replacement", 5_000, Group::is_whole);
+    let leader = group.leader().unwrap();
+    let members = group.hosts[&leader].node.as_ref().unwrap().members();
+    assert!(!members.0.contains_key(&old));
+}
+
+fn second_host_lost(group: &mut Group) {
+    let lost = group.followers();
+    lose_and_replace(group, &lost[0]);
+    group.kill(&lost[1]);
+    group.commit(3);
+    group.start(&lost[1]);
+}
+
+fn leader_frozen(group: &mut Group) {
+    let old = group.leader().unwrap();
+    group.freeze(&old, true);
+    group.until("another leader", 1_500, |group| group.leader().is_some());
+    group.commit(2);
+    group.freeze(&old, false);
+    // Serving is checked after every step: the old leader must not act before it
+    // has processed the messages that wait for it.
+    group.run(1_000);
+}
+
+fn follower_returns(group: &mut Group) {
+    let (leader, cut) = (group.leader().unwrap(), group.followers().remove(0));
+    let term = group.hosts[&leader].node.as_ref().unwrap().role().term;
+    group.cut.insert(cut);
+    group.run(20_000);
+    group.cut.clear();
+    group.run(3_000);
+    // Pre-vote: the host that was cut off did not raise the term.
+    assert_eq!(group.hosts[&leader].node.as_ref().unwrap().role().term, term);
+    assert_eq!(group.leader(), Some(leader));
+}
+
+fn all_restarted(group: &mut Group) {
+    group.commit(400);
+    for name in group.names() {
+        group.kill(&name);
+    }
+    group.run(1_000);
+    for name in group.names() {
+        group.start(&name);
+    }
+    group.until("a leader", 3_000, |group| group.leader().is_some());
+    assert!(group.committed() >= 403);
+}
+
+fn follower_needs_snapshot(group: &mut Group) {
+    group.compact_after = 50;
+    let behind = group.followers().remove(0);
+    group.kill(&behind);
+    // More than the entries that remain beside a snapshot.
+    group.commit(700);
+    group.start(&behind);
+}
+
+fn blank_host_needs_snapshot(group: &mut Group) {
+    group.compact_after = 50;
+    group.commit(700);
+    let lost = group.followers().remove(0);
+    lose_and_replace(group, &lost);
+}
+
+fn crash_between_outputs(group: &mut Group) {
+    for outputs in 0..12 {
+        let name = group.names()[outputs % 3].clone();
+        group.hosts.get_mut(&name).unwrap().crash_after = Some(outputs / 3);
+        for _ in 0..20 {
+            if let Some(leader) = group.leader() {
+                group.propose(&leader);
+            }
+            group.run(50);
+        }
+        group.hosts.get_mut(&name).unwrap().crash_after = None;
+        group.kill(&name);
+        group.start(&name);
+        group.until("a leader", 5_000, |group| group.leader().is_some());
+    }
+}
+
+fn lossy_network(group: &mut Group) {
+    group.drop_percent = 20;
+    group.max_delay_ms = 60;
+    for _ in 0..40 {
+        if let Some(leader) = group.leader() {
+            group.propose(&leader);
+        }
+        group.run(100);
+    }
+    assert!(group.committed() > 20, "only {} commands were committed", group.committed());
+    group.drop_percent = 0;
+}
+
+/// Guards against a host without disk that forms a second group.
+#[test]
+fn a_blank_host_alone_forms_no_group() {
+    let mut group = Group::formed(3, 1);
+    group.commit(3);
+    for name in ["c2", "c3"] {
+        group.kill(name);
+    }
+    group.lose_disk("c1");
+    group.start("c1");
+    group.run(10_000);
+    assert_eq!(group.leader(), None);
+    assert!(group.hosts["c1"].node.as_ref().unwrap().members().0.is_empty());
+    // A majority of the old voters still holds the log.
+    for name in ["c2", "c3"] {
+        group.start(name);
+    }
+    group.commit(1);
+    group.until("agreement", 10_000, Group::all_agree);
+}
