Send changed routes for each service on its own

Change::Routes held all routes of the file. At the target size (5,100 services with 8 routes each) one changed route would send megabytes to every entry host. It now holds the routes of one service.

--- a/src/state/change.rs
+++ b/src/state/change.rs
@@ -16,7 +16,10 @@
         match change {
             Change::Version(version) => self.version = version,
             Change::Service(service, spec) => replace(&mut desired.services, service, spec),
-            Change::Routes(routes) => desired.routes = routes,
+            Change::Routes(service, routes) => {
+                desired.routes.retain(|route| route.service != service);
+                desired.routes.extend(routes);
+            }
             Change::Workspace(workspace, spec) => replace(&mut desired.workspaces, workspace, spec),
             Change::ExpectedHost(host, spec) => replace(&mut desired.hosts, host, spec),
             Change::Drains(drains) => desired.drains = drains,
--- a/src/state/difference.rs
+++ b/src/state/difference.rs
@@ -8,7 +8,7 @@
 use indexmap::IndexMap;
 
 use crate::{
-    ids::{KeyId, Workspace},
+    ids::{KeyId, Service, Workspace},
     state::model::{
         Change, DesiredState, Drain, HostSpec, KeySpec, Route, ServiceSpec, WorkspaceSpec,
     },
@@ -61,8 +61,14 @@
             changes.push(Change::Service(name.clone(), new.cloned()));
         }
     }
-    if before.routes != after.routes {
-        changes.push(Change::Routes(after.routes.clone()));
+    // Routes change for each service on its own: at the target size all routes
+    // together take megabytes.
+    let (old_routes, new_routes) = (routes_by_service(before), routes_by_service(after));
+    for (service, old, new) in pairs(&old_routes, &new_routes) {
+        if old != new {
+            let routes = new.into_iter().flatten().map(|route| Route::clone(route)).collect();
+            changes.push(Change::Routes(Service::clone(service), routes));
+        }
     }
     for (name, old, new) in pairs(&before.workspaces, &after.workspaces) {
         if old != new {
@@ -111,6 +117,14 @@
     }
 }
 
+fn routes_by_service(state: &DesiredState) -> IndexMap<&Service, Vec<&Route>> {
+    let mut routes = IndexMap::<_, Vec<_>>::new();
+    for route in &state.routes {
+        routes.entry(&route.service).or_default().push(route);
+    }
+    routes
+}
+
 fn service(spec: &ServiceSpec) -> String {
     format!("{} instances", spec.instances)
 }
--- a/src/state/model.rs
+++ b/src/state/model.rs
@@ -308,7 +308,8 @@
 pub enum Change {
     Version(u64),
     Service(Service, Option<ServiceSpec>),
-    Routes(Vec<Route>),
+    /// All routes of one service; the file order within the service is kept.
+    Routes(Service, Vec<Route>),
     Workspace(Workspace, Option<WorkspaceSpec>),
     ExpectedHost(HostId, Option<HostSpec>),
     Drains(Vec<Drain>),
--- a/tests/state_machine.rs
+++ b/tests/state_machine.rs
@@ -9,8 +9,8 @@
     state::{
         machine::{MAX_ANSWERS, MAX_AUDIT_ENTRIES},
         model::{
-            ApplyAnswer, Change, ClusterState, Command, DesiredState, Drain, Group, Host,
-            InstanceSpec, KeySpec, KeyState, WorkspaceSpec,
+            Access, Action, ApplyAnswer, Change, ClusterState, Command, DesiredState, Drain, Group,
+            Host, InstanceSpec, KeySpec, KeyState, Route, WorkspaceSpec,
         },
     },
 };
@@ -68,6 +68,44 @@
     assert_eq!(state.audit.len(), 1);
 }
 
+#[test]
+fn routes_change_for_each_service_on_its_own() {
+    // At the target size all routes together exceed the control traffic of a host.
+    let route = |service: &str, table: &str| Route {
+        service: service.into(),
+        table: table.into(),
+        action: Action::Insert,
+        access: Access::Keyed,
+        idempotent: false,
+        max_staleness_ms: None,
+    };
+    let (one, two) = (route("ledger-1", "bookings"), route("ledger-2", "bookings"));
+    let other = route("ledger-1", "credits");
+    let cases = [
+        (vec![one.clone(), two.clone()], &["ledger-1", "ledger-2"][..]),
+        (vec![two.clone(), one.clone()], &[]),
+        (vec![one, other.clone(), two.clone()], &["ledger-1"]),
+        (vec![two], &["ledger-1"]),
+        (vec![other], &["ledger-1", "ledger-2"]),
+        (vec![], &["ledger-1"]),
+    ];
+    let mut state = state(0);
+    for (version, (routes, changed)) in (1..).zip(cases) {
+        let desired = DesiredState { routes: routes.clone(), ..desired(Vec::new()) };
+        let applied = step(&mut state, &apply(&version.to_string(), version, desired));
+        let services = applied.changes.iter().filter_map(|change| match change {
+            Change::Routes(service, _) => Some(service.as_str()),
+            _ => None,
+        });
+        let mut services = services.collect::<Vec<_>>();
+        services.sort_unstable();
+        assert_eq!(services, changed, "version {version}");
+        let held = &state.view.desired.routes;
+        assert_eq!(held.len(), routes.len());
+        assert!(routes.iter().all(|route| held.contains(route)), "version {version}");
+    }
+}
+
 #[test]
 fn remembered_answers_and_audit_are_bounded() {
     let mut state = ClusterState::default();
