--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -6,3 +6,4 @@
 mod groups;
 pub mod machine;
 pub mod model;
+pub mod status;
--- a/tests/state_machine.rs
+++ b/tests/state_machine.rs
@@ -10,9 +10,11 @@
         machine::{MAX_ANSWERS, MAX_AUDIT_ENTRIES},
         model::{
             Access, Action, ApplyAnswer, Change, ClusterState, Command, DesiredState, Drain, Group,
-            Host, InstanceSpec, KeySpec, KeyState, Route, WorkspaceSpec,
+            Host, HostSpec, InstanceSpec, KeySpec, KeyState, Route, WorkspaceSpec,
         },
+        status::status,
     },
+    wire::operator::HostState,
 };
 
 fn with_workspace(rate: u32, state: KeyState) -> DesiredState {
@@ -233,3 +235,34 @@
     assert_eq!(last.before, "term 1, primary ledger-1-0, promotion at term 4");
     assert_eq!(last.after, "term 4, primary ledger-1-1 (promoted)");
 }
+
+#[test]
+fn status_shows_missing_hosts_and_transfers() {
+    let mut state = state(1);
+    step(&mut state, &joined(3, 1));
+    let mut desired = desired(vec![Drain::Host(host(0, 1).id)]);
+    let spec = HostSpec { failure_domain: domain(2) };
+    desired.hosts = [("host-0", &spec), ("host-8", &spec)]
+        .map(|(host, spec)| (host.into(), spec.clone()))
+        .into();
+    step(&mut state, &apply("drain", 1, desired));
+    let acknowledged = [(host(0, 1).id, Revision(3))].into();
+    let seen = status(&state.view, &acknowledged, Some("control-1".into()), Vec::new());
+
+    let hosts = seen.hosts.iter().map(|host| (host.id.as_str(), host.state, host.revision));
+    let expected = [
+        ("host-0", HostState::Draining, Some(Revision(3))),
+        ("host-3", HostState::Live, None),
+        ("host-8", HostState::Missing, None),
+    ];
+    assert_eq!(hosts.collect::<Vec<_>>(), expected);
+    assert_eq!((seen.groups[0].announced, seen.groups[0].expected), (3, 3));
+
+    let text = pomelopin::cli::status::text(&seen);
+    assert!(text.starts_with("version 2  revision 7  leader control-1\n"), "{text}");
+    let owner = "host-3 (epoch 4, 0/15 connections)  host-0 (epoch 1, 15/15 connections)";
+    assert!(
+        text.lines().any(|line| line.starts_with("ledger-1-0") && line.contains(owner)),
+        "{text}"
+    );
+}
