--- a/src/configuration/mod.rs
+++ b/src/configuration/mod.rs
@@ -41,7 +41,7 @@
 /// Returns all faults; a version other than the one after `expected` is one.
 pub fn read_successor(text: &str, expected: u64) -> Result<Configuration, Vec<Finding>> {
     let configuration = read(text)?;
-    let next = expected + 1;
+    let next = expected.saturating_add(1);
     if configuration.version == next {
         return Ok(configuration);
     }
