--- a/tests/state_machine.rs
+++ b/tests/state_machine.rs
@@ -9,10 +9,12 @@
     state::{
         machine::{MAX_ANSWERS, MAX_AUDIT_ENTRIES},
         model::{
-            ApplyAnswer, Change, ClusterState, Command, DesiredState, Drain, Group, Host,
-            InstanceSpec, KeySpec, KeyState, WorkspaceSpec,
+            Access, Action, ApplyAnswer, Change, ClusterState, Command, DesiredState, Drain, Group,
+            Host, HostSpec, InstanceSpec, KeySpec, KeyState, Route, WorkspaceSpec,
         },
+        status::status,
     },
+    wire::operator::HostState,
 };
 
 fn with_workspace(rate: u32, state: KeyState) -> DesiredState {
@@ -68,6 +70,44 @@
     assert_eq!(state.audit.len(), 1);
 }
 
+#[test]
+fn routes_change_for_each_service_on_its_own() {
+    // At the target size all routes together exceed the control traffic of a host.
+    let route = |service: &str, table: &str| Route {
+        service: service.into(),
+        table: table.into(),
+        action: Action::Insert,
+        access: Access::Keyed,
+        idempotent: false,
+        max_staleness_ms: None,
+    };
+    let (one, two) = (route("ledger-1", "bookings"), route("ledger-2", "bookings"));
+    let other = route("ledger-1", "credits");
+    let cases = [
+        (vec![one.clone(), two.clone()], &["ledger-1", "ledger-2"][..]),
+        (vec![two.clone(), one.clone()], &[]),
+        (vec![one, other.clone(), two.clone()], &["ledger-1"]),
+        (vec![two], &["ledger-1"]),
+        (vec![other], &["ledger-1", "ledger-2"]),
+        (vec![], &["ledger-1"]),
+    ];
+    let mut state = state(0);
+    for (version, (routes, changed)) in (1..).zip(cases) {
+        let desired = DesiredState { routes: routes.clone(), ..desired(Vec::new()) };
+        let applied = step(&mut state, &apply(&version.to_string(), version, desired));
+        let services = applied.changes.iter().filter_map(|change| match change {
+            Change::Routes(service, _) => Some(service.as_str()),
+            _ => None,
+        });
+        let mut services = services.collect::<Vec<_>>();
+        services.sort_unstable();
+        assert_eq!(services, changed, "version {version}");
+        let held = &state.view.desired.routes;
+        assert_eq!(held.len(), routes.len());
+        assert!(routes.iter().all(|route| held.contains(route)), "version {version}");
+    }
+}
+
 #[test]
 fn remembered_answers_and_audit_are_bounded() {
     let mut state = ClusterState::default();
@@ -195,3 +235,34 @@
     assert_eq!(last.before, "term 1, primary ledger-1-0, promotion at term 4");
     assert_eq!(last.after, "term 4, primary ledger-1-1 (promoted)");
 }
+
+#[test]
+fn status_shows_missing_hosts_and_transfers() {
+    let mut state = state(1);
+    step(&mut state, &joined(3, 1));
+    let mut desired = desired(vec![Drain::Host(host(0, 1).id)]);
+    let spec = HostSpec { failure_domain: domain(2) };
+    desired.hosts = [("host-0", &spec), ("host-8", &spec)]
+        .map(|(host, spec)| (host.into(), spec.clone()))
+        .into();
+    step(&mut state, &apply("drain", 1, desired));
+    let acknowledged = [(host(0, 1).id, Revision(3))].into();
+    let seen = status(&state.view, &acknowledged, Some("control-1".into()), Vec::new());
+
+    let hosts = seen.hosts.iter().map(|host| (host.id.as_str(), host.state, host.revision));
+    let expected = [
+        ("host-0", HostState::Draining, Some(Revision(3))),
+        ("host-3", HostState::Live, None),
+        ("host-8", HostState::Missing, None),
+    ];
+    assert_eq!(hosts.collect::<Vec<_>>(), expected);
+    assert_eq!((seen.groups[0].announced, seen.groups[0].expected), (3, 3));
+
+    let text = pomelopin::cli::status::text(&seen);
+    assert!(text.starts_with("version 2  revision 7  leader control-1\n"), "{text}");
+    let owner = "host-3 (epoch 4, 0/15 connections)  host-0 (epoch 1, 15/15 connections)";
+    assert!(
+        text.lines().any(|line| line.starts_with("ledger-1-0") && line.contains(owner)),
+        "{text}"
+    );
+}
