Add the load tool

The measures and invariants need callers that know what they were told.

Callers book, credit and read by an open-loop schedule, settle unknown writes with the same idempotency key and check every answer; an audit reads all bookings and counters back. Checks of rates, refusals, gaps and shares are pure functions over the record. Latency, idle and throughput modes share the connections and settings.

--- /dev/null
+++ b/src/bin/pomelopin-load.rs
@@ -0,0 +1,96 @@
+//! Load and experiment tool.
+
+use std::{process::ExitCode, sync::Arc};
+
+use bpaf::Parser;
+use eyre::Result;
+use pomelopin::{
+    load::{
+        bulk::{idle, throughput},
+        compare::compare,
+        run::check,
+    },
+    settings::load::{LoadSettings, Mode, ReportForm, load_arguments},
+};
+use serde::Serialize;
+use spdlog::{
+    Logger,
+    sink::{StdStream, StdStreamSink},
+};
+
+/// Exit code for violations.
+const EXIT_VIOLATIONS: u8 = 1;
+
+/// Exit code for settings that cannot be used.
+const EXIT_SETTINGS: u8 = 2;
+
+fn main() -> Result<ExitCode> {
+    let arguments = load_arguments()
+        .to_options()
+        .version(env!("CARGO_PKG_VERSION"))
+        .descr("Load and experiment tool: reports the measures and every violation")
+        .run();
+    match arguments.validate() {
+        Err(findings) => {
+            for finding in findings {
+                eprintln!("{finding}");
+            }
+            Ok(ExitCode::from(EXIT_SETTINGS))
+        }
+        Ok(_) if arguments.check_settings => {
+            println!("settings are valid");
+            Ok(ExitCode::SUCCESS)
+        }
+        Ok(settings) => {
+            log_to_stderr()?;
+            run(settings)
+        }
+    }
+}
+
+/// Keeps the standard output for the report.
+fn log_to_stderr() -> Result<()> {
+    let sink = StdStreamSink::builder().std_stream(StdStream::Stderr).build_arc()?;
+    let logger = Logger::builder().sink(sink).build()?;
+    spdlog::set_default_logger(Arc::new(logger));
+    Ok(())
+}
+
+#[tokio::main]
+async fn run(settings: LoadSettings) -> Result<ExitCode> {
+    let form = settings.report;
+    match settings.mode {
+        Mode::Check => {
+            let allowed = settings.allowed_wrongly_refused_share;
+            let report = check(settings).await?;
+            print(form, &report, report.table())?;
+            let violations = report.violations(allowed);
+            for (name, count) in &violations {
+                eprintln!("violation: {name} {count}");
+            }
+            let code = if violations.is_empty() { 0 } else { EXIT_VIOLATIONS };
+            return Ok(ExitCode::from(code));
+        }
+        Mode::Latency => {
+            let comparison = compare(settings).await?;
+            print(form, &comparison, comparison.table())?;
+        }
+        Mode::Idle => {
+            let report = idle(settings).await?;
+            print(form, &report, format!("{report:#?}\n"))?;
+        }
+        Mode::Throughput => {
+            let report = throughput(settings).await?;
+            print(form, &report, format!("{report:#?}\n"))?;
+        }
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn print(form: ReportForm, report: &impl Serialize, table: String) -> Result<()> {
+    match form {
+        ReportForm::Json => println!("{}", serde_json::to_string(report)?),
+        ReportForm::Table => print!("{table}"),
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/load/bulk.rs
@@ -0,0 +1,138 @@
+//! Idle and throughput modes.
+
+use std::{sync::Arc, time::Duration};
+
+use eyre::Result;
+use futures::{StreamExt, stream};
+use serde::{Deserialize, Serialize};
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep},
+};
+use tokio_postgres::{Client, types::Type};
+
+use super::{
+    caller::Context,
+    connection::{Trouble, connect, within},
+    evaluation::percentiles,
+    process::{Usage, usage},
+    report::Latency,
+    run::context,
+};
+use crate::settings::load::LoadSettings;
+
+/// Connections that are opened at once.
+const OPENING: usize = 50;
+
+/// Pause of a caller after a failed statement.
+const ERROR_PAUSE: Duration = Duration::from_millis(10);
+
+/// Result of the idle mode.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct IdleReport {
+    pub opened: u64,
+    pub failed: u64,
+    /// Time for opening all connections.
+    pub opening_ms: u64,
+    /// Connections still open at the end.
+    pub open_at_end: u64,
+    /// Usage of the given process before the first and after the last connection.
+    pub usage_before: Option<Usage>,
+    pub usage_after: Option<Usage>,
+}
+
+/// Result of the throughput mode.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct ThroughputReport {
+    pub statements: u64,
+    pub errors: u64,
+    pub statements_per_s: f64,
+    pub latency: Latency,
+    /// Processor time of the given process per second of the run.
+    pub cores: Option<f64>,
+}
+
+/// Opens connections, spread over entries, services and workspaces, and holds them.
+pub async fn idle(settings: LoadSettings) -> Result<IdleReport> {
+    let cx = context(settings);
+    let usage_before = cx.settings.pid.and_then(usage);
+    let start = Instant::now();
+    let opening = (0..cx.settings.connections as usize).map(|index| open(&cx, index));
+    let results: Vec<_> = stream::iter(opening).buffer_unordered(OPENING).collect().await;
+    let opening_ms = start.elapsed().as_millis() as u64;
+    let (clients, failures): (Vec<_>, Vec<_>) = results.into_iter().partition(Result::is_ok);
+    let clients: Vec<Client> = clients.into_iter().flatten().collect();
+    sleep(cx.settings.duration.duration()).await;
+    Ok(IdleReport {
+        opened: clients.len() as u64,
+        failed: failures.len() as u64,
+        opening_ms,
+        open_at_end: clients.iter().filter(|client| !client.is_closed()).count() as u64,
+        usage_before,
+        usage_after: cx.settings.pid.and_then(usage),
+    })
+}
+
+async fn open(cx: &Context, index: usize) -> Result<Client, Trouble> {
+    let settings = &cx.settings;
+    let entry = settings.entries[index % settings.entries.len()];
+    let service = &settings.services[index % settings.services.len()];
+    let (workspace, key) = &cx.workspaces[index % cx.workspaces.len()];
+    connect(entry, service, workspace, key).await
+}
+
+/// Reads as fast as the callers of all workspaces can.
+pub async fn throughput(settings: LoadSettings) -> Result<ThroughputReport> {
+    let cx = context(settings);
+    let callers = cx.workspaces.len() * cx.settings.callers as usize;
+    let before = cx.settings.pid.and_then(usage);
+    let start = Instant::now();
+    let end = start + cx.settings.duration.duration();
+    let mut tasks = JoinSet::new();
+    for index in 0..callers {
+        tasks.spawn(read_until(cx.clone(), index, end));
+    }
+    let mut report = ThroughputReport::default();
+    let mut latencies = Vec::new();
+    for (caller_latencies, errors) in tasks.join_all().await {
+        latencies.extend(caller_latencies);
+        report.errors += errors;
+    }
+    let elapsed = start.elapsed().as_secs_f64();
+    let after = cx.settings.pid.and_then(usage);
+    report.statements = latencies.len() as u64;
+    report.statements_per_s = report.statements as f64 / elapsed;
+    report.latency = percentiles(latencies.into_iter());
+    report.cores = before.zip(after).map(|(before, after)| (after.cpu_s - before.cpu_s) / elapsed);
+    Ok(report)
+}
+
+/// Latencies and number of errors of one caller.
+async fn read_until(cx: Arc<Context>, index: usize, end: Instant) -> (Vec<u64>, u64) {
+    let sql = format!("SELECT id, value FROM {} WHERE id = $1", cx.settings.bookings_table);
+    let id = format!("{}-none", cx.run_id);
+    let (mut latencies, mut errors) = (Vec::new(), 0);
+    let mut client = None;
+    while Instant::now() < end {
+        let connected = match client.take().filter(|client: &Client| !client.is_closed()) {
+            Some(client) => Ok(client),
+            None => open(&cx, index).await,
+        };
+        let Ok(connected) = connected else {
+            errors += 1;
+            sleep(ERROR_PAUSE).await;
+            continue;
+        };
+        let start = Instant::now();
+        let result = within(connected.query_typed(&sql, &[(&id, Type::TEXT)])).await;
+        client = Some(connected);
+        match result {
+            Ok(_) => latencies.push(start.elapsed().as_micros() as u64),
+            Err(_) => {
+                errors += 1;
+                sleep(ERROR_PAUSE).await;
+            }
+        }
+    }
+    (latencies, errors)
+}
--- /dev/null
+++ b/src/load/caller.rs
@@ -0,0 +1,249 @@
+//! Caller that books, credits and reads by its schedule.
+
+use std::{sync::Arc, time::Duration};
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use tokio::time::{Instant, sleep, sleep_until};
+use tokio_postgres::{Row, types::Type};
+
+use super::{
+    connection::{Fate, OVER_RATE},
+    expectation::{BookingRow, Credit, Expectation, Knowledge},
+    samples::{Kind, Outcome, Record, Sample, Violations},
+    schedule::Schedule,
+    sender::{End, Parameter, SETTLE_PAUSE, Sender},
+};
+use crate::{ids::Workspace, settings::load::LoadSettings};
+
+/// Time for creating the rows that a caller needs.
+const PREPARE_BUDGET: Duration = Duration::from_secs(30);
+
+/// Share of writes that increment the counter.
+const CREDIT_SHARE: f64 = 0.3;
+
+/// Share of reads that read the counter.
+const CREDIT_READ_SHARE: f64 = 0.2;
+
+/// Share of booking reads that read the newest booking, where a stale read is likeliest.
+const NEWEST_SHARE: f64 = 0.5;
+
+/// What all callers share.
+#[derive(Debug)]
+pub struct Context {
+    pub settings: LoadSettings,
+    pub run_id: String,
+    /// Workspaces with their keys.
+    pub workspaces: Vec<(Workspace, String)>,
+}
+
+impl Context {
+    /// Statements per second of a workspace.
+    pub fn rate(&self, workspace: usize) -> f64 {
+        let (name, _) = &self.workspaces[workspace];
+        self.settings.rates.get(name).copied().unwrap_or(self.settings.rate)
+    }
+}
+
+/// One caller.
+#[derive(Debug)]
+pub struct Caller {
+    cx: Arc<Context>,
+    pub workspace: usize,
+    /// Session id, and id of the caller's counter.
+    name: String,
+    seed: u64,
+    rng: SmallRng,
+    sender: Sender,
+    writes: u64,
+    /// Expectations by service.
+    pub expectations: Vec<Expectation>,
+}
+
+/// Operation with its place in the schedule.
+#[derive(Debug, Clone, Copy)]
+struct Operation {
+    service: usize,
+    scheduled: u64,
+}
+
+impl Caller {
+    /// Caller number `index` of a workspace.
+    pub fn new(cx: Arc<Context>, workspace: usize, index: u32) -> Self {
+        let name = format!("{}-{}-{index}", cx.run_id, cx.workspaces[workspace].0);
+        let seed = cx.settings.seed ^ xxhash_rust::xxh3::xxh3_64(name.as_bytes());
+        let services = cx.settings.services.len();
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let entry = rng.random_range(0..cx.settings.entries.len());
+        Self {
+            workspace,
+            sender: Sender::new(cx.clone(), workspace, name.clone(), entry),
+            name,
+            seed,
+            rng,
+            writes: 0,
+            expectations: (0..services).map(|_| Expectation::default()).collect(),
+            cx,
+        }
+    }
+
+    /// Id of the caller's counter.
+    pub fn counter(&self) -> &str {
+        &self.name
+    }
+
+    /// Creates the caller's counter in each service.
+    pub async fn prepare(&mut self) {
+        let sql =
+            format!("INSERT INTO {} (id, amount) VALUES ($1, 0)", self.cx.settings.credits_table);
+        for service in 0..self.expectations.len() {
+            let end = Instant::now() + PREPARE_BUDGET;
+            let key = format!("{}-counter-{service}", self.name);
+            while Instant::now() < end {
+                let name = self.name.clone();
+                let written = self.sender.write(service, &sql, &[(&name, Type::TEXT)], &key).await;
+                if matches!(written.end, End::Done | End::Duplicate) {
+                    self.expectations[service].credit = Some(Credit::default());
+                    break;
+                }
+                sleep(SETTLE_PAUSE).await;
+            }
+        }
+    }
+
+    /// Runs the schedule from `start` on.
+    pub async fn run(&mut self, start: Instant) {
+        self.sender.begin(start);
+        let rate = self.cx.rate(self.workspace) / f64::from(self.cx.settings.callers);
+        let end_us = self.cx.settings.duration.0 * 1_000;
+        for scheduled in Schedule::new(rate, end_us, self.seed) {
+            // The oversleep of the timer is not the proxy's delay; a late caller's is.
+            let waited = self.sender.now() < scheduled;
+            sleep_until(start + Duration::from_micros(scheduled)).await;
+            let now = self.sender.now();
+            if now > end_us {
+                break;
+            }
+            self.operate(if waited { now } else { scheduled }).await;
+        }
+        self.sender.disconnect();
+    }
+
+    /// What the caller has recorded.
+    pub fn into_record(self) -> Record {
+        self.sender.record
+    }
+
+    async fn operate(&mut self, scheduled: u64) {
+        if self.rng.random_bool(self.cx.settings.roam) {
+            self.sender.roam(self.rng.random_range(0..self.cx.settings.entries.len()));
+        }
+        let service = self.rng.random_range(0..self.expectations.len());
+        let operation = Operation { service, scheduled };
+        if self.rng.random_bool(self.cx.settings.read_share) {
+            self.read(operation).await;
+        } else if self.expectations[service].credit.is_some() && self.rng.random_bool(CREDIT_SHARE)
+        {
+            self.credit(operation).await;
+        } else {
+            self.book(operation).await;
+        }
+    }
+
+    fn sample(&mut self, operation: Operation, kind: Kind, sent: u64, outcome: Outcome) {
+        let Operation { service, scheduled } = operation;
+        let (workspace, done) = (self.workspace, self.sender.now());
+        let sample = Sample { workspace, service, kind, scheduled, sent, done, outcome };
+        self.sender.record.samples.push(sample);
+    }
+
+    async fn book(&mut self, operation: Operation) {
+        self.writes += 1;
+        let id = format!("{}-{}", self.name, self.writes);
+        let token = format!("{:016x}", self.rng.random::<u64>());
+        let table = &self.cx.settings.bookings_table;
+        let sql = format!("INSERT INTO {table} (id, value, amount) VALUES ($1, $2, $3)");
+        let amount = self.writes as i64;
+        let parameters: [Parameter<'_>; 3] =
+            [(&id, Type::TEXT), (&token, Type::TEXT), (&amount, Type::INT8)];
+        let written = self.sender.write(operation.service, &sql, &parameters, &id).await;
+        self.sample(operation, Kind::Book, written.sent, written.end.outcome());
+        // A second run of the insert, which the request record should have prevented.
+        self.sender.record.violations.doubled += u64::from(written.end == End::Duplicate);
+        let knowledge = match written.end {
+            End::Done | End::Duplicate => Knowledge::Acknowledged,
+            End::Unknown => Knowledge::Unknown,
+            End::OverRate | End::Refused | End::Failed => Knowledge::Refused,
+        };
+        self.expectations[operation.service].book(id, token, knowledge);
+    }
+
+    async fn credit(&mut self, operation: Operation) {
+        self.writes += 1;
+        let table = &self.cx.settings.credits_table;
+        let sql = format!("UPDATE {table} SET amount = amount + 1 WHERE id = $1");
+        let key = format!("{}-credit-{}", self.name, self.writes);
+        let name = self.name.clone();
+        let written =
+            self.sender.write(operation.service, &sql, &[(&name, Type::TEXT)], &key).await;
+        self.sample(operation, Kind::Credit, written.sent, written.end.outcome());
+        if let Some(credit) = &mut self.expectations[operation.service].credit {
+            match written.end {
+                End::Done => credit.acknowledged += 1,
+                End::Unknown => credit.unknown += 1,
+                _ => {}
+            }
+        }
+    }
+
+    async fn read(&mut self, operation: Operation) {
+        let expectation = &self.expectations[operation.service];
+        let bookings = expectation.acknowledged();
+        let credit = bookings.is_empty() || self.rng.random_bool(CREDIT_READ_SHARE);
+        let id = if credit {
+            self.name.clone()
+        } else if self.rng.random_bool(NEWEST_SHARE) {
+            bookings[bookings.len() - 1].clone()
+        } else {
+            bookings[self.rng.random_range(0..bookings.len())].clone()
+        };
+        let settings = &self.cx.settings;
+        let sql = if credit {
+            format!("SELECT id, amount FROM {} WHERE id = $1", settings.credits_table)
+        } else {
+            format!("SELECT id, value FROM {} WHERE id = $1", settings.bookings_table)
+        };
+        let (sent, result) = self.sender.query(operation.service, &sql, &id).await;
+        let outcome = match &result {
+            Ok(_) => Outcome::Done,
+            Err(trouble) if trouble.code == OVER_RATE => Outcome::OverRate,
+            Err(trouble) if trouble.fate == Fate::Refused => Outcome::Refused,
+            Err(_) => Outcome::Failed,
+        };
+        self.sample(operation, Kind::Read, sent, outcome);
+        let expectation = &self.expectations[operation.service];
+        let Ok(rows) = result else { return };
+        self.sender.record.violations += match (credit, decode(credit, &rows)) {
+            (true, Some(Decoded::Credits(rows))) => expectation.check_credit(&id, &rows),
+            (false, Some(Decoded::Bookings(rows))) => expectation.check_booking(&id, &rows),
+            // Columns of other types belong to another statement.
+            _ => Violations { mixed: 1, ..Default::default() },
+        };
+    }
+}
+
+/// Rows of a read with the expected types.
+enum Decoded {
+    Bookings(Vec<BookingRow>),
+    Credits(Vec<(String, i64)>),
+}
+
+fn decode(credit: bool, rows: &[Row]) -> Option<Decoded> {
+    if credit {
+        let pairs = rows.iter().map(|row| Some((row.try_get(0).ok()?, row.try_get(1).ok()?)));
+        return pairs.collect::<Option<_>>().map(Decoded::Credits);
+    }
+    let bookings = rows
+        .iter()
+        .map(|row| Some(BookingRow { id: row.try_get(0).ok()?, value: row.try_get(1).ok()? }));
+    bookings.collect::<Option<_>>().map(Decoded::Bookings)
+}
--- /dev/null
+++ b/src/load/compare.rs
@@ -0,0 +1,126 @@
+//! Latency mode: reads through the proxy beside reads straight at a target.
+
+use std::time::Duration;
+
+use eyre::{Result, eyre};
+use serde::{Deserialize, Serialize};
+use tokio::time::{Instant, sleep, sleep_until};
+use tokio_postgres::{Client, types::Type};
+
+use super::{
+    connection::{Trouble, connect, quote, within},
+    evaluation::percentiles,
+    report::Latency,
+    run::context,
+    schedule::Schedule,
+};
+use crate::settings::load::LoadSettings;
+
+/// Time for the row to reach the target.
+const ARRIVAL_BUDGET: Duration = Duration::from_secs(10);
+
+/// Pause between looks for the row.
+const ARRIVAL_PAUSE: Duration = Duration::from_millis(20);
+
+/// Latencies of the same read on both ways.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Comparison {
+    pub proxy: Latency,
+    pub direct: Latency,
+    /// Median through the proxy minus the direct median, in microseconds.
+    pub added_p50_us: i64,
+    /// The same for the 99th percentiles.
+    pub added_p99_us: i64,
+    /// Reads that failed.
+    pub errors: u64,
+}
+
+impl Comparison {
+    /// Readable table.
+    pub fn table(&self) -> String {
+        let line = |name: &str, latency: &Latency| {
+            let Latency { count, p50_us, p99_us, max_us } = latency;
+            format!("{name:<8}{count} reads, p50 {p50_us} us, p99 {p99_us} us, max {max_us} us\n")
+        };
+        let added = format!("added   p50 {} us, p99 {} us\n", self.added_p50_us, self.added_p99_us);
+        let errors = format!("errors  {}\n", self.errors);
+        [line("proxy", &self.proxy), line("direct", &self.direct), added, errors].concat()
+    }
+}
+
+/// Alternates reads through the first entry and at the first target.
+pub async fn compare(settings: LoadSettings) -> Result<Comparison> {
+    let cx = context(settings);
+    let settings = &cx.settings;
+    let (workspace, key) = cx.workspaces.first().ok_or_else(|| eyre!("no workspace"))?;
+    let service = &settings.services[0];
+    let proxy =
+        connect(settings.entries[0], service, workspace, key).await.map_err(failed("proxy"))?;
+    let direct = connect(settings.targets[0], service, "pomelopin", &settings.target_password)
+        .await
+        .map_err(failed("target"))?;
+    let set = format!("SET pomelopin.workspace = {}", quote(workspace));
+    within(direct.batch_execute(&set)).await.map_err(failed("target"))?;
+    let id = format!("{}-latency", cx.run_id);
+    let sql = format!("SELECT id, value FROM {} WHERE id = $1", settings.bookings_table);
+    write(&proxy, &settings.bookings_table, &id).await?;
+    wait_for_row(&direct, &sql, &id).await?;
+
+    let mut comparison = Comparison::default();
+    let (mut through, mut straight) = (Vec::new(), Vec::new());
+    let start = Instant::now();
+    for at in Schedule::new(settings.rate, settings.duration.0 * 1_000, settings.seed) {
+        sleep_until(start + Duration::from_micros(at)).await;
+        // The order changes so that neither way always follows the pause.
+        let proxy_first = at % 2 == 0;
+        for proxied in [proxy_first, !proxy_first] {
+            let client = if proxied { &proxy } else { &direct };
+            match timed_read(client, &sql, &id).await {
+                Some(latency) if proxied => through.push(latency),
+                Some(latency) => straight.push(latency),
+                None => comparison.errors += 1,
+            }
+        }
+    }
+    comparison.proxy = percentiles(through.into_iter());
+    comparison.direct = percentiles(straight.into_iter());
+    let difference = |proxy: u64, direct: u64| proxy as i64 - direct as i64;
+    comparison.added_p50_us = difference(comparison.proxy.p50_us, comparison.direct.p50_us);
+    comparison.added_p99_us = difference(comparison.proxy.p99_us, comparison.direct.p99_us);
+    Ok(comparison)
+}
+
+fn failed(what: &'static str) -> impl Fn(Trouble) -> eyre::Report {
+    move |trouble| eyre!("{what}: {}", trouble.code)
+}
+
+async fn write(proxy: &Client, table: &str, id: &str) -> Result<()> {
+    let set = format!("SET pomelopin.request_key = {}", quote(id));
+    within(proxy.batch_execute(&set)).await.map_err(failed("proxy"))?;
+    let sql = format!("INSERT INTO {table} (id, value) VALUES ($1, $2)");
+    let parameters: [(&(dyn tokio_postgres::types::ToSql + Sync), Type); 2] =
+        [(&id, Type::TEXT), (&"latency", Type::TEXT)];
+    within(proxy.execute_typed(&sql, &parameters)).await.map_err(failed("proxy"))?;
+    Ok(())
+}
+
+async fn wait_for_row(direct: &Client, sql: &str, id: &str) -> Result<()> {
+    let end = Instant::now() + ARRIVAL_BUDGET;
+    while Instant::now() < end {
+        let rows = within(direct.query_typed(sql, &[(&id, Type::TEXT)])).await;
+        if !rows.map_err(failed("target"))?.is_empty() {
+            return Ok(());
+        }
+        sleep(ARRIVAL_PAUSE).await;
+    }
+    Err(eyre!("the row did not reach the target"))
+}
+
+/// Latency in microseconds; `None` if the answer is not the expected row.
+async fn timed_read(client: &Client, sql: &str, id: &str) -> Option<u64> {
+    let start = Instant::now();
+    let rows = within(client.query_typed(sql, &[(&id, Type::TEXT)])).await.ok()?;
+    let latency = start.elapsed().as_micros() as u64;
+    let [row] = rows.as_slice() else { return None };
+    (row.try_get::<_, &str>(0).ok()? == id).then_some(latency)
+}
--- /dev/null
+++ b/src/load/faults.rs
@@ -0,0 +1,137 @@
+//! Faults that a run injects into targets over their test controls.
+
+use std::{str::FromStr, time::Duration};
+
+use derive_more::Display;
+use serde_json::{Value, json};
+use tokio::time::{Instant, sleep_until};
+
+use crate::clock::Millis;
+
+/// What happens to the target.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum FaultAction {
+    /// Cut off from the named hosts, or from all of them; heals after a span if one is given.
+    Partition {
+        from: Vec<String>,
+        heal_after: Option<Millis>,
+    },
+    Heal,
+    Freeze(Millis),
+    Lag(Millis),
+    Leave,
+}
+
+/// Fault at a time of the run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Fault {
+    /// Time since the start of the run.
+    pub at: Millis,
+    pub action: FaultAction,
+    /// HTTP address of the target, as `http://IP:PORT`.
+    pub target: String,
+}
+
+/// Text that does not describe a fault.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+#[display("`{text}` does not describe a fault: {reason}")]
+pub struct FaultError {
+    pub text: String,
+    pub reason: &'static str,
+}
+
+impl std::error::Error for FaultError {}
+
+/// Parts of a fault's text.
+#[derive(Default)]
+struct Parts<'a> {
+    at: Option<Millis>,
+    action: Option<&'a str>,
+    target: Option<&'a str>,
+    from: Vec<String>,
+    ms: Option<Millis>,
+    heal_after: Option<Millis>,
+}
+
+impl FromStr for Fault {
+    type Err = FaultError;
+
+    fn from_str(text: &str) -> Result<Self, FaultError> {
+        let error = |reason| FaultError { text: text.to_owned(), reason };
+        let mut parts = Parts::default();
+        for part in text.split(',') {
+            let (name, value) = part.split_once('=').ok_or(error("a part has no `=`"))?;
+            let span = || span(value).ok_or(error("a span is not of the form 5s or 500ms"));
+            match name.trim() {
+                "at" => parts.at = Some(span()?),
+                "action" => parts.action = Some(value),
+                "target" => parts.target = Some(value),
+                "from" => parts.from = value.split('+').map(str::to_owned).collect(),
+                "ms" => parts.ms = Some(span()?),
+                "for" => parts.heal_after = Some(span()?),
+                _ => return Err(error("parts are at, action, target, from, ms and for")),
+            }
+        }
+        let ms = || parts.ms.ok_or(error("the action needs ms"));
+        let action = match parts.action {
+            Some("partition") => FaultAction::Partition {
+                from: std::mem::take(&mut parts.from),
+                heal_after: parts.heal_after,
+            },
+            Some("heal") => FaultAction::Heal,
+            Some("freeze") => FaultAction::Freeze(ms()?),
+            Some("lag") => FaultAction::Lag(ms()?),
+            Some("leave") => FaultAction::Leave,
+            _ => return Err(error("actions are partition, heal, freeze, lag and leave")),
+        };
+        let at = parts.at.ok_or(error("at is missing"))?;
+        let target = parts.target.ok_or(error("target is missing"))?.to_owned();
+        Ok(Fault { at, action, target })
+    }
+}
+
+/// Span such as `5s`, `500ms` or `500` (milliseconds).
+fn span(text: &str) -> Option<Millis> {
+    let (digits, unit) = if let Some(digits) = text.strip_suffix("ms") {
+        (digits, 1)
+    } else if let Some(digits) = text.strip_suffix('s') {
+        (digits, 1_000)
+    } else {
+        (text, 1)
+    };
+    digits.parse::<u64>().ok().and_then(|number| number.checked_mul(unit)).map(Millis)
+}
+
+/// Longest time that a target has to answer a test control.
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Injects the fault at its time after `start`.
+pub async fn inject(fault: Fault, start: Instant) {
+    sleep_until(start + fault.at.duration()).await;
+    let (path, body) = match &fault.action {
+        FaultAction::Partition { from, .. } if from.is_empty() || from == &["all"] => {
+            ("partition", json!({ "from": "all" }))
+        }
+        FaultAction::Partition { from, .. } => ("partition", json!({ "from": from })),
+        FaultAction::Heal => ("heal", json!({})),
+        FaultAction::Freeze(span) => ("freeze", json!({ "ms": span.0 })),
+        FaultAction::Lag(span) => ("lag", json!({ "ms": span.0 })),
+        FaultAction::Leave => ("leave", json!({})),
+    };
+    post(&fault.target, path, &body).await;
+    if let FaultAction::Partition { heal_after: Some(span), .. } = fault.action {
+        tokio::time::sleep(span.duration()).await;
+        post(&fault.target, "heal", &json!({})).await;
+    }
+}
+
+async fn post(target: &str, path: &str, body: &Value) {
+    let request = reqwest::Client::new()
+        .post(format!("{target}/test/{path}"))
+        .timeout(CONTROL_TIMEOUT)
+        .json(body);
+    match request.send().await.and_then(reqwest::Response::error_for_status) {
+        Ok(_) => spdlog::info!("fault at {target}: {path} {body}"),
+        Err(error) => spdlog::error!("fault at {target}: {path} {body}: {error}"),
+    }
+}
--- /dev/null
+++ b/src/load/run.rs
@@ -0,0 +1,89 @@
+//! Run of the check mode.
+
+use std::{
+    sync::Arc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use eyre::{Result, eyre};
+use futures::future::join_all;
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep},
+};
+
+use super::{
+    audit::audit,
+    caller::{Caller, Context},
+    evaluation::{Subjects, evaluate},
+    faults,
+    report::Report,
+    samples::Record,
+    scrape::scrape,
+};
+use crate::settings::load::LoadSettings;
+
+/// Pause between preparation and load, so that token buckets refill.
+const REFILL_PAUSE: Duration = Duration::from_millis(1_500);
+
+/// Shared context of a run.
+pub fn context(settings: LoadSettings) -> Arc<Context> {
+    let since_1970 = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let run_id = settings.run_id.clone().unwrap_or_else(|| format!("{:x}", since_1970.as_millis()));
+    let workspaces = settings.keys.iter().map(|(name, key)| (name.clone(), key.clone())).collect();
+    Arc::new(Context { settings, run_id, workspaces })
+}
+
+/// Runs callers and faults, audits the result and reports.
+pub async fn check(settings: LoadSettings) -> Result<Report> {
+    let cx = context(settings);
+    let mut callers = prepare(&cx).await;
+    sleep(REFILL_PAUSE).await;
+    let before = scrape(&cx.settings.metrics).await;
+    let start = Instant::now();
+    let mut faults: JoinSet<()> = JoinSet::new();
+    for fault in cx.settings.faults.clone() {
+        faults.spawn(faults::inject(fault, start));
+    }
+    let running = callers.into_iter().map(|mut caller| {
+        tokio::spawn(async move {
+            caller.run(start).await;
+            caller
+        })
+    });
+    callers = join_all(running).await.into_iter().collect::<Result<_, _>>()?;
+    // A partition with a span must not outlast the run.
+    faults.join_all().await;
+    let after = scrape(&cx.settings.metrics).await;
+    let audited = audit(&cx, &callers).await;
+    let mut record = Record::default();
+    for caller in callers {
+        record.merge(caller.into_record());
+    }
+    record.violations += audited.map_err(|trouble| eyre!("the audit failed: {trouble:?}"))?;
+    let mut report = evaluate(&subjects(&cx), &record);
+    report.replica_read_share = after.replica_share_since(before);
+    Ok(report)
+}
+
+async fn prepare(cx: &Arc<Context>) -> Vec<Caller> {
+    let mut callers = Vec::new();
+    for workspace in 0..cx.workspaces.len() {
+        callers.extend(
+            (0..cx.settings.callers).map(|index| Caller::new(cx.clone(), workspace, index)),
+        );
+    }
+    join_all(callers.iter_mut().map(Caller::prepare)).await;
+    callers
+}
+
+fn subjects(cx: &Context) -> Subjects {
+    let limits = &cx.settings.limits;
+    let workspaces =
+        cx.workspaces.iter().map(|(name, _)| (name.to_string(), limits.get(name).copied()));
+    Subjects {
+        workspaces: workspaces.collect(),
+        services: cx.settings.services.iter().map(ToString::to_string).collect(),
+        duration_us: cx.settings.duration.0 * 1_000,
+    }
+}
--- /dev/null
+++ b/src/settings/load.rs
@@ -0,0 +1,364 @@
+//! Settings of the load tool.
+
+use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf};
+
+use bpaf::{Parser, construct, long};
+
+use crate::{
+    clock::Millis,
+    ids::{Service, Workspace},
+    load::{faults::Fault, limits::Limit},
+    settings::arguments::{Check, Finding, lines, list, text},
+};
+
+/// What the tool does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Mode {
+    /// Books, reads and checks what callers see.
+    #[default]
+    Check,
+    /// Compares reads through the proxy with reads straight at a target.
+    Latency,
+    /// Holds idle connections.
+    Idle,
+    /// Runs reads as fast as the callers can.
+    Throughput,
+}
+
+/// Form of the report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum ReportForm {
+    #[default]
+    Table,
+    Json,
+}
+
+/// Validated settings.
+#[derive(Debug, Clone, PartialEq)]
+pub struct LoadSettings {
+    pub mode: Mode,
+    /// SQL addresses of entry hosts.
+    pub entries: Vec<SocketAddr>,
+    /// HTTP addresses of entry hosts with `/metrics`.
+    pub metrics: Vec<SocketAddr>,
+    pub services: Vec<Service>,
+    /// Keys of the workspaces that send load.
+    pub keys: BTreeMap<Workspace, String>,
+    pub callers: u32,
+    /// Statements per second of a workspace, unless `rates` names it.
+    pub rate: f64,
+    pub rates: BTreeMap<Workspace, f64>,
+    pub limits: BTreeMap<Workspace, Limit>,
+    /// Share of operations that read.
+    pub read_share: f64,
+    /// Probability that a caller moves to another entry before an operation.
+    pub roam: f64,
+    pub duration: Millis,
+    pub seed: u64,
+    /// Part of the names of rows; runs with different ids do not meet.
+    pub run_id: Option<String>,
+    pub bookings_table: String,
+    pub credits_table: String,
+    /// SQL addresses of targets for direct comparison.
+    pub targets: Vec<SocketAddr>,
+    /// Password of the user `pomelopin` at the targets.
+    pub target_password: String,
+    pub faults: Vec<Fault>,
+    /// Connections of the idle mode.
+    pub connections: u32,
+    /// Process whose memory and processor time are reported.
+    pub pid: Option<u32>,
+    /// Largest share of wrongly refused requests that is no violation.
+    pub allowed_wrongly_refused_share: f64,
+    pub report: ReportForm,
+}
+
+impl Default for LoadSettings {
+    fn default() -> Self {
+        Self {
+            mode: Mode::Check,
+            entries: Vec::new(),
+            metrics: Vec::new(),
+            services: Vec::new(),
+            keys: BTreeMap::new(),
+            callers: 4,
+            rate: 20.0,
+            rates: BTreeMap::new(),
+            limits: BTreeMap::new(),
+            read_share: 0.8,
+            roam: 0.02,
+            duration: Millis(10_000),
+            seed: 1,
+            run_id: None,
+            bookings_table: "bookings".to_owned(),
+            credits_table: "credits".to_owned(),
+            targets: Vec::new(),
+            target_password: "pomelopin".to_owned(),
+            faults: Vec::new(),
+            connections: 100,
+            pid: None,
+            allowed_wrongly_refused_share: 0.0,
+            report: ReportForm::Table,
+        }
+    }
+}
+
+/// Command line and environment before validation.
+#[derive(Debug, Clone)]
+pub struct LoadArguments {
+    mode: String,
+    entries: Vec<String>,
+    metrics: Vec<String>,
+    services: Vec<String>,
+    workspaces: Vec<String>,
+    keys: Option<PathBuf>,
+    callers: String,
+    rate: String,
+    rates: Vec<String>,
+    limits: Vec<String>,
+    read_share: String,
+    roam: String,
+    duration_ms: String,
+    seed: String,
+    run_id: Option<String>,
+    bookings_table: String,
+    credits_table: String,
+    targets: Vec<String>,
+    target_password: String,
+    faults: Vec<String>,
+    connections: String,
+    pid: Option<u32>,
+    allowed_wrongly_refused_share: String,
+    report: String,
+    /// Only validate the settings and exit.
+    pub check_settings: bool,
+}
+
+/// Declares parsers: name, constructor, flag, environment variable, unit, help and default.
+macro_rules! options {
+    ($($name:ident = $kind:ident($flag:literal, $env:literal $(, $rest:literal)*);)*) => {
+        $(let $name = $kind($flag, concat!("POMELOPIN_LOAD_", $env) $(, $rest)*);)*
+    };
+}
+
+/// Parser of the command line and environment.
+pub fn load_arguments() -> impl Parser<LoadArguments> {
+    options! {
+        mode = text("mode", "MODE", "check|latency|idle|throughput", "What to do", "check");
+        entries = list("entry", "ENTRIES", "IP:PORT", "SQL address of an entry host; repeatable");
+        metrics = list("metrics", "METRICS", "IP:PORT", "HTTP address of an entry host; repeatable");
+        services = list("service", "SERVICES", "NAME", "Service to use; repeatable");
+        workspaces = list("workspace", "WORKSPACES", "NAME", "Workspace to use [default: all in the keys file]");
+        callers = text("callers", "CALLERS", "COUNT", "Callers per workspace", "4");
+        rate = text("rate", "RATE", "PER_SECOND", "Statements per second of a workspace", "20");
+        rates = list("workspace-rate", "WORKSPACE_RATES", "NAME=PER_SECOND", "Statements per second of one workspace; repeatable");
+        limits = list("limits", "LIMITS", "NAME=RATE/BURST", "Rate (per second) and burst that the proxy enforces; repeatable");
+        read_share = text("read-share", "READ_SHARE", "SHARE", "Share of operations that read, 0 to 1", "0.8");
+        roam = text("roam", "ROAM", "PROBABILITY", "Probability of moving to another entry before an operation", "0.02");
+        duration_ms = text("duration-ms", "DURATION_MS", "MS", "Length of the run, in milliseconds", "10000");
+        seed = text("seed", "SEED", "NUMBER", "Seed of the schedule and choices", "1");
+        bookings_table = text("bookings-table", "BOOKINGS_TABLE", "NAME", "Table for bookings", "bookings");
+        credits_table = text("credits-table", "CREDITS_TABLE", "NAME", "Table for credit counters", "credits");
+        targets = list("target", "TARGETS", "IP:PORT", "SQL address of a target, for the latency mode; repeatable");
+        target_password = text("target-password", "TARGET_PASSWORD", "TEXT", "Password of the user pomelopin at targets", "pomelopin");
+        faults = lines("fault", "FAULT", "SPEC", "Fault such as at=5s,action=partition,target=http://IP:PORT; repeatable");
+        connections = text("connections", "CONNECTIONS", "COUNT", "Connections of the idle mode", "100");
+        allowed_wrongly_refused_share = text("allow-wrongly-refused-share", "ALLOW_WRONGLY_REFUSED_SHARE", "SHARE", "Share of wrongly refused requests that is no violation, 0 to 1", "0");
+        report = text("report", "REPORT", "table|json", "Form of the report", "table");
+    }
+    let keys = long("keys")
+        .env("POMELOPIN_LOAD_KEYS")
+        .help("File with a line NAME=KEY for each workspace")
+        .argument::<PathBuf>("FILE")
+        .optional();
+    let run_id = long("run-id")
+        .env("POMELOPIN_LOAD_RUN_ID")
+        .help("Part of the names of rows [default: from the wall clock]")
+        .argument::<String>("TEXT")
+        .optional();
+    let pid = long("pid")
+        .env("POMELOPIN_LOAD_PID")
+        .help("Entry process whose memory and processor time are reported")
+        .argument::<u32>("PID")
+        .optional();
+    let check_settings =
+        long("check-settings").help("Report all faulty settings and exit").switch();
+    construct!(LoadArguments {
+        mode,
+        entries,
+        metrics,
+        services,
+        workspaces,
+        keys,
+        callers,
+        rate,
+        rates,
+        limits,
+        read_share,
+        roam,
+        duration_ms,
+        seed,
+        run_id,
+        bookings_table,
+        credits_table,
+        targets,
+        target_password,
+        faults,
+        connections,
+        pid,
+        allowed_wrongly_refused_share,
+        report,
+        check_settings,
+    })
+}
+
+impl Check {
+    fn mode(&mut self, value: &str) -> Mode {
+        match value {
+            "check" => Mode::Check,
+            "latency" => Mode::Latency,
+            "idle" => Mode::Idle,
+            "throughput" => Mode::Throughput,
+            _ => {
+                self.fail("mode", format!("`{value}` is not a mode"));
+                Mode::Check
+            }
+        }
+    }
+
+    fn report(&mut self, value: &str) -> ReportForm {
+        match value {
+            "table" => ReportForm::Table,
+            "json" => ReportForm::Json,
+            _ => {
+                self.fail("report", format!("`{value}` is not a form of report"));
+                ReportForm::Table
+            }
+        }
+    }
+
+    /// Values of the form `NAME=VALUE`.
+    fn pairs<'a>(
+        &mut self,
+        flag: &'static str,
+        values: impl IntoIterator<Item = &'a str>,
+    ) -> BTreeMap<Workspace, &'a str> {
+        let mut pairs = BTreeMap::new();
+        for value in values {
+            match value.split_once('=') {
+                Some((name, value)) => {
+                    self.name(flag, name);
+                    pairs.insert(Workspace::from(name), value);
+                }
+                None => self.fail(flag, "a value is not of the form NAME=VALUE".to_owned()),
+            }
+        }
+        pairs
+    }
+
+    fn keys(&mut self, file: Option<&PathBuf>, wanted: &[String]) -> BTreeMap<Workspace, String> {
+        let Some(file) = file else {
+            self.fail("keys", "a keys file is needed".to_owned());
+            return BTreeMap::new();
+        };
+        let text = self.file("keys", file).unwrap_or_default();
+        let lines = text.lines().map(str::trim);
+        let lines = lines.filter(|line| !line.is_empty() && !line.starts_with('#'));
+        let mut keys: BTreeMap<_, _> = self
+            .pairs("keys", lines)
+            .into_iter()
+            .map(|(name, key)| (name, key.to_owned()))
+            .collect();
+        for name in wanted {
+            if !keys.contains_key(&Workspace::from(name.as_str())) {
+                self.fail("workspace", format!("the keys file has no key for `{name}`"));
+            }
+        }
+        if !wanted.is_empty() {
+            keys.retain(|name, _| wanted.iter().any(|wanted| wanted == name.as_str()));
+        }
+        keys
+    }
+
+    fn parsed<T, E: ToString>(&mut self, flag: &'static str, value: Result<T, E>) -> Option<T> {
+        value.map_err(|error| self.fail(flag, error.to_string())).ok()
+    }
+}
+
+impl LoadArguments {
+    /// Settings, or every reason why they cannot be used.
+    pub fn validate(&self) -> Result<LoadSettings, Vec<Finding>> {
+        let mut check = Check::default();
+        let mode = check.mode(&self.mode);
+        if self.entries.is_empty() {
+            check.fail("entry", "at least one entry is needed".to_owned());
+        }
+        if self.services.is_empty() {
+            check.fail("service", "at least one service is needed".to_owned());
+        }
+        if mode == Mode::Latency && self.targets.is_empty() {
+            check.fail("target", "the latency mode needs a target".to_owned());
+        }
+        let rates = check.pairs("workspace-rate", self.rates.iter().map(String::as_str));
+        let limits = check.pairs("limits", self.limits.iter().map(String::as_str));
+        let settings = LoadSettings {
+            mode,
+            entries: addrs(&mut check, "entry", &self.entries),
+            metrics: addrs(&mut check, "metrics", &self.metrics),
+            services: self.services.iter().map(|name| Service::from(name.as_str())).collect(),
+            keys: check.keys(self.keys.as_ref(), &self.workspaces),
+            callers: check.number("callers", &self.callers, 1, 10_000) as u32,
+            rate: check.decimal("rate", &self.rate, MAX_RATE),
+            rates: rates
+                .into_iter()
+                .map(|(name, rate)| (name, check.decimal("workspace-rate", rate, MAX_RATE)))
+                .collect(),
+            limits: limits
+                .into_iter()
+                .filter_map(|(name, limit)| Some((name, check.parsed("limits", limit.parse())?)))
+                .collect(),
+            read_share: check.decimal("read-share", &self.read_share, 1.0),
+            roam: check.decimal("roam", &self.roam, 1.0),
+            duration: Millis(check.number("duration-ms", &self.duration_ms, 1, MAX_DURATION_MS)),
+            seed: check.number("seed", &self.seed, 0, u64::MAX),
+            run_id: self.run_id.clone(),
+            bookings_table: table(&mut check, "bookings-table", &self.bookings_table),
+            credits_table: table(&mut check, "credits-table", &self.credits_table),
+            targets: addrs(&mut check, "target", &self.targets),
+            target_password: self.target_password.clone(),
+            faults: self
+                .faults
+                .iter()
+                .filter_map(|fault| check.parsed("fault", fault.parse()))
+                .collect(),
+            connections: check.number("connections", &self.connections, 1, 100_000) as u32,
+            pid: self.pid,
+            allowed_wrongly_refused_share: check.decimal(
+                "allow-wrongly-refused-share",
+                &self.allowed_wrongly_refused_share,
+                1.0,
+            ),
+            report: check.report(&self.report),
+        };
+        check.finish(settings)
+    }
+}
+
+/// Largest rate of a workspace, in statements per second.
+const MAX_RATE: f64 = 1_000_000.0;
+
+/// Longest run, in milliseconds.
+const MAX_DURATION_MS: u64 = 24 * 60 * 60 * 1_000;
+
+fn addrs(check: &mut Check, flag: &'static str, values: &[String]) -> Vec<SocketAddr> {
+    values.iter().map(|value| check.addr(flag, value)).collect()
+}
+
+/// Table names become part of statements and must therefore be plain words.
+fn table(check: &mut Check, flag: &'static str, value: &str) -> String {
+    let plain = value.chars().all(|c| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '_');
+    if !plain || value.is_empty() {
+        check.fail(flag, format!("`{value}` is not a table name"));
+    }
+    value.to_owned()
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,3 +1,5 @@
 //! Settings of each area, with defaults.
 
+pub mod arguments;
+pub mod load;
 pub mod target;
--- a/src/settings/target.rs
+++ b/src/settings/target.rs
@@ -3,11 +3,11 @@
 use std::{net::SocketAddr, path::PathBuf};
 
 use bpaf::{Parser, construct, long};
-use derive_more::Display;
 
 use crate::{
     clock::Millis,
     ids::{FailureDomain, InstanceId, Service},
+    settings::arguments::{Check, Finding, list, text},
 };
 
 /// Validated settings of one instance.
@@ -75,14 +75,6 @@
     pub http: SocketAddr,
 }
 
-/// Setting that cannot be used.
-#[derive(Debug, Clone, PartialEq, Eq, Display)]
-#[display("--{flag}: {reason}")]
-pub struct Finding {
-    pub flag: &'static str,
-    pub reason: String,
-}
-
 /// Command line and environment before validation.
 ///
 /// Values stay text so that all faulty settings are reported at once.
@@ -111,39 +103,6 @@
     pub check_settings: bool,
 }
 
-fn text(
-    flag: &'static str,
-    env: &'static str,
-    meta: &'static str,
-    help: &'static str,
-    default: &'static str,
-) -> impl Parser<String> {
-    long(flag)
-        .env(env)
-        .help(help)
-        .argument::<String>(meta)
-        .fallback(default.to_owned())
-        .display_fallback()
-}
-
-fn list(
-    flag: &'static str,
-    env: &'static str,
-    meta: &'static str,
-    help: &'static str,
-) -> impl Parser<Vec<String>> {
-    long(flag)
-        .env(env)
-        .help(help)
-        .argument::<String>(meta)
-        .many()
-        .map(|values| values.iter().flat_map(|value| split_list(value)).collect())
-}
-
-fn split_list(value: &str) -> Vec<String> {
-    value.split(',').map(str::trim).filter(|part| !part.is_empty()).map(str::to_owned).collect()
-}
-
 /// Parser of the command line and environment.
 pub fn target_arguments() -> impl Parser<TargetArguments> {
     let name = text("name", "POMELOPIN_TARGET_NAME", "NAME", "Name of the instance", "target");
@@ -276,40 +235,7 @@
     })
 }
 
-/// Collects findings while values are converted.
-#[derive(Default)]
-struct Check {
-    findings: Vec<Finding>,
-}
-
 impl Check {
-    fn fail(&mut self, flag: &'static str, reason: String) {
-        self.findings.push(Finding { flag, reason });
-    }
-
-    fn number(&mut self, flag: &'static str, value: &str, min: u64, max: u64) -> u64 {
-        match value.parse::<u64>() {
-            Ok(number) if (min..=max).contains(&number) => number,
-            _ => {
-                self.fail(flag, format!("`{value}` is not a whole number from {min} to {max}"));
-                min
-            }
-        }
-    }
-
-    fn addr(&mut self, flag: &'static str, value: &str) -> SocketAddr {
-        value.parse().unwrap_or_else(|_| {
-            self.fail(flag, format!("`{value}` is not of the form IP:PORT"));
-            SocketAddr::from(([0, 0, 0, 0], 0))
-        })
-    }
-
-    fn name(&mut self, flag: &'static str, value: &str) {
-        if value.is_empty() || value.contains(['=', ',', ' ']) {
-            self.fail(flag, format!("`{value}` is not a name"));
-        }
-    }
-
     fn peer(&mut self, value: &str) -> Option<Peer> {
         let Some((name, addr)) = value.split_once('=') else {
             self.fail("peer", format!("`{value}` is not of the form NAME=IP:PORT"));
@@ -318,22 +244,6 @@
         self.name("peer", name);
         Some(Peer { name: InstanceId::from(name), http: self.addr("peer", addr) })
     }
-
-    fn secret(
-        &mut self,
-        flag: &'static str,
-        value: Option<&String>,
-        file: Option<&PathBuf>,
-    ) -> Option<String> {
-        let Some(path) = file else { return value.cloned() };
-        match std::fs::read_to_string(path) {
-            Ok(text) => Some(text.trim_end().to_owned()),
-            Err(error) => {
-                self.fail(flag, format!("cannot read {}: {error}", path.display()));
-                None
-            }
-        }
-    }
 }
 
 impl TargetArguments {
@@ -386,6 +296,6 @@
             announcement_key: key.unwrap_or_default().into_bytes(),
             capture_bytes: check.number("capture-bytes", &self.capture_bytes, 0, 1 << 30) as usize,
         };
-        if check.findings.is_empty() { Ok(settings) } else { Err(check.findings) }
+        check.finish(settings)
     }
 }
