--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -9,5 +9,7 @@
 pub mod promotion;
 pub mod routing;
 pub mod session;
+pub mod arguments;
+pub mod load;
 pub mod target;
 pub mod timing;
