--- a/src/pool/connections.rs
+++ b/src/pool/connections.rs
@@ -252,6 +252,10 @@
     }
 
     fn back_off(&mut self, now: Millis) {
+        // Attempts that were made together count as one.
+        if now < self.retry_at {
+            return;
+        }
         let delay = self.settings.backoff.0 << self.failures.min(16);
         self.failures += 1;
         self.retry_at = Millis(now.0 + delay.min(self.settings.backoff_max.0));
--- /dev/null
+++ b/tests/pool.rs
@@ -0,0 +1,204 @@
+//! Connections of one instance: budget, generations, drains and replacement.
+
+use pomelopin::{
+    clock::Millis,
+    pool::connections::{Checkout, ConnectionId, Connections, PoolAction, Returned},
+    settings::owner::PoolSettings,
+};
+use quickcheck::{Gen, QuickCheck};
+
+const WARM: u32 = 4;
+
+fn pool(budget: u32) -> Connections {
+    Connections::new(PoolSettings { warm: WARM, ..PoolSettings::default() }, budget)
+}
+
+/// Pool whose planned connections are open.
+fn open_pool(budget: u32) -> Connections {
+    let mut pool = pool(budget);
+    open_planned(&mut pool, 0);
+    pool
+}
+
+fn open_planned(pool: &mut Connections, waiting: u32) {
+    for action in pool.plan(Millis(0), waiting) {
+        if let PoolAction::Open(id) = action {
+            pool.opened(id);
+        }
+    }
+}
+
+fn opened(actions: &[PoolAction]) -> usize {
+    actions.iter().filter(|action| matches!(action, PoolAction::Open(_))).count()
+}
+
+/// Guards against connections beyond the budget and against requests that wait for
+/// a connection to be opened although warm ones were possible.
+#[test]
+fn connections_are_opened_ahead_of_demand_within_the_budget() {
+    for (budget, waiting, expected) in [(15, 0, 4), (15, 3, 7), (3, 9, 3), (0, 5, 0)] {
+        let mut pool = pool(budget);
+        assert_eq!(opened(&pool.plan(Millis(0), waiting)), expected, "budget {budget}");
+        assert!(pool.plan(Millis(0), waiting).is_empty(), "planned twice");
+    }
+    let mut pool = open_pool(15);
+    assert!(pool.checkout().is_some());
+    assert_eq!(opened(&pool.plan(Millis(0), 0)), 1, "the connection in use is replaced");
+}
+
+/// Guards against an answer of an earlier use that reaches the present user.
+#[test]
+fn older_generations_are_stale() {
+    let mut pool = open_pool(1);
+    let first = pool.checkout().expect("open");
+    assert_eq!(pool.give_back(first, true), Returned::Idle);
+    let second = pool.checkout().expect("open");
+    assert_eq!((first.id, first.generation < second.generation), (second.id, true));
+    assert!(!pool.is_current(first) && pool.is_current(second));
+    assert_eq!(pool.give_back(first, true), Returned::Stale);
+    assert!(pool.is_current(second));
+    assert_eq!(pool.give_back(second, false), Returned::Close);
+    assert_eq!(pool.kept(), 1, "a closing connection counts");
+    pool.closed(second.id);
+    assert_eq!((pool.kept(), opened(&pool.plan(Millis(0), 0))), (0, 1));
+}
+
+/// Guards against a storm of attempts at an instance that refuses connections.
+#[test]
+fn failed_attempts_back_off() {
+    let mut pool = pool(15);
+    let mut now = Millis(0);
+    let mut attempts = Vec::new();
+    while now < Millis(5_000) {
+        for action in pool.plan(now, 10) {
+            if let PoolAction::Open(id) = action {
+                attempts.push(now.0);
+                pool.open_failed(now, id);
+            }
+        }
+        now += Millis(10);
+    }
+    let later = attempts.iter().filter(|at| **at > 0).count();
+    assert!((5..=12).contains(&later), "{attempts:?}");
+    assert!(attempts.windows(2).all(|pair| pair[1] - pair[0] <= 1_000), "{attempts:?}");
+}
+
+/// Guards against new work and lost transactions while an instance is released.
+#[test]
+fn drain_ends_with_the_last_transaction() {
+    let mut pool = open_pool(15);
+    let checkout = pool.checkout().expect("open");
+    pool.plan(Millis(0), 0);
+    pool.drain();
+    assert_eq!(pool.checkout(), None);
+    let closing = pool.plan(Millis(0), 5);
+    assert_eq!((closing.len(), opened(&closing)), (3, 0), "idle connections close");
+    for action in closing {
+        if let PoolAction::Close(id) = action {
+            pool.closed(id);
+        }
+    }
+    assert!(!pool.opened(ConnectionId(4)), "a connection that opens late must close");
+    pool.closed(ConnectionId(4));
+    assert!(pool.is_current(checkout), "the transaction continues");
+    assert_eq!(pool.kept(), 1);
+    assert_eq!(pool.give_back(checkout, true), Returned::Close);
+    pool.closed(checkout.id);
+    assert_eq!(pool.kept(), 0);
+}
+
+/// Guards against a smaller budget that is ignored or that interrupts work.
+#[test]
+fn smaller_budget_closes_idle_connections_first() {
+    let mut pool = open_pool(6);
+    let busy: Vec<Checkout> = (0..3).filter_map(|_| pool.checkout()).collect();
+    pool.set_budget(2);
+    assert_eq!(pool.plan(Millis(0), 4), [PoolAction::Close(ConnectionId(0))]);
+    pool.closed(ConnectionId(0));
+    assert_eq!(pool.give_back(busy[0], true), Returned::Close);
+    pool.closed(busy[0].id);
+    assert_eq!(pool.give_back(busy[1], true), Returned::Idle);
+    assert_eq!(pool.kept(), 2);
+}
+
+/// Guards against transactions that hold a connection forever, and against the end
+/// of one that runs a statement.
+#[test]
+fn parked_transactions_are_abandoned_after_a_while() {
+    let mut pool = open_pool(4);
+    let (parked, running) = (pool.checkout().expect("open"), pool.checkout().expect("open"));
+    pool.park(parked, Some(Millis(100)));
+    pool.park(running, Some(Millis(100)));
+    pool.park(running, None);
+    assert!(pool.abandoned(Millis(10_099)).is_empty());
+    assert_eq!(pool.abandoned(Millis(10_100)), [parked]);
+}
+
+/// Guards against connections that outlive the lease.
+#[test]
+fn end_of_the_lease_closes_everything() {
+    let mut pool = open_pool(15);
+    let checkout = pool.checkout().expect("open");
+    let opening = pool.plan(Millis(0), 0);
+    assert_eq!(pool.end().len(), 4);
+    assert!(!pool.is_current(checkout));
+    assert_eq!((pool.checkout(), pool.plan(Millis(0), 5)), (None, Vec::new()));
+    for action in opening {
+        if let PoolAction::Open(id) = action {
+            assert!(!pool.opened(id), "opened after the lease");
+        }
+    }
+    pool.resume();
+    assert_eq!(opened(&pool.plan(Millis(1), 0)), 4);
+}
+
+/// Guards against a budget that any order of events exceeds, and against two users
+/// of one connection.
+#[test]
+fn random_events_keep_the_budget_and_exclusive_use() {
+    fn property(ops: Vec<u8>) -> bool {
+        let mut pool = pool(5);
+        let (mut opening, mut closing) = (Vec::new(), Vec::new());
+        let mut used: Vec<Checkout> = Vec::new();
+        let mut now = Millis(0);
+        for op in ops {
+            now += Millis(20);
+            let pick = usize::from(op / 8);
+            match op % 8 {
+                0 | 1 => {
+                    for action in pool.plan(now, u32::from(op / 64)) {
+                        match action {
+                            PoolAction::Open(id) => opening.push(id),
+                            PoolAction::Close(id) => closing.push(id),
+                        }
+                    }
+                }
+                2 if !opening.is_empty() => {
+                    let id = opening.swap_remove(pick % opening.len());
+                    if !pool.opened(id) {
+                        closing.push(id);
+                    }
+                }
+                3 if !opening.is_empty() => {
+                    pool.open_failed(now, opening.swap_remove(pick % opening.len()));
+                }
+                4 | 5 => used.extend(pool.checkout()),
+                6 if !used.is_empty() => {
+                    let checkout = used.swap_remove(pick % used.len());
+                    if pool.give_back(checkout, op % 16 < 8) == Returned::Close {
+                        closing.push(checkout.id);
+                    }
+                }
+                7 if !closing.is_empty() => pool.closed(closing.swap_remove(pick % closing.len())),
+                _ => {}
+            }
+            let exclusive = used.iter().all(|a| used.iter().filter(|b| a.id == b.id).count() == 1);
+            if pool.kept() > 5 || !exclusive || used.iter().any(|c| !pool.is_current(*c)) {
+                return false;
+            }
+        }
+        true
+    }
+    let gen_ops = Gen::from_size_and_seed(500, 0x706f_6f6c);
+    QuickCheck::new().rng(gen_ops).tests(500).quickcheck(property as fn(Vec<u8>) -> bool);
+}
