Close transactions that begin while the lease ends

A transaction that began on another thread between the two steps of a lease end kept its connection open until the next lease. The steps are swapped, and a new transaction checks its connection after it is listed.

Statements that end their own transaction are answered as unknown, a primary that the view does not name is reported at once, and the fair queue finds a flow without scanning all of them.

--- a/src/owner/instance.rs
+++ b/src/owner/instance.rs
@@ -187,6 +187,11 @@
         self.state.lock().pool.is_closed()
     }
 
+    /// Whether the view names the instance as its group's primary.
+    pub(crate) fn is_listed_primary(&self) -> bool {
+        self.state.lock().is_primary
+    }
+
     /// Whether `term` has ended: a promotion with a larger term has started.
     pub(crate) fn is_fenced(&self, term: Term) -> bool {
         term < self.state.lock().fence
--- a/src/owner/mod.rs
+++ b/src/owner/mod.rs
@@ -119,10 +119,11 @@
     /// Closes all connections to targets and refuses requests.
     pub fn lease_ended(&self) {
         self.shared.leased.store(false, Ordering::SeqCst);
-        self.shared.transactions.clear();
         for instance in self.shared.list() {
             instance.end();
         }
+        // A transaction that begins meanwhile notices that its connection has ended.
+        self.shared.transactions.clear();
     }
 
     /// Serves requests again. The view that came with the lease must have been
--- a/src/owner/reports.rs
+++ b/src/owner/reports.rs
@@ -47,6 +47,7 @@
 
     fn observe(&self, now: Millis) -> Option<Observation> {
         let (service, settings) = (self.service(), &self.settings);
+        let is_listed = self.is_listed_primary();
         self.known(|known| {
             let role = known.role?;
             let silent_ms = match role {
@@ -56,7 +57,7 @@
             known.suspicious = silent_ms >= settings.silence.0;
             let due =
                 known.reported_at.is_none_or(|at| now.since(at) >= settings.observation_interval);
-            let routine = due && role == Role::Primary;
+            let routine = role == Role::Primary && (due || !is_listed);
             if !(known.suspicious || routine) {
                 return None;
             }
--- a/src/owner/transaction.rs
+++ b/src/owner/transaction.rs
@@ -3,7 +3,7 @@
 use tokio::time::timeout;
 
 use crate::{
-    adapters::backend::Status,
+    adapters::backend::{BackendError, Status},
     clock::Clock,
     ids::Term,
     owner::{
@@ -11,7 +11,7 @@
         lent::Lent,
         statements::{COMMIT, POSITION, ROLLBACK, insert_record},
         transactions::Pinned,
-        write::{self, READ_ONLY, UNIQUE_VIOLATION, replay, roll_back},
+        write::{self, READ_ONLY, UNIQUE_VIOLATION, left_transaction, replay, roll_back},
     },
     wire::peer::{Outcome, Refusal, RequestRecord, Rows, TransactionId},
 };
@@ -45,7 +45,12 @@
     }
     let mut pinned = Pinned { lent, permit, term, workspace: workspace.clone(), failed: false };
     pinned.park(cx);
+    let checkout = pinned.lent.checkout();
     cx.shared.transactions.insert(id, pinned);
+    if !instance.is_current(checkout) {
+        cx.shared.transactions.remove(id);
+        return Err(rolled_back(BackendError::Closed));
+    }
     result.map_err(Outcome::Failed)
 }
 
@@ -179,9 +184,7 @@
         _ if answer.result.as_ref().is_err_and(|failure| failure.code == READ_ONLY) => {
             Err(replaced())
         }
-        Status::Idle => {
-            Err(Outcome::Unknown { reason: "the statement ended its transaction".to_owned() })
-        }
+        Status::Idle => Err(left_transaction()),
         status => {
             let failed = status == Status::FailedTransaction;
             Ok((answer.result.map_err(Outcome::Failed), failed))
--- a/src/owner/write.rs
+++ b/src/owner/write.rs
@@ -5,6 +5,7 @@
 //! makes the outcome unknown.
 
 use crate::{
+    adapters::backend::Status,
     ids::Term,
     owner::{
         execute::{Cx, Run, failed, is_primary_of, rolled_back, unknown},
@@ -63,6 +64,7 @@
     }
     let result = head.and(begun.result).and(recorded).and(ran.result);
     let rows = match result {
+        Ok(_) if ran.status != Status::Transaction => return Err(left_transaction()),
         Ok(rows) => rows,
         Err(failure) => {
             roll_back(cx, lent).await;
@@ -201,6 +203,12 @@
     }
 }
 
+/// Outcome of a statement that has ended the transaction that it ran in, so that
+/// its effects cannot be told.
+pub(crate) fn left_transaction() -> Outcome {
+    Outcome::Unknown { reason: "the statement ended its transaction".to_owned() }
+}
+
 /// Outcome of a rolled back write. An instance that lost its role between the
 /// check of its position and the write has refused it.
 fn refused_or_failed(failure: Failure) -> Outcome {
--- a/src/pool/scheduler.rs
+++ b/src/pool/scheduler.rs
@@ -12,6 +12,9 @@
 /// Virtual time of one request of weight 1.
 const COST: u64 = 1 << 20;
 
+/// Flows whose tags are kept before those without a waiting request are removed.
+const FLOWS_KEPT: usize = 64;
+
 /// Queue that a request belongs to; `None` for requests without a workspace.
 pub type Flow = Option<Workspace>;
 
@@ -26,7 +29,7 @@
     /// Takes the request that runs next.
     fn pop(&mut self) -> Option<Ticket>;
     /// Removes a request that no longer waits.
-    fn remove(&mut self, flow: &Flow, ticket: Ticket);
+    fn remove(&mut self, ticket: Ticket);
 }
 
 /// Start-time fair queueing.
@@ -36,41 +39,33 @@
     virtual_time: u64,
     /// Waiting requests by start tag.
     order: BTreeSet<(u64, Ticket)>,
-    flows: BTreeMap<Flow, FlowTags>,
-}
-
-#[derive(Debug, Default)]
-struct FlowTags {
-    /// Finish tag of the flow's newest request.
-    finish: u64,
-    waiting: BTreeMap<Ticket, u64>,
+    starts: BTreeMap<Ticket, u64>,
+    /// Finish tag of the newest request of each flow.
+    finish: BTreeMap<Flow, u64>,
 }
 
 impl Policy for FairQueue {
     fn push(&mut self, flow: &Flow, weight: u32, ticket: Ticket) {
-        let tags = self.flows.entry(flow.clone()).or_default();
-        let start = tags.finish.max(self.virtual_time);
-        tags.finish = start + COST / u64::from(weight.max(1));
-        tags.waiting.insert(ticket, start);
+        let finish = self.finish.entry(flow.clone()).or_default();
+        let start = self.virtual_time.max(*finish);
+        *finish = start + COST / u64::from(weight.max(1));
+        self.starts.insert(ticket, start);
         self.order.insert((start, ticket));
     }
 
     fn pop(&mut self) -> Option<Ticket> {
         let (start, ticket) = self.order.pop_first()?;
+        self.starts.remove(&ticket);
         self.virtual_time = start;
-        for tags in self.flows.values_mut() {
-            if tags.waiting.remove(&ticket).is_some() {
-                break;
-            }
+        if self.finish.len() > FLOWS_KEPT {
+            // A flow whose tags lie in the past gets the same tags as a new one.
+            self.finish.retain(|_, finish| *finish > start);
         }
-        // A flow whose tags lie in the past gets the same tags as a new one.
-        self.flows.retain(|_, tags| !tags.waiting.is_empty() || tags.finish > start);
         Some(ticket)
     }
 
-    fn remove(&mut self, flow: &Flow, ticket: Ticket) {
-        let Some(tags) = self.flows.get_mut(flow) else { return };
-        if let Some(start) = tags.waiting.remove(&ticket) {
+    fn remove(&mut self, ticket: Ticket) {
+        if let Some(start) = self.starts.remove(&ticket) {
             self.order.remove(&(start, ticket));
         }
     }
@@ -91,7 +86,7 @@
         self.queue.pop_front()
     }
 
-    fn remove(&mut self, _: &Flow, ticket: Ticket) {
+    fn remove(&mut self, ticket: Ticket) {
         self.queue.retain(|queued| *queued != ticket);
     }
 }
@@ -172,9 +167,11 @@
 
     /// Removes a waiting request; `false` if it no longer waits.
     pub fn cancel(&mut self, ticket: Ticket) -> bool {
-        let Some((flow, _)) = self.forget(ticket) else { return false };
-        self.policy.remove(&flow, ticket);
-        true
+        let waited = self.forget(ticket).is_some();
+        if waited {
+            self.policy.remove(ticket);
+        }
+        waited
     }
 
     /// Number of waiting requests.
