--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,15 +1,15 @@
 //! Settings of each area, with defaults.
 
+pub mod arguments;
 pub mod control;
 pub mod entry;
 pub mod finding;
+pub mod load;
 pub mod log;
 pub mod operator;
 pub mod owner;
 pub mod promotion;
 pub mod routing;
 pub mod session;
-pub mod arguments;
-pub mod load;
 pub mod target;
 pub mod timing;
