--- a/tests/group/mod.rs
+++ b/tests/group/mod.rs
@@ -1,4 +1,3 @@
-<<<<<<< HEAD
 //! In-memory control group with virtual time, seeded network and storage.
 
 #![allow(dead_code, reason = "each test file uses a part")]
@@ -296,46 +295,4 @@
 
 pub fn command(number: u64) -> Bytes {
     Bytes::from(format!("command {number}"))
-=======
-//! Group of three instances for promotion tests.
-
-use pomelopin::{
-    ids::{InstanceId, Mark, Revision, Service, Term},
-    state::model::{ClusterView, Group, Instance, InstanceSpec, ServiceSpec},
-    wire::control::FenceAnswer,
-};
-
-pub const NAMES: [&str; 3] = ["a1", "a2", "a3"];
-
-/// View of service `a` with primary `a1` at term 1.
-pub fn view(configured: u32) -> ClusterView {
-    let instance = |name: &&str| {
-        let spec = InstanceSpec {
-            id: (*name).into(),
-            service: "a".into(),
-            failure_domain: "d".into(),
-            incarnation: Default::default(),
-            sql_addr: String::new(),
-            http_addr: String::new(),
-            slots: 2,
-            connections: 15,
-            leaving: false,
-        };
-        (InstanceId::from(*name), Instance { spec, owner: None, previous: None })
-    };
-    let group = Group { term: Term(1), primary: Some("a1".into()), promotion: None };
-    let mut view = ClusterView {
-        revision: Revision(1),
-        instances: NAMES.iter().map(instance).collect(),
-        groups: [(Service::from("a"), group)].into_iter().collect(),
-        ..ClusterView::default()
-    };
-    view.desired.services.insert("a".into(), ServiceSpec { instances: configured });
-    view
-}
-
-/// Answer to a fence or promote request.
-pub fn answer(accepted: bool, term: u64, last: Mark) -> FenceAnswer {
-    FenceAnswer { accepted, term: Term(term), last }
->>>>>>> owner
 }
--- a/tests/promotion.rs
+++ b/tests/promotion.rs
@@ -2,9 +2,9 @@
 
 #![allow(clippy::unwrap_used)]
 
-mod group;
+mod database;
 
-use group::{NAMES, answer, view};
+use database::{NAMES, answer, view};
 use pomelopin::{
     clock::Millis,
     ids::{Mark, Term},
--- a/tests/promotion_model.rs
+++ b/tests/promotion_model.rs
@@ -2,14 +2,14 @@
 
 #![allow(clippy::unwrap_used)]
 
-mod group;
+mod database;
 
 use std::{
     collections::BTreeSet,
     sync::atomic::{AtomicUsize, Ordering},
 };
 
-use group::{NAMES, answer, view};
+use database::{NAMES, answer, view};
 use pomelopin::{
     clock::Millis,
     ids::{InstanceId, Mark},
