--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,4 +1,5 @@
 //! Settings of each area, with defaults.
 
+pub mod limits;
 pub mod routing;
 pub mod session;
