--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -9,6 +9,8 @@
 pub mod operator;
 pub mod owner;
 pub mod promotion;
+pub mod limits;
+pub mod retry;
 pub mod routing;
 pub mod session;
 pub mod target;
