--- a/src/entry/cx.rs
+++ b/src/entry/cx.rs
@@ -14,6 +14,7 @@
     lease::Lease,
     marks::HomeMarks,
     stop::Stop,
+    tokens::Limits,
     view::{ViewCell, ViewChange},
 };
 use crate::{
@@ -22,7 +23,10 @@
     ids::{Incarnation, InstanceId, Mark},
     owner::Owner,
     routing::{cache::ClassifyCache, hints::Hints},
-    settings::{entry::EntrySettings, routing::RoutingSettings, session::SessionSettings},
+    settings::{
+        entry::EntrySettings, limits::LimitSettings, routing::RoutingSettings,
+        session::SessionSettings,
+    },
     state::model::InstanceSpec,
 };
 
@@ -38,6 +42,7 @@
     pub peers: PeerClient,
     pub session_settings: SessionSettings,
     pub sessions: Mutex<HomeMarks>,
+    pub limits: Limits,
     pub hints: Mutex<Hints>,
     pub rng: Mutex<SmallRng>,
     pub statements: ClassifyCache,
@@ -55,6 +60,7 @@
         let routing = RoutingSettings::default();
         let session_settings = SessionSettings::default();
         let sessions = HomeMarks::new(settings.host.clone(), &session_settings);
+        let limits = Limits::new(settings.host.clone(), LimitSettings::default());
         let peers = PeerClient::new(settings.host.clone(), settings.host_key.clone());
         Self {
             statements: ClassifyCache::new(&routing),
@@ -70,6 +76,7 @@
             peers,
             session_settings,
             sessions: Mutex::new(sessions),
+            limits,
             hints: Mutex::default(),
             rng: Mutex::new(SmallRng::from_os_rng()),
             stop: Stop::default(),
@@ -91,6 +98,7 @@
         }
         drop(sessions);
         let view = &change.state.view;
+        self.limits.retain(view);
         self.owner.update_view(view);
         self.hints.lock().retain(|instance| view.instances.contains_key(instance));
     }
--- a/src/entry/runtime.rs
+++ b/src/entry/runtime.rs
@@ -88,7 +88,7 @@
         let http = listen("--http-listen", settings.http_listen).await?;
         let router = super::http::router(cx.clone(), tx);
         tokio::spawn(async move { axum::serve(http, router).await });
-        tokio::spawn(cx.clone().request_grants());
+        tokio::spawn(cx.clone().serve_queues());
 
         let tls = settings.tls.as_ref().map(tls::acceptor).transpose()?;
         Self::listen_for_callers(cx, tls).await
--- a/tests/group/mod.rs
+++ b/tests/group/mod.rs
@@ -249,16 +249,19 @@
         self.compact(name);
     }
 
+    /// Delivers the message later, or loses it.
+    fn send(&mut self, name: &str, addr: String, message: GroupMessage) {
+        if self.rng.random_range(0..100) >= self.drop_percent {
+            let delay = Millis(self.rng.random_range(1..=self.max_delay_ms));
+            self.messages.push((self.now + delay, name.to_owned(), addr, message));
+        }
+    }
+
     fn execute(&mut self, name: &str, output: Output) {
         let host = self.hosts.get_mut(name).unwrap();
         match output {
             Output::Persist(write) => host.stored.apply(&write),
-            Output::Send { addr, message } => {
-                if self.rng.random_range(0..100) >= self.drop_percent {
-                    let delay = Millis(self.rng.random_range(1..=self.max_delay_ms));
-                    self.messages.push((self.now + delay, name.to_owned(), addr, message));
-                }
-            }
+            Output::Send { addr, message } => self.send(name, addr, message),
             Output::RestoreSnapshot { index, data } => {
                 host.state = postcard::from_bytes(&data).unwrap();
                 let mut before = self.committed.range(..=index);
