Pull from every peer of a group in its own task

One puller rotated over the peers, so a peer that does not answer held up a replica for up to its timeout and delayed the first commits after a promotion. Each peer now has its own task, and the log is cut only before an entry that differs.

--- a/src/target/replication.rs
+++ b/src/target/replication.rs
@@ -22,8 +22,8 @@
 /// Longest time that a replica waits for the answer to a pull.
 const PULL_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Pause of a replica after a pull that brought nothing.
-const PULL_PAUSE: Duration = Duration::from_millis(20);
+/// Pause of a replica after a pull from a peer that is not the primary.
+const PULL_PAUSE: Duration = Duration::from_millis(50);
 
 /// Time between two questions of a primary to its peers.
 const PRIMARY_PAUSE: Duration = Duration::from_millis(100);
@@ -44,8 +44,8 @@
 /// Answer to a pull.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum PullAnswer {
-    /// Receiver is not a primary; `primary` may be.
-    NotPrimary { primary: Option<InstanceId> },
+    /// Receiver is not a primary.
+    NotPrimary,
     Entries {
         from: InstanceId,
         term: Term,
@@ -75,7 +75,7 @@
         instance.acknowledged.notify_waiters();
         let rest = POLL_HOLD.saturating_sub(instance.now().since(received).duration());
         let has_news = match &answer {
-            PullAnswer::NotPrimary { .. } => true,
+            PullAnswer::NotPrimary => true,
             PullAnswer::Entries { term, common, entries, .. } => {
                 let diverged = pull.ends.last().is_some_and(|last| last.position.0 > *common);
                 diverged || !entries.is_empty() || *term != pull.term
@@ -90,7 +90,7 @@
 
 fn entries(state: &mut State, name: &InstanceId, pull: &PullRequest, held: Millis) -> PullAnswer {
     if !state.is_primary() {
-        return PullAnswer::NotPrimary { primary: state.primary.clone() };
+        return PullAnswer::NotPrimary;
     }
     let common = state.log.common(&pull.ends);
     state.acknowledge(&pull.from, pull.term, common);
@@ -105,45 +105,30 @@
     }
 }
 
-/// Pulls from the group's primary; the group must have other instances.
+/// Pulls from one peer, whether it is the primary or not.
 ///
-/// A primary asks its peers too, more rarely: after a partition it learns of a
-/// newer primary in this way, because no replica pulls from it any more.
-pub async fn pull(instance: Arc<Instance>) {
+/// Every peer has its own task, so that a peer that does not answer delays no
+/// other. Primaries ask too, more rarely: after a partition they learn of a newer
+/// primary in this way, because no replica pulls from them any more.
+pub async fn pull(instance: Arc<Instance>, peer: Peer) {
     let client = reqwest::Client::new();
-    let peers = instance.settings.peers.clone();
-    let mut next = 0;
     loop {
         instance.faults.thaw().await;
-        if instance.with(|state| state.is_primary()) {
-            tokio::time::sleep(PRIMARY_PAUSE).await;
-        }
-        let peer = &peers[next % peers.len()];
-        match pull_from(&instance, &client, peer).await {
-            Ok(Pulled::Entries) => {}
-            Ok(Pulled::Elsewhere(primary)) => {
-                let known = peers.iter().position(|peer| Some(&peer.name) == primary.as_ref());
-                next = known.filter(|known| *known != next % peers.len()).unwrap_or(next + 1);
-                tokio::time::sleep(PULL_PAUSE).await;
-            }
+        let pause = match pull_from(&instance, &client, &peer).await {
+            Ok(true) => continue,
+            Ok(false) if instance.with(|state| state.is_primary()) => PRIMARY_PAUSE,
+            Ok(false) => PULL_PAUSE,
             Err(error) => {
                 spdlog::debug!("pull from {}: {error}", peer.name);
-                next += 1;
-                tokio::time::sleep(PULL_PAUSE).await;
+                PULL_PAUSE
             }
-        }
+        };
+        tokio::time::sleep(pause).await;
     }
 }
 
-/// Result of one pull.
-enum Pulled {
-    /// Peer is the primary.
-    Entries,
-    /// Peer is not the primary; it may know who is.
-    Elsewhere(Option<InstanceId>),
-}
-
-async fn pull_from(instance: &Instance, client: &reqwest::Client, peer: &Peer) -> Result<Pulled> {
+/// Whether the peer is the primary and its answer was accepted.
+async fn pull_from(instance: &Instance, client: &reqwest::Client, peer: &Peer) -> Result<bool> {
     if instance.faults.blocks(peer.name.as_str()) {
         return Err(eyre!("cut off"));
     }
@@ -166,7 +151,7 @@
         return Err(eyre!("cut off"));
     }
     match answer {
-        PullAnswer::NotPrimary { primary } => Ok(Pulled::Elsewhere(primary)),
+        PullAnswer::NotPrimary => Ok(false),
         PullAnswer::Entries { from, term, common, entries, complete, held_ms } => {
             let current_at = sent + Millis(held_ms);
             let batch = Received { from, term, common, entries, complete, current_at };
@@ -179,7 +164,7 @@
             if stepped_down {
                 instance.role_changed();
             }
-            Ok(if accepted { Pulled::Entries } else { Pulled::Elsewhere(None) })
+            Ok(accepted)
         }
     }
 }
--- a/src/target/run.rs
+++ b/src/target/run.rs
@@ -74,8 +74,8 @@
         }
     });
     tasks.spawn(replication::apply(instance.clone()));
-    if !instance.settings.peers.is_empty() {
-        tasks.spawn(replication::pull(instance.clone()));
+    for peer in instance.settings.peers.clone() {
+        tasks.spawn(replication::pull(instance.clone(), peer));
     }
     if !instance.settings.announce_to.is_empty() {
         tasks.spawn(announcer::announce(instance.clone(), addresses));
--- a/src/target/state.rs
+++ b/src/target/state.rs
@@ -208,26 +208,30 @@
         Some(holders > self.group_size / 2)
     }
 
-    /// Accepts what the primary `from` of `term` has sent.
+    /// Accepts what a primary has sent; false if its term is old or the log has changed.
     ///
-    /// The log is cut at `common` first, because entries after it are not in the
-    /// primary's log and were never acknowledged.
+    /// The log is cut only before an entry that differs: entries that the primary
+    /// does not have were never acknowledged, and all others stay.
     pub fn receive(&mut self, batch: Received, lag: Millis, now: Millis) -> bool {
-        if batch.term < self.term || (batch.term == self.term && self.is_primary()) {
+        let own_term = batch.term == self.term && self.is_primary();
+        if batch.term < self.term || own_term || batch.common > self.log.len() {
             return false;
         }
         self.adopt_term(batch.term, now);
         self.primary = Some(batch.from);
         self.heard_at = now;
-        if batch.common < self.log.len() {
-            self.truncate(batch.common);
-        }
+        let mut position = batch.common;
         for entry in batch.entries {
+            position += 1;
+            match self.log.get(position) {
+                Some(known) if known.term == entry.term => continue,
+                Some(_) => self.truncate(position - 1),
+                None => {}
+            }
             self.log.push(entry);
         }
-        let end = self.log.len();
         let current_at = batch.complete.then_some(batch.current_at);
-        self.pending.push_back(Batch { due: now + lag, end, current_at });
+        self.pending.push_back(Batch { due: now + lag, end: position, current_at });
         self.apply_due(now);
         true
     }
