Count unsent operations as offered load

A workspace whose callers wait for slow answers sends fewer operations. Its share was computed from what it sent, so a starved workspace looked well served. The operations that the schedule holds and a late caller did not send now count.

--- a/src/load/caller.rs
+++ b/src/load/caller.rs
@@ -115,12 +115,15 @@
         self.sender.begin(start);
         let rate = self.cx.rate(self.workspace) / f64::from(self.cx.settings.callers);
         let end_us = self.cx.settings.duration.0 * 1_000;
-        for scheduled in Schedule::new(rate, end_us, self.seed) {
+        let mut schedule = Schedule::new(rate, end_us, self.seed);
+        while let Some(scheduled) = schedule.next() {
             // The oversleep of the timer is not the proxy's delay; a late caller's is.
             let waited = self.sender.now() < scheduled;
             sleep_until(start + Duration::from_micros(scheduled)).await;
             let now = self.sender.now();
             if now > end_us {
+                let unsent = 1 + schedule.count() as u64;
+                self.sender.record.unsent.insert(self.workspace, unsent);
                 break;
             }
             self.operate(if waited { now } else { scheduled }).await;
--- a/src/load/evaluation.rs
+++ b/src/load/evaluation.rs
@@ -36,6 +36,7 @@
     Report {
         duration_ms: subjects.duration_us / 1_000,
         requests: samples.len() as u64,
+        unsent: record.unsent.values().sum(),
         succeeded: count(Outcome::Done),
         refused: count(Outcome::Refused) + count(Outcome::OverRate),
         failed: count(Outcome::Failed),
@@ -105,9 +106,14 @@
     }
     let parts = subjects.workspaces.iter().zip(samples.iter().zip(&mut attempts));
     parts
-        .map(|((name, limit), (samples, attempts))| {
+        .enumerate()
+        .map(|(index, ((name, limit), (samples, attempts)))| {
             attempts.sort_unstable();
-            (name.clone(), workspace(*limit, samples, attempts, subjects.duration_us))
+            let unsent = record.unsent.get(&index).copied().unwrap_or(0);
+            let offered = samples.len() as u64 + unsent;
+            let fair = fair_share(*limit, offered, subjects.duration_us);
+            let report = workspace(*limit, samples, attempts, fair);
+            (name.clone(), WorkspaceReport { offered, ..report })
         })
         .collect()
 }
@@ -116,15 +122,12 @@
     limit: Option<Limit>,
     samples: &[Sample],
     attempts: &[u64],
-    duration_us: u64,
+    fair: f64,
 ) -> WorkspaceReport {
-    let offered = samples.len() as u64;
     let done: Vec<&Sample> =
         samples.iter().filter(|sample| sample.outcome == Outcome::Done).collect();
     let succeeded = done.len() as u64;
-    let fair = fair_share(limit, offered, duration_us);
     let mut report = WorkspaceReport {
-        offered,
         succeeded,
         share: if fair > 0.0 { succeeded as f64 / fair } else { 1.0 },
         ..WorkspaceReport::default()
--- a/src/load/report.rs
+++ b/src/load/report.rs
@@ -16,6 +16,7 @@
 /// Result for one workspace.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct WorkspaceReport {
+    /// Scheduled operations, sent or not.
     pub offered: u64,
     pub succeeded: u64,
     /// Succeeded requests as a share of the fair share.
@@ -40,6 +41,8 @@
 pub struct Report {
     pub duration_ms: u64,
     pub requests: u64,
+    /// Scheduled operations that late callers did not send.
+    pub unsent: u64,
     pub succeeded: u64,
     pub refused: u64,
     pub failed: u64,
@@ -88,6 +91,7 @@
         let rows = [
             ("duration", format!("{} ms", self.duration_ms)),
             ("requests", self.requests.to_string()),
+            ("unsent", self.unsent.to_string()),
             ("succeeded", self.succeeded.to_string()),
             ("refused", self.refused.to_string()),
             ("failed", self.failed.to_string()),
--- a/src/load/samples.rs
+++ b/src/load/samples.rs
@@ -69,6 +69,8 @@
     pub samples: Vec<Sample>,
     /// Time and workspace of every statement sent, with repetitions.
     pub attempts: Vec<(usize, u64)>,
+    /// Scheduled operations that a late caller did not send, by workspace.
+    pub unsent: BTreeMap<usize, u64>,
     /// Number of errors by SQLSTATE or cause.
     pub errors: BTreeMap<String, u64>,
     pub violations: Violations,
@@ -79,6 +81,9 @@
     pub fn merge(&mut self, other: Record) {
         self.samples.extend(other.samples);
         self.attempts.extend(other.attempts);
+        for (workspace, count) in other.unsent {
+            *self.unsent.entry(workspace).or_default() += count;
+        }
         for (code, count) in other.errors {
             *self.errors.entry(code).or_default() += count;
         }
--- a/tests/load_report.rs
+++ b/tests/load_report.rs
@@ -184,6 +184,9 @@
     assert_eq!((report.writes.count, report.writes.p50_us), (49, 1_000));
     assert_eq!(report.violations(0.0), [("wrongly_refused", 1)]);
     assert!(report.violations(0.02).is_empty());
+    record.unsent.insert(1, 50);
+    let report = evaluate(&subjects, &record);
+    assert_eq!(report.worst_workspace_share, 0.49, "operations held up by the proxy count");
 }
 
 /// Guards against load that depends on answers or differs between runs of one seed.
