Test the replication log against plain lists

Positions that a majority holds depend on the ends of terms in the log. Seeded property tests compare them, after cuts and for branches, with a look at all entries. The process id of the load tool is validated with the other settings.

--- a/src/settings/load.rs
+++ b/src/settings/load.rs
@@ -127,7 +127,7 @@
     target_password: String,
     faults: Vec<String>,
     connections: String,
-    pid: Option<u32>,
+    pid: Option<String>,
     allowed_wrongly_refused_share: String,
     report: String,
     /// Only validate the settings and exit.
@@ -179,7 +179,7 @@
     let pid = long("pid")
         .env("POMELOPIN_LOAD_PID")
         .help("Entry process whose memory and processor time are reported")
-        .argument::<u32>("PID")
+        .argument::<String>("PID")
         .optional();
     let check_settings =
         long("check-settings").help("Report all faulty settings and exit").switch();
@@ -332,7 +332,10 @@
                 .filter_map(|fault| check.parsed("fault", fault.parse()))
                 .collect(),
             connections: check.number("connections", &self.connections, 1, 100_000) as u32,
-            pid: self.pid,
+            pid: self
+                .pid
+                .as_ref()
+                .map(|pid| check.number("pid", pid, 1, u64::from(u32::MAX)) as u32),
             allowed_wrongly_refused_share: check.decimal(
                 "allow-wrongly-refused-share",
                 &self.allowed_wrongly_refused_share,
--- a/tests/target/main.rs
+++ b/tests/target/main.rs
@@ -4,5 +4,6 @@
 
 mod control;
 mod group;
+mod log;
 mod replication;
 mod sql;
