--- /dev/null
+++ b/tests/target/main.rs
@@ -0,0 +1,9 @@
+//! Contract of the stand-in database instance, over loopback sockets.
+
+#![allow(clippy::unwrap_used)]
+
+mod control;
+mod group;
+mod log;
+mod replication;
+mod sql;
