Store the position of a primary read as the session's mark

A session without writes had no mark at its home hosts, so each of its reads was unknown and used the primary. Ruled out: staleness (the stand-ins lag 20 ms, the routes accept 2,000 ms) and lag behind the mark (no read was refused as behind). Change: after a read on the primary that was forced by an unknown mark, the entry stores the read's position at the home hosts; it includes all earlier writes of the session.

--- a/src/entry/marks.rs
+++ b/src/entry/marks.rs
@@ -165,6 +165,23 @@
         }
     }
 
+    /// Tells the home hosts the position of a read on the primary, which includes all
+    /// earlier writes of the session, so that its next read may use a replica.
+    pub(super) fn share_position(
+        self: &Arc<Self>,
+        caller: &Caller,
+        state: &CallerState,
+        position: Mark,
+    ) {
+        let key = caller.mark_key(state);
+        let item = SessionItem::new(&key.workspace, &key.session);
+        let homes = self.sessions.lock().history.home_set(&item);
+        let cx = self.clone();
+        tokio::spawn(async move {
+            cx.store_at(&homes, &key, position, &mut PendingStore::default()).await;
+        });
+    }
+
     async fn store_at(
         self: &Arc<Self>,
         hosts: &[HostId],
--- a/src/entry/read.rs
+++ b/src/entry/read.rs
@@ -82,6 +82,9 @@
                 Step::Answer { rows, from_primary } => {
                     if let Some(position) = rows.mark.filter(|_| from_primary) {
                         state.session.complete(&caller.service, position);
+                        if !known && rule.max_staleness_ms.is_some() {
+                            self.share_position(caller, state, position);
+                        }
                     }
                     return Ok(ReplyResult::Rows(rows).into());
                 }
