Let a host whose addition was lost join again

A host counted itself a voter as soon as it held an uncommitted entry with its id. If that entry was lost with its leader, the host neither voted nor asked to join. Only a committed entry counts now.

--- a/src/control/follower.rs
+++ b/src/control/follower.rs
@@ -97,6 +97,7 @@
         self.history = MembersHistory::new(last.index, snapshot.members.clone());
         self.history.append(last.index + 1, &self.log.after(last));
         self.commit = last.index;
+        self.was_member |= snapshot.members.0.contains_key(&self.settings.id);
         let data = snapshot.data.clone();
         self.store_snapshot(snapshot);
         self.out.push(Output::RestoreSnapshot { index: last.index, data });
--- a/src/control/membership.rs
+++ b/src/control/membership.rs
@@ -85,11 +85,6 @@
         change.map_or(&self.none, |(_, members)| members)
     }
 
-    /// Whether `id` is or was a voter, as far as the log reaches back.
-    pub fn has_listed(&self, id: &ControlId) -> bool {
-        self.changes.iter().any(|(_, members)| members.0.contains_key(id))
-    }
-
     /// Index of the entry with the voters in force.
     pub fn last_change(&self) -> u64 {
         self.changes.last().map_or(0, |(index, _)| *index)
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -148,7 +148,8 @@
     pub(super) introductions: Introductions,
     /// Host found a blank group and adds itself as its first voter.
     pub(super) forming: bool,
-    was_member: bool,
+    /// A committed entry has listed this host as a voter.
+    pub(super) was_member: bool,
     hello_at: Millis,
     last_step: Millis,
     reported: RoleChange,
@@ -169,7 +170,7 @@
         history.append(last.index + 1, &log.after(last));
         let timer = ElectionTimer::new(now, settings.seed, &settings.timing);
         let mut node = Self {
-            was_member: history.has_listed(&settings.id),
+            was_member: history.at(last.index).0.contains_key(&settings.id),
             settings,
             vote: stored.vote,
             log,
@@ -251,11 +252,13 @@
     fn tick(&mut self, now: Millis) {
         if matches!(self.state, State::Leader(_)) {
             self.lead(now);
-        } else if self.is_voter() {
-            if self.timer.is_due(now) {
-                self.start_pre_vote(now);
-            }
-        } else {
+            return;
+        }
+        if self.is_voter() && self.timer.is_due(now) {
+            self.start_pre_vote(now);
+        }
+        // The entry that lists this host may be lost with its leader.
+        if !self.was_member {
             self.introduce(now);
         }
     }
@@ -319,6 +322,8 @@
         self.log.last() == LogMark::default()
     }
 
+    /// Introduces a host that never was a voter. A removed host stays silent: its
+    /// name may belong to its replacement.
     fn introduce(&mut self, now: Millis) {
         let blank = self.is_blank();
         let group = &self.settings.group;
@@ -326,8 +331,7 @@
             self.form_group(now);
             return;
         }
-        // A removed host stays silent: its name may belong to its replacement.
-        if self.was_member || now.since(self.hello_at) < self.settings.timing.hello {
+        if now.since(self.hello_at) < self.settings.timing.hello {
             return;
         }
         self.hello_at = now;
@@ -374,7 +378,6 @@
 
     pub(super) fn append_entries(&mut self, entries: Vec<LogEntry>) {
         self.history.append(self.log.last().index + 1, &entries);
-        self.was_member |= self.is_voter();
         self.log.append(entries.iter().cloned());
         self.out.push(Output::Persist(Write::Entries(entries)));
     }
@@ -383,9 +386,15 @@
         while self.commit < to {
             let Some(entry) = self.log.get(self.commit + 1) else { return };
             self.commit += 1;
-            if let Payload::Command(bytes) = &entry.payload {
-                let (index, term, bytes) = (self.commit, entry.term, bytes.clone());
-                self.out.push(Output::Committed { index, term, bytes });
+            match &entry.payload {
+                Payload::Command(bytes) => {
+                    let (index, term, bytes) = (self.commit, entry.term, bytes.clone());
+                    self.out.push(Output::Committed { index, term, bytes });
+                }
+                Payload::Members(members) => {
+                    self.was_member |= members.0.contains_key(&self.settings.id);
+                }
+                Payload::Noop => {}
             }
         }
     }
--- a/src/control/storage.rs
+++ b/src/control/storage.rs
@@ -43,7 +43,7 @@
 }
 
 /// Snapshot with the log that remains beside it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SnapshotWrite {
     pub snapshot: Snapshot,
     pub vote: Vote,
--- a/tests/control_group.rs
+++ b/tests/control_group.rs
@@ -21,6 +21,8 @@
     ("second host lost right after a repair", 3, second_host_lost),
     ("leader frozen", 3, leader_frozen),
     ("follower cut off for long, then back", 3, follower_returns),
+    ("one link cut", 3, link_cut),
+    ("one link cut, five hosts", 5, link_cut),
     ("restart of all hosts after hundreds of entries", 3, all_restarted),
     ("follower behind the snapshot", 3, follower_needs_snapshot),
     ("blank host joins after compaction", 5, blank_host_needs_snapshot),
@@ -123,6 +125,17 @@
     assert_eq!(group.leader(), Some(leader));
 }
 
+/// Guards against a vote for a host that alone does not hear the leader, while the
+/// leader relies on its lease.
+fn link_cut(group: &mut Group) {
+    let (leader, follower) = (group.leader().unwrap(), group.followers().remove(0));
+    let pair = (leader.clone().min(follower.clone()), leader.clone().max(follower));
+    group.links.insert(pair);
+    group.run(10_000);
+    assert_eq!(group.leader(), Some(leader));
+    group.links.clear();
+}
+
 fn all_restarted(group: &mut Group) {
     group.commit(400);
     for name in group.names() {
--- /dev/null
+++ b/tests/control_node.rs
@@ -0,0 +1,216 @@
+//! Rules of a single control host that schedules rarely reach.
+
+#![allow(clippy::unwrap_used, reason = "helper functions of tests")]
+
+use bytes::Bytes;
+use pomelopin::{
+    clock::Millis,
+    control::{
+        log::{Log, Merge},
+        node::{Input, Node, NodeSettings, Output, Role},
+        storage::{Snapshot, SnapshotWrite, Stored, Vote, Write},
+    },
+    ids::ControlId,
+    settings::timing::GroupTiming,
+    wire::group::{
+        Append, AppendAnswer, AppendResult, GroupBody, GroupMessage, GroupTerm, LogEntry, LogMark,
+        Member, Members, Payload, Refused,
+    },
+};
+
+fn entry(term: u64) -> LogEntry {
+    LogEntry { term: GroupTerm(term), payload: Payload::Command(Bytes::from(format!("{term}"))) }
+}
+
+fn mark(term: u64, index: u64) -> LogMark {
+    LogMark { term: GroupTerm(term), index }
+}
+
+fn members() -> Members {
+    let member = |name: &str| Member {
+        name: name.to_owned(),
+        bus_addr: name.to_owned(),
+        ..Member::default()
+    };
+    Members(["a", "b", "c"].map(|name| (ControlId::from(name), member(name))).into())
+}
+
+/// Host `a` with the given log behind an entry that names the voters.
+fn node(vote: Vote, terms: &[u64]) -> Node {
+    let voters = LogEntry { term: GroupTerm(1), payload: Payload::Members(members()) };
+    let entries = [voters].into_iter().chain(terms.iter().map(|term| entry(*term))).collect();
+    let settings = NodeSettings {
+        id: ControlId::from("a"),
+        member: members().0[&ControlId::from("a")].clone(),
+        group: ["a", "b", "c"].map(|name| (name.to_owned(), name.to_owned())).into(),
+        seed: 1,
+        timing: GroupTiming::default(),
+    };
+    Node::new(settings, Stored { vote, entries, ..Stored::default() }, Millis(0))
+}
+
+fn from(sender: &str, term: u64, body: GroupBody) -> Input {
+    let (from, term) = (ControlId::from(sender), GroupTerm(term));
+    Input::Message(GroupMessage { from, to: Some(ControlId::from("a")), term, body })
+}
+
+/// Ticks until the election timeout and hands in the votes of `b`.
+fn elect(node: &mut Node) -> Millis {
+    let mut now = Millis(0);
+    while node.role().role == Role::Follower {
+        now += Millis(25);
+        node.step(now, Input::Tick);
+    }
+    let term = node.role().term.0;
+    let reason = Refused::No;
+    node.step(now, from("b", term, GroupBody::PreVoteAnswer { granted: true, reason }));
+    node.step(now, from("b", term + 1, GroupBody::VoteAnswer { granted: true }));
+    assert_eq!(node.role().role, Role::Leader);
+    now
+}
+
+fn matched(now: Millis, index: u64) -> GroupBody {
+    GroupBody::AppendAnswer(AppendAnswer { echo: now, result: AppendResult::Matched { index } })
+}
+
+fn committed(outputs: &[Output]) -> Vec<u64> {
+    let index = |output: &Output| match output {
+        Output::Committed { index, .. } => Some(*index),
+        _ => None,
+    };
+    outputs.iter().filter_map(index).collect()
+}
+
+/// Guards against the commit of an entry that a later leader may still replace,
+/// although a majority holds it.
+#[test]
+fn entries_of_earlier_terms_are_committed_only_with_an_own_one() {
+    let mut node = node(Vote { term: GroupTerm(3), voted_for: None }, &[2, 2]);
+    let now = elect(&mut node);
+    assert_eq!(node.last(), mark(4, 4));
+    let outputs = node.step(now, from("b", 4, matched(now, 3)));
+    assert_eq!(committed(&outputs), Vec::<u64>::new());
+    let outputs = node.step(now, from("b", 4, matched(now, 4)));
+    assert_eq!(committed(&outputs), vec![2, 3]);
+}
+
+/// Guards against a lease that rests on answers to messages from before a freeze.
+#[test]
+fn a_frozen_leader_serves_only_after_new_answers() {
+    let mut node = node(Vote::default(), &[1]);
+    let now = elect(&mut node);
+    node.step(now, from("b", 1, matched(now, node.last().index)));
+    assert!(node.is_serving(now + Millis(200)));
+    let thawed = now + Millis(300);
+    let outputs = node.step(thawed, Input::Tick);
+    assert!(outputs.contains(&Output::Frozen { gap: Millis(300) }));
+    assert!(!node.is_serving(thawed));
+    node.step(thawed, from("b", 1, matched(now, node.last().index)));
+    assert!(!node.is_serving(thawed), "a late answer renewed the lease");
+    node.step(thawed, from("b", 1, matched(thawed, node.last().index)));
+    assert!(node.is_serving(thawed));
+}
+
+/// Guards against answers before the vote or the entries are synced.
+#[test]
+fn storage_comes_before_the_answer() {
+    let mut node = node(Vote::default(), &[1]);
+    let now = Millis(600);
+    node.step(now, Input::Tick);
+    let outputs = node.step(now, from("b", 5, GroupBody::Vote { last: mark(1, 2) }));
+    assert_order(&outputs, |body| *body == GroupBody::VoteAnswer { granted: true });
+    let append = Append { previous: mark(1, 2), entries: vec![entry(5)], commit: 0, sent_at: now };
+    let outputs = node.step(now, from("b", 5, GroupBody::Append(append)));
+    assert_order(&outputs, |body| matches!(body, GroupBody::AppendAnswer(_)));
+}
+
+fn assert_order(outputs: &[Output], answer: impl Fn(&GroupBody) -> bool) {
+    let stored = outputs.iter().rposition(|output| matches!(output, Output::Persist(_))).unwrap();
+    let sent =
+        |output: &Output| matches!(output, Output::Send { message, .. } if answer(&message.body));
+    assert!(stored < outputs.iter().position(sent).unwrap(), "{outputs:?}");
+}
+
+/// Guards against two votes in one term, also over a restart, and against a vote
+/// while a leader may rely on this host.
+#[test]
+fn votes_are_refused() {
+    let ask = |term, last| from("b", term, GroupBody::Vote { last });
+    let voted = Vote { term: GroupTerm(5), voted_for: Some(ControlId::from("c")) };
+    let cases = [
+        ("already voted", voted, ask(5, mark(1, 2)), Some(false)),
+        (
+            "older term",
+            Vote { term: GroupTerm(6), voted_for: None },
+            ask(5, mark(1, 2)),
+            Some(false),
+        ),
+        ("shorter log", Vote::default(), ask(5, mark(1, 1)), Some(false)),
+        ("same log", Vote::default(), ask(5, mark(1, 2)), Some(true)),
+        ("newer last term", Vote::default(), ask(5, mark(2, 1)), Some(true)),
+    ];
+    for (what, vote, input, wanted) in cases {
+        let mut early = node(vote.clone(), &[1]);
+        assert_eq!(granted(&early.step(Millis(100), input.clone())), None, "{what}, just started");
+        let mut node = node(vote, &[1]);
+        assert_eq!(granted(&node.step(Millis(600), input)), wanted, "{what}");
+    }
+}
+
+fn granted(outputs: &[Output]) -> Option<bool> {
+    outputs.iter().find_map(|output| match output {
+        Output::Send { message, .. } => match message.body {
+            GroupBody::VoteAnswer { granted } => Some(granted),
+            _ => None,
+        },
+        _ => None,
+    })
+}
+
+#[test]
+fn logs_are_merged() {
+    let log = Log::new(mark(1, 10), [1, 1, 2, 2].map(entry).into());
+    let fits = |matched, truncate, terms: &[u64]| Merge::Fits {
+        matched,
+        truncate,
+        entries: terms.iter().copied().map(entry).collect(),
+    };
+    let cases: [(&str, LogMark, &[u64], Merge); 8] = [
+        ("append", mark(2, 14), &[2, 3], fits(16, None, &[2, 3])),
+        ("heartbeat", mark(2, 13), &[], fits(13, None, &[])),
+        ("repeated", mark(1, 12), &[2], fits(13, None, &[])),
+        ("conflict", mark(1, 12), &[3], fits(13, Some(13), &[3])),
+        ("gap", mark(2, 20), &[3], Merge::Mismatch { hint: 14 }),
+        ("other term", mark(3, 14), &[3], Merge::Mismatch { hint: 12 }),
+        ("before the base", mark(1, 8), &[1, 1, 1, 1, 2, 2, 3], fits(15, None, &[3])),
+        ("covered by the base", mark(1, 7), &[1, 1], fits(10, None, &[])),
+    ];
+    for (what, previous, terms, wanted) in cases {
+        let entries: Vec<_> = terms.iter().copied().map(entry).collect();
+        assert_eq!(log.merge(previous, &entries), wanted, "{what}");
+    }
+}
+
+/// Guards against a crash between the writes of a snapshot and of the log.
+#[test]
+fn an_older_log_is_aligned_with_the_snapshot() {
+    let cases: [(&str, LogMark, LogMark, usize); 4] = [
+        ("log goes on after the snapshot", mark(1, 12), mark(0, 0), 14),
+        ("log ends before the snapshot", mark(2, 20), mark(2, 20), 0),
+        ("log differs", mark(3, 12), mark(3, 12), 0),
+        ("log ends at the snapshot", mark(2, 14), mark(0, 0), 14),
+    ];
+    for (what, last, base, left) in cases {
+        let entries: Vec<_> =
+            (1..=14).map(|index| entry(if index <= 12 { 1 } else { 2 })).collect();
+        let snapshot = Snapshot { last, ..Snapshot::default() };
+        let mut stored = Stored { entries, snapshot: Some(snapshot), ..Stored::default() };
+        stored.align();
+        assert_eq!((stored.base, stored.entries.len()), (base, left), "{what}");
+    }
+    let write =
+        SnapshotWrite { base: mark(1, 1), entries: vec![entry(1)], ..SnapshotWrite::default() };
+    let mut stored = Stored::default();
+    stored.apply(&Write::Snapshot(Box::new(write)));
+    assert_eq!((stored.base, stored.entries.len()), (mark(1, 1), 1));
+}
--- a/tests/control_schedules.rs
+++ b/tests/control_schedules.rs
@@ -18,6 +18,7 @@
     Drop(u8),
     Delay(u8),
     Cut(u8),
+    CutLink(u8, u8),
     Heal,
     Kill(u8),
     CrashAfter(u8, u8),
@@ -29,7 +30,7 @@
 impl Arbitrary for Fault {
     fn arbitrary(g: &mut Gen) -> Self {
         let host = u8::arbitrary(g);
-        match u8::arbitrary(g) % 20 {
+        match u8::arbitrary(g) % 22 {
             0..6 => Self::Run(u16::arbitrary(g) % 800),
             6..11 => Self::Propose(host),
             11 => Self::Drop(u8::arbitrary(g) % 50),
@@ -40,6 +41,7 @@
             16 => Self::CrashAfter(host, u8::arbitrary(g) % 6),
             17 => Self::Freeze(host),
             18 => Self::LoseDisk(host),
+            19 | 20 => Self::CutLink(host, u8::arbitrary(g)),
             _ => Self::RestoreAll,
         }
     }
@@ -60,7 +62,12 @@
             group.hold_cut = number >= 128;
             group.cut.insert(host(number));
         }
-        Fault::Heal => group.cut.clear(),
+        Fault::CutLink(first, second) => {
+            let (first, second) = (host(first), host(second));
+            let pair = (first.clone().min(second.clone()), first.max(second));
+            group.links.insert(pair);
+        }
+        Fault::Heal => heal(group),
         Fault::Kill(number) => group.kill(&host(number)),
         Fault::CrashAfter(number, outputs) => {
             group.hosts.get_mut(&host(number)).unwrap().crash_after = Some(usize::from(outputs));
@@ -80,8 +87,13 @@
     group.start(name);
 }
 
-fn restore_all(group: &mut Group) {
+fn heal(group: &mut Group) {
     group.cut.clear();
+    group.links.clear();
+}
+
+fn restore_all(group: &mut Group) {
+    heal(group);
     group.drop_percent = 0;
     group.max_delay_ms = 10;
     for name in group.names() {
--- a/tests/group/mod.rs
+++ b/tests/group/mod.rs
@@ -42,6 +42,8 @@
     pub max_delay_ms: u64,
     /// Hosts on the far side of a partition.
     pub cut: BTreeSet<String>,
+    /// Pairs of hosts that do not reach each other.
+    pub links: BTreeSet<(String, String)>,
     /// Late messages cross the partition after it is healed.
     pub hold_cut: bool,
     pub compact_after: u64,
@@ -62,6 +64,7 @@
             drop_percent: 0,
             max_delay_ms: 10,
             cut: BTreeSet::new(),
+            links: BTreeSet::new(),
             hold_cut: false,
             compact_after: u64::MAX,
             messages: Vec::new(),
@@ -208,13 +211,18 @@
         self.hosts.values().all(|host| host.node.is_none() || host.state == state)
     }
 
+    fn is_cut(&self, from: &str, to: &str) -> bool {
+        let pair = (from.min(to).to_owned(), from.max(to).to_owned());
+        self.cut.contains(from) != self.cut.contains(to) || self.links.contains(&pair)
+    }
+
     fn deliver(&mut self) {
         let (due, later): (Vec<_>, Vec<_>) =
             std::mem::take(&mut self.messages).into_iter().partition(|(at, ..)| *at <= self.now);
         self.messages = later;
         for (at, from, to, message) in due {
             let host = self.hosts.get(&to).unwrap();
-            if self.cut.contains(&from) != self.cut.contains(&to) {
+            if self.is_cut(&from, &to) {
                 if self.hold_cut {
                     self.messages.push((at, from, to, message));
                 }
