--- /dev/null
+++ b/tests/control_disk.rs
@@ -0,0 +1,206 @@
+//! Data folder of a control host: nothing that was confirmed is lost silently.
+
+#![allow(clippy::unwrap_used, reason = "helper functions of tests")]
+
+use std::{fs, path::Path};
+
+use bytes::Bytes;
+use pomelopin::{
+    adapters::disk::{Disk, Opened},
+    control::storage::{Snapshot, SnapshotWrite, Stored, Vote, Write},
+    ids::ControlId,
+    wire::group::{GroupTerm, LogEntry, LogMark, Members, Payload},
+};
+use tempfile::TempDir;
+
+const HEADER_BYTES: usize = 12;
+
+fn entry(number: u8) -> LogEntry {
+    LogEntry { term: GroupTerm(1), payload: Payload::Command(Bytes::from(vec![number; 20])) }
+}
+
+fn vote(term: u64) -> Write {
+    Write::Vote(Vote { term: GroupTerm(term), voted_for: Some(ControlId::from("c2.1")) })
+}
+
+fn snapshot(index: u64) -> Write {
+    let last = LogMark { term: GroupTerm(1), index };
+    Write::Snapshot(Box::new(SnapshotWrite {
+        snapshot: Snapshot {
+            last,
+            members: Members::default(),
+            data: Bytes::from_static(b"state"),
+        },
+        vote: Vote { term: GroupTerm(4), voted_for: None },
+        base: LogMark { term: GroupTerm(1), index: index - 1 },
+        entries: vec![entry(9)],
+    }))
+}
+
+fn open(folder: &Path) -> Opened {
+    Disk::open(folder, "c1").unwrap()
+}
+
+fn error(folder: &Path) -> String {
+    format!("{:#}", Disk::open(folder, "c1").unwrap_err())
+}
+
+fn writes() -> Vec<Write> {
+    vec![
+        vote(1),
+        Write::Entries(vec![entry(1), entry(2)]),
+        Write::Truncate { from: 2 },
+        Write::Entries(vec![entry(3)]),
+        vote(2),
+    ]
+}
+
+#[test]
+fn writes_are_found_after_a_restart() {
+    let folder = TempDir::new().unwrap();
+    let mut expected = Stored::default();
+    let batches = [writes(), vec![snapshot(2)], vec![Write::Entries(vec![entry(4)]), vote(5)]];
+    let id = open(folder.path()).id;
+    for batch in batches {
+        let mut opened = open(folder.path());
+        opened.disk.write(&batch).unwrap();
+        batch.iter().for_each(|write| expected.apply(write));
+        drop(opened);
+        let opened = open(folder.path());
+        assert_eq!(opened.stored, expected);
+        assert_eq!((opened.id, opened.removed_bytes), (id.clone(), 0));
+    }
+}
+
+/// Guards against a start that fails, or loses more than the last write, after a
+/// crash in the middle of it.
+#[test]
+fn a_write_torn_at_any_byte_is_removed() {
+    let folder = TempDir::new().unwrap();
+    let log = folder.path().join("log");
+    let mut states = vec![(0, Stored::default())];
+    let mut opened = open(folder.path());
+    for write in writes() {
+        opened.disk.write(std::slice::from_ref(&write)).unwrap();
+        let mut state = states.last().unwrap().1.clone();
+        state.apply(&write);
+        states.push((fs::metadata(&log).unwrap().len(), state));
+    }
+    drop(opened);
+    let content = fs::read(&log).unwrap();
+    for len in 0..=content.len() as u64 {
+        let (end, expected) = states.iter().rfind(|(end, _)| *end <= len).unwrap();
+        for zeros in [0, 1, 64] {
+            // Zeros stand for a file that was extended before its data was written.
+            let mut torn = content[..usize::try_from(*end).unwrap()].to_vec();
+            torn.extend_from_slice(&content[torn.len()..usize::try_from(len).unwrap()]);
+            if *end == len {
+                torn.extend(std::iter::repeat_n(0, zeros));
+            }
+            fs::write(&log, &torn).unwrap();
+            let mut opened = open(folder.path());
+            assert_eq!(opened.stored, *expected, "cut after {len} bytes");
+            assert_eq!(opened.removed_bytes, torn.len() as u64 - end);
+            opened.disk.write(&[vote(7)]).unwrap();
+            drop(opened);
+            assert_eq!(open(folder.path()).stored.vote.term, GroupTerm(7), "write after {len}");
+        }
+    }
+}
+
+/// Guards against dropping records that were confirmed: any changed byte of a
+/// complete record is an error, also in the last record and in a length.
+#[test]
+fn a_changed_byte_is_an_error() {
+    let folder = TempDir::new().unwrap();
+    let mut opened = open(folder.path());
+    opened.disk.write(&writes()).unwrap();
+    opened.disk.write(&[snapshot(2)]).unwrap();
+    opened.disk.write(&writes()).unwrap();
+    drop(opened);
+    for (file, what) in [("log", "log is damaged"), ("snapshot", "snapshot is damaged")] {
+        let path = folder.path().join(file);
+        let content = fs::read(&path).unwrap();
+        for at in 0..content.len() {
+            let mut changed = content.clone();
+            changed[at] ^= 0x40;
+            fs::write(&path, &changed).unwrap();
+            let error = error(folder.path());
+            assert!(error.contains(what), "byte {at} of {file}: {error}");
+        }
+        fs::write(&path, &content).unwrap();
+    }
+    open(folder.path());
+}
+
+#[test]
+fn unusable_folders_are_refused() {
+    type Case = (&'static str, fn(&Path), &'static str);
+    let cases: [Case; 5] = [
+        ("identity lost", |folder| fs::remove_file(folder.join("identity")).unwrap(), "identity"),
+        (
+            "identity of another host",
+            |folder| fs::write(folder.join("identity"), "c2.77").unwrap(),
+            "does not belong to the host c1",
+        ),
+        (
+            "snapshot lost",
+            |folder| fs::remove_file(folder.join("snapshot")).unwrap(),
+            "the log begins after 1",
+        ),
+        (
+            "snapshot cut",
+            |folder| fs::write(folder.join("snapshot"), [0; HEADER_BYTES]).unwrap(),
+            "incomplete",
+        ),
+        ("log unreadable", |folder| make_folder(&folder.join("log")), "log"),
+    ];
+    for (what, damage, expected) in cases {
+        let folder = TempDir::new().unwrap();
+        open(folder.path()).disk.write(&[snapshot(2)]).unwrap();
+        damage(folder.path());
+        let error = error(folder.path());
+        assert!(error.contains(expected), "{what}: {error}");
+    }
+}
+
+fn make_folder(path: &Path) {
+    fs::remove_file(path).unwrap();
+    fs::create_dir(path).unwrap();
+}
+
+/// Guards against two processes that vote under one id.
+#[test]
+fn a_folder_has_one_process() {
+    let folder = TempDir::new().unwrap();
+    let first = open(folder.path());
+    assert!(error(folder.path()).contains("another process uses the data folder"));
+    drop(first);
+    open(folder.path());
+}
+
+/// Guards against the return of a host without disk under its old id.
+#[test]
+fn a_blank_folder_gets_a_new_id() {
+    let (first, second) = (TempDir::new().unwrap(), TempDir::new().unwrap());
+    let (first, second) = (open(first.path()).id, open(second.path()).id);
+    assert_ne!(first, second);
+    assert!(first.starts_with("c1.") && second.starts_with("c1."));
+}
+
+/// Guards against answers after a write that failed. The log is replaced by a
+/// device that is always full.
+#[test]
+fn a_full_disk_stops_all_writes() {
+    let folder = TempDir::new().unwrap();
+    let mut disk = open(folder.path()).disk;
+    let path = folder.path().join("snapshot.new");
+    std::os::unix::fs::symlink("/dev/full", &path).unwrap();
+    let failure = disk.write(&[snapshot(2)]).unwrap_err().to_string();
+    assert!(failure.contains("the disk is full"), "{failure}");
+    let later = disk.write(&[vote(1)]).unwrap_err().to_string();
+    assert!(later.contains("an earlier write"), "{later}");
+    fs::remove_file(&path).unwrap();
+    drop(disk);
+    assert_eq!(open(folder.path()).stored, Stored::default());
+}
--- a/tests/group/mod.rs
+++ b/tests/group/mod.rs
@@ -261,12 +261,7 @@
         let host = self.hosts.get_mut(name).unwrap();
         match output {
             Output::Persist(write) => host.stored.apply(&write),
-            Output::Send { addr, message } => {
-                if self.rng.random_range(0..100) >= self.drop_percent {
-                    let delay = Millis(self.rng.random_range(1..=self.max_delay_ms));
-                    self.messages.push((self.now + delay, name.to_owned(), addr, message));
-                }
-            }
+            Output::Send { addr, message } => self.send(name, addr, message),
             Output::RestoreSnapshot { index, data } => {
                 host.state = postcard::from_bytes(&data).unwrap();
                 let mut before = self.committed.range(..=index);
@@ -291,6 +286,13 @@
         }
     }
 
+    fn send(&mut self, from: &str, to: String, message: GroupMessage) {
+        let delay = Millis(self.rng.random_range(1..=self.max_delay_ms));
+        if self.rng.random_range(0..100) >= self.drop_percent {
+            self.messages.push((self.now + delay, from.to_owned(), to, message));
+        }
+    }
+
     fn compact(&mut self, name: &str) {
         let host = self.hosts.get_mut(name).unwrap();
         let Some(node) = &host.node else { return };
