--- a/src/control/campaign.rs
+++ b/src/control/campaign.rs
@@ -4,12 +4,11 @@
     clock::Millis,
     control::{
         election::Ballot,
-        membership::MembersHistory,
         node::{Node, Output, State},
         storage::Vote,
     },
     ids::ControlId,
-    wire::group::{GroupBody, GroupTerm, LogMark, Members, Refused},
+    wire::group::{GroupBody, GroupTerm, LogMark, Refused},
 };
 
 impl Node {
@@ -29,7 +28,7 @@
         }
     }
 
-    fn start_vote(&mut self, now: Millis) {
+    pub(super) fn start_vote(&mut self, now: Millis) {
         self.timer.retry(now, &self.settings.timing);
         let term = GroupTerm(self.vote.term.0 + 1);
         self.store_vote(Vote { term, voted_for: Some(self.settings.id.clone()) });
@@ -44,14 +43,6 @@
         }
     }
 
-    /// Forms a new group with this host as its only voter; the others join it.
-    pub(super) fn form_group(&mut self, now: Millis) {
-        let own = (self.settings.id.clone(), self.settings.member.clone());
-        self.history = MembersHistory::new(0, Members([own].into()));
-        self.forming = true;
-        self.start_vote(now);
-    }
-
     fn ask(&mut self, term: GroupTerm, body: &GroupBody) {
         let own = &self.settings.id;
         let others = self.members().0.iter().filter(|(id, _)| *id != own);
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -6,7 +6,6 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use bytes::Bytes;
 use eyre::{Result, WrapErr};
 use tokio::sync::mpsc;
 
@@ -19,28 +18,24 @@
     clock::{Clock, Millis, SystemClock},
     control::{
         leases::LeaseTable,
-        node::{Input, Node, Output, Proposal, Role, RoleChange},
+        node::{Input, Node, Proposal},
         operators::{Answer, Operators, Reply, Request},
         promotions::Promotions,
         report::Report,
     },
     ids::Service,
-    promotion::decision::{Action, Event as PromotionEvent},
-    settings::{control::ControlSettings, promotion::PromotionSettings},
+    promotion::decision::Event as PromotionEvent,
+    settings::control::ControlSettings,
     state::{
         delta::History,
-        model::{Change, ClusterState, Command},
-    },
-    wire::{
-        control::ControlMessage,
-        group::{GroupMessage, GroupTerm},
-        operator::NotLeader,
+        model::{ClusterState, Command},
     },
+    wire::{control::ControlMessage, operator::NotLeader},
 };
 
 /// Changes kept for hosts that are a little behind; about a day of changes at the
 /// target size.
-const HISTORY_CHANGES: usize = 50_000;
+pub(super) const HISTORY_CHANGES: usize = 50_000;
 
 /// Entries after which the state is stored and the log shortened.
 const SNAPSHOT_ENTRIES: u64 = 1_000;
@@ -69,13 +64,13 @@
     pub(super) settings: Arc<ControlSettings>,
     pub(super) clock: SystemClock,
     pub(super) node: Node,
-    disk: Disk,
+    pub(super) disk: Disk,
     pub(super) bus: Bus,
-    fencing: Fencing,
+    pub(super) fencing: Fencing,
     pub(super) state: ClusterState,
     pub(super) history: History,
     pub(super) leading: Option<Leading>,
-    operators: Operators,
+    pub(super) operators: Operators,
     /// Commands to propose after the current batch, with one sync for all.
     pub(super) proposals: Vec<Proposal>,
     tickets: u64,
@@ -214,94 +209,6 @@
         Ok(())
     }
 
-    fn step(&mut self, input: Input) -> Result<()> {
-        let outputs = self.node.step(self.clock.now(), input);
-        let (writes, outputs): (Vec<_>, Vec<_>) =
-            outputs.into_iter().partition(|output| matches!(output, Output::Persist(_)));
-        let writes: Vec<_> = writes
-            .into_iter()
-            .filter_map(|output| match output {
-                Output::Persist(write) => Some(write),
-                _ => None,
-            })
-            .collect();
-        if !writes.is_empty() {
-            self.disk.write(&writes)?;
-        }
-        outputs.into_iter().try_for_each(|output| self.execute(output))
-    }
-
-    fn execute(&mut self, output: Output) -> Result<()> {
-        match output {
-            Output::Persist(_) => {}
-            Output::Send { addr, message } => self.send_group(&addr, message)?,
-            Output::RestoreSnapshot { index, data } => {
-                self.state = decode_state(&data)?;
-                self.history = History::new(HISTORY_CHANGES);
-                spdlog::info!("restored a snapshot", kv: {index, revision = self.state.view.revision.0});
-            }
-            Output::Committed { index, term, bytes } => self.apply(index, term, &bytes)?,
-            Output::Proposed { ticket, index, term } => self.operators.logged(ticket, index, term),
-            Output::ProposalRejected { ticket, .. } => self.operators.rejected(ticket),
-            Output::RoleChanged(change) => self.change_role(&change),
-            Output::Frozen { gap } => {
-                spdlog::warn!("the process did not run for {gap}");
-                if let Some(leading) = &mut self.leading {
-                    leading.leases.thaw(self.clock.now());
-                }
-            }
-            Output::Removed { by } => {
-                spdlog::warn!("control host {by} regards this host as removed from the group");
-            }
-        }
-        Ok(())
-    }
-
-    fn send_group(&self, addr: &str, message: GroupMessage) -> Result<()> {
-        let body = postcard::to_stdvec(&ControlMessage::Group(message))?;
-        self.bus.send(addr, &body);
-        Ok(())
-    }
-
-    fn apply(&mut self, index: u64, term: GroupTerm, bytes: &Bytes) -> Result<()> {
-        let command: Command = postcard::from_bytes(bytes)
-            .wrap_err_with(|| format!("cannot decode the command at index {index}"))?;
-        let applied = self.state.apply(&command);
-        let now = self.clock.now();
-        let mut actions = Vec::new();
-        if let Some(leading) = &mut self.leading {
-            for change in &applied.changes {
-                if let Change::Host(id, host) = change {
-                    leading.leases.set_host(now, id, host.as_ref());
-                }
-            }
-            actions = leading.promotions.committed(now, &command, &self.state.view);
-        }
-        if !applied.changes.is_empty() {
-            self.history.record(self.state.view.revision, applied.changes);
-            self.unsent = true;
-        }
-        self.operators.committed(now, index, term, applied.answer);
-        self.act(actions);
-        Ok(())
-    }
-
-    fn change_role(&mut self, change: &RoleChange) {
-        let leader = change.leader.as_ref().map_or("none", |leader| leader.as_str());
-        spdlog::info!("role changed", kv: {role = change.role.to_string().as_str(), term = change.term.0, leader});
-        if change.role == Role::Leader {
-            let now = self.clock.now();
-            let timing = self.settings.lease_timing.clone();
-            self.leading.get_or_insert_with(|| Leading {
-                leases: LeaseTable::new(now, &self.state.view, timing),
-                promotions: Promotions::new(PromotionSettings::default()),
-            });
-        } else if self.leading.take().is_some() {
-            self.operators.abandon();
-            self.proposals.clear();
-        }
-    }
-
     fn answer_operator(&mut self, now: Millis, request: Request, reply: Reply) {
         if !self.node.is_serving(now) {
             let _ = reply.send(self.refusal());
@@ -342,7 +249,7 @@
         }
     }
 
-    fn propose(&mut self, command: &Command) -> u64 {
+    pub(super) fn propose(&mut self, command: &Command) -> u64 {
         self.tickets += 1;
         match postcard::to_stdvec(command) {
             Ok(bytes) => {
@@ -353,31 +260,6 @@
         self.tickets
     }
 
-    fn act(&mut self, actions: Vec<Action>) {
-        for action in actions {
-            match action {
-                Action::LogStart { service, term, preferred, reason } => {
-                    spdlog::warn!("promotion starts", kv: {service = service.as_str(), term = term.0, reason = reason.as_str()});
-                    self.propose(&Command::PromotionStarted { service, term, preferred, reason });
-                }
-                Action::LogFinish { service, term, primary } => {
-                    spdlog::info!("promotion ends", kv: {service = service.as_str(), term = term.0, primary = primary.as_str()});
-                    self.propose(&Command::PromotionFinished { service, term, primary });
-                }
-                Action::Fence { instance, term } => {
-                    if let Some(target) = self.state.view.instances.get(&instance) {
-                        self.fencing.fence(&target.spec, term);
-                    }
-                }
-                Action::Promote { instance, term } => {
-                    if let Some(target) = self.state.view.instances.get(&instance) {
-                        self.fencing.promote(&target.spec, term);
-                    }
-                }
-            }
-        }
-    }
-
     /// Opens connections to silent control hosts anew.
     fn reconnect(&mut self) {
         let now = self.clock.now();
@@ -390,8 +272,3 @@
         }
     }
 }
-
-/// State from a snapshot.
-pub fn decode_state(data: &[u8]) -> Result<ClusterState> {
-    postcard::from_bytes(data).wrap_err("cannot decode the state in the snapshot")
-}
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -23,7 +23,7 @@
     ids::ControlId,
     settings::timing::GroupTiming,
     wire::group::{
-        GroupBody, GroupMessage, GroupTerm, Hello, LogEntry, LogMark, Member, Members, Payload,
+        GroupBody, GroupMessage, GroupTerm, LogEntry, LogMark, Member, Members, Payload,
     },
 };
 
@@ -150,7 +150,7 @@
     pub(super) forming: bool,
     /// A committed entry has listed this host as a voter.
     pub(super) was_member: bool,
-    hello_at: Millis,
+    pub(super) hello_at: Millis,
     last_step: Millis,
     reported: RoleChange,
     pub(super) out: Vec<Output>,
@@ -244,11 +244,6 @@
         self.history.current()
     }
 
-    /// Entry of the log, for checks.
-    pub fn entry(&self, index: u64) -> Option<&LogEntry> {
-        self.log.get(index)
-    }
-
     fn tick(&mut self, now: Millis) {
         if matches!(self.state, State::Leader(_)) {
             self.lead(now);
@@ -322,39 +317,6 @@
         self.log.last() == LogMark::default()
     }
 
-    /// Introduces a host that never was a voter. A removed host stays silent: its
-    /// name may belong to its replacement.
-    fn introduce(&mut self, now: Millis) {
-        let blank = self.is_blank();
-        let group = &self.settings.group;
-        if blank && self.introductions.may_form(now, &self.settings.member.name, group) {
-            self.form_group(now);
-            return;
-        }
-        if now.since(self.hello_at) < self.settings.timing.hello {
-            return;
-        }
-        self.hello_at = now;
-        let others = group.iter().filter(|(name, _)| **name != self.settings.member.name);
-        for addr in others.map(|(_, addr)| addr.clone()).collect::<Vec<_>>() {
-            self.send_hello(addr, None, true);
-        }
-    }
-
-    fn on_hello(&mut self, now: Millis, from: ControlId, hello: Hello) {
-        self.introductions.note(now, &hello);
-        if hello.answer {
-            self.send_hello(hello.member.bus_addr.clone(), Some(from.clone()), false);
-            self.consider_learner(now, from, hello.member);
-        }
-    }
-
-    fn send_hello(&mut self, addr: String, to: Option<ControlId>, answer: bool) {
-        let member = self.settings.member.clone();
-        let body = GroupBody::Hello(Hello { member, initialized: !self.is_blank(), answer });
-        self.send(addr, to, self.vote.term, body);
-    }
-
     pub(super) fn become_follower(
         &mut self,
         now: Millis,
--- /dev/null
+++ b/src/control/outputs.rs
@@ -0,0 +1,144 @@
+//! Outputs of the node and actions of promotions, carried out in order.
+
+use bytes::Bytes;
+use eyre::{Result, WrapErr};
+
+use crate::{
+    clock::Clock,
+    control::{
+        core::{Core, HISTORY_CHANGES, Leading},
+        leases::LeaseTable,
+        node::{Input, Output, Role, RoleChange},
+        promotions::Promotions,
+    },
+    promotion::decision::Action,
+    settings::promotion::PromotionSettings,
+    state::{
+        delta::History,
+        model::{Change, ClusterState, Command},
+    },
+    wire::{
+        control::ControlMessage,
+        group::{GroupMessage, GroupTerm},
+    },
+};
+
+impl Core {
+    pub(super) fn step(&mut self, input: Input) -> Result<()> {
+        let outputs = self.node.step(self.clock.now(), input);
+        let (writes, outputs): (Vec<_>, Vec<_>) =
+            outputs.into_iter().partition(|output| matches!(output, Output::Persist(_)));
+        let writes: Vec<_> = writes
+            .into_iter()
+            .filter_map(|output| match output {
+                Output::Persist(write) => Some(write),
+                _ => None,
+            })
+            .collect();
+        if !writes.is_empty() {
+            self.disk.write(&writes)?;
+        }
+        outputs.into_iter().try_for_each(|output| self.execute(output))
+    }
+
+    fn execute(&mut self, output: Output) -> Result<()> {
+        match output {
+            Output::Persist(_) => {}
+            Output::Send { addr, message } => self.send_group(&addr, message)?,
+            Output::RestoreSnapshot { index, data } => {
+                self.state = decode_state(&data)?;
+                self.history = History::new(HISTORY_CHANGES);
+                spdlog::info!("restored a snapshot", kv: {index, revision = self.state.view.revision.0});
+            }
+            Output::Committed { index, term, bytes } => self.apply(index, term, &bytes)?,
+            Output::Proposed { ticket, index, term } => self.operators.logged(ticket, index, term),
+            Output::ProposalRejected { ticket, .. } => self.operators.rejected(ticket),
+            Output::RoleChanged(change) => self.change_role(&change),
+            Output::Frozen { gap } => {
+                spdlog::warn!("the process did not run for {gap}");
+                if let Some(leading) = &mut self.leading {
+                    leading.leases.thaw(self.clock.now());
+                }
+            }
+            Output::Removed { by } => {
+                spdlog::warn!("control host {by} regards this host as removed from the group");
+            }
+        }
+        Ok(())
+    }
+
+    fn send_group(&self, addr: &str, message: GroupMessage) -> Result<()> {
+        let body = postcard::to_stdvec(&ControlMessage::Group(message))?;
+        self.bus.send(addr, &body);
+        Ok(())
+    }
+
+    fn apply(&mut self, index: u64, term: GroupTerm, bytes: &Bytes) -> Result<()> {
+        let command: Command = postcard::from_bytes(bytes)
+            .wrap_err_with(|| format!("cannot decode the command at index {index}"))?;
+        let applied = self.state.apply(&command);
+        let now = self.clock.now();
+        let mut actions = Vec::new();
+        if let Some(leading) = &mut self.leading {
+            for change in &applied.changes {
+                if let Change::Host(id, host) = change {
+                    leading.leases.set_host(now, id, host.as_ref());
+                }
+            }
+            actions = leading.promotions.committed(now, &command, &self.state.view);
+        }
+        if !applied.changes.is_empty() {
+            self.history.record(self.state.view.revision, applied.changes);
+            self.unsent = true;
+        }
+        self.operators.committed(now, index, term, applied.answer);
+        self.act(actions);
+        Ok(())
+    }
+
+    fn change_role(&mut self, change: &RoleChange) {
+        let leader = change.leader.as_ref().map_or("none", |leader| leader.as_str());
+        spdlog::info!("role changed", kv: {role = change.role.to_string().as_str(), term = change.term.0, leader});
+        if change.role == Role::Leader {
+            let now = self.clock.now();
+            let timing = self.settings.lease_timing.clone();
+            self.leading.get_or_insert_with(|| Leading {
+                leases: LeaseTable::new(now, &self.state.view, timing),
+                promotions: Promotions::new(PromotionSettings::default()),
+            });
+        } else if self.leading.take().is_some() {
+            self.operators.abandon();
+            self.proposals.clear();
+        }
+    }
+
+    pub(super) fn act(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::LogStart { service, term, preferred, reason } => {
+                    spdlog::warn!("promotion starts", kv: {service = service.as_str(), term = term.0, reason = reason.as_str()});
+                    self.propose(&Command::PromotionStarted { service, term, preferred, reason });
+                }
+                Action::LogFinish { service, term, primary } => {
+                    spdlog::info!("promotion ends", kv: {service = service.as_str(), term = term.0, primary = primary.as_str()});
+                    self.propose(&Command::PromotionFinished { service, term, primary });
+                }
+                Action::Fence { instance, term } => {
+                    if let Some(target) = self.state.view.instances.get(&instance) {
+                        self.fencing.fence(&target.spec, term);
+                    }
+                }
+                Action::Promote { instance, term } => {
+                    if let Some(target) = self.state.view.instances.get(&instance) {
+                        self.fencing.promote(&target.spec, term);
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// State from a snapshot.
+pub fn decode_state(data: &[u8]) -> Result<ClusterState> {
+    postcard::from_bytes(data).wrap_err("cannot decode the state in the snapshot")
+}
--- a/src/control/runtime.rs
+++ b/src/control/runtime.rs
@@ -22,8 +22,9 @@
     },
     clock::{Clock, SystemClock},
     control::{
-        core::{Core, Event, Parts, decode_state},
+        core::{Core, Event, Parts},
         node::{Node, NodeSettings},
+        outputs::decode_state,
         report::Report,
     },
     ids::Incarnation,
--- a/src/settings/control.rs
+++ b/src/settings/control.rs
@@ -26,7 +26,7 @@
 /// Longest name of a host in bytes.
 const MAX_NAME_BYTES: usize = 63;
 
-/// Command line and environment of `pomelopin-control`.
+/// Keeps the shared state of pomelopin in a log replicated between the control hosts.
 ///
 /// Values stay text so that all faulty settings are reported at once.
 #[derive(Debug, Clone, Bpaf)]
