Count only fresh answers when a group forms

An introduction that was sent to an earlier process of a host could arrive after the sender had received a log, and a host that lost its disk could then form a second group. Answers now repeat a number of the asking process. Messages between control hosts must also come from the bus name that the id belongs to, because entry hosts share the key, and the settings' addresses come before those in the log.

--- a/src/control/campaign.rs
+++ b/src/control/campaign.rs
@@ -46,7 +46,7 @@
     fn ask(&mut self, term: GroupTerm, body: &GroupBody) {
         let own = &self.settings.id;
         let others = self.members().0.iter().filter(|(id, _)| *id != own);
-        let others: Vec<_> = others.map(|(id, m)| (id.clone(), m.bus_addr.clone())).collect();
+        let others: Vec<_> = others.map(|(id, m)| (id.clone(), self.bus_addr(m))).collect();
         for (id, addr) in others {
             self.send(addr, Some(id), term, body.clone());
         }
@@ -136,7 +136,7 @@
     }
 
     fn address_of(&self, id: &ControlId) -> Option<String> {
-        let member = self.members().0.get(id).map(|member| member.bus_addr.clone());
+        let member = self.members().0.get(id).map(|member| self.bus_addr(member));
         member.or_else(|| {
             let name = id.as_str().rsplit_once('.').map(|(name, _)| name)?;
             self.settings.group.get(name).cloned()
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -23,7 +23,7 @@
         promotions::Promotions,
         report::Report,
     },
-    ids::Service,
+    ids::{ControlId, Service},
     promotion::decision::Event as PromotionEvent,
     settings::control::ControlSettings,
     state::{
@@ -161,7 +161,7 @@
 
     fn receive(&mut self, inbound: Inbound) -> Result<()> {
         match postcard::from_bytes(&inbound.body) {
-            Ok(ControlMessage::Group(message)) => {
+            Ok(ControlMessage::Group(message)) if is_id_of(&message.from, &inbound.from) => {
                 self.heard.insert(inbound.from, self.clock.now());
                 self.step(Input::Message(message))?;
             }
@@ -272,3 +272,9 @@
         }
     }
 }
+
+/// Whether `id` belongs to the control host `name`. Entry hosts share the host key
+/// but must not speak for a control host.
+fn is_id_of(id: &ControlId, name: &str) -> bool {
+    id.rsplit_once('.').is_some_and(|(owner, _)| owner == name)
+}
--- a/src/control/formation.rs
+++ b/src/control/formation.rs
@@ -4,7 +4,7 @@
     clock::Millis,
     control::{membership::MembersHistory, node::Node},
     ids::ControlId,
-    wire::group::{GroupBody, Hello, Members},
+    wire::group::{GroupBody, Hello, Member, Members},
 };
 
 impl Node {
@@ -23,21 +23,22 @@
         self.hello_at = now;
         let others = group.iter().filter(|(name, _)| **name != self.settings.member.name);
         for addr in others.map(|(_, addr)| addr.clone()).collect::<Vec<_>>() {
-            self.send_hello(addr, None, true);
+            self.send_hello(addr, None, true, self.settings.seed);
         }
     }
 
     pub(super) fn on_hello(&mut self, now: Millis, from: ControlId, hello: Hello) {
-        self.introductions.note(now, &hello);
+        self.introductions.note(now, &hello, self.settings.seed);
         if hello.answer {
-            self.send_hello(hello.member.bus_addr.clone(), Some(from.clone()), false);
+            let addr = self.bus_addr(&hello.member);
+            self.send_hello(addr, Some(from.clone()), false, hello.nonce);
             self.consider_learner(now, from, hello.member);
         }
     }
 
-    fn send_hello(&mut self, addr: String, to: Option<ControlId>, answer: bool) {
+    fn send_hello(&mut self, addr: String, to: Option<ControlId>, answer: bool, nonce: u64) {
         let member = self.settings.member.clone();
-        let body = GroupBody::Hello(Hello { member, initialized: !self.is_blank(), answer });
+        let body = GroupBody::Hello(Hello { member, initialized: !self.is_blank(), answer, nonce });
         self.send(addr, to, self.vote.term, body);
     }
 
@@ -48,4 +49,9 @@
         self.forming = true;
         self.start_vote(now);
     }
+    /// Address of a host; the settings come before the log, so that an address can
+    /// be changed while the host is down.
+    pub(super) fn bus_addr(&self, member: &Member) -> String {
+        self.settings.group.get(&member.name).unwrap_or(&member.bus_addr).clone()
+    }
 }
--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -156,7 +156,7 @@
     /// Sends one message: entries, part of the snapshot, or a heartbeat.
     fn send_message(&mut self, now: Millis, id: &ControlId) {
         let Some(progress) = self.progress(id) else { return };
-        let (next, addr) = (progress.next, progress.member.bus_addr.clone());
+        let (next, addr) = (progress.next, self.bus_addr(&progress.member));
         let body = match self.log.mark(next - 1) {
             None => self.install_part(now, id),
             Some(previous) => {
--- a/src/control/membership.rs
+++ b/src/control/membership.rs
@@ -98,9 +98,13 @@
 }
 
 impl Introductions {
-    /// Notes an introduction.
-    pub fn note(&mut self, now: Millis, hello: &Hello) {
-        self.heard.insert(hello.member.name.clone(), (now, hello.initialized));
+    /// Notes an answer to an introduction of the process with the number `nonce`.
+    /// A message to an earlier process may be older than a log that the sender has
+    /// since received, so it does not count.
+    pub fn note(&mut self, now: Millis, hello: &Hello, nonce: u64) {
+        if !hello.answer && hello.nonce == nonce {
+            self.heard.insert(hello.member.name.clone(), (now, hello.initialized));
+        }
     }
 
     /// Whether the host `own` must form the group. It is the first of the
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -39,7 +39,8 @@
     pub member: Member,
     /// Configured control hosts: names and bus addresses, including this host.
     pub group: BTreeMap<String, String>,
-    /// Seed of the election timeouts.
+    /// Seed of the election timeouts, and number of the process; different for
+    /// each process.
     pub seed: u64,
     pub timing: GroupTiming,
 }
--- a/src/wire/group.rs
+++ b/src/wire/group.rs
@@ -135,6 +135,9 @@
     pub initialized: bool,
     /// Whether the receiver should send its own introduction.
     pub answer: bool,
+    /// Number of the asking process, repeated in the answer. It tells an answer
+    /// from one to an earlier process of the same host.
+    pub nonce: u64,
 }
 
 /// Entries of the leader's log; without entries it is a heartbeat.
--- a/tests/control_disk.rs
+++ b/tests/control_disk.rs
@@ -90,13 +90,11 @@
     let content = fs::read(&log).unwrap();
     for len in 0..=content.len() as u64 {
         let (end, expected) = states.iter().rfind(|(end, _)| *end <= len).unwrap();
-        for zeros in [0, 1, 64] {
-            // Zeros stand for a file that was extended before its data was written.
-            let mut torn = content[..usize::try_from(*end).unwrap()].to_vec();
-            torn.extend_from_slice(&content[torn.len()..usize::try_from(len).unwrap()]);
-            if *end == len {
-                torn.extend(std::iter::repeat_n(0, zeros));
-            }
+        let written = &content[..usize::try_from(len).unwrap()];
+        // Zeros stand for a file that was extended before its data was written.
+        let zeros: &[usize] = if *end == len { &[0, 1, 64] } else { &[0] };
+        for zeros in zeros {
+            let torn = [written, &vec![0; *zeros]].concat();
             fs::write(&log, &torn).unwrap();
             let mut opened = open(folder.path());
             assert_eq!(opened.stored, *expected, "cut after {len} bytes");
--- a/tests/control_node.rs
+++ b/tests/control_node.rs
@@ -7,14 +7,15 @@
     clock::Millis,
     control::{
         log::{Log, Merge},
+        membership::Introductions,
         node::{Input, Node, NodeSettings, Output, Role},
         storage::{Snapshot, SnapshotWrite, Stored, Vote, Write},
     },
     ids::ControlId,
     settings::timing::GroupTiming,
     wire::group::{
-        Append, AppendAnswer, AppendResult, GroupBody, GroupMessage, GroupTerm, LogEntry, LogMark,
-        Member, Members, Payload, Refused,
+        Append, AppendAnswer, AppendResult, GroupBody, GroupMessage, GroupTerm, Hello, LogEntry,
+        LogMark, Member, Members, Payload, Refused,
     },
 };
 
@@ -214,3 +215,30 @@
     stored.apply(&Write::Snapshot(Box::new(write)));
     assert_eq!((stored.base, stored.entries.len()), (mark(1, 1), 1));
 }
+
+/// Guards against a second group of a host that lost its disk: answers to its
+/// earlier process may be older than the logs of the other hosts.
+#[test]
+fn only_answers_to_this_process_allow_to_form_a_group() {
+    let group = ["a", "b", "c"].map(|name| (name.to_owned(), name.to_owned())).into();
+    let hello = |name: &str, nonce, answer, initialized| Hello {
+        member: Member { name: name.to_owned(), ..Member::default() },
+        initialized,
+        answer,
+        nonce,
+    };
+    let cases = [
+        ("all blank", hello("c", 7, false, false), "a", 100, true),
+        ("answer to an earlier process", hello("c", 6, false, false), "a", 100, false),
+        ("question", hello("c", 7, true, false), "a", 100, false),
+        ("one holds a log", hello("c", 7, false, true), "a", 100, false),
+        ("too old", hello("c", 7, false, false), "a", 2_000, false),
+        ("not the first name", hello("a", 7, false, false), "c", 100, false),
+    ];
+    for (what, answer, own, age, wanted) in cases {
+        let mut introductions = Introductions::default();
+        introductions.note(Millis(0), &hello("b", 7, false, false), 7);
+        introductions.note(Millis(0), &answer, 7);
+        assert_eq!(introductions.may_form(Millis(age), own, &group), wanted, "{what}");
+    }
+}
