--- a/src/control/campaign.rs
+++ b/src/control/campaign.rs
@@ -4,12 +4,11 @@
     clock::Millis,
     control::{
         election::Ballot,
-        membership::MembersHistory,
         node::{Node, Output, State},
         storage::Vote,
     },
     ids::ControlId,
-    wire::group::{GroupBody, GroupTerm, LogMark, Members, Refused},
+    wire::group::{GroupBody, GroupTerm, LogMark, Refused},
 };
 
 impl Node {
@@ -29,7 +28,7 @@
         }
     }
 
-    fn start_vote(&mut self, now: Millis) {
+    pub(super) fn start_vote(&mut self, now: Millis) {
         self.timer.retry(now, &self.settings.timing);
         let term = GroupTerm(self.vote.term.0 + 1);
         self.store_vote(Vote { term, voted_for: Some(self.settings.id.clone()) });
@@ -44,18 +43,10 @@
         }
     }
 
-    /// Forms a new group with this host as its only voter; the others join it.
-    pub(super) fn form_group(&mut self, now: Millis) {
-        let own = (self.settings.id.clone(), self.settings.member.clone());
-        self.history = MembersHistory::new(0, Members([own].into()));
-        self.forming = true;
-        self.start_vote(now);
-    }
-
     fn ask(&mut self, term: GroupTerm, body: &GroupBody) {
         let own = &self.settings.id;
         let others = self.members().0.iter().filter(|(id, _)| *id != own);
-        let others: Vec<_> = others.map(|(id, m)| (id.clone(), m.bus_addr.clone())).collect();
+        let others: Vec<_> = others.map(|(id, m)| (id.clone(), self.bus_addr(m))).collect();
         for (id, addr) in others {
             self.send(addr, Some(id), term, body.clone());
         }
@@ -145,7 +136,7 @@
     }
 
     fn address_of(&self, id: &ControlId) -> Option<String> {
-        let member = self.members().0.get(id).map(|member| member.bus_addr.clone());
+        let member = self.members().0.get(id).map(|member| self.bus_addr(member));
         member.or_else(|| {
             let name = id.as_str().rsplit_once('.').map(|(name, _)| name)?;
             self.settings.group.get(name).cloned()
--- /dev/null
+++ b/src/control/formation.rs
@@ -0,0 +1,57 @@
+//! Formation of a group and introduction of hosts that are no voters yet.
+
+use crate::{
+    clock::Millis,
+    control::{membership::MembersHistory, node::Node},
+    ids::ControlId,
+    wire::group::{GroupBody, Hello, Member, Members},
+};
+
+impl Node {
+    /// Introduces a host that never was a voter. A removed host stays silent: its
+    /// name may belong to its replacement.
+    pub(super) fn introduce(&mut self, now: Millis) {
+        let blank = self.is_blank();
+        let group = &self.settings.group;
+        if blank && self.introductions.may_form(now, &self.settings.member.name, group) {
+            self.form_group(now);
+            return;
+        }
+        if now.since(self.hello_at) < self.settings.timing.hello {
+            return;
+        }
+        self.hello_at = now;
+        let others = group.iter().filter(|(name, _)| **name != self.settings.member.name);
+        for addr in others.map(|(_, addr)| addr.clone()).collect::<Vec<_>>() {
+            self.send_hello(addr, None, true, self.settings.seed);
+        }
+    }
+
+    pub(super) fn on_hello(&mut self, now: Millis, from: ControlId, hello: Hello) {
+        self.introductions.note(now, &hello, self.settings.seed);
+        if hello.answer {
+            let addr = self.bus_addr(&hello.member);
+            self.send_hello(addr, Some(from.clone()), false, hello.nonce);
+            self.consider_learner(now, from, hello.member);
+        }
+    }
+
+    fn send_hello(&mut self, addr: String, to: Option<ControlId>, answer: bool, nonce: u64) {
+        let member = self.settings.member.clone();
+        let body = GroupBody::Hello(Hello { member, initialized: !self.is_blank(), answer, nonce });
+        self.send(addr, to, self.vote.term, body);
+    }
+
+    /// Forms a new group with this host as its only voter; the others join it.
+    fn form_group(&mut self, now: Millis) {
+        let own = (self.settings.id.clone(), self.settings.member.clone());
+        self.history = MembersHistory::new(0, Members([own].into()));
+        self.forming = true;
+        self.start_vote(now);
+    }
+    /// Address of a host; the settings come before the log, so that an address can
+    /// be changed while the host is down.
+    pub(super) fn bus_addr(&self, member: &Member) -> String {
+        self.settings.group.get(&member.name).unwrap_or(&member.bus_addr).clone()
+    }
+}
--- a/src/control/membership.rs
+++ b/src/control/membership.rs
@@ -85,11 +85,6 @@
         change.map_or(&self.none, |(_, members)| members)
     }
 
-    /// Whether `id` is or was a voter, as far as the log reaches back.
-    pub fn has_listed(&self, id: &ControlId) -> bool {
-        self.changes.iter().any(|(_, members)| members.0.contains_key(id))
-    }
-
     /// Index of the entry with the voters in force.
     pub fn last_change(&self) -> u64 {
         self.changes.last().map_or(0, |(index, _)| *index)
@@ -103,9 +98,13 @@
 }
 
 impl Introductions {
-    /// Notes an introduction.
-    pub fn note(&mut self, now: Millis, hello: &Hello) {
-        self.heard.insert(hello.member.name.clone(), (now, hello.initialized));
+    /// Notes an answer to an introduction of the process with the number `nonce`.
+    /// A message to an earlier process may be older than a log that the sender has
+    /// since received, so it does not count.
+    pub fn note(&mut self, now: Millis, hello: &Hello, nonce: u64) {
+        if !hello.answer && hello.nonce == nonce {
+            self.heard.insert(hello.member.name.clone(), (now, hello.initialized));
+        }
     }
 
     /// Whether the host `own` must form the group. It is the first of the
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -23,7 +23,7 @@
     ids::ControlId,
     settings::timing::GroupTiming,
     wire::group::{
-        GroupBody, GroupMessage, GroupTerm, Hello, LogEntry, LogMark, Member, Members, Payload,
+        GroupBody, GroupMessage, GroupTerm, LogEntry, LogMark, Member, Members, Payload,
     },
 };
 
@@ -39,7 +39,8 @@
     pub member: Member,
     /// Configured control hosts: names and bus addresses, including this host.
     pub group: BTreeMap<String, String>,
-    /// Seed of the election timeouts.
+    /// Seed of the election timeouts, and number of the process; different for
+    /// each process.
     pub seed: u64,
     pub timing: GroupTiming,
 }
@@ -148,8 +149,9 @@
     pub(super) introductions: Introductions,
     /// Host found a blank group and adds itself as its first voter.
     pub(super) forming: bool,
-    was_member: bool,
-    hello_at: Millis,
+    /// A committed entry has listed this host as a voter.
+    pub(super) was_member: bool,
+    pub(super) hello_at: Millis,
     last_step: Millis,
     reported: RoleChange,
     pub(super) out: Vec<Output>,
@@ -169,7 +171,7 @@
         history.append(last.index + 1, &log.after(last));
         let timer = ElectionTimer::new(now, settings.seed, &settings.timing);
         let mut node = Self {
-            was_member: history.has_listed(&settings.id),
+            was_member: history.at(last.index).0.contains_key(&settings.id),
             settings,
             vote: stored.vote,
             log,
@@ -243,19 +245,16 @@
         self.history.current()
     }
 
-    /// Entry of the log, for checks.
-    pub fn entry(&self, index: u64) -> Option<&LogEntry> {
-        self.log.get(index)
-    }
-
     fn tick(&mut self, now: Millis) {
         if matches!(self.state, State::Leader(_)) {
             self.lead(now);
-        } else if self.is_voter() {
-            if self.timer.is_due(now) {
-                self.start_pre_vote(now);
-            }
-        } else {
+            return;
+        }
+        if self.is_voter() && self.timer.is_due(now) {
+            self.start_pre_vote(now);
+        }
+        // The entry that lists this host may be lost with its leader.
+        if !self.was_member {
             self.introduce(now);
         }
     }
@@ -319,38 +318,6 @@
         self.log.last() == LogMark::default()
     }
 
-    fn introduce(&mut self, now: Millis) {
-        let blank = self.is_blank();
-        let group = &self.settings.group;
-        if blank && self.introductions.may_form(now, &self.settings.member.name, group) {
-            self.form_group(now);
-            return;
-        }
-        // A removed host stays silent: its name may belong to its replacement.
-        if self.was_member || now.since(self.hello_at) < self.settings.timing.hello {
-            return;
-        }
-        self.hello_at = now;
-        let others = group.iter().filter(|(name, _)| **name != self.settings.member.name);
-        for addr in others.map(|(_, addr)| addr.clone()).collect::<Vec<_>>() {
-            self.send_hello(addr, None, true);
-        }
-    }
-
-    fn on_hello(&mut self, now: Millis, from: ControlId, hello: Hello) {
-        self.introductions.note(now, &hello);
-        if hello.answer {
-            self.send_hello(hello.member.bus_addr.clone(), Some(from.clone()), false);
-            self.consider_learner(now, from, hello.member);
-        }
-    }
-
-    fn send_hello(&mut self, addr: String, to: Option<ControlId>, answer: bool) {
-        let member = self.settings.member.clone();
-        let body = GroupBody::Hello(Hello { member, initialized: !self.is_blank(), answer });
-        self.send(addr, to, self.vote.term, body);
-    }
-
     pub(super) fn become_follower(
         &mut self,
         now: Millis,
@@ -374,7 +341,6 @@
 
     pub(super) fn append_entries(&mut self, entries: Vec<LogEntry>) {
         self.history.append(self.log.last().index + 1, &entries);
-        self.was_member |= self.is_voter();
         self.log.append(entries.iter().cloned());
         self.out.push(Output::Persist(Write::Entries(entries)));
     }
@@ -383,9 +349,15 @@
         while self.commit < to {
             let Some(entry) = self.log.get(self.commit + 1) else { return };
             self.commit += 1;
-            if let Payload::Command(bytes) = &entry.payload {
-                let (index, term, bytes) = (self.commit, entry.term, bytes.clone());
-                self.out.push(Output::Committed { index, term, bytes });
+            match &entry.payload {
+                Payload::Command(bytes) => {
+                    let (index, term, bytes) = (self.commit, entry.term, bytes.clone());
+                    self.out.push(Output::Committed { index, term, bytes });
+                }
+                Payload::Members(members) => {
+                    self.was_member |= members.0.contains_key(&self.settings.id);
+                }
+                Payload::Noop => {}
             }
         }
     }
