Let transactions that may hold row locks run without a slot

Statements that waited for a row lock held the slots that the holder of the lock waited for. Transactions now need a slot for their first statement only, and other statements give theirs back after 20 ms.

--- a/src/owner/transaction.rs
+++ b/src/owner/transaction.rs
@@ -43,7 +43,8 @@
         result.map_err(Outcome::Failed)?;
         return Err(Outcome::Refused(Refusal::NotPrimary));
     }
-    let mut pinned = Pinned { lent, permit, term, workspace: workspace.clone(), failed: false };
+    let mut pinned =
+        Pinned { lent, permit, term, workspace: workspace.clone(), ran: false, failed: false };
     pinned.park(cx);
     let checkout = pinned.lent.checkout();
     cx.shared.transactions.insert(id, pinned);
@@ -69,7 +70,7 @@
     }
     match run(cx, &mut pinned).await {
         Ok((result, failed)) => {
-            pinned.failed = failed;
+            (pinned.ran, pinned.failed) = (true, failed);
             pinned.park(cx);
             *guard = Some(pinned);
             result
@@ -89,7 +90,7 @@
     record: Option<&RequestRecord>,
 ) -> Run<Rows> {
     let pinned = end(cx, id).await?;
-    let Pinned { mut lent, permit: _permit, term, workspace, failed: has_failed } = pinned;
+    let Pinned { mut lent, permit: _permit, term, workspace, failed: has_failed, .. } = pinned;
     if has_failed {
         roll_back(cx, lent).await;
         return Err(failed("25P02", "the transaction has failed and was rolled back"));
@@ -162,7 +163,12 @@
     Ok(pinned)
 }
 
+/// Waits for a slot, unless the transaction may hold row locks: those who wait for
+/// the locks occupy slots, so that it could wait for itself.
 async fn wait_for_slot(cx: &Cx<'_>, pinned: &mut Pinned) -> Run<()> {
+    if pinned.ran {
+        return Ok(());
+    }
     let slot = cx.slot(pinned.lent.instance()).await?;
     pinned.lent.occupy(slot);
     Ok(())
--- a/src/owner/transactions.rs
+++ b/src/owner/transactions.rs
@@ -24,6 +24,8 @@
     pub(crate) permit: Permit,
     pub(crate) term: Term,
     pub(crate) workspace: Option<Workspace>,
+    /// A statement has run, so the transaction may hold row locks.
+    pub(crate) ran: bool,
     /// A statement has failed; only a rollback is possible.
     pub(crate) failed: bool,
 }
--- a/src/settings/owner.rs
+++ b/src/settings/owner.rs
@@ -27,8 +27,7 @@
     /// can end before. New work must stop within 2,000 ms.
     pub drain_grace: Millis,
     /// Time after which a running statement gives its slot back. Such a statement
-    /// most likely waits for a row lock, and the transaction that holds the lock
-    /// may need a slot to end.
+    /// most likely waits for a row lock, which occupies no slot of the target.
     pub slot_hold: Millis,
     /// Interval of housekeeping.
     pub tick: Millis,
@@ -50,7 +49,7 @@
             announcement_expiry: Millis(1_500),
             observation_interval: Millis(2_000),
             drain_grace: Millis(1_500),
-            slot_hold: Millis(50),
+            slot_hold: Millis(20),
             tick: Millis(50),
             describe_timeout: Millis(5_000),
         }
