--- a/tests/backend/mod.rs
+++ b/tests/backend/mod.rs
@@ -1,6 +1,10 @@
 //! Backend on loopback that speaks as much of the PostgreSQL protocol as owners
 //! use, records the statements of each connection and breaks on request.
 
+#![allow(dead_code)]
+
+pub mod fixture;
+
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use bytes::{Buf, BufMut, BytesMut};
--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -1,5 +1,5 @@
-//! Owners against a fake backend: outcomes of broken connections, transactions,
-//! leases, drains and reports.
+//! Owners against a fake backend: outcomes of broken connections, leases, drains
+//! and reports.
 
 #![allow(clippy::unwrap_used)]
 
@@ -7,158 +7,17 @@
 
 use std::{sync::Arc, time::Duration};
 
-use backend::{Backend, Break, first_column};
+use backend::{Backend, Break, first_column, fixture::*};
 use pomelopin::{
-    ids::{Epoch, Incarnation, InstanceId, Mark, RequestKey, Revision, Service, Term, Workspace},
-    owner::Owner,
-    settings::owner::OwnerSettings,
-    state::model::{
-        Assignment, ClusterView, Drain, Group, Instance, InstanceSpec, Promotion, Role,
-    },
+    ids::{Epoch, InstanceId, Mark, Term},
+    state::model::{Drain, Promotion, Role},
     wire::{
         announcement::Announcement,
-        peer::{
-            Bind, Execute, Mode, Outcome, ReadBound, Refusal, RequestRecord, Rows, Statement,
-            TransactionId,
-        },
+        peer::{Bind, Mode, Outcome, ReadBound, Refusal},
     },
 };
 use tokio::time::{sleep, timeout};
 
-const INSERT: &str = "INSERT INTO jobs VALUES (1)";
-
-/// Owner of one instance, the fake backend.
-struct Fixture {
-    owner: Owner,
-    backend: Backend,
-    view: ClusterView,
-}
-
-impl Fixture {
-    async fn start() -> Self {
-        let backend = Backend::start().await;
-        let fixture = Self {
-            owner: Owner::new(OwnerSettings::default(), "e1".into(), Incarnation(7)),
-            view: view(&backend.addr),
-            backend,
-        };
-        fixture.owner.update_view(&fixture.view);
-        fixture.owner.lease_renewed();
-        fixture
-    }
-
-    async fn run(&self, mode: Mode, sql: &str) -> Outcome {
-        self.owner.execute(request(mode, sql)).await
-    }
-
-    async fn write(&self, key: &str, digest: &str) -> Outcome {
-        self.run(Mode::Write { term: Term(1), record: Some(record(key, digest)) }, INSERT).await
-    }
-
-    fn instance(&mut self) -> &mut Instance {
-        &mut self.view.instances[0]
-    }
-
-    fn update(&self) {
-        self.owner.update_view(&self.view);
-    }
-
-    fn open(&self) -> usize {
-        self.backend.state.lock().open
-    }
-}
-
-fn view(addr: &str) -> ClusterView {
-    let spec = InstanceSpec {
-        id: "a1".into(),
-        service: "a".into(),
-        failure_domain: "d1".into(),
-        incarnation: Incarnation(1),
-        sql_addr: addr.to_owned(),
-        http_addr: String::new(),
-        slots: 2,
-        connections: 8,
-        leaving: false,
-    };
-    let owner = Assignment {
-        host: "e1".into(),
-        incarnation: Incarnation(7),
-        epoch: Epoch(3),
-        connections: 8,
-    };
-    let instance = Instance { spec, owner: Some(owner), previous: None };
-    let group = Group { term: Term(1), primary: Some("a1".into()), promotion: None };
-    ClusterView {
-        revision: Revision(1),
-        instances: [(InstanceId::from("a1"), instance)].into_iter().collect(),
-        groups: [(Service::from("a"), group)].into_iter().collect(),
-        ..ClusterView::default()
-    }
-}
-
-fn request(mode: Mode, sql: &str) -> Execute {
-    Execute {
-        instance: "a1".into(),
-        epoch: Epoch(3),
-        workspace: Some("w".into()),
-        weight: 10,
-        statement: Statement { sql: sql.to_owned(), bind: None },
-        mode,
-        deadline_ms: 1_000,
-    }
-}
-
-fn record(key: &str, digest: &str) -> RequestRecord {
-    RequestRecord { key: RequestKey::from(key), digest: digest.to_owned() }
-}
-
-fn transaction(number: u64) -> TransactionId {
-    TransactionId { host: "e2".into(), incarnation: Incarnation(1), number }
-}
-
-fn begin(number: u64) -> Mode {
-    Mode::Begin { transaction: transaction(number), term: Term(1) }
-}
-
-fn within(number: u64) -> Mode {
-    Mode::Within { transaction: transaction(number) }
-}
-
-fn commit(number: u64) -> Mode {
-    Mode::Commit { transaction: transaction(number), record: None }
-}
-
-fn primary_read() -> Mode {
-    Mode::Read(ReadBound { term: Term(1), ..ReadBound::default() })
-}
-
-fn done(outcome: Outcome) -> Rows {
-    match outcome {
-        Outcome::Done(rows) => rows,
-        other => panic!("{other:?}"),
-    }
-}
-
-/// Outcome in a short form for tables.
-fn kind(outcome: &Outcome) -> String {
-    match outcome {
-        Outcome::Done(rows) => rows.tag.clone(),
-        Outcome::Refused(refusal) => format!("{refusal:?}"),
-        Outcome::Failed(failure) => failure.code.clone(),
-        Outcome::Unknown { .. } => "unknown".to_owned(),
-    }
-}
-
-/// Waits until a condition holds.
-async fn eventually(condition: impl Fn() -> bool) {
-    let wait = async {
-        while !condition() {
-            sleep(Duration::from_millis(5)).await;
-        }
-    };
-    timeout(Duration::from_secs(5), wait).await.expect("condition holds within 5 s");
-}
-
 /// Guards against a wrong outcome of a write whose connection breaks: `Failed`
 /// only without effect, `Unknown` once the `COMMIT` may have arrived.
 #[tokio::test]
@@ -268,118 +127,6 @@
     assert_eq!(fixture.owner.hint(&"a1".into()).map(|(mark, _)| mark), Some(Mark::new(2, 10)));
 }
 
-/// Guards against statements of two transactions on one connection, and against a
-/// statement of one workspace under the setting of another.
-#[tokio::test]
-async fn statements_of_two_transactions_never_share_a_connection() {
-    let fixture = Arc::new(Fixture::start().await);
-    let run = |number: u64| {
-        let fixture = fixture.clone();
-        async move {
-            let workspace = Workspace::from(format!("w{}", number % 3));
-            for step in 0..5 {
-                let (mode, sql) = match step {
-                    0 => (begin(number), "BEGIN".to_owned()),
-                    4 => (commit(number), String::new()),
-                    _ => (within(number), format!("INSERT INTO jobs VALUES ({number})")),
-                };
-                let mut req = request(mode, &sql);
-                req.workspace = Some(workspace.clone());
-                req.deadline_ms = 5_000;
-                done(fixture.owner.execute(req).await);
-            }
-        }
-    };
-    futures::future::join_all((0..40).map(run)).await;
-    let state = fixture.backend.state.lock();
-    assert_eq!(state.committed.len(), 120);
-    assert!(state.most_open <= 8, "{} connections with a budget of 8", state.most_open);
-    for connection in 1..=state.connections {
-        let mut current = None;
-        let mut workspace = String::new();
-        for (_, sql) in state.log.iter().filter(|(number, _)| *number == connection) {
-            if let Some(name) = sql.strip_prefix("SET pomelopin.workspace = ") {
-                workspace = name.trim_matches('\'').to_owned();
-            } else if sql == "COMMIT" {
-                current = None;
-            } else if let Some(number) = sql.strip_prefix("INSERT INTO jobs VALUES (") {
-                let number: u64 = number.trim_end_matches(')').parse().unwrap();
-                assert_eq!(*current.get_or_insert(number), number);
-                assert_eq!(workspace, format!("w{}", number % 3));
-            }
-        }
-    }
-}
-
-/// Guards against use of a transaction by another workspace and against a failed
-/// transaction that commits.
-#[tokio::test]
-async fn transactions_keep_their_workspace_and_their_failure() {
-    let fixture = Fixture::start().await;
-    done(fixture.run(begin(1), "BEGIN").await);
-    let mut foreign = request(within(1), INSERT);
-    foreign.workspace = Some("other".into());
-    assert_eq!(kind(&fixture.owner.execute(foreign).await), "UnknownTransaction");
-    done(fixture.run(within(1), INSERT).await);
-    assert_eq!(kind(&fixture.run(within(1), "FAIL").await), "22012");
-    assert_eq!(kind(&fixture.run(commit(1), "").await), "25P02");
-    assert_eq!(kind(&fixture.run(within(1), INSERT).await), "UnknownTransaction");
-
-    done(fixture.run(begin(2), "BEGIN").await);
-    done(fixture.run(within(2), INSERT).await);
-    let rollback = Mode::Rollback { transaction: transaction(2) };
-    assert_eq!(kind(&fixture.run(rollback, "").await), "ROLLBACK");
-    assert!(fixture.backend.state.lock().committed.is_empty());
-
-    for _ in 0..2 {
-        done(fixture.run(begin(3), "BEGIN").await);
-        done(fixture.run(within(3), INSERT).await);
-        let commit = Mode::Commit { transaction: transaction(3), record: Some(record("k", "d")) };
-        assert_eq!(kind(&fixture.run(commit, "").await), "COMMIT");
-    }
-    assert_eq!(fixture.backend.state.lock().committed.len(), 1);
-}
-
-/// Guards against a wrong outcome of a transaction whose connection breaks.
-#[tokio::test]
-async fn broken_transaction_is_rolled_back_or_unknown() {
-    let table = [
-        ("INSERT INTO jobs", "40001", "UnknownTransaction"),
-        ("SELECT pomelopin_position", "INSERT 0 1", "40001"),
-        ("COMMIT", "INSERT 0 1", "unknown"),
-    ];
-    for (step, within_kind, commit_kind) in table {
-        let fixture = Fixture::start().await;
-        done(fixture.run(begin(1), "BEGIN").await);
-        fixture.backend.state.lock().break_at = Some((step, Break::Before));
-        assert_eq!(kind(&fixture.run(within(1), INSERT).await), within_kind, "{step}");
-        assert_eq!(kind(&fixture.run(commit(1), "").await), commit_kind, "{step}");
-        assert!(fixture.backend.state.lock().committed.is_empty());
-    }
-}
-
-/// Guards against a connection that returns to the pool in an unknown state after
-/// its caller has gone, and against its late answers.
-#[tokio::test]
-async fn dropped_request_closes_its_connection() {
-    let fixture = Fixture::start().await;
-    let slow = fixture.run(primary_read(), "SELECT SLOW 100");
-    assert!(timeout(Duration::from_millis(50), slow).await.is_err());
-    done(fixture.run(begin(1), "BEGIN").await);
-    let slow = fixture.run(within(1), "SELECT SLOW 100");
-    assert!(timeout(Duration::from_millis(50), slow).await.is_err());
-    assert_eq!(kind(&fixture.run(within(1), INSERT).await), "UnknownTransaction");
-    for _ in 0..20 {
-        done(fixture.run(primary_read(), "SELECT 1").await);
-    }
-    let state = fixture.backend.state.lock();
-    let slow: Vec<_> = state.log.iter().filter(|(_, sql)| sql.contains("SLOW")).collect();
-    for (connection, _) in slow {
-        let last = state.log.iter().rfind(|(number, _)| number == connection).unwrap();
-        assert!(last.1.contains("SLOW"), "connection was used after {}", last.1);
-    }
-}
-
 /// Guards against a deadline that leaves a statement running without bound.
 #[tokio::test]
 async fn deadline_fails_a_write_before_its_commit() {
@@ -390,21 +137,6 @@
     eventually(|| fixture.backend.state.lock().cancels == 1).await;
 }
 
-/// Guards against statements that wait for row locks in all slots while the holder
-/// of the locks waits for a slot.
-#[tokio::test]
-async fn long_statements_give_their_slots_back() {
-    let fixture = Fixture::start().await;
-    let slow = || fixture.run(primary_read(), "SELECT SLOW 600");
-    let quick = async {
-        sleep(Duration::from_millis(20)).await;
-        let quick = fixture.run(primary_read(), "SELECT 1");
-        timeout(Duration::from_millis(300), quick).await.is_ok()
-    };
-    let (_, _, in_time) = tokio::join!(slow(), slow(), quick);
-    assert!(in_time);
-}
-
 /// Guards against connections that outlive the lease, and against an
 /// acknowledgement after its end.
 #[tokio::test]
@@ -448,6 +180,32 @@
     assert_eq!(fixture.open(), 0);
 }
 
+/// Guards against an earlier owner that never reports its release because it holds
+/// no connections, and against connections to the earlier address of an instance.
+#[tokio::test]
+async fn unused_and_restarted_instances_are_released() {
+    let mut fixture = Fixture::start().await;
+    let restarted = Backend::start().await;
+    fixture.instance().spec.sql_addr = restarted.addr.clone();
+    fixture.update();
+    done(fixture.run(primary_read(), "SELECT 1").await);
+    eventually(|| fixture.open() == 0).await;
+
+    let mut other = fixture.view.instances[0].clone();
+    other.spec.id = "a9".into();
+    other.previous = other.owner.take();
+    fixture.view.instances.insert("a9".into(), other);
+    fixture.update();
+    let (releases, _) = fixture.owner.take_reports();
+    let [release] = &releases[..] else { panic!("{releases:?}") };
+    assert_eq!((release.instance.as_str(), release.kept), ("a9", 0));
+    fixture.view.instances.shift_remove(&InstanceId::from("a9"));
+    fixture.view.instances[0].owner = None;
+    fixture.update();
+    assert!(fixture.owner.take_reports().0.is_empty());
+    eventually(|| restarted.state.lock().open == 0).await;
+}
+
 /// Guards against new work on an instance that leaves, and against an interruption
 /// of its transactions.
 #[tokio::test]
