End requests at silent and replaced instances before their deadline

A request at an isolated instance waited for its whole deadline, 5 s for most callers, although a new primary serves after less than 3 s. The requests of a silent instance now end after 1,000 ms, those of a replaced primary 100 ms after the promotion has started, and a request waits at most 250 ms for a connection. Records that cannot be read leave an outcome unknown; they were reported as failed.

Planned changes fall back to another safe replica. They chose the old primary again whenever the preferred replica was behind the other one.

--- a/src/owner/assignments.rs
+++ b/src/owner/assignments.rs
@@ -4,14 +4,20 @@
 
 use crate::{
     ids::{InstanceId, Term},
-    owner::{
-        Owner, Shared,
-        instance::{Instance, Placement},
-        liveness::probe,
-    },
-    state::model::{Assignment, ClusterView, Drain, Instance as InstanceView},
+    owner::{Owner, Shared, instance::Instance, liveness::probe},
+    state::model::{Assignment, ClusterView, Drain, Instance as InstanceView, InstanceSpec},
 };
 
+/// What a view says of an owned instance.
+pub(crate) struct Placement {
+    pub(crate) spec: InstanceSpec,
+    pub(crate) assignment: Assignment,
+    pub(crate) is_current: bool,
+    pub(crate) drained: bool,
+    pub(crate) is_primary: bool,
+    pub(crate) fence: Term,
+}
+
 impl Owner {
     /// Takes over the assignments of a view.
     pub fn update_view(&self, view: &ClusterView) {
--- a/src/owner/instance.rs
+++ b/src/owner/instance.rs
@@ -14,6 +14,7 @@
     clock::{Clock, Millis, SystemClock},
     ids::{Epoch, InstanceId, Service, Term},
     owner::{
+        assignments::Placement,
         gate::Gate,
         known::Known,
         lent::{Lent, Socket},
@@ -45,8 +46,10 @@
     pool: Connections,
     idle: BTreeMap<ConnectionId, Socket>,
     waiting: u32,
-    /// Cancelled when the connections of the current lease must be closed.
+    /// Cancelled when all connections must be closed.
     stop: CancellationToken,
+    /// Cancelled some time after the term has ended; its parent is `stop`.
+    term_end: CancellationToken,
     spec: InstanceSpec,
     owner: Assignment,
     drained: bool,
@@ -58,16 +61,6 @@
     known: Known,
 }
 
-/// What a view says of an owned instance.
-pub(crate) struct Placement {
-    pub(crate) spec: InstanceSpec,
-    pub(crate) assignment: Assignment,
-    pub(crate) is_current: bool,
-    pub(crate) drained: bool,
-    pub(crate) is_primary: bool,
-    pub(crate) fence: Term,
-}
-
 impl Instance {
     pub(crate) fn new(
         settings: &OwnerSettings,
@@ -81,11 +74,13 @@
             pool.end();
         }
         let known = Known { answered_at: clock.now(), ..Known::default() };
+        let stop = CancellationToken::new();
         let state = State {
             pool,
             idle: BTreeMap::new(),
             waiting: 0,
-            stop: CancellationToken::new(),
+            term_end: stop.child_token(),
+            stop,
             spec: spec.clone(),
             owner: assignment.clone(),
             drained: false,
@@ -116,11 +111,10 @@
         self.transactions.set_slots(assignment.connections.saturating_sub(reserved).max(1));
         let mut state = self.state.lock();
         if state.spec.sql_addr != spec.sql_addr {
-            let leased = !state.pool.is_ended();
-            state.stop_connections();
-            if leased {
-                state.pool.resume();
-            }
+            state.restart_connections();
+        }
+        if fence > state.fence && state.is_primary {
+            self.end_term(&mut state);
         }
         state.spec = spec;
         state.is_primary = is_primary;
@@ -146,6 +140,24 @@
         self.available.notify_waiters();
     }
 
+    /// Closes all connections and opens new ones, because the instance is silent.
+    pub(crate) fn restart(self: &Arc<Self>) {
+        self.state.lock().restart_connections();
+        self.maintain();
+    }
+
+    /// Ends requests that an isolated primary of an earlier term will not answer, so
+    /// that they can go on at the new primary.
+    fn end_term(&self, state: &mut State) {
+        let next = state.stop.child_token();
+        let ended = std::mem::replace(&mut state.term_end, next);
+        let grace = self.settings.fence_grace.duration();
+        tokio::spawn(async move {
+            tokio::time::sleep(grace).await;
+            ended.cancel();
+        });
+    }
+
     /// Opens connections again under a renewed lease.
     pub(crate) fn resume(self: &Arc<Self>) {
         let mut state = self.state.lock();
@@ -217,7 +229,8 @@
 
     /// Takes a connection, waiting for one until `deadline`.
     pub(crate) async fn checkout(self: &Arc<Self>, deadline: Millis) -> Result<Lent, Refusal> {
-        let until = Instant::now() + deadline.since(self.clock.now()).duration();
+        let longest = deadline.since(self.clock.now()).min(self.settings.connection_wait);
+        let until = Instant::now() + longest.duration();
         loop {
             let (lent, notified) = self.try_checkout()?;
             if let Some(lent) = lent {
@@ -238,7 +251,7 @@
         while let Some(checkout) = state.pool.checkout() {
             let socket = state.idle.remove(&checkout.id);
             if let Some(socket) = socket.filter(|socket| socket.connection.is_open()) {
-                let stop = state.stop.clone();
+                let stop = state.term_end.clone();
                 return Ok((Some(Lent::new(self.clone(), checkout, socket, stop)), notified));
             }
             state.pool.give_back(checkout, false);
@@ -339,10 +352,19 @@
 }
 
 impl State {
+    fn restart_connections(&mut self) {
+        let leased = !self.pool.is_ended();
+        self.stop_connections();
+        if leased {
+            self.pool.resume();
+        }
+    }
+
     /// Drops all connections; those in use are dropped by their users.
     fn stop_connections(&mut self) {
         self.stop.cancel();
         self.stop = CancellationToken::new();
+        self.term_end = self.stop.child_token();
         for action in self.pool.end() {
             if let PoolAction::Close(id) = action {
                 self.pool.closed(id);
--- a/src/owner/known.rs
+++ b/src/owner/known.rs
@@ -21,6 +21,8 @@
     pub(crate) primary_silent_ms: u64,
     pub(crate) reported_at: Option<Millis>,
     pub(crate) suspicious: bool,
+    /// The instance has given no answer for too long.
+    pub(crate) silent: bool,
     /// Number of kept connections in the last release report.
     pub(crate) kept_reported: Option<u32>,
 }
--- a/src/owner/liveness.rs
+++ b/src/owner/liveness.rs
@@ -72,6 +72,7 @@
             connection = None;
         }
         if instance.note_silence() {
+            instance.restart();
             urgent.notify_one();
         }
     }
@@ -113,7 +114,8 @@
         let (now, silence) = (self.clock.now(), self.settings.silence);
         self.known(|known| {
             let silent = now.since(known.answered_at) >= silence;
-            silent && !std::mem::replace(&mut known.suspicious, silent)
+            let was_silent = std::mem::replace(&mut known.silent, silent);
+            silent && !was_silent
         })
     }
 }
--- a/src/owner/write.rs
+++ b/src/owner/write.rs
@@ -107,9 +107,7 @@
     match updated.and(committed) {
         Ok(rows) if rows.tag == COMMIT => {}
         Ok(_) => return Err(failed("40001", "the target rolled the transaction back")),
-        Err(failure) if is_ambiguous(&failure) => {
-            return Err(Outcome::Unknown { reason: failure.to_string() });
-        }
+        Err(failure) if is_ambiguous(&failure) => return Err(undecided(failure)),
         Err(failure) => return Err(refused_or_failed(failure)),
     }
     rows.mark = Some(wait(cx, &mut lent, term).await?.mark);
@@ -133,7 +131,7 @@
     batch(&mut lent).map_err(unknown)?;
     lent.flush(cx.deadline).await.map_err(unknown)?;
     let head = cx.head(&mut lent).await.map_err(unknown)?;
-    let position = head.map_err(Outcome::Failed)?;
+    let position = head.map_err(undecided)?;
     if !is_primary_of(&instance, &position, term) {
         return Err(Outcome::Refused(Refusal::NotPrimary));
     }
@@ -157,7 +155,7 @@
     };
     batch(&mut lent).map_err(unknown)?;
     lent.flush(cx.deadline).await.map_err(unknown)?;
-    lent.receive(cx.deadline).await.map_err(unknown)?.result.map_err(Outcome::Failed)?;
+    lent.receive(cx.deadline).await.map_err(unknown)?.result.map_err(undecided)?;
     let answer = recorded_answer(cx, &mut lent, term, record).await?;
     answer.ok_or_else(|| failed("40001", "another attempt of the request is running"))
 }
@@ -172,7 +170,7 @@
 ) -> Run<Option<Rows>> {
     let read = lent.receive(cx.deadline).await.map_err(unknown)?.result;
     lent.release_slot();
-    let stored = stored(&read.map_err(Outcome::Failed)?);
+    let stored = stored(&read.map_err(undecided)?);
     let held = wait(cx, lent, term).await?;
     match stored {
         None => Ok(None),
@@ -188,11 +186,10 @@
 /// Receives the answer to the wait for a majority.
 async fn wait(cx: &Cx<'_>, lent: &mut Lent, term: Term) -> Run<Held> {
     let answer = lent.receive(cx.deadline).await.map_err(unknown)?;
-    let not_held = |reason: &str| Outcome::Unknown { reason: reason.to_owned() };
-    let rows = answer.result.map_err(|failure| not_held(&failure.message))?;
+    let rows = answer.result.map_err(undecided)?;
     match held(&rows) {
         Some(held) if held.held && held.mark.term == term => Ok(held),
-        _ => Err(not_held("no majority holds the write")),
+        _ => Err(Outcome::Unknown { reason: "no majority holds the write".to_owned() }),
     }
 }
 
@@ -218,6 +215,11 @@
     }
 }
 
+/// Outcome of an earlier attempt whose record cannot be read.
+fn undecided(failure: Failure) -> Outcome {
+    Outcome::Unknown { reason: failure.to_string() }
+}
+
 /// Whether the target's error leaves open if the commit took effect.
 fn is_ambiguous(failure: &Failure) -> bool {
     failure.code.starts_with("08") || failure.code.starts_with("57P")
--- a/src/promotion/decision.rs
+++ b/src/promotion/decision.rs
@@ -5,12 +5,12 @@
 //! instances shares an instance with the majority that held an acknowledged write,
 //! so the most advanced of them holds every acknowledged write.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::{
     clock::Millis,
     ids::{InstanceId, Mark, Service, Term},
-    promotion::detector::majority,
+    promotion::detector::{is_drained, majority},
     settings::promotion::PromotionSettings,
     state::model::ClusterView,
     wire::control::FenceAnswer,
@@ -29,6 +29,9 @@
     pub old_primary: Option<InstanceId>,
     /// Instance that a planned change prefers.
     pub preferred: Option<InstanceId>,
+    /// Instances that are drained or leaving, and the old primary of a planned
+    /// change. They are chosen only if no other instance is safe.
+    pub avoided: BTreeSet<InstanceId>,
     pub reason: String,
 }
 
@@ -43,14 +46,23 @@
     ) -> Option<Self> {
         let group = view.groups.get(service)?;
         let started = group.promotion.as_ref();
-        let instances = view.instances.values().filter(|i| i.spec.service == *service);
+        let preferred = preferred.or_else(|| started.and_then(|p| p.preferred.clone()));
+        let instances: Vec<_> = view
+            .instances
+            .values()
+            .filter(|instance| instance.spec.service == *service)
+            .map(|instance| instance.spec.id.clone())
+            .collect();
+        let drained = instances.iter().filter(|id| is_drained(view, id));
+        let replaced = group.primary.iter().filter(|_| preferred.is_some());
         Some(Self {
             service: service.clone(),
-            instances: instances.map(|instance| instance.spec.id.clone()).collect(),
+            avoided: drained.chain(replaced).cloned().collect(),
+            instances,
             majority: majority(service, view),
             term: started.map_or(group.term, |promotion| promotion.term.max(group.term)),
             old_primary: group.primary.clone(),
-            preferred: preferred.or_else(|| started.and_then(|p| p.preferred.clone())),
+            preferred,
             reason: reason.into(),
         })
     }
@@ -269,7 +281,11 @@
                 return None;
             }
         }
-        self.fenced.iter().max_by_key(|(id, last)| (**last, *id)).map(|(id, _)| id.clone())
+        let best = self.fenced.iter().max_by_key(|(id, last)| {
+            let wanted = self.is_safe(id) && !self.plan.avoided.contains(*id);
+            (wanted, **last, *id)
+        });
+        best.map(|(id, _)| id.clone())
     }
 
     /// Whether the instance is as advanced as every member of some fenced majority.
--- a/src/promotion/detector.rs
+++ b/src/promotion/detector.rs
@@ -79,7 +79,7 @@
         self.note_terms(now, view);
         let candidates = view.groups.iter().filter(|(service, group)| {
             group.promotion.is_none()
-                && group.primary.as_ref().is_some_and(|primary| drained(view, primary))
+                && group.primary.as_ref().is_some_and(|primary| is_drained(view, primary))
                 && self.planned_is_due(now, service)
         });
         candidates
@@ -134,7 +134,7 @@
         let instances = view.instances.iter().filter(|(id, instance)| {
             instance.spec.service == *service
                 && group.primary.as_ref() != Some(*id)
-                && !drained(view, id)
+                && !is_drained(view, id)
         });
         let position = |id: &InstanceId| self.seen.get(id).map(|seen| seen.position);
         instances.max_by_key(|(id, _)| (position(id), *id)).map(|(id, _)| id.clone())
@@ -152,7 +152,8 @@
     configured.unwrap_or_else(announced) / 2 + 1
 }
 
-fn drained(view: &ClusterView, id: &InstanceId) -> bool {
+/// Whether the instance is drained or leaving.
+pub fn is_drained(view: &ClusterView, id: &InstanceId) -> bool {
     let leaving = view.instances.get(id).is_some_and(|instance| instance.spec.leaving);
     leaving || view.desired.drains.contains(&Drain::Instance(id.clone()))
 }
--- a/src/settings/owner.rs
+++ b/src/settings/owner.rs
@@ -13,6 +13,13 @@
     pub queue: QueueSettings,
     /// Longest time for a connection to be opened.
     pub connect_timeout: Millis,
+    /// Longest wait for a free connection; a new one takes 10 to 30 ms. A request
+    /// that waits longer has a better chance at another instance.
+    pub connection_wait: Millis,
+    /// Time that the requests of a term may still run after a promotion has started.
+    /// Answers of a planned change arrive within it; those of an isolated primary
+    /// never do.
+    pub fence_grace: Millis,
     /// Time that a closing connection may take to end.
     pub close_timeout: Millis,
     /// Interval of the liveness probe.
@@ -43,6 +50,8 @@
             pool: PoolSettings::default(),
             queue: QueueSettings::default(),
             connect_timeout: Millis(1_000),
+            connection_wait: Millis(250),
+            fence_grace: Millis(100),
             close_timeout: Millis(500),
             probe_interval: Millis(250),
             silence: Millis(1_000),
--- a/tests/backend/mod.rs
+++ b/tests/backend/mod.rs
@@ -38,6 +38,8 @@
     pub break_at: Option<(&'static str, Break)>,
     /// The listener accepts connections and closes them.
     pub refuse: bool,
+    /// Statements that begin so, and new connections, get no answer.
+    pub hang: Option<&'static str>,
     pub connections: usize,
     pub open: usize,
     pub most_open: usize,
@@ -72,6 +74,7 @@
             log: Vec::new(),
             break_at: None,
             refuse: false,
+            hang: None,
             connections: 0,
             open: 0,
             most_open: 0,
@@ -112,6 +115,7 @@
         if self.state.lock().refuse {
             return Ok(());
         }
+        self.hang("").await;
         let mut out = BytesMut::new();
         message(&mut out, b'R', &0_u32.to_be_bytes());
         message(&mut out, b'K', &[0, 0, 0, 1, 0, 0, 0, 2]);
@@ -156,6 +160,7 @@
         if breaks == Some(Break::Before) {
             return Ok(false);
         }
+        self.hang(sql).await;
         if let Some(ms) = sql.split("SLOW ").nth(1) {
             sleep(Duration::from_millis(ms.parse().unwrap())).await;
         }
@@ -167,6 +172,16 @@
         Ok(true)
     }
 
+    /// Waits while statements such as `sql` get no answer.
+    async fn hang(&self, sql: &str) {
+        let hangs = || {
+            self.state.lock().hang.is_some_and(|prefix| sql.starts_with(prefix) || sql.is_empty())
+        };
+        while hangs() {
+            sleep(Duration::from_millis(5)).await;
+        }
+    }
+
     fn run(&self, sql: &str, work: &mut Work) -> BytesMut {
         let state = &mut *self.state.lock();
         let mut out = BytesMut::new();
--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -240,6 +240,43 @@
     assert!(silent(&fixture));
 }
 
+/// Guards against requests that wait for an isolated primary until their deadline
+/// although a promotion has started.
+#[tokio::test]
+async fn promotion_ends_requests_at_an_isolated_primary() {
+    for (prefix, expected) in [("INSERT INTO jobs", "40001"), ("SELECT pomelopin_wait", "unknown")]
+    {
+        let mut fixture = Fixture::start().await;
+        done(fixture.run(primary_read(), "SELECT 1").await);
+        fixture.backend.state.lock().hang = Some(prefix);
+        fixture.view.groups[0].promotion = Some(Promotion { term: Term(2), preferred: None });
+        let promote = async {
+            sleep(Duration::from_millis(50)).await;
+            fixture.update();
+        };
+        let write = timeout(Duration::from_millis(600), fixture.write("k", "d"));
+        let (outcome, ()) = tokio::join!(write, promote);
+        assert_eq!(kind(&outcome.expect("outcome before the deadline")), expected, "{prefix}");
+    }
+}
+
+/// Guards against requests that wait for a silent instance until their deadline.
+#[tokio::test]
+async fn silent_instance_fails_its_requests() {
+    let fixture = Fixture::start().await;
+    done(fixture.run(primary_read(), "SELECT 1").await);
+    fixture.backend.state.lock().hang = Some("");
+    let mut req = request(primary_read(), "SELECT 1");
+    req.deadline_ms = 5_000;
+    let lost = timeout(Duration::from_millis(1_700), fixture.owner.execute(req.clone())).await;
+    assert_eq!(kind(&lost.expect("outcome before the deadline")), "unknown");
+    let refused = timeout(Duration::from_millis(600), fixture.owner.execute(req.clone())).await;
+    assert_eq!(kind(&refused.expect("outcome before the deadline")), "NoConnection");
+    fixture.backend.state.lock().hang = None;
+    sleep(Duration::from_millis(1_500)).await;
+    done(fixture.owner.execute(req).await);
+}
+
 /// Guards against a replica's suspicion that is lost or outlives its announcement.
 #[tokio::test]
 async fn announcements_of_replicas_become_observations() {
