Ignore the silence of a replaced primary and log lost instances

The owner of an isolated old primary keeps reporting its silence. Together with one cut-off replica that was a majority against the new primary. Planned changes may follow after 2,000 ms, because a drained primary gets no new work in the meantime. Failed connections and silent instances are logged.

--- a/src/owner/instance.rs
+++ b/src/owner/instance.rs
@@ -318,11 +318,17 @@
             };
             match opened {
                 Ok(Ok(connection)) => instance.opened(id, Socket::new(connection), &stop),
-                _ => instance.state.lock().pool.open_failed(instance.clock.now(), id),
+                Ok(Err(error)) => instance.open_failed(id, &error.to_string()),
+                Err(_) => instance.open_failed(id, "no answer in time"),
             }
         });
     }
 
+    fn open_failed(&self, id: ConnectionId, reason: &str) {
+        spdlog::warn!("cannot connect to instance {}: {reason}", self.id);
+        self.state.lock().pool.open_failed(self.clock.now(), id);
+    }
+
     fn opened(self: &Arc<Self>, id: ConnectionId, socket: Socket, stop: &CancellationToken) {
         let mut state = self.state.lock();
         if stop.is_cancelled() {
--- a/src/owner/liveness.rs
+++ b/src/owner/liveness.rs
@@ -72,6 +72,8 @@
             connection = None;
         }
         if instance.note_silence() {
+            let silence = instance.settings.silence;
+            spdlog::warn!("instance {} has given no answer for {silence}", instance.id);
             instance.restart();
             urgent.notify_one();
         }
--- a/src/promotion/detector.rs
+++ b/src/promotion/detector.rs
@@ -10,7 +10,7 @@
     clock::Millis,
     ids::{InstanceId, Mark, Service, Term},
     settings::promotion::PromotionSettings,
-    state::model::{ClusterView, Drain, Group},
+    state::model::{ClusterView, Drain, Group, Role},
     wire::control::Observation,
 };
 
@@ -26,6 +26,7 @@
 struct Seen {
     at: Millis,
     service: Service,
+    role: Role,
     position: Mark,
     silent: Millis,
 }
@@ -50,6 +51,7 @@
         let seen = Seen {
             at: now,
             service: observation.service.clone(),
+            role: observation.role,
             position: observation.position,
             silent: Millis(observation.silent_ms),
         };
@@ -67,7 +69,7 @@
             .filter(|(service, group)| {
                 group.primary.is_some()
                     && self.has_settled(now, service)
-                    && self.suspicious(service, view) >= majority(service, view)
+                    && self.suspicious(service, group, view) >= majority(service, view)
             })
             .map(|(service, _)| service.clone())
             .collect()
@@ -116,10 +118,15 @@
         })
     }
 
-    fn suspicious(&self, service: &Service, view: &ClusterView) -> usize {
+    fn suspicious(&self, service: &Service, group: &Group, view: &ClusterView) -> usize {
+        // The silence of a replaced primary says nothing about its successor.
+        let concerns_primary = |id: &InstanceId, seen: &Seen| {
+            seen.role == Role::Replica || group.primary.as_ref() == Some(id)
+        };
         let silent = self.seen.iter().filter(|(id, seen)| {
             seen.service == *service
                 && seen.silent >= self.settings.silence
+                && concerns_primary(id, seen)
                 && view.instances.get(*id).is_some_and(|instance| instance.spec.service == *service)
         });
         silent.count()
--- a/src/settings/promotion.rs
+++ b/src/settings/promotion.rs
@@ -13,7 +13,8 @@
     /// Time after a change of term in which suspicions don't count, because the
     /// replicas have yet to hear from the new primary.
     pub settle: Millis,
-    /// Least time between two planned changes of one group.
+    /// Least time between two planned changes of one group. A drained primary gets
+    /// no new work after 1,500 ms, so a long pause would be a gap in service.
     pub planned_interval: Millis,
     /// Interval between attempts of an unanswered step.
     pub retry: Millis,
@@ -30,7 +31,7 @@
             silence: Millis(1_000),
             observation_expiry: Millis(1_500),
             settle: Millis(1_500),
-            planned_interval: Millis(10_000),
+            planned_interval: Millis(2_000),
             retry: Millis(200),
             preferred_wait: Millis(150),
             promote_timeout: Millis(1_000),
