Check the term again when a request gets its connection

A request that passed the check, waited for a slot or a connection and got it after a promotion had started was sent to the replaced primary. At an isolated one it waited for its deadline, because the requests of the earlier term had been ended already. The check now repeats under the lock that hands out the connection.

--- a/src/owner/execute.rs
+++ b/src/owner/execute.rs
@@ -56,7 +56,7 @@
     instance.accepts_work().map_err(refused)?;
     let deadline = shared.deadline(shared.settings.describe_timeout.0);
     let _permit = instance.slots.acquire(&None, 1, deadline).await.map_err(refused)?;
-    let mut lent = instance.checkout(deadline).await.map_err(refused)?;
+    let mut lent = instance.checkout(None, deadline).await.map_err(refused)?;
     match lent.describe(sql, deadline).await {
         Ok(described) => described,
         Err(error) => Err(Failure { code: "57P03".into(), message: error.to_string() }),
@@ -67,10 +67,8 @@
 /// answer that does not satisfy the bound is dropped; the read had no effect.
 async fn read(cx: &Cx<'_>, bound: &ReadBound) -> Run<Rows> {
     let instance = cx.instance()?;
-    if bound.max_staleness_ms.is_none() && instance.is_fenced(bound.term) {
-        return Err(Outcome::Refused(Refusal::NotPrimary));
-    }
-    let mut lent = cx.enter(&instance).await?;
+    let term = bound.max_staleness_ms.is_none().then_some(bound.term);
+    let mut lent = cx.enter(&instance, term).await?;
     let flow = &cx.req.workspace;
     let send = |lent: &mut Lent| {
         lent.set_workspace(flow)?;
@@ -113,13 +111,17 @@
         owned.map_err(Outcome::Refused)
     }
 
-    /// Waits for a slot and a connection.
-    pub(crate) async fn enter(&self, instance: &Arc<Instance>) -> Run<Lent> {
+    /// Waits for a slot and a connection. A request of the primary names its term.
+    pub(crate) async fn enter(&self, instance: &Arc<Instance>, term: Option<Term>) -> Run<Lent> {
+        if term.is_some_and(|term| instance.is_fenced(term)) {
+            return Err(Outcome::Refused(Refusal::NotPrimary));
+        }
         instance.accepts_work().map_err(Outcome::Refused)?;
         let slot = self.slot(instance).await?;
         // Ownership may have changed in the queue.
         instance.accepts_work().map_err(Outcome::Refused)?;
-        let mut lent = instance.checkout(self.deadline).await.map_err(Outcome::Refused)?;
+        let lent = instance.checkout(term, self.deadline).await;
+        let mut lent = lent.map_err(Outcome::Refused)?;
         lent.occupy(slot);
         Ok(lent)
     }
--- a/src/owner/instance.rs
+++ b/src/owner/instance.rs
@@ -5,12 +5,11 @@
 use parking_lot::Mutex;
 use tokio::{
     sync::{Notify, futures::Notified},
-    time::{Instant, timeout, timeout_at},
+    time::{Instant, timeout_at},
 };
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    adapters::backend_startup::{Credentials, connect},
     clock::{Clock, Millis, SystemClock},
     ids::{Epoch, InstanceId, Service, Term},
     owner::{
@@ -37,20 +36,20 @@
     /// Connections for open transactions. Leaves enough connections to use all
     /// slots, so that holders of a slot never wait for a transaction to end.
     pub(crate) transactions: Arc<Gate>,
-    state: Mutex<State>,
+    pub(super) state: Mutex<State>,
     /// A connection has become idle or the pool was closed.
-    available: Notify,
+    pub(super) available: Notify,
 }
 
-struct State {
-    pool: Connections,
-    idle: BTreeMap<ConnectionId, Socket>,
-    waiting: u32,
+pub(super) struct State {
+    pub(super) pool: Connections,
+    pub(super) idle: BTreeMap<ConnectionId, Socket>,
+    pub(super) waiting: u32,
     /// Cancelled when all connections must be closed.
-    stop: CancellationToken,
+    pub(super) stop: CancellationToken,
     /// Cancelled some time after the term has ended; its parent is `stop`.
     term_end: CancellationToken,
-    spec: InstanceSpec,
+    pub(super) spec: InstanceSpec,
     owner: Assignment,
     drained: bool,
     /// Since when the instance gets no new work.
@@ -58,7 +57,7 @@
     is_primary: bool,
     /// Terms below this one have ended.
     fence: Term,
-    known: Known,
+    pub(super) known: Known,
 }
 
 impl Instance {
@@ -227,12 +226,17 @@
         change(&mut self.state.lock().known)
     }
 
-    /// Takes a connection, waiting for one until `deadline`.
-    pub(crate) async fn checkout(self: &Arc<Self>, deadline: Millis) -> Result<Lent, Refusal> {
+    /// Takes a connection, waiting for one until `deadline`. A request of the
+    /// primary names its `term`, which may end while it waits.
+    pub(crate) async fn checkout(
+        self: &Arc<Self>,
+        term: Option<Term>,
+        deadline: Millis,
+    ) -> Result<Lent, Refusal> {
         let longest = deadline.since(self.clock.now()).min(self.settings.connection_wait);
         let until = Instant::now() + longest.duration();
         loop {
-            let (lent, notified) = self.try_checkout()?;
+            let (lent, notified) = self.try_checkout(term)?;
             if let Some(lent) = lent {
                 return Ok(lent);
             }
@@ -242,12 +246,18 @@
         }
     }
 
-    fn try_checkout(self: &Arc<Self>) -> Result<(Option<Lent>, Notified<'_>), Refusal> {
+    fn try_checkout(
+        self: &Arc<Self>,
+        term: Option<Term>,
+    ) -> Result<(Option<Lent>, Notified<'_>), Refusal> {
         let notified = self.available.notified();
         let mut state = self.state.lock();
         if state.pool.is_closed() {
             return Err(Refusal::NotOwner);
         }
+        if term.is_some_and(|term| term < state.fence) {
+            return Err(Refusal::NotPrimary);
+        }
         while let Some(checkout) = state.pool.checkout() {
             let socket = state.idle.remove(&checkout.id);
             if let Some(socket) = socket.filter(|socket| socket.connection.is_open()) {
@@ -288,73 +298,6 @@
             Returned::Stale => {}
         }
     }
-
-    /// Opens and closes connections as the pool plans.
-    pub(crate) fn maintain(self: &Arc<Self>) {
-        let mut state = self.state.lock();
-        let waiting = state.waiting;
-        let actions = state.pool.plan(self.clock.now(), waiting);
-        for action in actions {
-            match action {
-                PoolAction::Open(id) => self.open(&state, id),
-                PoolAction::Close(id) => {
-                    if let Some(socket) = state.idle.remove(&id) {
-                        self.close(id, socket);
-                    }
-                }
-            }
-        }
-    }
-
-    fn open(self: &Arc<Self>, state: &State, id: ConnectionId) {
-        let (addr, service) = (state.spec.sql_addr.clone(), state.spec.service.clone());
-        let (instance, stop) = (self.clone(), state.stop.clone());
-        tokio::spawn(async move {
-            let credentials = Credentials::from(&instance.settings);
-            let limit = instance.settings.connect_timeout.duration();
-            let opened = tokio::select! {
-                () = stop.cancelled() => return,
-                opened = timeout(limit, connect(&addr, &service, &credentials)) => opened,
-            };
-            match opened {
-                Ok(Ok(connection)) => instance.opened(id, Socket::new(connection), &stop),
-                Ok(Err(error)) => instance.open_failed(id, &error.to_string()),
-                Err(_) => instance.open_failed(id, "no answer in time"),
-            }
-        });
-    }
-
-    fn open_failed(&self, id: ConnectionId, reason: &str) {
-        spdlog::warn!("cannot connect to instance {}: {reason}", self.id);
-        self.state.lock().pool.open_failed(self.clock.now(), id);
-    }
-
-    fn opened(self: &Arc<Self>, id: ConnectionId, socket: Socket, stop: &CancellationToken) {
-        let mut state = self.state.lock();
-        if stop.is_cancelled() {
-            return;
-        }
-        if state.pool.opened(id) {
-            state.idle.insert(id, socket);
-            state.known.answered_at = self.clock.now();
-            drop(state);
-            self.available.notify_waiters();
-        } else {
-            drop(state);
-            self.close(id, socket);
-        }
-    }
-
-    fn close(self: &Arc<Self>, id: ConnectionId, socket: Socket) {
-        let instance = self.clone();
-        let Ok(runtime) = tokio::runtime::Handle::try_current() else { return };
-        runtime.spawn(async move {
-            let limit = instance.settings.close_timeout.duration();
-            let _ = timeout(limit, socket.connection.close()).await;
-            instance.state.lock().pool.closed(id);
-            instance.maintain();
-        });
-    }
 }
 
 impl State {
--- a/src/owner/liveness.rs
+++ b/src/owner/liveness.rs
@@ -85,7 +85,7 @@
     let deadline = instance.silence_deadline();
     let connection = match connection {
         Some(connection) => connection,
-        None => instance.checkout(deadline).await.ok()?,
+        None => instance.checkout(None, deadline).await.ok()?,
     };
     let asked = timeout(instance.settings.silence.duration(), position(connection, deadline)).await;
     asked.ok()?.ok()
--- a/src/owner/mod.rs
+++ b/src/owner/mod.rs
@@ -34,6 +34,7 @@
 mod lent;
 mod liveness;
 mod reports;
+mod sockets;
 mod statements;
 mod transaction;
 mod transactions;
--- a/src/owner/transaction.rs
+++ b/src/owner/transaction.rs
@@ -19,14 +19,11 @@
 /// Pins a connection to a new transaction.
 pub(crate) async fn begin(cx: &Cx<'_>, id: &TransactionId, term: Term) -> Run<Rows> {
     let instance = cx.instance()?;
-    if instance.is_fenced(term) {
-        return Err(Outcome::Refused(Refusal::NotPrimary));
-    }
     instance.accepts_work().map_err(Outcome::Refused)?;
     let workspace = &cx.req.workspace;
     let permit = instance.transactions.acquire(workspace, cx.req.weight, cx.deadline);
     let permit = permit.await.map_err(Outcome::Refused)?;
-    let mut lent = cx.enter(&instance).await?;
+    let mut lent = cx.enter(&instance, Some(term)).await?;
     let batch = |lent: &mut Lent| {
         lent.set_workspace(workspace)?;
         lent.query(POSITION)?;
--- a/src/owner/write.rs
+++ b/src/owner/write.rs
@@ -26,10 +26,7 @@
 /// Runs a write in its own transaction.
 pub(crate) async fn write(cx: &Cx<'_>, term: Term, record: Option<&RequestRecord>) -> Run<Rows> {
     let instance = cx.instance()?;
-    if instance.is_fenced(term) {
-        return Err(Outcome::Refused(Refusal::NotPrimary));
-    }
-    let mut lent = cx.enter(&instance).await?;
+    let mut lent = cx.enter(&instance, Some(term)).await?;
     let workspace = &cx.req.workspace;
     let batch = |lent: &mut Lent| {
         lent.set_workspace(workspace)?;
@@ -117,10 +114,7 @@
 /// Reads the record of an earlier attempt under the current term.
 pub(crate) async fn settle(cx: &Cx<'_>, term: Term, record: &RequestRecord) -> Run<Rows> {
     let instance = cx.instance()?;
-    if instance.is_fenced(term) {
-        return Err(Outcome::Refused(Refusal::NotPrimary));
-    }
-    let mut lent = cx.enter(&instance).await?;
+    let mut lent = cx.enter(&instance, Some(term)).await?;
     let workspace = &cx.req.workspace;
     let batch = |lent: &mut Lent| {
         lent.set_workspace(workspace)?;
