--- a/src/owner/instance.rs
+++ b/src/owner/instance.rs
@@ -5,15 +5,15 @@
 use parking_lot::Mutex;
 use tokio::{
     sync::{Notify, futures::Notified},
-    time::{Instant, timeout, timeout_at},
+    time::{Instant, timeout_at},
 };
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    adapters::backend_startup::{Credentials, connect},
     clock::{Clock, Millis, SystemClock},
     ids::{Epoch, InstanceId, Service, Term},
     owner::{
+        assignments::Placement,
         gate::Gate,
         known::Known,
         lent::{Lent, Socket},
@@ -36,18 +36,20 @@
     /// Connections for open transactions. Leaves enough connections to use all
     /// slots, so that holders of a slot never wait for a transaction to end.
     pub(crate) transactions: Arc<Gate>,
-    state: Mutex<State>,
+    pub(super) state: Mutex<State>,
     /// A connection has become idle or the pool was closed.
-    available: Notify,
+    pub(super) available: Notify,
 }
 
-struct State {
-    pool: Connections,
-    idle: BTreeMap<ConnectionId, Socket>,
-    waiting: u32,
-    /// Cancelled when the connections of the current lease must be closed.
-    stop: CancellationToken,
-    spec: InstanceSpec,
+pub(super) struct State {
+    pub(super) pool: Connections,
+    pub(super) idle: BTreeMap<ConnectionId, Socket>,
+    pub(super) waiting: u32,
+    /// Cancelled when all connections must be closed.
+    pub(super) stop: CancellationToken,
+    /// Cancelled some time after the term has ended; its parent is `stop`.
+    term_end: CancellationToken,
+    pub(super) spec: InstanceSpec,
     owner: Assignment,
     drained: bool,
     /// Since when the instance gets no new work.
@@ -55,17 +57,7 @@
     is_primary: bool,
     /// Terms below this one have ended.
     fence: Term,
-    known: Known,
-}
-
-/// What a view says of an owned instance.
-pub(crate) struct Placement {
-    pub(crate) spec: InstanceSpec,
-    pub(crate) assignment: Assignment,
-    pub(crate) is_current: bool,
-    pub(crate) drained: bool,
-    pub(crate) is_primary: bool,
-    pub(crate) fence: Term,
+    pub(super) known: Known,
 }
 
 impl Instance {
@@ -81,11 +73,13 @@
             pool.end();
         }
         let known = Known { answered_at: clock.now(), ..Known::default() };
+        let stop = CancellationToken::new();
         let state = State {
             pool,
             idle: BTreeMap::new(),
             waiting: 0,
-            stop: CancellationToken::new(),
+            term_end: stop.child_token(),
+            stop,
             spec: spec.clone(),
             owner: assignment.clone(),
             drained: false,
@@ -116,11 +110,10 @@
         self.transactions.set_slots(assignment.connections.saturating_sub(reserved).max(1));
         let mut state = self.state.lock();
         if state.spec.sql_addr != spec.sql_addr {
-            let leased = !state.pool.is_ended();
-            state.stop_connections();
-            if leased {
-                state.pool.resume();
-            }
+            state.restart_connections();
+        }
+        if fence > state.fence && state.is_primary {
+            self.end_term(&mut state);
         }
         state.spec = spec;
         state.is_primary = is_primary;
@@ -146,6 +139,24 @@
         self.available.notify_waiters();
     }
 
+    /// Closes all connections and opens new ones, because the instance is silent.
+    pub(crate) fn restart(self: &Arc<Self>) {
+        self.state.lock().restart_connections();
+        self.maintain();
+    }
+
+    /// Ends requests that an isolated primary of an earlier term will not answer, so
+    /// that they can go on at the new primary.
+    fn end_term(&self, state: &mut State) {
+        let next = state.stop.child_token();
+        let ended = std::mem::replace(&mut state.term_end, next);
+        let grace = self.settings.fence_grace.duration();
+        tokio::spawn(async move {
+            tokio::time::sleep(grace).await;
+            ended.cancel();
+        });
+    }
+
     /// Opens connections again under a renewed lease.
     pub(crate) fn resume(self: &Arc<Self>) {
         let mut state = self.state.lock();
@@ -215,11 +226,17 @@
         change(&mut self.state.lock().known)
     }
 
-    /// Takes a connection, waiting for one until `deadline`.
-    pub(crate) async fn checkout(self: &Arc<Self>, deadline: Millis) -> Result<Lent, Refusal> {
-        let until = Instant::now() + deadline.since(self.clock.now()).duration();
+    /// Takes a connection, waiting for one until `deadline`. A request of the
+    /// primary names its `term`, which may end while it waits.
+    pub(crate) async fn checkout(
+        self: &Arc<Self>,
+        term: Option<Term>,
+        deadline: Millis,
+    ) -> Result<Lent, Refusal> {
+        let longest = deadline.since(self.clock.now()).min(self.settings.connection_wait);
+        let until = Instant::now() + longest.duration();
         loop {
-            let (lent, notified) = self.try_checkout()?;
+            let (lent, notified) = self.try_checkout(term)?;
             if let Some(lent) = lent {
                 return Ok(lent);
             }
@@ -229,16 +246,22 @@
         }
     }
 
-    fn try_checkout(self: &Arc<Self>) -> Result<(Option<Lent>, Notified<'_>), Refusal> {
+    fn try_checkout(
+        self: &Arc<Self>,
+        term: Option<Term>,
+    ) -> Result<(Option<Lent>, Notified<'_>), Refusal> {
         let notified = self.available.notified();
         let mut state = self.state.lock();
         if state.pool.is_closed() {
             return Err(Refusal::NotOwner);
         }
+        if term.is_some_and(|term| term < state.fence) {
+            return Err(Refusal::NotPrimary);
+        }
         while let Some(checkout) = state.pool.checkout() {
             let socket = state.idle.remove(&checkout.id);
             if let Some(socket) = socket.filter(|socket| socket.connection.is_open()) {
-                let stop = state.stop.clone();
+                let stop = state.term_end.clone();
                 return Ok((Some(Lent::new(self.clone(), checkout, socket, stop)), notified));
             }
             state.pool.give_back(checkout, false);
@@ -275,74 +298,22 @@
             Returned::Stale => {}
         }
     }
+}
 
-    /// Opens and closes connections as the pool plans.
-    pub(crate) fn maintain(self: &Arc<Self>) {
-        let mut state = self.state.lock();
-        let waiting = state.waiting;
-        let actions = state.pool.plan(self.clock.now(), waiting);
-        for action in actions {
-            match action {
-                PoolAction::Open(id) => self.open(&state, id),
-                PoolAction::Close(id) => {
-                    if let Some(socket) = state.idle.remove(&id) {
-                        self.close(id, socket);
-                    }
-                }
-            }
-        }
-    }
-
-    fn open(self: &Arc<Self>, state: &State, id: ConnectionId) {
-        let (addr, service) = (state.spec.sql_addr.clone(), state.spec.service.clone());
-        let (instance, stop) = (self.clone(), state.stop.clone());
-        tokio::spawn(async move {
-            let credentials = Credentials::from(&instance.settings);
-            let limit = instance.settings.connect_timeout.duration();
-            let opened = tokio::select! {
-                () = stop.cancelled() => return,
-                opened = timeout(limit, connect(&addr, &service, &credentials)) => opened,
-            };
-            match opened {
-                Ok(Ok(connection)) => instance.opened(id, Socket::new(connection), &stop),
-                _ => instance.state.lock().pool.open_failed(instance.clock.now(), id),
-            }
-        });
-    }
-
-    fn opened(self: &Arc<Self>, id: ConnectionId, socket: Socket, stop: &CancellationToken) {
-        let mut state = self.state.lock();
-        if stop.is_cancelled() {
-            return;
-        }
-        if state.pool.opened(id) {
-            state.idle.insert(id, socket);
-            state.known.answered_at = self.clock.now();
-            drop(state);
-            self.available.notify_waiters();
-        } else {
-            drop(state);
-            self.close(id, socket);
+impl State {
+    fn restart_connections(&mut self) {
+        let leased = !self.pool.is_ended();
+        self.stop_connections();
+        if leased {
+            self.pool.resume();
         }
     }
 
-    fn close(self: &Arc<Self>, id: ConnectionId, socket: Socket) {
-        let instance = self.clone();
-        let Ok(runtime) = tokio::runtime::Handle::try_current() else { return };
-        runtime.spawn(async move {
-            let limit = instance.settings.close_timeout.duration();
-            let _ = timeout(limit, socket.connection.close()).await;
-            instance.state.lock().pool.closed(id);
-            instance.maintain();
-        });
-    }
-}
-
-impl State {
     /// Drops all connections; those in use are dropped by their users.
     fn stop_connections(&mut self) {
         self.stop.cancel();
         self.stop = CancellationToken::new();
+        self.term_end = self.stop.child_token();
         for action in self.pool.end() {
             if let PoolAction::Close(id) = action {
                 self.pool.closed(id);
--- a/src/owner/liveness.rs
+++ b/src/owner/liveness.rs
@@ -72,6 +72,9 @@
             connection = None;
         }
         if instance.note_silence() {
+            let silence = instance.settings.silence;
+            spdlog::warn!("instance {} has given no answer for {silence}", instance.id);
+            instance.restart();
             urgent.notify_one();
         }
     }
@@ -82,7 +85,7 @@
     let deadline = instance.silence_deadline();
     let connection = match connection {
         Some(connection) => connection,
-        None => instance.checkout(deadline).await.ok()?,
+        None => instance.checkout(None, deadline).await.ok()?,
     };
     let asked = timeout(instance.settings.silence.duration(), position(connection, deadline)).await;
     asked.ok()?.ok()
@@ -113,7 +116,8 @@
         let (now, silence) = (self.clock.now(), self.settings.silence);
         self.known(|known| {
             let silent = now.since(known.answered_at) >= silence;
-            silent && !std::mem::replace(&mut known.suspicious, silent)
+            let was_silent = std::mem::replace(&mut known.silent, silent);
+            silent && !was_silent
         })
     }
 }
--- a/src/promotion/detector.rs
+++ b/src/promotion/detector.rs
@@ -10,7 +10,7 @@
     clock::Millis,
     ids::{InstanceId, Mark, Service, Term},
     settings::promotion::PromotionSettings,
-    state::model::{ClusterView, Drain, Group},
+    state::model::{ClusterView, Drain, Group, Role},
     wire::control::Observation,
 };
 
@@ -26,6 +26,7 @@
 struct Seen {
     at: Millis,
     service: Service,
+    role: Role,
     position: Mark,
     silent: Millis,
 }
@@ -50,6 +51,7 @@
         let seen = Seen {
             at: now,
             service: observation.service.clone(),
+            role: observation.role,
             position: observation.position,
             silent: Millis(observation.silent_ms),
         };
@@ -67,7 +69,7 @@
             .filter(|(service, group)| {
                 group.primary.is_some()
                     && self.has_settled(now, service)
-                    && self.suspicious(service, view) >= majority(service, view)
+                    && self.suspicious(service, group, view) >= majority(service, view)
             })
             .map(|(service, _)| service.clone())
             .collect()
@@ -79,7 +81,7 @@
         self.note_terms(now, view);
         let candidates = view.groups.iter().filter(|(service, group)| {
             group.promotion.is_none()
-                && group.primary.as_ref().is_some_and(|primary| drained(view, primary))
+                && group.primary.as_ref().is_some_and(|primary| is_drained(view, primary))
                 && self.planned_is_due(now, service)
         });
         candidates
@@ -116,10 +118,15 @@
         })
     }
 
-    fn suspicious(&self, service: &Service, view: &ClusterView) -> usize {
+    fn suspicious(&self, service: &Service, group: &Group, view: &ClusterView) -> usize {
+        // The silence of a replaced primary says nothing about its successor.
+        let concerns_primary = |id: &InstanceId, seen: &Seen| {
+            seen.role == Role::Replica || group.primary.as_ref() == Some(id)
+        };
         let silent = self.seen.iter().filter(|(id, seen)| {
             seen.service == *service
                 && seen.silent >= self.settings.silence
+                && concerns_primary(id, seen)
                 && view.instances.get(*id).is_some_and(|instance| instance.spec.service == *service)
         });
         silent.count()
@@ -134,7 +141,7 @@
         let instances = view.instances.iter().filter(|(id, instance)| {
             instance.spec.service == *service
                 && group.primary.as_ref() != Some(*id)
-                && !drained(view, id)
+                && !is_drained(view, id)
         });
         let position = |id: &InstanceId| self.seen.get(id).map(|seen| seen.position);
         instances.max_by_key(|(id, _)| (position(id), *id)).map(|(id, _)| id.clone())
@@ -152,7 +159,8 @@
     configured.unwrap_or_else(announced) / 2 + 1
 }
 
-fn drained(view: &ClusterView, id: &InstanceId) -> bool {
+/// Whether the instance is drained or leaving.
+pub fn is_drained(view: &ClusterView, id: &InstanceId) -> bool {
     let leaving = view.instances.get(id).is_some_and(|instance| instance.spec.leaving);
     leaving || view.desired.drains.contains(&Drain::Instance(id.clone()))
 }
--- a/src/settings/owner.rs
+++ b/src/settings/owner.rs
@@ -13,6 +13,13 @@
     pub queue: QueueSettings,
     /// Longest time for a connection to be opened.
     pub connect_timeout: Millis,
+    /// Longest wait for a free connection; a new one takes 10 to 30 ms. A request
+    /// that waits longer has a better chance at another instance.
+    pub connection_wait: Millis,
+    /// Time that the requests of a term may still run after a promotion has started.
+    /// Answers of a planned change arrive within it; those of an isolated primary
+    /// never do.
+    pub fence_grace: Millis,
     /// Time that a closing connection may take to end.
     pub close_timeout: Millis,
     /// Interval of the liveness probe.
@@ -27,8 +34,7 @@
     /// can end before. New work must stop within 2,000 ms.
     pub drain_grace: Millis,
     /// Time after which a running statement gives its slot back. Such a statement
-    /// most likely waits for a row lock, and the transaction that holds the lock
-    /// may need a slot to end.
+    /// most likely waits for a row lock, which occupies no slot of the target.
     pub slot_hold: Millis,
     /// Interval of housekeeping.
     pub tick: Millis,
@@ -44,13 +50,15 @@
             pool: PoolSettings::default(),
             queue: QueueSettings::default(),
             connect_timeout: Millis(1_000),
+            connection_wait: Millis(250),
+            fence_grace: Millis(100),
             close_timeout: Millis(500),
             probe_interval: Millis(250),
             silence: Millis(1_000),
             announcement_expiry: Millis(1_500),
             observation_interval: Millis(2_000),
             drain_grace: Millis(1_500),
-            slot_hold: Millis(50),
+            slot_hold: Millis(20),
             tick: Millis(50),
             describe_timeout: Millis(5_000),
         }
--- a/tests/promotion.rs
+++ b/tests/promotion.rs
@@ -106,6 +106,11 @@
     assert!(detector.suspects(Millis(1_700), &view).is_empty());
     view.groups[0] = Group { term: Term(2), primary: Some("a2".into()), promotion: None };
     assert!(detector.suspects(Millis(1_700), &view).is_empty());
+    // The replaced primary is still isolated, and one replica is cut off.
+    detector.observe(Millis(3_100), &observation("a1", 9_000));
+    detector.observe(Millis(3_100), &observation("a2", 0));
+    detector.observe(Millis(3_100), &observation("a3", 1_000));
+    assert!(detector.suspects(Millis(3_200), &view).is_empty());
     suspicious(&mut detector, 3_200);
     assert_eq!(detector.suspects(Millis(3_200), &view), ["a".into()]);
 }
@@ -125,7 +130,7 @@
     view.groups[0].term = Term(2);
     assert!(detector.planned(Millis(100), &view).is_empty());
     view.desired.drains.push(Drain::Instance("a2".into()));
-    assert_eq!(detector.planned(Millis(10_100), &view), [("a".into(), "a3".into())]);
+    assert_eq!(detector.planned(Millis(2_100), &view), [("a".into(), "a3".into())]);
 }
 
 /// Guards against a choice that lacks acknowledged writes: the term counts before
@@ -133,12 +138,13 @@
 #[test]
 fn most_advanced_instance_is_promoted() {
     let (old, newer, newest) = (Mark::new(1, 20), Mark::new(2, 12), Mark::new(2, 13));
-    let table: [(&str, Option<&str>, [Mark; 3], &str); 5] = [
+    let table: [(&str, Option<&str>, [Mark; 3], &str); 6] = [
         ("term before position", None, [old, newer, newer], "a3"),
         ("position within the term", None, [newer, newest, old], "a2"),
         ("preferred and as advanced", Some("a2"), [newest, newest, newer], "a2"),
         ("preferred, ahead of one replica", Some("a2"), [newest, newer, old], "a2"),
-        ("preferred but behind", Some("a3"), [newest, newer, old], "a1"),
+        ("preferred but behind", Some("a3"), [newest, newer, old], "a2"),
+        ("old primary and preferred alike", Some("a1"), [newest, newer, newer], "a1"),
     ];
     for (case, preferred, marks, expected) in table {
         let mut run = fencing(preferred);
