--- /dev/null
+++ b/src/adapters/metrics.rs
@@ -0,0 +1,411 @@
+//! Metrics in the OpenMetrics text format.
+//!
+//! Every metric has the prefix `pomelopin_`; counters get the suffix `_total`.
+//! Labels hold shared names, so recording a request allocates nothing.
+
+use std::{
+    fmt::{self, Write},
+    sync::{Arc, atomic::AtomicU64},
+};
+
+use derive_more::From;
+use prometheus_client::{
+    encoding::{EncodeLabelSet, EncodeLabelValue, LabelValueEncoder, text},
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+    registry::{Registry, Unit},
+};
+
+use crate::{
+    clock::Millis,
+    ids::{InstanceId, Revision, Service, Term, Workspace},
+};
+
+/// Prefix of all names.
+const PREFIX: &str = "pomelopin";
+
+/// Bounds of wait times, in seconds.
+const WAIT_BOUNDS: [f64; 12] =
+    [0.000_1, 0.000_3, 0.001, 0.003, 0.01, 0.03, 0.1, 0.2, 0.5, 1.0, 3.0, 5.0];
+
+/// Media type of the exposition.
+pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// Name as a label value.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, From)]
+pub struct Text(Arc<str>);
+
+impl EncodeLabelValue for Text {
+    fn encode(&self, encoder: &mut LabelValueEncoder) -> Result<(), fmt::Error> {
+        encoder.write_str(&self.0)
+    }
+}
+
+macro_rules! label_values {
+    ($($(#[$doc:meta])* $name:ident { $($variant:ident = $text:literal,)* })*) => {$(
+        $(#[$doc])*
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+        pub enum $name {
+            $($variant,)*
+        }
+
+        impl EncodeLabelValue for $name {
+            fn encode(&self, encoder: &mut LabelValueEncoder) -> Result<(), fmt::Error> {
+                encoder.write_str(match self {
+                    $(Self::$variant => $text,)*
+                })
+            }
+        }
+    )*};
+}
+
+label_values! {
+    /// How a request ended.
+    RequestOutcome {
+        Done = "done",
+        Failed = "failed",
+        Refused = "refused",
+        OverRate = "over_rate",
+        Unknown = "unknown",
+    }
+
+    /// Kind of instance that served a read.
+    ReadSource {
+        Replica = "replica",
+        Primary = "primary",
+    }
+
+    /// Queue in which a request waited.
+    Queue {
+        Limit = "limit",
+        Slot = "slot",
+        Primary = "primary",
+        Replica = "replica",
+    }
+
+    /// State of a connection to a target.
+    ConnectionState {
+        Idle = "idle",
+        Busy = "busy",
+        Opening = "opening",
+    }
+
+    /// Result of an announcement.
+    AnnouncementResult {
+        Accepted = "accepted",
+        Forged = "forged",
+        Malformed = "malformed",
+        Stale = "stale",
+        Dropped = "dropped",
+    }
+
+    /// Result of a mark lookup at the home hosts.
+    MarkResult {
+        Known = "known",
+        Unknown = "unknown",
+    }
+
+    /// Result of a promotion.
+    PromotionResult {
+        Finished = "finished",
+        Restarted = "restarted",
+    }
+
+    /// Role of a control host.
+    ControlRole {
+        Leader = "leader",
+        Follower = "follower",
+        Candidate = "candidate",
+        Learner = "learner",
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RequestLabels {
+    outcome: RequestOutcome,
+    workspace: Text,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ConnectionLabels {
+    instance: Text,
+    state: ConnectionState,
+}
+
+macro_rules! labels {
+    ($($name:ident { $field:ident: $kind:ty })*) => {$(
+        #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+        struct $name {
+            $field: $kind,
+        }
+    )*};
+}
+
+labels! {
+    SourceLabel { source: ReadSource }
+    QueueLabel { queue: Queue }
+    WorkspaceLabel { workspace: Text }
+    AnnouncementLabel { result: AnnouncementResult }
+    MarkLabel { result: MarkResult }
+    RoleLabel { role: ControlRole }
+    ServiceLabel { service: Text }
+    PromotionLabel { result: PromotionResult }
+}
+
+type WaitFamily = Family<QueueLabel, Histogram, fn() -> Histogram>;
+
+/// Workspace label of requests on open routes.
+const OPEN: &str = "open";
+
+fn text(workspace: Option<&Workspace>) -> Text {
+    Text(workspace.map_or_else(|| Arc::from(OPEN), |workspace| workspace.0.clone()))
+}
+
+fn signed(number: u64) -> i64 {
+    i64::try_from(number).unwrap_or(i64::MAX)
+}
+
+/// Exposition of `registry`.
+fn encode(registry: &Registry) -> String {
+    let mut buf = String::new();
+    // Writing to a string cannot fail.
+    let _ = text::encode(&mut buf, registry);
+    buf
+}
+
+/// Metrics of an entry host.
+#[derive(Debug)]
+pub struct EntryMetrics {
+    registry: Registry,
+    requests: Family<RequestLabels, Counter>,
+    reads: Family<SourceLabel, Counter>,
+    repeats: Family<WorkspaceLabel, Counter>,
+    waits: WaitFamily,
+    connections: Family<ConnectionLabels, Gauge>,
+    announcements: Family<AnnouncementLabel, Counter>,
+    lookups: Family<MarkLabel, Counter>,
+    callers: Gauge,
+    lease_valid: Gauge,
+    lease_remaining: Gauge<f64, AtomicU64>,
+    revision: Gauge,
+}
+
+impl Default for EntryMetrics {
+    fn default() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix(PREFIX),
+            requests: Family::default(),
+            reads: Family::default(),
+            repeats: Family::default(),
+            waits: Family::new_with_constructor(|| Histogram::new(WAIT_BOUNDS)),
+            connections: Family::default(),
+            announcements: Family::default(),
+            lookups: Family::default(),
+            callers: Gauge::default(),
+            lease_valid: Gauge::default(),
+            lease_remaining: Gauge::default(),
+            revision: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl EntryMetrics {
+    fn register(&mut self) {
+        let Self { registry, .. } = self;
+        registry.register("requests", "Requests by outcome and workspace", self.requests.clone());
+        registry.register("reads", "Reads by the instance that served them", self.reads.clone());
+        registry.register("repeats", "Repeated attempts by workspace", self.repeats.clone());
+        registry.register_with_unit(
+            "queue_wait",
+            "Time that requests waited",
+            Unit::Seconds,
+            self.waits.clone(),
+        );
+        registry.register("connections", "Connections to targets", self.connections.clone());
+        registry.register(
+            "announcements",
+            "Announcements of targets by result",
+            self.announcements.clone(),
+        );
+        registry.register("mark_lookups", "Lookups of session marks", self.lookups.clone());
+        registry.register("callers", "Connected callers", self.callers.clone());
+        registry.register(
+            "lease_valid",
+            "1 while the host holds a lease",
+            self.lease_valid.clone(),
+        );
+        registry.register_with_unit(
+            "lease_remaining",
+            "Time until the lease ends",
+            Unit::Seconds,
+            self.lease_remaining.clone(),
+        );
+        registry.register("revision", "Revision of the view in force", self.revision.clone());
+    }
+
+    /// Counts a request; `None` is an open route.
+    pub fn request(&self, workspace: Option<&Workspace>, outcome: RequestOutcome) {
+        let labels = RequestLabels { outcome, workspace: text(workspace) };
+        self.requests.get_or_create(&labels).inc();
+    }
+
+    /// Counts a read.
+    pub fn read(&self, source: ReadSource) {
+        self.reads.get_or_create(&SourceLabel { source }).inc();
+    }
+
+    /// Counts a repeated attempt.
+    pub fn repeat(&self, workspace: Option<&Workspace>) {
+        self.repeats.get_or_create(&WorkspaceLabel { workspace: text(workspace) }).inc();
+    }
+
+    /// Records the time that a request waited.
+    pub fn waited(&self, queue: Queue, wait: std::time::Duration) {
+        self.waits.get_or_create(&QueueLabel { queue }).observe(wait.as_secs_f64());
+    }
+
+    /// Sets the number of connections to an instance.
+    pub fn connections(&self, instance: &InstanceId, state: ConnectionState, count: usize) {
+        let labels = ConnectionLabels { instance: Text(instance.0.clone()), state };
+        self.connections.get_or_create(&labels).set(signed(count as u64));
+    }
+
+    /// Counts an announcement.
+    pub fn announcement(&self, result: AnnouncementResult) {
+        self.announcements.get_or_create(&AnnouncementLabel { result }).inc();
+    }
+
+    /// Counts a mark lookup.
+    pub fn lookup(&self, result: MarkResult) {
+        self.lookups.get_or_create(&MarkLabel { result }).inc();
+    }
+
+    /// Sets the number of connected callers.
+    pub fn callers(&self, count: usize) {
+        self.callers.set(signed(count as u64));
+    }
+
+    /// Sets the time until the lease ends; zero if there is no valid lease.
+    pub fn lease(&self, remaining: Millis) {
+        self.lease_valid.set(i64::from(remaining > Millis(0)));
+        self.lease_remaining.set(remaining.duration().as_secs_f64());
+    }
+
+    /// Sets the revision in force.
+    pub fn revision(&self, revision: Revision) {
+        self.revision.set(signed(revision.0));
+    }
+
+    /// Drops the series of an instance that this host no longer owns.
+    pub fn forget_instance(&self, instance: &InstanceId) {
+        for state in [ConnectionState::Idle, ConnectionState::Busy, ConnectionState::Opening] {
+            let labels = ConnectionLabels { instance: Text(instance.0.clone()), state };
+            self.connections.remove(&labels);
+        }
+    }
+
+    /// Current values in the text format.
+    pub fn encode(&self) -> String {
+        encode(&self.registry)
+    }
+}
+
+/// Metrics of a control host.
+#[derive(Debug)]
+pub struct ControlMetrics {
+    registry: Registry,
+    role: Family<RoleLabel, Gauge>,
+    term: Gauge,
+    commit_index: Gauge,
+    revision: Gauge,
+    hosts: Gauge,
+    elections: Counter,
+    renewals: Counter,
+    group_terms: Family<ServiceLabel, Gauge>,
+    promotions: Family<PromotionLabel, Counter>,
+}
+
+impl Default for ControlMetrics {
+    fn default() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix(PREFIX),
+            role: Family::default(),
+            term: Gauge::default(),
+            commit_index: Gauge::default(),
+            revision: Gauge::default(),
+            hosts: Gauge::default(),
+            elections: Counter::default(),
+            renewals: Counter::default(),
+            group_terms: Family::default(),
+            promotions: Family::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl ControlMetrics {
+    fn register(&mut self) {
+        let Self { registry, .. } = self;
+        registry.register("control_role", "1 for the role of this host", self.role.clone());
+        registry.register("control_term", "Term of the control group", self.term.clone());
+        registry.register(
+            "control_commit_index",
+            "Last committed entry of the log",
+            self.commit_index.clone(),
+        );
+        registry.register("revision", "Revision of the replicated state", self.revision.clone());
+        registry.register("hosts", "Entry hosts with a lease", self.hosts.clone());
+        registry.register("elections", "Elections that this host began", self.elections.clone());
+        registry.register("renewals", "Lease renewals answered", self.renewals.clone());
+        registry.register("group_term", "Term of a target group", self.group_terms.clone());
+        registry.register("promotions", "Promotions by result", self.promotions.clone());
+    }
+
+    /// Sets the role and term of this host.
+    pub fn role(&self, current: ControlRole, term: u64) {
+        use ControlRole::{Candidate, Follower, Leader, Learner};
+        for role in [Leader, Follower, Candidate, Learner] {
+            self.role.get_or_create(&RoleLabel { role }).set(i64::from(role == current));
+        }
+        self.term.set(signed(term));
+    }
+
+    /// Sets the last committed entry and the revision it leads to.
+    pub fn committed(&self, index: u64, revision: Revision) {
+        self.commit_index.set(signed(index));
+        self.revision.set(signed(revision.0));
+    }
+
+    /// Sets the number of hosts with a lease.
+    pub fn hosts(&self, count: usize) {
+        self.hosts.set(signed(count as u64));
+    }
+
+    /// Counts an election.
+    pub fn election(&self) {
+        self.elections.inc();
+    }
+
+    /// Counts an answered renewal.
+    pub fn renewal(&self) {
+        self.renewals.inc();
+    }
+
+    /// Sets the term of a target group.
+    pub fn group_term(&self, service: &Service, term: Term) {
+        let labels = ServiceLabel { service: Text(service.0.clone()) };
+        self.group_terms.get_or_create(&labels).set(signed(term.0));
+    }
+
+    /// Counts a promotion.
+    pub fn promotion(&self, result: PromotionResult) {
+        self.promotions.get_or_create(&PromotionLabel { result }).inc();
+    }
+
+    /// Current values in the text format.
+    pub fn encode(&self) -> String {
+        encode(&self.registry)
+    }
+}
--- /dev/null
+++ b/src/settings/http.rs
@@ -0,0 +1,16 @@
+//! Settings of the HTTP listener of an entry host.
+
+/// Bounds of requests to the HTTP listener.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HttpSettings {
+    /// Largest accepted announcement, in bytes.
+    pub announcement_bytes: usize,
+    /// Instances whose last announcement is remembered.
+    pub known_instances: usize,
+}
+
+impl Default for HttpSettings {
+    fn default() -> Self {
+        Self { announcement_bytes: 16 * 1_024, known_instances: 65_536 }
+    }
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -1,5 +1,6 @@
 //! Settings of each area, with defaults.
 
+pub mod http;
 pub mod limits;
 pub mod retry;
 pub mod routing;
