Compute rendezvous scores without allocation

Owner choice copied the item for every host, which is slow with thousands of hosts. The item is now hashed once and used as the seed of each host's hash. Placement of items changes, so all hosts must run the same version. The test suite passes.

--- a/src/ownership/rendezvous.rs
+++ b/src/ownership/rendezvous.rs
@@ -3,7 +3,7 @@
 //! Each host gets a score for an item; the host with the largest score owns it.
 //! When a host leaves, only its own items move.
 
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{
     ids::{FailureDomain, HostId},
@@ -12,11 +12,12 @@
 
 /// Score of `host` for `item`.
 pub fn score(item: &str, host: &HostId) -> u64 {
-    let mut buf = Vec::with_capacity(item.len() + host.len() + 1);
-    buf.extend_from_slice(item.as_bytes());
-    buf.push(0);
-    buf.extend_from_slice(host.as_bytes());
-    xxh3_64(&buf)
+    seeded_score(xxh3_64(item.as_bytes()), host)
+}
+
+/// Score for the item that `seed` was computed from; allocates nothing.
+fn seeded_score(seed: u64, host: &HostId) -> u64 {
+    xxh3_64_with_seed(host.as_bytes(), seed)
 }
 
 /// Host with the largest score for `item`; hosts in `domain` are preferred.
@@ -25,9 +26,10 @@
     hosts: impl Iterator<Item = &'a Host>,
     domain: Option<&FailureDomain>,
 ) -> Option<&'a Host> {
+    let seed = xxh3_64(item.as_bytes());
     hosts.filter(|host| !host.leaving).max_by_key(|host| {
         let local = domain.is_none_or(|domain| *domain == host.failure_domain);
-        (local, score(item, &host.id), &host.id)
+        (local, seeded_score(seed, &host.id), &host.id)
     })
 }
 
