--- a/src/retry/settle.rs
+++ b/src/retry/settle.rs
@@ -56,9 +56,9 @@
 /// Why a request ends without an answer of the target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum GiveUp {
-    #[display("the deadline has passed; the statement did not run")]
+    #[display("the deadline has passed; nothing was changed")]
     Deadline,
-    #[display("the service is not available; the statement did not run")]
+    #[display("the service is not available; nothing was changed")]
     Unavailable,
     #[display("the outcome is unknown; repeat the request with the same request key")]
     Unknown,
