Index the instances of each service for replica choice

A choice scanned the instances of all services, 15,300 at the target size. PlacementIndex is built once per view revision and choose_among uses it; choose still scans. Home hosts no longer compute the home set again for a mark that was confirmed under the current host list.

--- a/src/routing/choice.rs
+++ b/src/routing/choice.rs
@@ -11,9 +11,12 @@
 use crate::{
     clock::Millis,
     ids::{FailureDomain, InstanceId, Mark, Service},
-    routing::hints::{Hint, Hints},
+    routing::{
+        hints::{Hint, Hints},
+        placement::{self, Placement, Replica},
+    },
     settings::routing::RoutingSettings,
-    state::model::{ClusterView, Drain, Instance},
+    state::model::ClusterView,
 };
 
 /// What a read requires.
@@ -83,6 +86,10 @@
 }
 
 /// Chooses the instance for a read.
+///
+/// Scans all instances of the view; with a [`PlacementIndex`] use [`choose_among`].
+///
+/// [`PlacementIndex`]: crate::routing::placement::PlacementIndex
 pub fn choose(
     now: Millis,
     view: &ClusterView,
@@ -90,68 +97,39 @@
     need: &ReadNeed<'_>,
     settings: &RoutingSettings,
     rng: &mut impl Rng,
+) -> Result<Choice, ChoiceError> {
+    choose_among(now, &Placement::of(view, need.service), hints, need, settings, rng)
+}
+
+/// Chooses the instance for a read among those of one service.
+pub fn choose_among(
+    now: Millis,
+    placement: &Placement,
+    hints: &Hints,
+    need: &ReadNeed<'_>,
+    settings: &RoutingSettings,
+    rng: &mut impl Rng,
 ) -> Result<Choice, ChoiceError> {
     if let Some(max_staleness_ms) = need.max_staleness_ms {
         let mut candidates = Candidates::default();
-        for instance in replicas(view, need.service) {
-            let hint = hints.get(&instance.spec.id);
+        for replica in &placement.replicas {
+            let hint = hints.get(&replica.id);
             if hint.is_some_and(|hint| hint.is_penalized(now, settings)) {
                 continue;
             }
             let fit = fit(now, hint, need.mark, max_staleness_ms, settings);
-            candidates.add(instance, hint, fit, need, settings);
+            candidates.add(replica, hint, fit, need, settings);
         }
         if let Some(choice) = candidates.decide(rng, settings.replica_wait.min(need.remaining)) {
             return Ok(choice);
         }
     }
-    primary(view, need.service).map(|instance| Choice::Primary { instance })
+    placement.primary.clone().map(|instance| Choice::Primary { instance })
 }
 
-/// Primary that can serve statements now.
-///
-/// During a promotion there is none: the old primary is being fenced.
+/// Primary that can serve statements now; see [`Placement::primary`].
 pub fn primary(view: &ClusterView, service: &Service) -> Result<InstanceId, ChoiceError> {
-    let no_primary = || ChoiceError::NoPrimary { service: service.clone() };
-    let group = view.groups.get(service).ok_or_else(no_primary)?;
-    let id = match (&group.primary, &group.promotion) {
-        (Some(id), None) => id,
-        _ => return Err(no_primary()),
-    };
-    let instance = view.instances.get(id).ok_or_else(no_primary)?;
-    if has_live_owner(view, instance) {
-        Ok(id.clone())
-    } else {
-        Err(ChoiceError::NoOwner { instance: id.clone() })
-    }
-}
-
-/// Replicas that may get new work.
-pub fn replicas<'a>(
-    view: &'a ClusterView,
-    service: &'a Service,
-) -> impl Iterator<Item = &'a Instance> {
-    let primary = view.groups.get(service).and_then(|group| group.primary.as_ref());
-    view.instances.values().filter(move |instance| {
-        instance.spec.service == *service
-            && primary != Some(&instance.spec.id)
-            && !instance.spec.leaving
-            && has_live_owner(view, instance)
-            && !is_draining(view, &instance.spec.id)
-    })
-}
-
-fn has_live_owner(view: &ClusterView, instance: &Instance) -> bool {
-    instance.owner.as_ref().is_some_and(|owner| {
-        view.hosts.get(&owner.host).is_some_and(|host| host.incarnation == owner.incarnation)
-    })
-}
-
-fn is_draining(view: &ClusterView, id: &InstanceId) -> bool {
-    view.desired
-        .drains
-        .iter()
-        .any(|drain| matches!(drain, Drain::Instance(drained) if drained == id))
+    placement::primary(view, service)
 }
 
 fn fit(
@@ -212,14 +190,14 @@
 impl Candidates {
     fn add(
         &mut self,
-        instance: &Instance,
+        replica: &Replica,
         hint: Option<&Hint>,
         fit: Fit,
         need: &ReadNeed<'_>,
         settings: &RoutingSettings,
     ) {
-        let local = instance.spec.failure_domain == *need.local_domain;
-        let id = &instance.spec.id;
+        let local = replica.failure_domain == *need.local_domain;
+        let id = &replica.id;
         let ranked = || Ranked { instance: id.clone(), local, cost: cost(hint, local, settings) };
         match fit {
             Fit::Now => self.now.push(ranked()),
--- /dev/null
+++ b/src/routing/placement.rs
@@ -0,0 +1,116 @@
+//! Instances of each service that may get work.
+//!
+//! The index is built once per view revision, so that the choice for a read does
+//! not scan the instances of all services.
+
+use indexmap::{IndexMap, IndexSet};
+
+use crate::{
+    ids::{FailureDomain, InstanceId, Service},
+    routing::choice::ChoiceError,
+    state::model::{ClusterView, Drain, Instance},
+};
+
+/// Replica that may get new work.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Replica {
+    pub id: InstanceId,
+    pub failure_domain: FailureDomain,
+}
+
+/// Instances of one service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Placement {
+    /// Primary that can serve statements now. During a promotion there is none:
+    /// the old primary is being fenced.
+    pub primary: Result<InstanceId, ChoiceError>,
+    /// Replicas with a live owner that are neither draining nor leaving.
+    pub replicas: Vec<Replica>,
+}
+
+impl Placement {
+    /// Placement of one service, found by a scan over all instances.
+    pub fn of(view: &ClusterView, service: &Service) -> Self {
+        let draining = draining(view);
+        let members = view.instances.values().filter(|instance| instance.spec.service == *service);
+        let replicas = members.filter_map(|instance| replica(view, instance, &draining)).collect();
+        Self { primary: primary(view, service), replicas }
+    }
+}
+
+/// Placements of all services.
+#[derive(Debug, Clone, Default)]
+pub struct PlacementIndex {
+    services: IndexMap<Service, Placement>,
+}
+
+impl PlacementIndex {
+    /// Index of the instances of `view`.
+    pub fn build(view: &ClusterView) -> Self {
+        let mut index = Self::default();
+        for service in view.groups.keys() {
+            index.entry(view, service);
+        }
+        let draining = draining(view);
+        for instance in view.instances.values() {
+            let placement = index.entry(view, &instance.spec.service);
+            placement.replicas.extend(replica(view, instance, &draining));
+        }
+        index
+    }
+
+    /// Placement of `service`; `None` if the view has no instance of it.
+    pub fn get(&self, service: &Service) -> Option<&Placement> {
+        self.services.get(service)
+    }
+
+    fn entry(&mut self, view: &ClusterView, service: &Service) -> &mut Placement {
+        let new = || Placement { primary: primary(view, service), replicas: Vec::new() };
+        self.services.entry(service.clone()).or_insert_with(new)
+    }
+}
+
+/// Primary of `service`; see [`Placement::primary`].
+pub fn primary(view: &ClusterView, service: &Service) -> Result<InstanceId, ChoiceError> {
+    let no_primary = || ChoiceError::NoPrimary { service: service.clone() };
+    let group = view.groups.get(service).ok_or_else(no_primary)?;
+    let id = match (&group.primary, &group.promotion) {
+        (Some(id), None) => id,
+        _ => return Err(no_primary()),
+    };
+    let instance = view.instances.get(id).ok_or_else(no_primary)?;
+    if has_live_owner(view, instance) {
+        Ok(id.clone())
+    } else {
+        Err(ChoiceError::NoOwner { instance: id.clone() })
+    }
+}
+
+fn replica(
+    view: &ClusterView,
+    instance: &Instance,
+    draining: &IndexSet<&InstanceId>,
+) -> Option<Replica> {
+    let spec = &instance.spec;
+    let group = view.groups.get(&spec.service);
+    let is_primary = group.is_some_and(|group| group.primary.as_ref() == Some(&spec.id));
+    let usable = !is_primary
+        && !spec.leaving
+        && !draining.contains(&spec.id)
+        && has_live_owner(view, instance);
+    usable.then(|| Replica { id: spec.id.clone(), failure_domain: spec.failure_domain.clone() })
+}
+
+fn has_live_owner(view: &ClusterView, instance: &Instance) -> bool {
+    instance.owner.as_ref().is_some_and(|owner| {
+        view.hosts.get(&owner.host).is_some_and(|host| host.incarnation == owner.incarnation)
+    })
+}
+
+fn draining(view: &ClusterView) -> IndexSet<&InstanceId> {
+    let instances = view.desired.drains.iter().filter_map(|drain| match drain {
+        Drain::Instance(id) => Some(id),
+        Drain::Host(_) => None,
+    });
+    instances.collect()
+}
--- a/src/session/homes.rs
+++ b/src/session/homes.rs
@@ -117,8 +117,13 @@
         long_enough && in_use.all(|list| self.is_home(list, item))
     }
 
-    /// Whether this host has been in the home set of `item` in every list since `version`.
+    /// Whether this host, which was in the home set of `item` at list `version`, has
+    /// been in it in every list since.
     pub fn is_home_since(&self, version: HostsVersion, item: &SessionItem) -> bool {
+        if version == self.hosts.version() {
+            // Membership was confirmed under the current list.
+            return true;
+        }
         let mut lists = self.hosts.lists();
         let known = lists.next().is_some_and(|oldest| oldest.version() <= version);
         let mut later = self.hosts.lists().filter(|list| list.version() >= version);
--- a/src/session/marks.rs
+++ b/src/session/marks.rs
@@ -75,19 +75,19 @@
         self.expire(now);
         let item = key.item();
         let version = history.version();
-        let settled = history.is_settled(now, &item);
+        let settle = self.settings.settle();
         if let Some(entry) = self.entries.get_mut(key) {
             entry.mark = entry.mark.max(mark);
             let still_complete =
                 entry.complete_since.is_some_and(|since| history.is_home_since(since, &item));
-            let completed = settled && now >= entry.created_at + self.settings.settle();
-            entry.complete_since = (still_complete || completed).then_some(version);
+            let completed = || now >= entry.created_at + settle && history.is_settled(now, &item);
+            entry.complete_since = (still_complete || completed()).then_some(version);
         } else {
             // A mark that was under way while a later one was dropped must not
             // count as the last one.
-            let settle = self.settings.settle();
             let nothing_dropped = self.dropped_use.is_none_or(|at| now >= at + settle);
-            let complete_since = (settled && nothing_dropped).then_some(version);
+            let complete = nothing_dropped && history.is_settled(now, &item);
+            let complete_since = complete.then_some(version);
             let entry = Entry { mark, complete_since, created_at: now, used_at: now, order: 0 };
             self.entries.insert(key.clone(), entry);
         }
--- a/tests/replica_choice.rs
+++ b/tests/replica_choice.rs
@@ -1,14 +1,15 @@
 //! Choice between the replicas and the primary.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Instant};
 
 use indexmap::IndexMap;
 use pomelopin::{
     clock::Millis,
     ids::{Epoch, FailureDomain, Incarnation, InstanceId, Mark, Service, Term},
     routing::{
-        choice::{Choice, ChoiceError, ReadNeed, choose},
+        choice::{Choice, ChoiceError, ReadNeed, choose, choose_among},
         hints::Hints,
+        placement::{Placement, PlacementIndex},
     },
     settings::routing::RoutingSettings,
     state::model::{Assignment, ClusterView, Drain, Group, Host, Instance, InstanceSpec},
@@ -67,18 +68,21 @@
 
     fn choose(&self, now: u64, hints: &Hints, mark: Option<Mark>) -> Result<Choice, ChoiceError> {
         let (service, local) = (Service::from("jobs"), FailureDomain::from("nabeul"));
-        let need = ReadNeed {
-            service: &service,
-            mark,
-            max_staleness_ms: Some(1_000),
-            local_domain: &local,
-            remaining: Millis(5_000),
-        };
+        let need = need(&service, &local, mark);
         let settings = RoutingSettings::default();
         choose(Millis(now), &self.0, hints, &need, &settings, &mut SmallRng::seed_from_u64(7))
     }
 }
 
+fn need<'a>(
+    service: &'a Service,
+    local_domain: &'a FailureDomain,
+    mark: Option<Mark>,
+) -> ReadNeed<'a> {
+    let remaining = Millis(5_000);
+    ReadNeed { service, mark, max_staleness_ms: Some(1_000), local_domain, remaining }
+}
+
 fn replica(id: &str) -> Result<Choice, ChoiceError> {
     Ok(Choice::Replica { instance: id.into() })
 }
@@ -159,6 +163,42 @@
     assert_eq!(cluster.choose(0, &Hints::default(), None), Err(no_primary));
 }
 
+/// Guards against a choice whose cost grows with the instances of other services,
+/// and against an index that differs from the scan.
+#[test]
+fn index_agrees_with_the_scan_and_cost_is_printed() {
+    const ROUNDS: u32 = 200;
+    let mut cluster = Cluster::new(&["nabeul", "korba"]);
+    for number in 0..15_300 {
+        cluster.instance(&format!("other{number}"), "korba");
+        cluster.instance_mut(&format!("other{number}")).spec.service =
+            format!("service{}", number / 3).into();
+    }
+    let (view, service) = (&cluster.0, Service::from("jobs"));
+    let start = Instant::now();
+    let index = PlacementIndex::build(view);
+    let built = start.elapsed();
+    assert_eq!(index.get(&service), Some(&Placement::of(view, &service)));
+    let other = Service::from("service7");
+    assert_eq!(index.get(&other), Some(&Placement::of(view, &other)));
+    let hints = advancing();
+    let time = |run: &dyn Fn() -> Result<Choice, ChoiceError>| {
+        let start = Instant::now();
+        assert!((0..ROUNDS).all(|_| run().is_ok()));
+        start.elapsed() / ROUNDS
+    };
+    let scan = time(&|| cluster.choose(1_010, &hints, None));
+    let indexed = time(&|| {
+        let local = FailureDomain::from("nabeul");
+        let need = need(&service, &local, None);
+        let mut rng = SmallRng::seed_from_u64(7);
+        let placement =
+            index.get(&service).ok_or(ChoiceError::NoPrimary { service: "x".into() })?;
+        choose_among(Millis(1_010), placement, &hints, &need, &Default::default(), &mut rng)
+    });
+    println!("15,300 instances: index built in {built:?}, choice {scan:?}, indexed {indexed:?}");
+}
+
 /// Simulated mean delay of reads with two slots per instance.
 fn mean_delay(pick: &mut dyn FnMut(u64, &Hints) -> InstanceId) -> f64 {
     let mut rng = SmallRng::seed_from_u64(11);
