--- a/src/routing/choice.rs
+++ b/src/routing/choice.rs
@@ -13,12 +13,14 @@
     ids::{FailureDomain, InstanceId, Mark, Service},
     routing::{
         hints::{Hint, Hints},
-        placement::{self, Placement, Replica},
+        placement::{Placement, Replica},
     },
     settings::routing::RoutingSettings,
     state::model::ClusterView,
 };
 
+pub use crate::routing::placement::{primary, replicas};
+
 /// What a read requires.
 #[derive(Debug, Clone)]
 pub struct ReadNeed<'a> {
@@ -127,11 +129,6 @@
     placement.primary.clone().map(|instance| Choice::Primary { instance })
 }
 
-/// Primary that can serve statements now; see [`Placement::primary`].
-pub fn primary(view: &ClusterView, service: &Service) -> Result<InstanceId, ChoiceError> {
-    placement::primary(view, service)
-}
-
 fn fit(
     now: Millis,
     hint: Option<&Hint>,
--- a/src/routing/placement.rs
+++ b/src/routing/placement.rs
@@ -18,6 +18,13 @@
     pub failure_domain: FailureDomain,
 }
 
+impl From<&Instance> for Replica {
+    fn from(instance: &Instance) -> Self {
+        let spec = &instance.spec;
+        Self { id: spec.id.clone(), failure_domain: spec.failure_domain.clone() }
+    }
+}
+
 /// Instances of one service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Placement {
@@ -31,9 +38,7 @@
 impl Placement {
     /// Placement of one service, found by a scan over all instances.
     pub fn of(view: &ClusterView, service: &Service) -> Self {
-        let draining = draining(view);
-        let members = view.instances.values().filter(|instance| instance.spec.service == *service);
-        let replicas = members.filter_map(|instance| replica(view, instance, &draining)).collect();
+        let replicas = replicas(view, service).map(Replica::from).collect();
         Self { primary: primary(view, service), replicas }
     }
 }
@@ -54,7 +59,9 @@
         let draining = draining(view);
         for instance in view.instances.values() {
             let placement = index.entry(view, &instance.spec.service);
-            placement.replicas.extend(replica(view, instance, &draining));
+            if is_usable_replica(view, instance, &draining) {
+                placement.replicas.push(instance.into());
+            }
         }
         index
     }
@@ -86,19 +93,26 @@
     }
 }
 
-fn replica(
+/// Replicas of `service` that may get new work, found by a scan.
+pub fn replicas<'a>(
+    view: &'a ClusterView,
+    service: &'a Service,
+) -> impl Iterator<Item = &'a Instance> {
+    let draining = draining(view);
+    view.instances.values().filter(move |instance| {
+        instance.spec.service == *service && is_usable_replica(view, instance, &draining)
+    })
+}
+
+fn is_usable_replica(
     view: &ClusterView,
     instance: &Instance,
     draining: &IndexSet<&InstanceId>,
-) -> Option<Replica> {
+) -> bool {
     let spec = &instance.spec;
     let group = view.groups.get(&spec.service);
     let is_primary = group.is_some_and(|group| group.primary.as_ref() == Some(&spec.id));
-    let usable = !is_primary
-        && !spec.leaving
-        && !draining.contains(&spec.id)
-        && has_live_owner(view, instance);
-    usable.then(|| Replica { id: spec.id.clone(), failure_domain: spec.failure_domain.clone() })
+    !is_primary && !spec.leaving && !draining.contains(&spec.id) && has_live_owner(view, instance)
 }
 
 fn has_live_owner(view: &ClusterView, instance: &Instance) -> bool {
