--- a/src/adapters/metrics.rs
+++ b/src/adapters/metrics.rs
@@ -3,14 +3,12 @@
 //! Every metric has the prefix `pomelopin_`; counters get the suffix `_total`.
 //! Labels hold shared names, so recording a request allocates nothing.
 
-use std::{
-    fmt::{self, Write},
-    sync::{Arc, atomic::AtomicU64},
-};
+mod labels;
+
+use std::sync::{Arc, atomic::AtomicU64};
 
-use derive_more::From;
 use prometheus_client::{
-    encoding::{EncodeLabelSet, EncodeLabelValue, LabelValueEncoder, text},
+    encoding::text,
     metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
     registry::{Registry, Unit},
 };
@@ -20,6 +18,15 @@
     ids::{InstanceId, Revision, Service, Term, Workspace},
 };
 
+use labels::{
+    AnnouncementLabel, ConnectionLabels, MarkLabel, PromotionLabel, QueueLabel, RequestLabels,
+    RoleLabel, ServiceLabel, SourceLabel, WorkspaceLabel,
+};
+pub use labels::{
+    AnnouncementResult, ConnectionState, ControlRole, MarkResult, PromotionResult, Queue,
+    ReadSource, RequestOutcome, Text,
+};
+
 /// Prefix of all names.
 const PREFIX: &str = "pomelopin";
 
@@ -30,127 +37,6 @@
 /// Media type of the exposition.
 pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
-/// Name as a label value.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, From)]
-pub struct Text(Arc<str>);
-
-impl EncodeLabelValue for Text {
-    fn encode(&self, encoder: &mut LabelValueEncoder) -> Result<(), fmt::Error> {
-        encoder.write_str(&self.0)
-    }
-}
-
-macro_rules! label_values {
-    ($($(#[$doc:meta])* $name:ident { $($variant:ident = $text:literal,)* })*) => {$(
-        $(#[$doc])*
-        #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-        pub enum $name {
-            $($variant,)*
-        }
-
-        impl EncodeLabelValue for $name {
-            fn encode(&self, encoder: &mut LabelValueEncoder) -> Result<(), fmt::Error> {
-                encoder.write_str(match self {
-                    $(Self::$variant => $text,)*
-                })
-            }
-        }
-    )*};
-}
-
-label_values! {
-    /// How a request ended.
-    RequestOutcome {
-        Done = "done",
-        Failed = "failed",
-        Refused = "refused",
-        OverRate = "over_rate",
-        Unknown = "unknown",
-    }
-
-    /// Kind of instance that served a read.
-    ReadSource {
-        Replica = "replica",
-        Primary = "primary",
-    }
-
-    /// Queue in which a request waited.
-    Queue {
-        Limit = "limit",
-        Slot = "slot",
-        Primary = "primary",
-        Replica = "replica",
-    }
-
-    /// State of a connection to a target.
-    ConnectionState {
-        Idle = "idle",
-        Busy = "busy",
-        Opening = "opening",
-    }
-
-    /// Result of an announcement.
-    AnnouncementResult {
-        Accepted = "accepted",
-        Forged = "forged",
-        Malformed = "malformed",
-        Stale = "stale",
-        Dropped = "dropped",
-    }
-
-    /// Result of a mark lookup at the home hosts.
-    MarkResult {
-        Known = "known",
-        Unknown = "unknown",
-    }
-
-    /// Result of a promotion.
-    PromotionResult {
-        Finished = "finished",
-        Restarted = "restarted",
-    }
-
-    /// Role of a control host.
-    ControlRole {
-        Leader = "leader",
-        Follower = "follower",
-        Candidate = "candidate",
-        Learner = "learner",
-    }
-}
-
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct RequestLabels {
-    outcome: RequestOutcome,
-    workspace: Text,
-}
-
-#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct ConnectionLabels {
-    instance: Text,
-    state: ConnectionState,
-}
-
-macro_rules! labels {
-    ($($name:ident { $field:ident: $kind:ty })*) => {$(
-        #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-        struct $name {
-            $field: $kind,
-        }
-    )*};
-}
-
-labels! {
-    SourceLabel { source: ReadSource }
-    QueueLabel { queue: Queue }
-    WorkspaceLabel { workspace: Text }
-    AnnouncementLabel { result: AnnouncementResult }
-    MarkLabel { result: MarkResult }
-    RoleLabel { role: ControlRole }
-    ServiceLabel { service: Text }
-    PromotionLabel { result: PromotionResult }
-}
-
 type WaitFamily = Family<QueueLabel, Histogram, fn() -> Histogram>;
 
 /// Workspace label of requests on open routes.
--- /dev/null
+++ b/src/adapters/metrics/labels.rs
@@ -0,0 +1,130 @@
+//! Labels of metrics and their values.
+
+use std::{
+    fmt::{self, Write},
+    sync::Arc,
+};
+
+use derive_more::From;
+use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue, LabelValueEncoder};
+
+/// Name as a label value.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, From)]
+pub struct Text(pub(super) Arc<str>);
+
+impl EncodeLabelValue for Text {
+    fn encode(&self, encoder: &mut LabelValueEncoder) -> Result<(), fmt::Error> {
+        encoder.write_str(&self.0)
+    }
+}
+
+macro_rules! label_values {
+    ($($(#[$doc:meta])* $name:ident { $($variant:ident = $text:literal,)* })*) => {$(
+        $(#[$doc])*
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+        pub enum $name {
+            $($variant,)*
+        }
+
+        impl EncodeLabelValue for $name {
+            fn encode(&self, encoder: &mut LabelValueEncoder) -> Result<(), fmt::Error> {
+                encoder.write_str(match self {
+                    $(Self::$variant => $text,)*
+                })
+            }
+        }
+    )*};
+}
+
+label_values! {
+    /// How a request ended.
+    RequestOutcome {
+        Done = "done",
+        Failed = "failed",
+        Refused = "refused",
+        OverRate = "over_rate",
+        Unknown = "unknown",
+    }
+
+    /// Kind of instance that served a read.
+    ReadSource {
+        Replica = "replica",
+        Primary = "primary",
+    }
+
+    /// Queue in which a request waited.
+    Queue {
+        Limit = "limit",
+        Slot = "slot",
+        Primary = "primary",
+        Replica = "replica",
+    }
+
+    /// State of a connection to a target.
+    ConnectionState {
+        Idle = "idle",
+        Busy = "busy",
+        Opening = "opening",
+    }
+
+    /// Result of an announcement.
+    AnnouncementResult {
+        Accepted = "accepted",
+        Forged = "forged",
+        Malformed = "malformed",
+        Stale = "stale",
+        Dropped = "dropped",
+    }
+
+    /// Result of a mark lookup at the home hosts.
+    MarkResult {
+        Known = "known",
+        Unknown = "unknown",
+    }
+
+    /// Result of a promotion.
+    PromotionResult {
+        Finished = "finished",
+        Restarted = "restarted",
+    }
+
+    /// Role of a control host.
+    ControlRole {
+        Leader = "leader",
+        Follower = "follower",
+        Candidate = "candidate",
+        Learner = "learner",
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct RequestLabels {
+    pub outcome: RequestOutcome,
+    pub workspace: Text,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct ConnectionLabels {
+    pub instance: Text,
+    pub state: ConnectionState,
+}
+
+macro_rules! labels {
+    ($($name:ident { $field:ident: $kind:ty })*) => {$(
+        #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+        pub(super) struct $name {
+            pub $field: $kind,
+        }
+    )*};
+}
+
+labels! {
+    SourceLabel { source: ReadSource }
+    QueueLabel { queue: Queue }
+    WorkspaceLabel { workspace: Text }
+    AnnouncementLabel { result: AnnouncementResult }
+    MarkLabel { result: MarkResult }
+    RoleLabel { role: ControlRole }
+    ServiceLabel { service: Text }
+    PromotionLabel { result: PromotionResult }
+}
