Give up a primary's answer when the primary is replaced

Cause: requests at a primary that is cut off waited for its answer until their deadline of 5 s, although a successor was promoted meanwhile. Change: the entry races each request at a primary with the view; a newer term makes the outcome unknown, and the write is repeated with the same request record at the successor. A read gives a replica 1 s.

--- a/src/entry/read.rs
+++ b/src/entry/read.rs
@@ -11,6 +11,7 @@
     dispatch::{OwnerRef, Work},
     error,
     marks::Observed,
+    write::PrimaryRef,
 };
 use crate::{
     adapters::caller::{Reply, ReplyResult},
@@ -26,6 +27,9 @@
 /// Pause before a read is sent to another instance after a fault.
 const RETRY_PAUSE: Duration = Duration::from_millis(10);
 
+/// Time for one attempt at a replica; a replica that is cut off gives no answer.
+const REPLICA_ATTEMPT: Duration = Duration::from_millis(1_000);
+
 /// Replicas that are tried before the primary serves the read.
 const MAX_REPLICA_ATTEMPTS: u32 = 2;
 
@@ -136,7 +140,13 @@
         };
         self.hints.lock().started(now, &instance);
         let started = Instant::now();
-        let outcome = self.execute(&owner, work, Mode::Read(bound), remaining).await;
+        let outcome = if is_primary {
+            let primary = PrimaryRef { owner, term };
+            self.execute_at(&primary, read.caller, work, Mode::Read(bound), remaining).await
+        } else {
+            let limit = remaining.min(REPLICA_ATTEMPT);
+            self.execute(&owner, work, Mode::Read(bound), limit).await
+        };
         let latency_us = u64::try_from(started.elapsed().as_micros()).unwrap_or(u64::MAX);
         self.judge_read(read, &instance, is_primary, outcome, latency_us)
     }
--- a/src/entry/transaction.rs
+++ b/src/entry/transaction.rs
@@ -19,13 +19,13 @@
     admission::Rule,
     caller::{Caller, CallerState, Running},
     cx::Cx,
-    dispatch::{OwnerRef, Work},
+    dispatch::Work,
     error,
-    write::{random_key, update_digest},
+    write::{PrimaryRef, random_key, update_digest},
 };
 use crate::{
     adapters::caller::{Reply, ReplyResult},
-    ids::{Mark, RequestKey, Term, Workspace},
+    ids::{Mark, RequestKey, Workspace},
     wire::peer::{Failure, Mode, Outcome, Refusal, RequestRecord, Rows, Statement, TransactionId},
 };
 
@@ -51,12 +51,17 @@
 #[derive(Clone)]
 struct Open {
     id: TransactionId,
-    owner: OwnerRef,
-    term: Term,
+    primary: PrimaryRef,
     workspace: Option<Workspace>,
     weight: u32,
 }
 
+impl Open {
+    fn work<'a>(&'a self, statement: &'a Statement) -> Work<'a> {
+        Work { workspace: self.workspace.as_ref(), weight: self.weight, statement }
+    }
+}
+
 impl CallerState {
     /// Starts a transaction; a second `BEGIN` has no effect.
     pub(super) fn begin(&mut self) -> ReplyResult {
@@ -111,9 +116,9 @@
         update_digest(&mut transaction.digest, statement);
         transaction.has_written |= rule.is_write;
         let mode = Mode::Within { transaction: open.id.clone() };
-        let running = Running { owner: open.owner.clone(), transaction: open.id.clone() };
+        let running = Running { owner: open.primary.owner.clone(), transaction: open.id.clone() };
         *caller.running.lock() = Some(running);
-        let outcome = self.execute_in(&open, statement, mode, deadline).await;
+        let outcome = self.execute_in(caller, &open, statement, mode, deadline).await;
         caller.running.lock().take();
         match outcome {
             Outcome::Done(rows) if rows.fields.is_empty() => {
@@ -147,18 +152,17 @@
                     incarnation: self.incarnation,
                     number: NEXT_NUMBER.fetch_add(1, Ordering::Relaxed),
                 },
-                owner: primary.owner,
-                term: primary.term,
+                primary,
                 workspace: rule.workspace.clone(),
                 weight: rule.weight,
             };
             let statement = Statement { sql: "BEGIN".to_owned(), bind: None };
-            let mode = Mode::Begin { transaction: open.id.clone(), term: open.term };
-            match self.execute_in(&open, &statement, mode, deadline).await {
+            let mode = Mode::Begin { transaction: open.id.clone(), term: open.primary.term };
+            match self.execute_in(caller, &open, &statement, mode, deadline).await {
                 Outcome::Done(_) => return Ok(open),
                 Outcome::Failed(failure) => return Err(failure),
                 Outcome::Refused(refusal) => {
-                    spdlog::debug!("cannot begin at {}: {refusal}", open.owner.instance);
+                    spdlog::debug!("cannot begin at {}: {refusal}", open.primary.owner.instance);
                 }
                 // An abandoned `BEGIN` has no effect; its owner rolls it back.
                 Outcome::Unknown { .. } => self.clone().abandon_open(open),
@@ -206,7 +210,7 @@
     ) -> Result<Option<Mark>, Failure> {
         let statement = Statement { sql: "COMMIT".to_owned(), bind: None };
         let mode = Mode::Commit { transaction: open.id.clone(), record: record.clone() };
-        match self.execute_in(open, &statement, mode, deadline).await {
+        match self.execute_in(caller, open, &statement, mode, deadline).await {
             Outcome::Done(rows) => Ok(rows.mark.filter(|_| record.is_some())),
             Outcome::Failed(failure) => Err(failure),
             Outcome::Refused(refusal) => Err(error::rolled_back(&refusal.to_string())),
@@ -227,15 +231,14 @@
         deadline: Instant,
     ) -> Result<Option<Mark>, Failure> {
         let statement = Statement::default();
-        let work =
-            Work { workspace: open.workspace.as_ref(), weight: open.weight, statement: &statement };
+        let work = open.work(&statement);
         while let Some(primary) = self.primary(caller, deadline).await {
             let remaining = deadline.saturating_duration_since(Instant::now());
             let mode = Mode::Settle { term: primary.term, record: record.clone() };
-            match self.execute(&primary.owner, work, mode, remaining).await {
+            match self.execute_at(&primary, caller, work, mode, remaining).await {
                 Outcome::Done(Rows { mark, .. }) => return Ok(mark),
                 // Under a newer term the old primary can no longer commit.
-                Outcome::Refused(Refusal::NoRecord) if primary.term > open.term => {
+                Outcome::Refused(Refusal::NoRecord) if primary.term > open.primary.term => {
                     return Err(error::rolled_back(reason));
                 }
                 Outcome::Failed(failure) => return Err(failure),
@@ -268,8 +271,8 @@
     async fn roll_back(&self, open: &Open) {
         let statement = Statement { sql: "ROLLBACK".to_owned(), bind: None };
         let mode = Mode::Rollback { transaction: open.id.clone() };
-        let deadline = Instant::now() + ROLLBACK_TIMEOUT;
-        let outcome = self.execute_in(open, &statement, mode, deadline).await;
+        let work = open.work(&statement);
+        let outcome = self.execute(&open.primary.owner, work, mode, ROLLBACK_TIMEOUT).await;
         if !matches!(outcome, Outcome::Done(_)) {
             spdlog::debug!("rollback of {} was not confirmed; its owner ends it", open.id);
         }
@@ -277,13 +280,13 @@
 
     async fn execute_in(
         &self,
+        caller: &Caller,
         open: &Open,
         statement: &Statement,
         mode: Mode,
         deadline: Instant,
     ) -> Outcome {
-        let work = Work { workspace: open.workspace.as_ref(), weight: open.weight, statement };
         let remaining = deadline.saturating_duration_since(Instant::now());
-        self.execute(&open.owner, work, mode, remaining).await
+        self.execute_at(&open.primary, caller, open.work(statement), mode, remaining).await
     }
 }
--- a/src/entry/write.rs
+++ b/src/entry/write.rs
@@ -19,7 +19,7 @@
 };
 use crate::{
     adapters::caller::{Reply, ReplyResult},
-    ids::{Mark, RequestKey, Term},
+    ids::{Mark, RequestKey, Service, Term},
     routing::choice::primary,
     wire::peer::{Failure, Mode, Outcome, Refusal, RequestRecord, Rows, Statement},
 };
@@ -31,6 +31,7 @@
 const MAX_PAUSE: Duration = Duration::from_millis(100);
 
 /// Primary of a service with its owner, as the view names them.
+#[derive(Debug, Clone)]
 pub struct PrimaryRef {
     pub owner: OwnerRef,
     pub term: Term,
@@ -93,7 +94,7 @@
             };
             let remaining = deadline.saturating_duration_since(Instant::now());
             let mode = Mode::Write { term: primary.term, record: record.clone() };
-            let outcome = self.execute(&primary.owner, work, mode, remaining).await;
+            let outcome = self.execute_at(&primary, caller, work, mode, remaining).await;
             match outcome {
                 Outcome::Done(rows) => return Ok(rows),
                 Outcome::Failed(failure) => return Err(failure),
@@ -114,6 +115,37 @@
         }
     }
 
+    /// Runs `work` at the primary; gives the answer up when the primary is replaced.
+    ///
+    /// A primary that is cut off would hold the request until its deadline, although
+    /// its successor can serve it.
+    pub(super) async fn execute_at(
+        &self,
+        primary: &PrimaryRef,
+        caller: &Caller,
+        work: Work<'_>,
+        mode: Mode,
+        remaining: Duration,
+    ) -> Outcome {
+        tokio::select! {
+            biased;
+            outcome = self.execute(&primary.owner, work, mode, remaining) => outcome,
+            () = self.replaced(&caller.service, primary.term) => {
+                Outcome::Unknown { reason: "the primary was replaced".to_owned() }
+            }
+        }
+    }
+
+    /// Waits until the service has a newer term than `term`.
+    async fn replaced(&self, service: &Service, term: Term) {
+        let mut revision = self.view.subscribe();
+        while self.view.load().view.groups.get(service).is_none_or(|group| group.term <= term) {
+            if revision.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+
     /// Primary of the caller's service; waits for one until the deadline.
     pub(super) async fn primary(&self, caller: &Caller, deadline: Instant) -> Option<PrimaryRef> {
         let mut revision = self.view.subscribe();
--- a/tests/group/mod.rs
+++ b/tests/group/mod.rs
@@ -257,14 +257,6 @@
         self.compact(name);
     }
 
-    /// Delivers the message later, or loses it.
-    fn send(&mut self, name: &str, addr: String, message: GroupMessage) {
-        if self.rng.random_range(0..100) >= self.drop_percent {
-            let delay = Millis(self.rng.random_range(1..=self.max_delay_ms));
-            self.messages.push((self.now + delay, name.to_owned(), addr, message));
-        }
-    }
-
     fn execute(&mut self, name: &str, output: Output) {
         let host = self.hosts.get_mut(name).unwrap();
         match output {
