Test authentication at targets and cancellation of transactions

Cleartext and MD5 passwords are tested against the fake backend; SCRAM is not, since the fake has no server side of it.

--- a/tests/backend/fixture.rs
+++ b/tests/backend/fixture.rs
@@ -30,7 +30,10 @@
     }
 
     pub async fn with(settings: OwnerSettings) -> Self {
-        let backend = Backend::start().await;
+        Self::on(Backend::start().await, settings).await
+    }
+
+    pub async fn on(backend: Backend, settings: OwnerSettings) -> Self {
         let fixture = Self {
             owner: Owner::new(settings, "e1".into(), Incarnation(7)),
             view: view(&backend.addr),
--- a/tests/backend/mod.rs
+++ b/tests/backend/mod.rs
@@ -40,6 +40,8 @@
     pub refuse: bool,
     /// Statements that begin so, and new connections, get no answer.
     pub hang: Option<&'static str>,
+    /// Authentication request and the password message that it must get.
+    pub password: Option<(Vec<u8>, String)>,
     pub connections: usize,
     pub open: usize,
     pub most_open: usize,
@@ -75,6 +77,7 @@
             break_at: None,
             refuse: false,
             hang: None,
+            password: None,
             connections: 0,
             open: 0,
             most_open: 0,
@@ -117,6 +120,17 @@
         }
         self.hang("").await;
         let mut out = BytesMut::new();
+        let password = self.state.lock().password.clone();
+        if let Some((request, expected)) = password {
+            message(&mut out, b'R', &request);
+            stream.write_all(&out.split()).await?;
+            let mut answer = vec![0; 5 + expected.len() + 1];
+            stream.read_exact(&mut answer).await?;
+            if text(&answer[5..]) != expected {
+                error(&mut out, "28P01");
+                return stream.write_all(&out).await;
+            }
+        }
         message(&mut out, b'R', &0_u32.to_be_bytes());
         message(&mut out, b'K', &[0, 0, 0, 1, 0, 0, 0, 2]);
         message(&mut out, b'Z', b"I");
--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -10,12 +10,14 @@
 use backend::{Backend, Break, first_column, fixture::*};
 use pomelopin::{
     ids::{Epoch, InstanceId, Mark, Term},
+    settings::owner::OwnerSettings,
     state::model::{Drain, Promotion, Role},
     wire::{
         announcement::Announcement,
         peer::{Bind, Mode, Outcome, ReadBound, Refusal},
     },
 };
+use postgres_protocol::authentication::md5_hash;
 use tokio::time::{sleep, timeout};
 
 /// Guards against a wrong outcome of a write whose connection breaks: `Failed`
@@ -309,3 +311,21 @@
     fixture.owner.describe(&"a1".into(), Epoch(3), "SELECT 1").await.unwrap();
     assert!(fixture.owner.describe(&"a1".into(), Epoch(2), "SELECT 1").await.is_err());
 }
+
+/// Guards against credentials that a target does not accept.
+#[tokio::test]
+async fn targets_authenticate_the_project() {
+    let md5 = md5_hash(b"pomelopin", b"secret", [1, 2, 3, 4]);
+    let table = [
+        (vec![0, 0, 0, 3], "secret".to_owned(), "SELECT 1"),
+        (vec![0, 0, 0, 5, 1, 2, 3, 4], md5, "SELECT 1"),
+        (vec![0, 0, 0, 3], "other!".to_owned(), "NoConnection"),
+    ];
+    for (request, expected, outcome) in table {
+        let backend = Backend::start().await;
+        backend.state.lock().password = Some((request, expected));
+        let settings = OwnerSettings { password: "secret".into(), ..OwnerSettings::default() };
+        let fixture = Fixture::on(backend, settings).await;
+        assert_eq!(kind(&fixture.run(primary_read(), "SELECT 1").await), outcome);
+    }
+}
--- a/tests/owner_transactions.rs
+++ b/tests/owner_transactions.rs
@@ -176,3 +176,23 @@
     assert_eq!(state.open, state.connections, "no connection was closed");
     assert!(state.committed.is_empty());
 }
+
+/// Guards against a cancellation that reaches the next user of a connection.
+#[tokio::test]
+async fn cancelled_transaction_does_not_return_its_connection() {
+    let fixture = Fixture::start().await;
+    done(fixture.run(begin(1), "BEGIN").await);
+    fixture.owner.cancel(&transaction(1));
+    let cancel = async {
+        sleep(Duration::from_millis(50)).await;
+        fixture.owner.cancel(&transaction(1));
+    };
+    tokio::join!(fixture.run(within(1), "SELECT SLOW 150"), cancel);
+    done(fixture.run(commit(1), "").await);
+    let closed = || {
+        let state = fixture.backend.state.lock();
+        // The CancelRequest came on a connection of its own.
+        state.cancels == 1 && state.connections - state.open == 2
+    };
+    eventually(closed).await;
+}
