Use the placement index and the metrics of entry hosts

Change: the view keeps a placement index; adapters::http and metrics serve the listener; a host is ready only when it can store session marks.

--- a/src/entry/cx.rs
+++ b/src/entry/cx.rs
@@ -10,7 +10,6 @@
 use tokio::sync::Notify;
 
 use super::{
-    http::ReadCounters,
     lease::Lease,
     marks::HomeMarks,
     stop::Stop,
@@ -18,11 +17,12 @@
     view::{ViewCell, ViewChange},
 };
 use crate::{
-    adapters::peer::client::PeerClient,
+    adapters::{metrics::EntryMetrics, peer::client::PeerClient},
     clock::{Clock, SystemClock},
-    ids::{Incarnation, InstanceId, Mark},
+    ids::{Incarnation, InstanceId, Mark, SessionId, Workspace},
     owner::Owner,
     routing::{cache::ClassifyCache, hints::Hints},
+    session::homes::SessionItem,
     settings::{
         entry::EntrySettings, limits::LimitSettings, routing::RoutingSettings,
         session::SessionSettings,
@@ -46,7 +46,7 @@
     pub hints: Mutex<Hints>,
     pub rng: Mutex<SmallRng>,
     pub statements: ClassifyCache,
-    pub metrics: ReadCounters,
+    pub metrics: Arc<EntryMetrics>,
     pub stop: Stop,
     /// Wakes the control link when something must be reported at once.
     pub report_soon: Arc<Notify>,
@@ -64,7 +64,7 @@
         let peers = PeerClient::new(settings.host.clone(), settings.host_key.clone());
         Self {
             statements: ClassifyCache::new(&routing),
-            metrics: ReadCounters::default(),
+            metrics: Arc::default(),
             settings,
             routing,
             incarnation,
@@ -89,6 +89,12 @@
         self.lease.lock().is_valid(self.clock.now())
     }
 
+    /// Whether this host can store session marks; not yet shortly after its start.
+    pub fn stores_marks(&self) -> bool {
+        let item = SessionItem::new(&Workspace::from(""), &SessionId::from(""));
+        self.sessions.lock().history.store_set(self.clock.now(), &item).is_ok()
+    }
+
     /// Passes a new view on to the tables that depend on it.
     pub fn view_changed(&self, change: &ViewChange) {
         let now = self.clock.now();
@@ -98,6 +104,7 @@
         }
         drop(sessions);
         let view = &change.state.view;
+        self.metrics.revision(view.revision);
         self.limits.retain(view);
         self.owner.update_view(view);
         self.hints.lock().retain(|instance| view.instances.contains_key(instance));
--- a/src/entry/describe.rs
+++ b/src/entry/describe.rs
@@ -11,7 +11,7 @@
     error,
 };
 use crate::{
-    routing::{choice::replicas, classify::Classified},
+    routing::classify::Classified,
     wire::peer::{Description, Failure, PeerAnswer, PeerRequest},
 };
 
@@ -46,11 +46,10 @@
     /// Owners of the service's instances, replicas first.
     fn describers(&self, caller: &Caller) -> Vec<OwnerRef> {
         let state = self.view.load();
-        let primary =
-            state.view.groups.get(&caller.service).and_then(|group| group.primary.clone());
-        let replicas =
-            replicas(&state.view, &caller.service).map(|instance| instance.spec.id.clone());
-        replicas.chain(primary).filter_map(|id| OwnerRef::find(&state.view, &id)).collect()
+        let Some(placement) = state.placements.get(&caller.service) else { return Vec::new() };
+        let replicas = placement.replicas.iter().map(|replica| &replica.id);
+        let all = replicas.chain(placement.primary.as_ref().ok());
+        all.filter_map(|id| OwnerRef::find(&state.view, id)).collect()
     }
 
     async fn describe_at(
--- a/src/entry/read.rs
+++ b/src/entry/read.rs
@@ -14,10 +14,13 @@
     write::PrimaryRef,
 };
 use crate::{
-    adapters::caller::{Reply, ReplyResult},
+    adapters::{
+        caller::{Reply, ReplyResult},
+        metrics::ReadSource,
+    },
     clock::{Clock, Millis},
     ids::{InstanceId, Mark, Term},
-    routing::choice::{Choice, ReadNeed, choose},
+    routing::choice::{Choice, ReadNeed},
     wire::peer::{Failure, Mode, Outcome, ReadBound, Refusal, Rows, Statement},
 };
 
@@ -115,7 +118,7 @@
         let choice = {
             let hints = self.hints.lock();
             let mut rng = self.rng.lock();
-            choose(now, &state.view, &hints, &need, &self.routing, &mut *rng)
+            state.choose(now, &hints, &need, &self.routing, &mut *rng)
         };
         let (instance, is_primary) = match choice {
             Ok(Choice::Replica { instance }) => (instance, false),
@@ -166,7 +169,8 @@
                 if let Some(position) = rows.mark {
                     self.observe(instance, position, rows.age_ms);
                 }
-                self.metrics.read(!is_primary);
+                let source = if is_primary { ReadSource::Primary } else { ReadSource::Replica };
+                self.metrics.read(source);
                 Step::Answer { rows, from_primary: is_primary }
             }
             Outcome::Failed(failure) => {
--- a/src/entry/runtime.rs
+++ b/src/entry/runtime.rs
@@ -86,7 +86,7 @@
         let (tx, rx) = mpsc::channel(ANNOUNCEMENT_QUEUE);
         tokio::spawn(announcements::run(cx.clone(), rx));
         let http = listen("--http-listen", settings.http_listen).await?;
-        let router = super::http::router(cx.clone(), tx);
+        let router = super::http::entry_router(cx, tx);
         tokio::spawn(async move { axum::serve(http, router).await });
         tokio::spawn(cx.clone().serve_queues());
 
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -4,11 +4,19 @@
 
 use indexmap::IndexMap;
 use parking_lot::RwLock;
+use rand::Rng;
 use tokio::sync::watch;
 
 use crate::{
+    clock::Millis,
     ids::{HostId, Revision},
-    routing::route::RouteIndex,
+    routing::{
+        choice::{Choice, ChoiceError, ReadNeed, choose_among},
+        hints::Hints,
+        placement::PlacementIndex,
+        route::RouteIndex,
+    },
+    settings::routing::RoutingSettings,
     state::{
         delta::UpdateError,
         model::{Change, ClusterView, Host},
@@ -16,11 +24,35 @@
     wire::control::Update,
 };
 
-/// View with its index of routes.
+/// View with its indexes.
 #[derive(Debug, Default)]
 pub struct ViewState {
     pub view: ClusterView,
     pub routes: RouteIndex,
+    pub placements: PlacementIndex,
+}
+
+impl ViewState {
+    fn new(view: ClusterView) -> Self {
+        let routes = RouteIndex::build(&view.desired);
+        let placements = PlacementIndex::build(&view);
+        Self { view, routes, placements }
+    }
+
+    /// Chooses the instance for a read.
+    pub fn choose(
+        &self,
+        now: Millis,
+        hints: &Hints,
+        need: &ReadNeed<'_>,
+        settings: &RoutingSettings,
+        rng: &mut impl Rng,
+    ) -> Result<Choice, ChoiceError> {
+        match self.placements.get(need.service) {
+            Some(placement) => choose_among(now, placement, hints, need, settings, rng),
+            None => Err(ChoiceError::NoPrimary { service: need.service.clone() }),
+        }
+    }
 }
 
 /// Effect of an update.
@@ -80,9 +112,8 @@
         if !view.apply_update(update)? {
             return Ok(None);
         }
-        let routes = RouteIndex::build(&view.desired);
         let revision = view.revision;
-        let state = Arc::new(ViewState { view, routes });
+        let state = Arc::new(ViewState::new(view));
         *self.current.write() = state.clone();
         self.revision.send_replace(revision);
         if !unbroken {
--- a/src/entry/write.rs
+++ b/src/entry/write.rs
@@ -20,7 +20,6 @@
 use crate::{
     adapters::caller::{Reply, ReplyResult},
     ids::{Mark, RequestKey, Service, Term},
-    routing::choice::primary,
     wire::peer::{Failure, Mode, Outcome, Refusal, RequestRecord, Rows, Statement},
 };
 
@@ -159,8 +158,8 @@
 
     fn primary_now(&self, caller: &Caller) -> Option<PrimaryRef> {
         let state = self.view.load();
-        let id = primary(&state.view, &caller.service).ok()?;
-        let owner = OwnerRef::find(&state.view, &id)?;
+        let id = state.placements.get(&caller.service)?.primary.as_ref().ok()?;
+        let owner = OwnerRef::find(&state.view, id)?;
         let term = state.view.groups.get(&caller.service)?.term;
         Some(PrimaryRef { owner, term })
     }
--- a/src/settings/entry.rs
+++ b/src/settings/entry.rs
@@ -99,7 +99,7 @@
     pub http_listen: SocketAddr,
     pub control_hosts: Vec<ControlAddr>,
     pub host_key: HostKey,
-    pub announcement_key: HostKey,
+    pub announcement_key: Vec<u8>,
     pub target_password: String,
     pub tls: Option<TlsFiles>,
     pub stop_delay: Millis,
@@ -126,8 +126,9 @@
         let control_hosts = control_hosts(findings, &self.control_hosts);
         let host_key = key(findings, "--host-key-file", &self.host_key_file);
         let announcement_key =
-            key(findings, "--announcement-key-file", &self.announcement_key_file);
-        let target_password = password(findings, &self.target_password_file);
+            secret(findings, "--announcement-key-file", &self.announcement_key_file);
+        let target_password =
+            secret(findings, "--target-password-file", &self.target_password_file);
         let tls = self.tls(findings);
         if self.stop_delay_ms > MAX_STOP_DELAY_MS {
             let allowed = format!("0 to {MAX_STOP_DELAY_MS} milliseconds are allowed");
@@ -142,7 +143,7 @@
             http_listen: http_listen?,
             control_hosts: control_hosts?,
             host_key: host_key?,
-            announcement_key: announcement_key?,
+            announcement_key: announcement_key?.into_bytes(),
             target_password: target_password?,
             tls,
             stop_delay: Millis(self.stop_delay_ms),
@@ -205,8 +206,11 @@
     findings.take(flag, file.display(), HostKey::from_file(file))
 }
 
-fn password(findings: &mut SettingFindings, file: &Path) -> Option<String> {
-    let text = std::fs::read_to_string(file);
-    let text = findings.take("--target-password-file", file.display(), text)?;
-    Some(text.trim().to_owned())
+fn secret(findings: &mut SettingFindings, flag: &'static str, file: &Path) -> Option<String> {
+    let text = findings.take(flag, file.display(), std::fs::read_to_string(file))?;
+    let text = text.trim();
+    if text.is_empty() {
+        findings.add(flag, file.display(), "the file must not be empty");
+    }
+    Some(text.to_owned())
 }
