--- a/src/entry/cx.rs
+++ b/src/entry/cx.rs
@@ -10,6 +10,7 @@
 use tokio::sync::Notify;
 
 use super::{
+    describe::Descriptions,
     lease::Lease,
     marks::HomeMarks,
     stop::Stop,
@@ -46,6 +47,7 @@
     pub hints: Mutex<Hints>,
     pub rng: Mutex<SmallRng>,
     pub statements: ClassifyCache,
+    pub descriptions: Mutex<Descriptions>,
     pub metrics: Arc<EntryMetrics>,
     pub stop: Stop,
     /// Wakes the control link when something must be reported at once.
@@ -64,6 +66,7 @@
         let peers = PeerClient::new(settings.host.clone(), settings.host_key.clone());
         Self {
             statements: ClassifyCache::new(&routing),
+            descriptions: Mutex::default(),
             metrics: Arc::default(),
             settings,
             routing,
