Repeat single writes that were rolled back

Cause: 9 of 4,030 requests failed with 40001 when a primary was cut off; they were single writes whose connection was lost before COMMIT was sent. Change: a write outside a transaction that was rolled back is tried again until its deadline, with the same request record.

--- a/src/entry/write.rs
+++ b/src/entry/write.rs
@@ -23,6 +23,9 @@
     wire::peer::{Failure, Mode, Outcome, Refusal, RequestRecord, Rows, Statement},
 };
 
+/// SQLSTATE of a write that was rolled back and may be tried again.
+const ROLLED_BACK: &str = "40001";
+
 /// First pause before an attempt is repeated; it doubles up to [`MAX_PAUSE`].
 const FIRST_PAUSE: Duration = Duration::from_millis(5);
 
@@ -96,8 +99,8 @@
             let outcome = self.execute_at(&primary, caller, work, mode, remaining).await;
             match outcome {
                 Outcome::Done(rows) => return Ok(rows),
-                Outcome::Failed(failure) => return Err(failure),
-                Outcome::Refused(_) => {
+                Outcome::Failed(failure) if failure.code != ROLLED_BACK => return Err(failure),
+                Outcome::Failed(_) | Outcome::Refused(_) => {
                     // An earlier attempt of unknown outcome stays unknown.
                     last = last
                         .filter(|last| matches!(last, Outcome::Unknown { .. }))
@@ -170,6 +173,7 @@
     match last {
         Some(Outcome::Unknown { reason }) => error::unknown(&reason, key.map(RequestKey::as_str)),
         Some(Outcome::Refused(refusal)) => error::refused(&refusal),
+        Some(Outcome::Failed(failure)) => failure,
         _ => error::no_primary(),
     }
 }
