--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -46,6 +46,11 @@
 /// Silence after which the connection to another control host is opened anew.
 const PEER_SILENCE: Millis = Millis(2_000);
 
+/// Share of the event loop's time that sending updates may take: one part in five.
+/// Many hosts that start together would otherwise cause updates to all of them
+/// after each commit.
+const PUSH_PAUSE_FACTOR: u64 = 4;
+
 /// Event from another task.
 #[derive(Debug)]
 pub enum Event {
@@ -76,6 +81,10 @@
     tickets: u64,
     /// Committed changes that have not been sent to the hosts.
     pub(super) unsent: bool,
+    /// Time before which no updates are pushed.
+    push_after: Millis,
+    /// When the log last noted that others regard this host as removed.
+    pub(super) removed_at: Option<Millis>,
     /// When each control host was last heard.
     heard: BTreeMap<String, Millis>,
     report: Arc<Report>,
@@ -111,6 +120,8 @@
             proposals: Vec::new(),
             tickets: 0,
             unsent: false,
+            push_after: Millis(0),
+            removed_at: None,
             heard: BTreeMap::new(),
             report,
         }
@@ -195,8 +206,12 @@
             let proposals = std::mem::take(&mut self.proposals);
             self.step(Input::Propose(proposals))?;
         }
-        if std::mem::take(&mut self.unsent) {
+        let now = self.clock.now();
+        if self.unsent && now >= self.push_after {
+            self.unsent = false;
             self.push_updates();
+            let end = self.clock.now();
+            self.push_after = end + Millis(end.since(now).0 * PUSH_PAUSE_FACTOR);
             if let Some(leading) = &self.leading {
                 self.operators.check(self.clock.now(), &leading.leases);
             }
--- a/src/control/outputs.rs
+++ b/src/control/outputs.rs
@@ -4,13 +4,14 @@
 use eyre::{Result, WrapErr};
 
 use crate::{
-    clock::Clock,
+    clock::{Clock, Millis},
     control::{
         core::{Core, HISTORY_CHANGES, Leading},
         leases::LeaseTable,
         node::{Input, Output, Role, RoleChange},
         promotions::Promotions,
     },
+    ids::ControlId,
     promotion::decision::Action,
     settings::promotion::PromotionSettings,
     state::{
@@ -23,6 +24,9 @@
     },
 };
 
+/// Interval between log lines of a removed host, which asks for votes all the time.
+const REMOVAL_LOG_INTERVAL: Millis = Millis(10_000);
+
 impl Core {
     pub(super) fn step(&mut self, input: Input) -> Result<()> {
         let outputs = self.node.step(self.clock.now(), input);
@@ -60,13 +64,19 @@
                     leading.leases.thaw(self.clock.now());
                 }
             }
-            Output::Removed { by } => {
-                spdlog::warn!("control host {by} regards this host as removed from the group");
-            }
+            Output::Removed { by } => self.note_removal(&by),
         }
         Ok(())
     }
 
+    fn note_removal(&mut self, by: &ControlId) {
+        let now = self.clock.now();
+        if self.removed_at.is_none_or(|at| now.since(at) >= REMOVAL_LOG_INTERVAL) {
+            self.removed_at = Some(now);
+            spdlog::warn!("control host {by} regards this host as removed from the group");
+        }
+    }
+
     fn send_group(&self, addr: &str, message: GroupMessage) -> Result<()> {
         let body = postcard::to_stdvec(&ControlMessage::Group(message))?;
         self.bus.send(addr, &body);
