--- a/src/settings/entry.rs
+++ b/src/settings/entry.rs
@@ -13,6 +13,7 @@
 };
 use crate::{
     clock::Millis,
+    control::membership::MAX_VOTERS,
     ids::{ControlId, FailureDomain, HostId},
     keys::host::HostKey,
 };
@@ -120,8 +121,8 @@
         let host = name(findings, "--host", &self.host);
         let domain = name(findings, "--failure-domain", &self.failure_domain);
         let caller_listen = addr(findings, "--caller-listen", &self.caller_listen);
-        let peer_listen = addr(findings, "--peer-listen", &self.peer_listen);
-        let bus_listen = addr(findings, "--bus-listen", &self.bus_listen);
+        let peer_listen = reachable(findings, "--peer-listen", &self.peer_listen);
+        let bus_listen = reachable(findings, "--bus-listen", &self.bus_listen);
         let http_listen = addr(findings, "--http-listen", &self.http_listen);
         let control_hosts = control_hosts(findings, &self.control_hosts);
         let host_key = key(findings, "--host-key-file", &self.host_key_file);
@@ -182,11 +183,26 @@
     findings.take(flag, text, parsed)
 }
 
+/// Address that this host tells to other hosts.
+fn reachable(findings: &mut SettingFindings, flag: &'static str, text: &str) -> Option<SocketAddr> {
+    let addr = addr(findings, flag, text)?;
+    if addr.ip().is_unspecified() {
+        findings.add(flag, text, "an address that other hosts can reach is needed");
+        return None;
+    }
+    Some(addr)
+}
+
 fn control_hosts(findings: &mut SettingFindings, text: &str) -> Option<Vec<ControlAddr>> {
     let flag = "--control-hosts";
     let allowed = "1 to 7 pairs ID=IP:PORT, separated by commas, are allowed";
     let mut hosts = Vec::new();
-    for pair in text.split(',').map(str::trim).filter(|pair| !pair.is_empty()) {
+    let pairs: Vec<_> = text.split(',').map(str::trim).filter(|pair| !pair.is_empty()).collect();
+    if pairs.is_empty() || pairs.len() > MAX_VOTERS {
+        findings.add(flag, text, allowed);
+        return None;
+    }
+    for pair in pairs {
         match pair.split_once('=') {
             Some((id, bus_addr)) if !id.is_empty() && bus_addr.parse::<SocketAddr>().is_ok() => {
                 hosts.push(ControlAddr { id: ControlId::from(id), bus_addr: bus_addr.to_owned() });
@@ -194,10 +210,6 @@
             _ => findings.add(flag, pair, allowed),
         }
     }
-    if hosts.is_empty() || hosts.len() > 7 {
-        findings.add(flag, text, allowed);
-        return None;
-    }
     Some(hosts)
 }
 
@@ -208,5 +220,10 @@
 fn password(findings: &mut SettingFindings, file: &Path) -> Option<String> {
     let text = std::fs::read_to_string(file);
     let text = findings.take("--target-password-file", file.display(), text)?;
-    Some(text.trim().to_owned())
+    let password = text.trim();
+    if password.is_empty() {
+        findings.add("--target-password-file", file.display(), "a password is needed");
+        return None;
+    }
+    Some(password.to_owned())
 }
