--- /dev/null
+++ b/tests/entry/cluster.rs
@@ -0,0 +1,252 @@
+//! Control host, two entry hosts and a group of three stand-ins, with clients.
+
+use std::{net::SocketAddr, time::Duration};
+
+use pomelopin::{
+    clock::Millis,
+    ids::{FailureDomain, InstanceId, Service},
+    settings::target::{Peer, TargetSettings},
+    target::run::{Listeners, Running, start},
+    wire::operator::{ApplyRequest, ApplyResponse, StatusResponse},
+};
+use tokio::time::{Instant, sleep};
+use tokio_postgres::{Client, Config, NoTls, SimpleQueryMessage, error::SqlState};
+
+use crate::{
+    desired::Desired,
+    host::{ANNOUNCEMENT_KEY, ControlHost, EntryHost, TOKEN},
+};
+
+/// Longest wait for a state that the cluster must reach.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Longest wait until a statement or connect has an answer.
+const ANSWER_TIME: Duration = Duration::from_secs(15);
+
+/// Pause between two looks at a state.
+const POLL: Duration = Duration::from_millis(20);
+
+/// Failure domains of the stand-ins; the entry hosts are in the first two.
+const DOMAINS: [&str; 3] = ["north", "south", "west"];
+
+/// Running hosts and stand-ins; all of them end when it is dropped.
+pub struct Cluster {
+    pub entries: Vec<EntryHost>,
+    pub targets: Vec<Running>,
+    pub control: ControlHost,
+    pub desired: Desired,
+}
+
+/// Settings of a cluster before its start.
+#[derive(Default)]
+pub struct ClusterBuilder {
+    lag: u64,
+}
+
+impl ClusterBuilder {
+    /// Replication lag of the stand-ins in milliseconds.
+    pub fn lag(mut self, ms: u64) -> Self {
+        self.lag = ms;
+        self
+    }
+
+    /// Starts the cluster and waits until both entry hosts serve writes.
+    pub async fn start(self) -> Cluster {
+        let control = ControlHost::start();
+        let start_entry = |index: usize| {
+            let (name, domain) = (format!("entry-{index}"), DOMAINS[index]);
+            EntryHost::start(&name, domain, &control, None)
+        };
+        let entries = vec![start_entry(0), start_entry(1)];
+        let targets = start_targets(&entries, self.lag).await;
+        let mut cluster = Cluster { entries, targets, control, desired: Desired::default() };
+        cluster.apply_desired().await;
+        for entry in 0..cluster.entries.len() {
+            cluster.until_serving(entry).await;
+        }
+        cluster
+    }
+}
+
+async fn start_targets(entries: &[EntryHost], lag: u64) -> Vec<Running> {
+    let base = TargetSettings {
+        service: Service::from("returns"),
+        slots: 4,
+        lag: Millis(lag),
+        announce_to: entries.iter().map(|entry| entry.http).collect(),
+        announce_interval: Millis(100),
+        announcement_key: ANNOUNCEMENT_KEY.as_bytes().to_vec(),
+        ..TargetSettings::default()
+    };
+    let mut bound = Vec::new();
+    for _ in DOMAINS {
+        bound.push(Listeners::bind(&base).await.unwrap());
+    }
+    let name = |index: usize| InstanceId::from(format!("returns-{index}"));
+    let http = |listeners: &Listeners| listeners.http.local_addr().unwrap();
+    let peers: Vec<Peer> = bound
+        .iter()
+        .enumerate()
+        .map(|(index, listeners)| Peer { name: name(index), http: http(listeners) })
+        .collect();
+    let mut targets = Vec::new();
+    // The primary starts last, because it asks its peers for their term.
+    for (index, listeners) in bound.into_iter().enumerate().rev() {
+        let mut peers = peers.clone();
+        peers.remove(index);
+        let settings = TargetSettings {
+            name: name(index),
+            failure_domain: FailureDomain::from(DOMAINS[index]),
+            peers,
+            primary: index == 0,
+            ..base.clone()
+        };
+        targets.push(start(settings, listeners).await.unwrap());
+    }
+    targets.reverse();
+    targets
+}
+
+impl Cluster {
+    pub fn builder() -> ClusterBuilder {
+        ClusterBuilder::default()
+    }
+
+    pub async fn start() -> Self {
+        Self::builder().start().await
+    }
+
+    /// Applies a changed file and waits until every live host has it in force.
+    pub async fn apply(&mut self, change: impl FnOnce(&mut Desired)) {
+        self.desired.version += 1;
+        change(&mut self.desired);
+        self.apply_desired().await;
+    }
+
+    async fn apply_desired(&mut self) {
+        let version = self.desired.version;
+        let request = ApplyRequest {
+            id: format!("apply-{version}").into(),
+            operator: "tester".to_owned(),
+            expected_version: version - 1,
+            file: self.desired.text(),
+            wait_ms: 1_000,
+        };
+        let url = format!("http://{}/v1/apply", self.control.http);
+        until("the file is in force", async || {
+            let post = reqwest::Client::new().post(&url).bearer_auth(TOKEN).json(&request);
+            let Ok(response) = post.send().await else { return false };
+            let status = response.status().as_u16();
+            let text = response.text().await.unwrap();
+            assert!(![401, 409, 422].contains(&status), "apply is answered by {status}: {text}");
+            status == 200
+                && serde_json::from_str::<ApplyResponse>(&text).unwrap().pending_hosts.is_empty()
+        })
+        .await;
+    }
+
+    /// Waits until an entry host serves writes.
+    async fn until_serving(&self, entry: usize) {
+        until("the entry host serves writes", async || {
+            let Ok(client) = self.try_connect(entry, "alpha", &self.desired.key("alpha")).await
+            else {
+                return false;
+            };
+            let update = "UPDATE bookings SET value = 'x' WHERE id = 'none'";
+            client.simple_query(update).await.is_ok()
+        })
+        .await;
+    }
+
+    /// Address of an operators' request.
+    pub async fn operator_get(&self, path: &str) -> String {
+        let url = format!("http://{}{path}", self.control.http);
+        let get = reqwest::Client::new().get(url).bearer_auth(TOKEN);
+        get.send().await.unwrap().text().await.unwrap()
+    }
+
+    pub async fn status(&self) -> StatusResponse {
+        serde_json::from_str(&self.operator_get("/v1/status").await).unwrap()
+    }
+
+    /// Settings of a client of an entry host.
+    pub fn config(&self, entry: usize, user: &str) -> Config {
+        config_of(self.entries[entry].caller, user)
+    }
+
+    pub async fn try_connect(
+        &self,
+        entry: usize,
+        user: &str,
+        password: &str,
+    ) -> Result<Client, tokio_postgres::Error> {
+        open(self.config(entry, user).password(password)).await
+    }
+
+    /// Caller with the key of `workspace`.
+    pub async fn connect(&self, entry: usize, workspace: &str) -> Client {
+        self.try_connect(entry, workspace, &self.desired.key(workspace)).await.unwrap()
+    }
+
+    /// Caller with a named session.
+    pub async fn connect_session(&self, entry: usize, workspace: &str, session: &str) -> Client {
+        let client = self.connect(entry, workspace).await;
+        run(&client, &format!("SET pomelopin.session = '{session}'")).await.unwrap();
+        client
+    }
+}
+
+/// Settings of a client of `addr`.
+pub fn config_of(addr: SocketAddr, user: &str) -> Config {
+    let mut config = Config::new();
+    config.host("127.0.0.1").port(addr.port()).user(user).dbname("returns");
+    config.connect_timeout(Duration::from_secs(5));
+    config
+}
+
+/// Opens a connection and runs it in a task.
+pub async fn open(config: &Config) -> Result<Client, tokio_postgres::Error> {
+    let (client, connection) = config.connect(NoTls).await?;
+    tokio::spawn(connection);
+    Ok(client)
+}
+
+/// SQLSTATE of an error; the connection's end has none.
+pub fn code(error: &tokio_postgres::Error) -> String {
+    error.code().map_or_else(|| format!("no SQLSTATE: {error}"), |code| code.code().to_owned())
+}
+
+/// First column of all rows, or the SQLSTATE.
+pub async fn run(client: &Client, sql: &str) -> Result<Vec<String>, String> {
+    let answer = tokio::time::timeout(ANSWER_TIME, client.simple_query(sql)).await;
+    let messages = answer.unwrap_or_else(|_| panic!("no answer to `{sql}`"));
+    let messages = messages.map_err(|error| code(&error))?;
+    let value = |message: &SimpleQueryMessage| match message {
+        SimpleQueryMessage::Row(row) => Some(row.get(0).unwrap_or("NULL").to_owned()),
+        _ => None,
+    };
+    Ok(messages.iter().filter_map(value).collect())
+}
+
+/// SQLSTATE of a statement that must fail.
+pub async fn refusal(client: &Client, sql: &str) -> String {
+    match run(client, sql).await {
+        Ok(rows) => panic!("`{sql}` succeeded with {rows:?}"),
+        Err(code) => code,
+    }
+}
+
+/// Waits until `condition` holds.
+pub async fn until(what: &str, mut condition: impl AsyncFnMut() -> bool) {
+    let deadline = Instant::now() + PATIENCE;
+    while !condition().await {
+        assert!(Instant::now() < deadline, "not reached in {PATIENCE:?}: {what}");
+        sleep(POLL).await;
+    }
+}
+
+/// SQLSTATE of a key that stopped working.
+pub const WITHDRAWN: &str = "28000";
+
+/// SQLSTATE of a wrong key.
+pub const WRONG_KEY: SqlState = SqlState::INVALID_PASSWORD;
--- /dev/null
+++ b/tests/entry/host.rs
@@ -0,0 +1,174 @@
+//! Control and entry hosts inside the test process, each with a runtime of its own.
+//!
+//! A host is lost by dropping its runtime, which closes its sockets like the end of
+//! a process.
+
+use std::{
+    collections::BTreeMap,
+    net::{SocketAddr, TcpListener},
+    sync::atomic::{AtomicU16, Ordering},
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+use pomelopin::{
+    clock::Millis,
+    control,
+    entry::runtime,
+    ids::{ControlId, FailureDomain, HostId, Incarnation},
+    keys::host::HostKey,
+    settings::{
+        control::ControlSettings,
+        entry::{ControlAddr, EntrySettings, TlsFiles},
+        timing::{GroupTiming, LeaseTiming},
+    },
+};
+use tokio::{runtime::Runtime, sync::oneshot, task::JoinHandle};
+
+/// Key that the hosts of a test share.
+pub const HOST_KEY: &str = "host-key-of-the-entry-tests";
+
+/// Key that signs announcements.
+pub const ANNOUNCEMENT_KEY: &str = "announcement-key-of-the-entry-tests";
+
+/// Token of the operator.
+pub const TOKEN: &str = "operator-token-of-the-entry-tests";
+
+/// First port; below the range from which systems take ports of clients.
+const FIRST_PORT: u16 = 20_000;
+
+/// Ports that one run of the tests may use.
+const PORTS: u16 = 10_000;
+
+/// Address that nothing listens on and that no other test gets.
+pub fn free_addr() -> SocketAddr {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    // Runs of several processes start at different ports.
+    let start = u16::try_from(std::process::id() % u32::from(PORTS)).unwrap();
+    loop {
+        let offset = NEXT.fetch_add(1, Ordering::Relaxed).wrapping_add(start) % PORTS;
+        let addr = SocketAddr::from(([127, 0, 0, 1], FIRST_PORT + offset));
+        if TcpListener::bind(addr).is_ok() {
+            return addr;
+        }
+    }
+}
+
+fn runtime() -> Runtime {
+    tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap()
+}
+
+/// Control host with a data folder that ends with it.
+pub struct ControlHost {
+    pub bus: SocketAddr,
+    pub http: SocketAddr,
+    runtime: Option<Runtime>,
+    _data: tempfile::TempDir,
+}
+
+impl ControlHost {
+    pub fn start() -> Self {
+        let (bus, http, data) = (free_addr(), free_addr(), tempfile::tempdir().unwrap());
+        let settings = ControlSettings {
+            name: "control".to_owned(),
+            group: BTreeMap::from([("control".to_owned(), bus.to_string())]),
+            bus_listen: bus,
+            http_listen: http,
+            data_folder: data.path().to_owned(),
+            host_key: HostKey::new(HOST_KEY).unwrap(),
+            token: TOKEN.parse().unwrap(),
+            group_timing: GroupTiming::default(),
+            lease_timing: LeaseTiming::default(),
+        };
+        let runtime = runtime();
+        runtime.spawn(control::runtime::run(settings));
+        Self { bus, http, runtime: Some(runtime), _data: data }
+    }
+}
+
+impl Drop for ControlHost {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+/// Entry host.
+pub struct EntryHost {
+    pub name: String,
+    pub caller: SocketAddr,
+    pub http: SocketAddr,
+    stop: Option<oneshot::Sender<()>>,
+    ended: Option<JoinHandle<eyre::Result<()>>>,
+    runtime: Option<Runtime>,
+}
+
+impl EntryHost {
+    pub fn start(name: &str, domain: &str, control: &ControlHost, tls: Option<TlsFiles>) -> Self {
+        let settings = EntrySettings {
+            host: HostId::from(name),
+            failure_domain: FailureDomain::from(domain),
+            caller_listen: free_addr(),
+            peer_listen: free_addr(),
+            bus_listen: free_addr(),
+            http_listen: free_addr(),
+            control_hosts: vec![ControlAddr {
+                id: ControlId::from("control"),
+                bus_addr: control.bus.to_string(),
+            }],
+            host_key: HostKey::new(HOST_KEY).unwrap(),
+            announcement_key: HostKey::new(ANNOUNCEMENT_KEY).unwrap(),
+            target_password: "pomelopin".to_owned(),
+            tls,
+            stop_delay: Millis(500),
+        };
+        let (caller, http) = (settings.caller_listen, settings.http_listen);
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+        let incarnation = Incarnation(u64::try_from(since.as_millis()).unwrap());
+        let (stop, stopped) = oneshot::channel::<()>();
+        let runtime = runtime();
+        let ended = runtime.spawn(runtime::run(settings, incarnation, async {
+            let _ = stopped.await;
+        }));
+        let (stop, ended, runtime) = (Some(stop), Some(ended), Some(runtime));
+        Self { name: name.to_owned(), caller, http, stop, ended, runtime }
+    }
+
+    /// Begins a planned stop; the task ends with it.
+    pub fn begin_stop(&mut self) -> JoinHandle<eyre::Result<()>> {
+        self.stop.take().unwrap().send(()).unwrap();
+        self.ended.take().unwrap()
+    }
+
+    /// Loses the host: its sockets close and it sends nothing more.
+    pub fn lose(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+
+    /// Status code of a GET request.
+    pub async fn get(&self, path: &str) -> u16 {
+        let response = reqwest::get(format!("http://{}{path}", self.http)).await;
+        response.map_or(0, |response| response.status().as_u16())
+    }
+
+    /// Text of the metrics.
+    pub async fn metrics(&self) -> String {
+        let response = reqwest::get(format!("http://{}/metrics", self.http)).await;
+        response.unwrap().text().await.unwrap()
+    }
+
+    /// Reads that replicas have served through this host as the caller's entry.
+    pub async fn replica_reads(&self) -> u64 {
+        let line = "pomelopin_reads_total{source=\"replica\"} ";
+        let metrics = self.metrics().await;
+        metrics.lines().find_map(|text| text.strip_prefix(line)).unwrap().parse().unwrap()
+    }
+}
+
+impl Drop for EntryHost {
+    fn drop(&mut self) {
+        self.lose();
+    }
+}
--- /dev/null
+++ b/tests/entry/keys.rs
@@ -0,0 +1,171 @@
+//! Keys of callers: what they open, where they must not appear, and their end.
+
+use std::time::{Duration, Instant};
+
+use pomelopin::{ids::KeyId, keys::key::Key};
+
+use crate::{
+    cluster::{Cluster, WITHDRAWN, WRONG_KEY, code, refusal, run, until},
+    desired::Desired,
+};
+
+/// Longest time from the apply until a withdrawn key works nowhere.
+const WITHDRAWAL: Duration = Duration::from_secs(5);
+
+/// Guards against keys that reach a target, or a text that operators can read.
+#[tokio::test(flavor = "multi_thread")]
+async fn keys_stay_at_the_entry() {
+    let cluster = Cluster::start().await;
+    let key = cluster.desired.key("alpha");
+    let secret = key.rsplit('_').next().unwrap().to_owned();
+    let wrong = Key::generate(KeyId::from("alpha-1")).unwrap().reveal();
+    let mut texts = Vec::new();
+    for entry in 0..2 {
+        let client = cluster.connect(entry, "alpha").await;
+        run(&client, &format!("INSERT INTO bookings (id) VALUES ('{entry}')")).await.unwrap();
+        run(&client, "SELECT id FROM bookings").await.unwrap();
+        client.query("SELECT id FROM bookings", &[]).await.unwrap();
+        let error = cluster.try_connect(entry, "alpha", &wrong).await.unwrap_err();
+        texts.push(format!("{error:?}"));
+        texts.push(cluster.entries[entry].metrics().await);
+    }
+    texts.push(cluster.operator_get("/v1/audit").await);
+    texts.push(cluster.operator_get("/v1/status").await);
+    for target in &cluster.targets {
+        let (bytes, truncated) = target.instance.capture.read();
+        assert!(!bytes.is_empty() && !truncated);
+        texts.push(String::from_utf8_lossy(&bytes).into_owned());
+    }
+    let wrong_secret = wrong.rsplit('_').next().unwrap();
+    for text in &texts {
+        // Half of a secret is a leak too.
+        for part in [&secret[..32], &secret[32..], &wrong_secret[..32], "pk_"] {
+            assert!(!text.contains(part), "part of a key in: {text}");
+        }
+    }
+}
+
+/// Guards against callers that are let in without the right key.
+#[tokio::test(flavor = "multi_thread")]
+async fn only_the_right_key_opens_a_workspace() {
+    let cluster = Cluster::start().await;
+    let right = cluster.desired.key("alpha");
+    let other_secret = Key::generate(KeyId::from("alpha-1")).unwrap().reveal();
+    let unknown_id = Key::generate(KeyId::from("gamma-1")).unwrap().reveal();
+    let beta = cluster.desired.key("beta");
+    let cases = [
+        ("alpha", ""),
+        ("alpha", "pk_alpha-1"),
+        ("alpha", other_secret.as_str()),
+        ("alpha", unknown_id.as_str()),
+        ("alpha", beta.as_str()),
+        ("alpha", &right[..right.len() - 1]),
+        ("unknown", right.as_str()),
+        ("pomelopin", "pomelopin"),
+    ];
+    for entry in 0..2 {
+        for (user, password) in cases {
+            let error = cluster.try_connect(entry, user, password).await.unwrap_err();
+            assert_eq!(code(&error), WRONG_KEY.code(), "{user} with `{password}`");
+        }
+        cluster.try_connect(entry, "alpha", &right).await.unwrap();
+    }
+}
+
+/// Guards against keyed data for callers without a key.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_without_a_key_reach_open_routes_only() {
+    let cluster = Cluster::start().await;
+    let open = cluster.try_connect(0, "open", "").await.unwrap();
+    run(&open, "INSERT INTO notices (id, value) VALUES ('n', 'closed')").await.unwrap();
+    let keyed = cluster.connect(1, "alpha").await;
+    for client in [&open, &keyed] {
+        assert_eq!(run(client, "SELECT value FROM notices").await.unwrap(), ["closed"]);
+    }
+    for sql in [
+        "SELECT id FROM bookings",
+        "INSERT INTO bookings (id) VALUES ('b')",
+        "UPDATE bookings SET value = 'x'",
+        "DELETE FROM bookings",
+    ] {
+        assert_eq!(refusal(&open, sql).await, "28000", "{sql}");
+    }
+    assert_eq!(run(&keyed, "SELECT id FROM bookings").await.unwrap(), [""; 0]);
+}
+
+/// Guards against a workspace that sees or changes rows of another one.
+#[tokio::test(flavor = "multi_thread")]
+async fn workspaces_see_their_own_rows_only() {
+    let cluster = Cluster::start().await;
+    let (alpha, beta) = (cluster.connect(0, "alpha").await, cluster.connect(0, "beta").await);
+    for (client, name) in [(&alpha, "alpha"), (&beta, "beta")] {
+        let insert = format!("INSERT INTO bookings (id, value) VALUES ('same', '{name}')");
+        run(client, &insert).await.unwrap();
+    }
+    // Alternating statements reuse the same connections of the owner.
+    for round in 0..20 {
+        for (client, name) in [(&alpha, "alpha"), (&beta, "beta")] {
+            let rows = run(client, "SELECT value FROM bookings").await.unwrap();
+            assert_eq!(rows, [name], "round {round}");
+        }
+    }
+    for sql in ["SET pomelopin.workspace = 'alpha'", "BEGIN"] {
+        let _ = run(&beta, sql).await;
+        assert_eq!(run(&beta, "SELECT value FROM bookings").await.unwrap(), ["beta"], "{sql}");
+    }
+    run(&beta, "DELETE FROM bookings").await.unwrap();
+    run(&beta, "COMMIT").await.unwrap();
+    assert_eq!(run(&alpha, "SELECT value FROM bookings").await.unwrap(), ["alpha"]);
+}
+
+type Change = fn(&mut Desired);
+
+/// Changes of the file that end the key of `alpha`.
+const ENDS: [(&str, Change); 3] = [
+    ("withdrawn", |desired| desired.workspace("alpha").withdrawn = true),
+    ("replaced verifier", |desired| {
+        let key = Key::generate(KeyId::from("alpha-1")).unwrap();
+        desired.workspace("alpha").verifier = Some(key.verifier());
+    }),
+    ("removed workspace", |desired| {
+        desired.workspaces.retain(|workspace| workspace.name != "alpha");
+    }),
+];
+
+/// Guards against connected callers that outlive their key, and against locks that a
+/// stopped caller's transaction holds.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_ended_key_stops_connected_callers() {
+    for (name, change) in ENDS {
+        let mut cluster = Cluster::start().await;
+        let key = cluster.desired.key("alpha");
+        let idle = cluster.connect(0, "alpha").await;
+        let busy = cluster.connect(1, "alpha").await;
+        run(&idle, "SELECT id FROM bookings").await.unwrap();
+        run(&busy, "BEGIN").await.unwrap();
+        run(&busy, "INSERT INTO bookings (id) VALUES ('open')").await.unwrap();
+
+        let applied = Instant::now();
+        cluster.apply(change).await;
+        for client in [&idle, &busy] {
+            until(name, async || {
+                let read = run(client, "SELECT id FROM bookings").await;
+                read.is_err_and(|code| code == WITHDRAWN)
+            })
+            .await;
+        }
+        assert!(applied.elapsed() < WITHDRAWAL, "{name}: {:?}", applied.elapsed());
+        let end = run(&busy, "COMMIT").await;
+        assert!(end.is_ok() || end == Err(WITHDRAWN.to_owned()), "{name}: {end:?}");
+        assert_eq!(refusal(&idle, "SELECT id FROM bookings").await, WITHDRAWN, "{name}");
+        let error = cluster.try_connect(0, "alpha", &key).await.unwrap_err();
+        assert!([WITHDRAWN, WRONG_KEY.code()].contains(&code(&error).as_str()), "{name}");
+
+        // The key's transaction left no row.
+        cluster
+            .apply(|desired| *desired = Desired { version: desired.version, ..Desired::default() })
+            .await;
+        let again = cluster.connect(0, "alpha").await;
+        assert_eq!(run(&again, "SELECT id FROM bookings").await.unwrap(), [""; 0], "{name}");
+    }
+}
--- /dev/null
+++ b/tests/entry/main.rs
@@ -0,0 +1,11 @@
+//! Contract of the entry host, over loopback sockets inside the test process.
+
+#![allow(clippy::unwrap_used)]
+
+mod cluster;
+mod desired;
+mod host;
+mod keys;
+mod once;
+mod sessions;
+mod stop;
--- /dev/null
+++ b/tests/entry/stop.rs
@@ -0,0 +1,132 @@
+//! Planned stop of an entry host.
+
+use std::time::{Duration, Instant};
+
+use tokio::task::JoinHandle;
+use tokio_postgres::{Client, NoTls};
+
+use crate::cluster::{Cluster, code, run, until};
+
+/// SQLSTATE for callers of a host that is stopping.
+const STOPPING: &str = "57P01";
+
+/// Longest time from the begin of a stop until `/ready` answers 503.
+const NOTICE: Duration = Duration::from_millis(250);
+
+/// Callers that write while the host stops.
+const WRITERS: usize = 6;
+
+/// Time for which they write on after the stop has ended.
+const AFTERWARDS: Duration = Duration::from_millis(300);
+
+/// Client with the end of its connection.
+struct Observed {
+    client: Client,
+    ended: JoinHandle<Result<(), tokio_postgres::Error>>,
+}
+
+impl Observed {
+    async fn connect(cluster: &Cluster, entry: usize) -> Self {
+        let mut config = cluster.config(entry, "alpha");
+        let (client, connection) =
+            config.password(cluster.desired.key("alpha")).connect(NoTls).await.unwrap();
+        Self { client, ended: tokio::spawn(connection) }
+    }
+
+    /// SQLSTATE with which the host ended the connection.
+    async fn end(self) -> String {
+        let end = tokio::time::timeout(Duration::from_secs(5), self.ended).await;
+        let end = end.expect("the connection is still open").unwrap();
+        end.map_or_else(|error| code(&error), |()| "no message".to_owned())
+    }
+}
+
+/// Guards against callers that are cut off inside a transaction, a host that load
+/// balancers still choose, and instances without an owner.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_leave_between_transactions() {
+    let mut cluster = Cluster::start().await;
+    let idle = Observed::connect(&cluster, 0).await;
+    let busy = Observed::connect(&cluster, 0).await;
+    run(&idle.client, "SELECT id FROM bookings").await.unwrap();
+    run(&busy.client, "BEGIN").await.unwrap();
+    run(&busy.client, "INSERT INTO bookings (id) VALUES ('first')").await.unwrap();
+    assert_eq!(cluster.entries[0].get("/ready").await, 200);
+
+    let begun = Instant::now();
+    let stopped = cluster.entries[0].begin_stop();
+    until("/ready answers 503", async || cluster.entries[0].get("/ready").await == 503).await;
+    assert!(begun.elapsed() < NOTICE, "{:?}", begun.elapsed());
+    // Balancers need time to notice, and callers that they still send are served.
+    let late = Observed::connect(&cluster, 0).await;
+    run(&late.client, "SELECT id FROM bookings").await.unwrap();
+
+    assert_eq!(idle.end().await, STOPPING);
+    assert_eq!(late.end().await, STOPPING);
+    run(&busy.client, "INSERT INTO bookings (id) VALUES ('second')").await.unwrap();
+    run(&busy.client, "COMMIT").await.unwrap();
+    assert_eq!(busy.end().await, STOPPING);
+    stopped.await.unwrap().unwrap();
+    assert!(cluster.try_connect(0, "alpha", &cluster.desired.key("alpha")).await.is_err());
+
+    let status = cluster.status().await;
+    assert_eq!(status.instances.len(), 3);
+    for instance in &status.instances {
+        let owner = instance.owner.as_ref().map(|owner| owner.host.as_str());
+        assert_eq!(owner, Some(cluster.entries[1].name.as_str()), "{instance:?}");
+    }
+    let other = cluster.connect(1, "alpha").await;
+    let rows = run(&other, "SELECT id FROM bookings").await.unwrap();
+    assert_eq!(rows, ["first", "second"]);
+}
+
+/// Host that a load balancer would choose.
+async fn ready_entry(cluster: &Cluster) -> usize {
+    usize::from(cluster.entries[0].get("/ready").await != 200)
+}
+
+/// Writes until `until`; returns the number of acknowledged writes.
+async fn write_on(
+    cluster: &Cluster,
+    writer: usize,
+    until: tokio::sync::watch::Receiver<bool>,
+) -> usize {
+    let mut caller = Observed::connect(cluster, 0).await;
+    let mut written = 0;
+    while !*until.borrow() {
+        let insert = format!("INSERT INTO bookings (id) VALUES ('{writer}-{written}')");
+        match run(&caller.client, &insert).await {
+            Ok(_) => written += 1,
+            // A statement that crosses the host's message did not run.
+            Err(_) => {
+                assert_eq!(caller.end().await, STOPPING, "writer {writer}, write {written}");
+                caller = Observed::connect(cluster, ready_entry(cluster).await).await;
+            }
+        }
+    }
+    written
+}
+
+/// Guards against requests that a planned stop interrupts: a write that is not
+/// answered, runs without an answer, or is refused at the other host.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_request_is_cut_off() {
+    let mut cluster = Cluster::start().await;
+    let (done, watch) = tokio::sync::watch::channel(false);
+    let stopped = cluster.entries[0].begin_stop();
+    let cluster = std::sync::Arc::new(cluster);
+    let mut writers = tokio::task::JoinSet::new();
+    for writer in 0..WRITERS {
+        let (cluster, watch) = (cluster.clone(), watch.clone());
+        writers.spawn(async move { write_on(&cluster, writer, watch).await });
+    }
+    stopped.await.unwrap().unwrap();
+    tokio::time::sleep(AFTERWARDS).await;
+    done.send(true).unwrap();
+    let written: usize = writers.join_all().await.iter().sum();
+    let client = cluster.connect(1, "alpha").await;
+    run(&client, "UPDATE bookings SET value = 'x' WHERE id = 'none'").await.unwrap();
+    let rows = run(&client, "SELECT id FROM bookings").await.unwrap();
+    assert_eq!(rows.len(), written);
+    assert!(written > WRITERS * 20, "only {written} writes");
+}
