Prefer another instance than the old primary in a failover

Cause: a primary that was cut off from its replicas, but not from control, was fenced like the others. It had the longest log, so it was promoted again under each new term and the group had no writes while the partition lasted.

Ruled out: the detector (it started a promotion every 1.5 s, terms 2 to 14 in 20 s) and the entry hosts (they sent the writes to the named primary and reported 08007 rightly).

Change: without a preferred instance the run chooses the most advanced instance other than the old primary as soon as it is as advanced as every member of some fenced majority, which holds every acknowledged write. It waits 400 ms for such an instance and then falls back to the old rule. Planned changes are as before.

--- a/src/promotion/decision.rs
+++ b/src/promotion/decision.rs
@@ -3,7 +3,9 @@
 //! A run logs its term, fences a majority at that term, waits until the owner of
 //! the old primary has stopped, promotes and logs the end. Any majority of fenced
 //! instances shares an instance with the majority that held an acknowledged write,
-//! so the most advanced of them holds every acknowledged write.
+//! so the most advanced of them holds every acknowledged write. A failover chooses
+//! the old primary only if no other instance is known to hold them: a primary that is
+//! cut off from its replicas has the longest log and would be chosen again and again.
 
 use std::collections::BTreeMap;
 
@@ -260,16 +262,24 @@
     /// Instance to promote, or `None` while the run must wait.
     fn choice(&self, now: Millis) -> Option<InstanceId> {
         let majority_at = self.majority_at?;
-        if let Some(preferred) = &self.plan.preferred {
-            if self.is_safe(preferred) {
-                return Some(preferred.clone());
-            }
-            let all = self.fenced.len() == self.plan.instances.len();
-            if !all && now.since(majority_at) < self.settings.preferred_wait {
-                return None;
-            }
+        let (wanted, wait) = match &self.plan.preferred {
+            Some(preferred) => (Some(preferred.clone()), self.settings.preferred_wait),
+            None => (self.successor(), self.settings.successor_wait),
+        };
+        if let Some(wanted) = wanted.filter(|wanted| self.is_safe(wanted)) {
+            return Some(wanted);
+        }
+        let all = self.fenced.len() == self.plan.instances.len();
+        if !all && now.since(majority_at) < wait {
+            return None;
         }
-        self.fenced.iter().max_by_key(|(id, last)| (**last, *id)).map(|(id, _)| id.clone())
+        most_advanced(self.fenced.iter())
+    }
+
+    /// Most advanced fenced instance other than the old primary.
+    fn successor(&self) -> Option<InstanceId> {
+        let old = self.plan.old_primary.as_ref();
+        most_advanced(self.fenced.iter().filter(|(id, _)| Some(*id) != old))
     }
 
     /// Whether the instance is as advanced as every member of some fenced majority.
@@ -302,3 +312,10 @@
         }
     }
 }
+
+/// Instance with the largest position; the larger name decides between equal ones.
+fn most_advanced<'a>(
+    fenced: impl Iterator<Item = (&'a InstanceId, &'a Mark)>,
+) -> Option<InstanceId> {
+    fenced.max_by_key(|(id, last)| (**last, *id)).map(|(id, _)| id.clone())
+}
--- a/src/settings/promotion.rs
+++ b/src/settings/promotion.rs
@@ -20,6 +20,9 @@
     /// Time that a planned change waits for the preferred instance to be fenced
     /// after a majority is fenced.
     pub preferred_wait: Millis,
+    /// Time that a failover waits for a successor other than the old primary after a
+    /// majority is fenced. It is longer than `retry`, to tolerate a lost message.
+    pub successor_wait: Millis,
     /// Time after which an unanswered promotion starts over with a higher term.
     pub promote_timeout: Millis,
 }
@@ -33,6 +36,7 @@
             planned_interval: Millis(10_000),
             retry: Millis(200),
             preferred_wait: Millis(150),
+            successor_wait: Millis(400),
             promote_timeout: Millis(1_000),
         }
     }
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -4,6 +4,7 @@
 
 mod cluster;
 mod desired;
+mod failover;
 mod host;
 mod keys;
 mod once;
