Roll back a failed transaction at its target at once

Cause: when a statement inside a transaction failed at the entry host, for example because the key was withdrawn, no route matched or the statement is not supported, only the entry marked the transaction as failed. The target kept its row locks until the caller sent ROLLBACK or had been idle for 10 s, so a caller with a withdrawn key stopped other callers of its rows.

Ruled out: the key check (28000 came at once) and the stand-in (it releases locks with the rollback).

Change: a failed transaction is rolled back before its error is answered, as PostgreSQL does; the caller's state stays failed until it ends the transaction.

A silent caller that sends nothing after the withdrawal still keeps its locks for up to 10 s, the idle limit of the owner.

--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -204,7 +204,7 @@
         let classified = match self.statements.classify(&statement.sql) {
             Ok(classified) => classified,
             Err(unsupported) => {
-                state.fail_transaction();
+                self.fail_transaction(state).await;
                 return error::reply(error::unsupported(&unsupported));
             }
         };
@@ -227,10 +227,13 @@
                 self.run_on_target(caller, state, statement, &classified, deadline).await
             }
         };
-        result.unwrap_or_else(|failure| {
-            state.fail_transaction();
-            error::reply(failure)
-        })
+        match result {
+            Ok(reply) => reply,
+            Err(failure) => {
+                self.fail_transaction(state).await;
+                error::reply(failure)
+            }
+        }
     }
 
     async fn run_on_target(
--- a/src/entry/transaction.rs
+++ b/src/entry/transaction.rs
@@ -76,13 +76,6 @@
     pub(super) fn is_failed(&self) -> bool {
         self.transaction.as_ref().is_some_and(|transaction| transaction.failed)
     }
-
-    /// Marks the transaction as failed, if there is one.
-    pub(super) fn fail_transaction(&mut self) {
-        if let Some(transaction) = &mut self.transaction {
-            transaction.failed = true;
-        }
-    }
 }
 
 impl Cx {
@@ -181,10 +174,6 @@
             let tag = if transaction.failed { "ROLLBACK" } else { "COMMIT" };
             return Ok(ended(tag).into());
         };
-        if transaction.failed {
-            self.roll_back(&open).await;
-            return Ok(ended("ROLLBACK").into());
-        }
         if let Err(failure) = key_check {
             self.roll_back(&open).await;
             return Err(failure);
@@ -254,6 +243,17 @@
         ReplyResult::TransactionEnded("ROLLBACK".to_owned())
     }
 
+    /// Marks the transaction as failed, if there is one, and rolls it back.
+    ///
+    /// Its caller may stay silent after the error, and its locks must not wait for that.
+    pub(super) async fn fail_transaction(&self, state: &mut CallerState) {
+        let Some(transaction) = &mut state.transaction else { return };
+        transaction.failed = true;
+        if let Some(open) = transaction.open.take() {
+            self.roll_back(&open).await;
+        }
+    }
+
     /// Rolls back the transaction of a caller that has gone.
     pub(super) fn abandon(self: Arc<Self>, transaction: Transaction) {
         if let Some(open) = transaction.open {
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -10,3 +10,4 @@
 mod once;
 mod sessions;
 mod stop;
+mod transactions;
--- /dev/null
+++ b/tests/entry/transactions.rs
@@ -0,0 +1,127 @@
+//! Transactions of callers: isolation, errors and lost callers.
+
+use std::time::{Duration, Instant};
+
+use pomelopin::{ids::KeyId, keys::key::Key};
+use tokio_postgres::{Client, NoTls};
+
+use crate::cluster::{Cluster, WITHDRAWN, refusal, run};
+
+/// Longest time for a statement that must not wait for a lock.
+const PROMPT: Duration = Duration::from_millis(900);
+
+/// SQLSTATE of statements in a failed transaction.
+const FAILED: &str = "25P02";
+
+/// Begins a transaction that holds the lock of row `row`.
+async fn hold_row(client: &Client, value: &str) {
+    run(client, "BEGIN").await.unwrap();
+    run(client, &update(value)).await.unwrap();
+}
+
+fn update(value: &str) -> String {
+    format!("UPDATE bookings SET value = '{value}' WHERE id = 'row'")
+}
+
+async fn cluster_with_row() -> Cluster {
+    let cluster = Cluster::start().await;
+    let client = cluster.connect(0, "alpha").await;
+    run(&client, "INSERT INTO bookings (id, value) VALUES ('row', 'old')").await.unwrap();
+    cluster
+}
+
+/// Guards against a transaction of a withdrawn key that holds its locks while its
+/// caller is silent, and against its commit.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_transaction_of_an_ended_key_is_rolled_back_at_once() {
+    let mut cluster = cluster_with_row().await;
+    let second = Key::generate(KeyId::from("alpha-2")).unwrap();
+    let busy = cluster.connect(0, "alpha").await;
+    hold_row(&busy, "new").await;
+    cluster.apply(|desired| desired.workspace("alpha").key = second).await;
+    assert_eq!(refusal(&busy, "SELECT id FROM bookings").await, WITHDRAWN);
+    let other = cluster.connect(1, "alpha").await;
+    let started = Instant::now();
+    run(&other, &update("other")).await.unwrap();
+    assert!(started.elapsed() < PROMPT, "waited {:?}", started.elapsed());
+    let _ = run(&busy, "COMMIT").await;
+    assert_eq!(run(&other, "SELECT value FROM bookings").await.unwrap(), ["other"]);
+}
+
+/// Guards against errors that end the connection, let later statements of the
+/// transaction run, or leave its locks behind.
+#[tokio::test(flavor = "multi_thread")]
+async fn errors_fail_the_transaction_only() {
+    let cluster = cluster_with_row().await;
+    let (client, other) = (cluster.connect(0, "alpha").await, cluster.connect(1, "alpha").await);
+    let cases = [
+        ("INSERT INTO bookings (id) VALUES ('row')", "23505"),
+        ("INSERT INTO credits (id, amount) VALUES ('x', 'text')", "22P02"),
+        ("UPDATE notices SET value = 'x'", "42501"),
+        ("DROP TABLE bookings", "0A000"),
+        ("SELECT id FROM bookings; SELECT id FROM credits", "0A000"),
+        ("SELEC", "42601"),
+    ];
+    for (number, (sql, expected)) in cases.into_iter().enumerate() {
+        hold_row(&client, "lost").await;
+        assert_eq!(refusal(&client, sql).await, expected, "{sql}");
+        assert_eq!(refusal(&client, "SELECT id FROM bookings").await, FAILED, "{sql}");
+        let started = Instant::now();
+        let value = number.to_string();
+        run(&other, &update(&value)).await.unwrap();
+        assert!(started.elapsed() < PROMPT, "{sql}: waited {:?}", started.elapsed());
+        let end = if number % 2 == 0 { "ROLLBACK" } else { "COMMIT" };
+        run(&client, end).await.unwrap();
+        let rows = run(&client, "SELECT value FROM bookings WHERE id = 'row'").await;
+        assert!(rows.unwrap() != ["lost"], "{sql}");
+        assert_eq!(run(&other, "SELECT value FROM bookings").await.unwrap(), [value]);
+    }
+}
+
+/// Guards against statements that reach another caller's transaction.
+#[tokio::test(flavor = "multi_thread")]
+async fn transactions_do_not_mix() {
+    let cluster = Cluster::start().await;
+    let mut callers = Vec::new();
+    for number in 0..6 {
+        callers.push(cluster.connect(number % 2, "alpha").await);
+    }
+    for caller in &callers {
+        run(caller, "BEGIN").await.unwrap();
+    }
+    for step in 0..5 {
+        for (number, caller) in callers.iter().enumerate() {
+            let insert = format!("INSERT INTO bookings (id) VALUES ('{number}-{step}')");
+            run(caller, &insert).await.unwrap();
+            let rows = run(caller, "SELECT id FROM bookings").await.unwrap();
+            assert_eq!(rows.len(), step + 1, "caller {number} sees its own rows only: {rows:?}");
+            assert!(rows.iter().all(|row| row.starts_with(&format!("{number}-"))), "{rows:?}");
+        }
+    }
+    for (number, caller) in callers.iter().enumerate() {
+        run(caller, if number < 3 { "COMMIT" } else { "ROLLBACK" }).await.unwrap();
+    }
+    let client = cluster.connect(0, "alpha").await;
+    run(&client, "UPDATE bookings SET value = 'x' WHERE id = 'none'").await.unwrap();
+    let rows = run(&client, "SELECT id FROM bookings").await.unwrap();
+    assert_eq!(rows.len(), 15, "{rows:?}");
+    assert!(rows.iter().all(|row| ["0", "1", "2"].contains(&&row[..1])), "{rows:?}");
+}
+
+/// Guards against locks and writes of a caller that has gone.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_caller_leaves_no_lock_behind() {
+    let cluster = cluster_with_row().await;
+    let mut config = cluster.config(0, "alpha");
+    let config = config.password(cluster.desired.key("alpha"));
+    let (client, connection) = config.connect(NoTls).await.unwrap();
+    let connection = tokio::spawn(connection);
+    hold_row(&client, "lost").await;
+    // Drops the socket without a message of the protocol.
+    connection.abort();
+    let other = cluster.connect(1, "alpha").await;
+    let started = Instant::now();
+    run(&other, &update("other")).await.unwrap();
+    assert!(started.elapsed() < PROMPT, "waited {:?}", started.elapsed());
+    assert_eq!(run(&other, "SELECT value FROM bookings").await.unwrap(), ["other"]);
+}
