End requests at a host when the view removes it

Cause: a request at a frozen owner waited for its whole deadline, although the owner's lease had ended and another host served the instance. Change: the entry host stops waiting 100 ms after the view has removed the owner's incarnation. The outcome is unknown, so writes repeat with their request record and commits are settled.

--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -15,6 +15,12 @@
 /// The owner ends the request at the deadline and still has to say how it ended.
 const ANSWER_GRACE: Duration = Duration::from_millis(250);
 
+/// Time that an answer may still arrive after the view has removed its host.
+///
+/// A host that stops as planned answers its last requests shortly before it is
+/// removed. The lease of any other removed host has ended, so it runs nothing.
+const REMOVAL_GRACE: Duration = Duration::from_millis(100);
+
 /// Owner of an instance as the view names it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct OwnerRef {
@@ -69,7 +75,13 @@
             return self.execute_here(req).await;
         }
         let req = PeerRequest::Execute(Box::new(req));
-        match self.peers.call(&owner.peer_addr, &req, remaining + ANSWER_GRACE).await {
+        let answer = tokio::select! {
+            answer = self.peers.call(&owner.peer_addr, &req, remaining + ANSWER_GRACE) => answer,
+            () = self.until_removed(&owner.host) => {
+                return Outcome::Unknown { reason: format!("host {} was removed", owner.host) };
+            }
+        };
+        match answer {
             Ok(PeerAnswer::Executed(outcome)) => outcome,
             Ok(_) => Outcome::Unknown { reason: "the owner sent an answer of another kind".into() },
             Err(CallError::NotSent) => Outcome::Refused(Refusal::Unreachable),
@@ -77,6 +89,20 @@
         }
     }
 
+    /// Waits until the view no longer has the present incarnation of `host`, and for
+    /// answers that are under way.
+    async fn until_removed(&self, host: &HostId) {
+        let incarnation = || self.view.load().view.hosts.get(host).map(|live| live.incarnation);
+        let mut revision = self.view.subscribe();
+        let first = incarnation();
+        while first.is_some() && incarnation() == first {
+            if revision.changed().await.is_err() {
+                break;
+            }
+        }
+        tokio::time::sleep(REMOVAL_GRACE).await;
+    }
+
     /// Asks the owner to cancel the statement that runs in a transaction.
     pub async fn cancel(&self, running: Running) {
         let Running { owner, transaction } = running;
