Bound repeats by the workspace's retry budget

Cause: reads and writes were repeated with a pause until their deadline, so a fault could multiply the load; the retry decisions were not used.

--- a/src/entry/cx.rs
+++ b/src/entry/cx.rs
@@ -22,11 +22,12 @@
     clock::{Clock, SystemClock},
     ids::{Incarnation, InstanceId, Mark, SessionId, Workspace},
     owner::Owner,
+    retry::budget::Budgets,
     routing::{cache::ClassifyCache, hints::Hints},
     session::homes::SessionItem,
     settings::{
-        entry::EntrySettings, limits::LimitSettings, routing::RoutingSettings,
-        session::SessionSettings,
+        entry::EntrySettings, limits::LimitSettings, retry::RetrySettings,
+        routing::RoutingSettings, session::SessionSettings,
     },
     state::model::InstanceSpec,
 };
@@ -44,6 +45,8 @@
     pub session_settings: SessionSettings,
     pub sessions: Mutex<HomeMarks>,
     pub limits: Limits,
+    pub retry: RetrySettings,
+    pub budgets: Mutex<Budgets>,
     pub hints: Mutex<Hints>,
     pub rng: Mutex<SmallRng>,
     pub statements: ClassifyCache,
@@ -80,6 +83,8 @@
             session_settings,
             sessions: Mutex::new(sessions),
             limits,
+            retry: RetrySettings::default(),
+            budgets: Mutex::default(),
             hints: Mutex::default(),
             rng: Mutex::new(SmallRng::from_os_rng()),
             stop: Stop::default(),
@@ -109,6 +114,7 @@
         let view = &change.state.view;
         self.metrics.revision(view.revision);
         self.limits.retain(view);
+        self.budgets.lock().retain(|name| view.desired.workspaces.contains_key(name));
         self.owner.update_view(view);
         self.hints.lock().retain(|instance| view.instances.contains_key(instance));
     }
--- a/src/entry/error.rs
+++ b/src/entry/error.rs
@@ -8,7 +8,7 @@
     adapters::caller::{Reply, ReplyResult},
     keys::check::KeyRefusal,
     routing::{choice::ChoiceError, classify::Unsupported, route::RouteError},
-    wire::peer::{Failure, Refusal},
+    wire::peer::{Failure, Outcome, Refusal},
 };
 
 fn failure(code: &str, message: impl Into<String>) -> Failure {
@@ -93,3 +93,11 @@
 pub fn mixed_routes() -> Failure {
     failure("0A000", "a transaction cannot use both keyed and open routes")
 }
+
+/// Read was given up after an attempt with this outcome; it changed nothing.
+pub fn unserved(outcome: &Outcome) -> Failure {
+    match outcome {
+        Outcome::Refused(refusal) => refused(refusal),
+        _ => failure("57P03", "no instance answered the read in time"),
+    }
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -17,6 +17,7 @@
 pub mod marks;
 pub mod peers;
 pub mod read;
+pub mod repeats;
 pub mod runtime;
 pub mod stop;
 pub mod tls;
--- a/src/entry/read.rs
+++ b/src/entry/read.rs
@@ -11,6 +11,7 @@
     dispatch::{OwnerRef, Work},
     error,
     marks::Observed,
+    repeats::Unanswered,
     write::PrimaryRef,
 };
 use crate::{
@@ -27,8 +28,8 @@
 /// Pause before a replica that lags slightly is asked again.
 const LAG_POLL: Duration = Duration::from_millis(4);
 
-/// Pause before a read is sent to another instance after a fault.
-const RETRY_PAUSE: Duration = Duration::from_millis(10);
+/// Longest wait for a view that names an instance.
+const VIEW_POLL: Duration = Duration::from_millis(50);
 
 /// Time for one attempt at a replica; a replica that is cut off gives no answer.
 const REPLICA_ATTEMPT: Duration = Duration::from_millis(1_000);
@@ -45,15 +46,23 @@
     max_staleness_ms: Option<u64>,
     deadline: Instant,
     replica_attempts: u32,
+    repeats: u32,
     /// Until when a lagging replica may be asked again.
     wait_until: Option<Instant>,
 }
 
 /// How one attempt ended.
 enum Step {
-    Answer { rows: Rows, from_primary: bool },
+    Answer {
+        rows: Rows,
+        from_primary: bool,
+    },
     Fail(Failure),
     Again(Duration),
+    /// No instance can serve the read in this view.
+    AfterView,
+    /// Attempt failed by a fault.
+    Repeat(Outcome),
 }
 
 impl Cx {
@@ -82,8 +91,10 @@
             max_staleness_ms: rule.max_staleness_ms.filter(|_| known),
             deadline,
             replica_attempts: 0,
+            repeats: 0,
             wait_until: None,
         };
+        self.count_request(rule.workspace.as_ref());
         loop {
             match self.attempt_read(&mut read).await {
                 Step::Answer { rows, from_primary } => {
@@ -97,6 +108,21 @@
                 }
                 Step::Fail(failure) => return Err(failure),
                 Step::Again(pause) => tokio::time::sleep(pause).await,
+                Step::AfterView => {
+                    self.wait_for_view(deadline.min(Instant::now() + VIEW_POLL)).await;
+                }
+                Step::Repeat(outcome) => {
+                    read.repeats += 1;
+                    let unanswered = Unanswered {
+                        workspace: rule.workspace.as_ref(),
+                        outcome: &outcome,
+                        attempts: read.repeats,
+                        replaced: false,
+                    };
+                    if !self.before_repeat(unanswered, deadline).await {
+                        return Err(error::unserved(&outcome));
+                    }
+                }
             }
         }
     }
@@ -128,10 +154,10 @@
             }
             Ok(Choice::Primary { instance }) => (instance, true),
             // A new primary is expected within the deadline.
-            Err(_) => return self.wait_for_view(read.deadline).await,
+            Err(_) => return Step::AfterView,
         };
         let Some(owner) = OwnerRef::find(&state.view, &instance) else {
-            return self.wait_for_view(read.deadline).await;
+            return Step::AfterView;
         };
         let term = state.view.groups.get(&read.caller.service).map_or(Term(0), |group| group.term);
         let max_staleness_ms = if is_primary { None } else { read.max_staleness_ms };
@@ -185,24 +211,16 @@
             Outcome::Refused(refusal) => {
                 spdlog::debug!("instance {instance} refused a read: {refusal}");
                 self.hints.lock().failed(now, instance, &self.routing);
-                read.after_fault(is_primary)
+                read.after_fault(is_primary, Outcome::Refused(refusal))
             }
             // A read has no effect, so a lost answer may be asked for again.
             Outcome::Unknown { reason } => {
                 spdlog::debug!("answer of instance {instance} was lost: {reason}");
                 self.hints.lock().failed(now, instance, &self.routing);
-                read.after_fault(is_primary)
+                read.after_fault(is_primary, Outcome::Unknown { reason })
             }
         }
     }
-
-    /// Waits for a newer view, at most until the deadline.
-    async fn wait_for_view(&self, deadline: Instant) -> Step {
-        let mut revision = self.view.subscribe();
-        let pause = (Instant::now() + Duration::from_millis(50)).min(deadline);
-        let _ = tokio::time::timeout_at(pause, revision.changed()).await;
-        Step::Again(Duration::ZERO)
-    }
 }
 
 impl Read<'_> {
@@ -215,11 +233,13 @@
         Step::Again(Duration::ZERO)
     }
 
-    fn after_fault(&mut self, is_primary: bool) -> Step {
-        if !is_primary {
-            self.count_replica_attempt();
+    /// Tries another instance at once while it is a replica, then repeats.
+    fn after_fault(&mut self, is_primary: bool, outcome: Outcome) -> Step {
+        if is_primary {
+            return Step::Repeat(outcome);
         }
-        Step::Again(RETRY_PAUSE)
+        self.count_replica_attempt();
+        Step::Again(Duration::ZERO)
     }
 
     fn count_replica_attempt(&mut self) {
--- a/src/entry/write.rs
+++ b/src/entry/write.rs
@@ -16,6 +16,7 @@
     cx::Cx,
     dispatch::{OwnerRef, Work},
     error,
+    repeats::Unanswered,
 };
 use crate::{
     adapters::caller::{Reply, ReplyResult},
@@ -26,12 +27,6 @@
 /// SQLSTATE of a write that was rolled back and may be tried again.
 const ROLLED_BACK: &str = "40001";
 
-/// First pause before an attempt is repeated; it doubles up to [`MAX_PAUSE`].
-const FIRST_PAUSE: Duration = Duration::from_millis(5);
-
-/// Longest pause between two attempts.
-const MAX_PAUSE: Duration = Duration::from_millis(100);
-
 /// Primary of a service with its owner, as the view names them.
 #[derive(Debug, Clone)]
 pub struct PrimaryRef {
@@ -88,7 +83,8 @@
     ) -> Result<Rows, Failure> {
         let key = record.as_ref().map(|record| record.key.clone());
         let work = Work { workspace: rule.workspace.as_ref(), weight: rule.weight, statement };
-        let mut pause = FIRST_PAUSE;
+        let mut attempts = 0;
+        self.count_request(rule.workspace.as_ref());
         let mut last: Option<Outcome> = None;
         loop {
             let Some(primary) = self.primary(caller, deadline).await else {
@@ -100,20 +96,25 @@
             match outcome {
                 Outcome::Done(rows) => return Ok(rows),
                 Outcome::Failed(failure) if failure.code != ROLLED_BACK => return Err(failure),
-                Outcome::Failed(_) | Outcome::Refused(_) => {
-                    // An earlier attempt of unknown outcome stays unknown.
-                    last = last
-                        .filter(|last| matches!(last, Outcome::Unknown { .. }))
-                        .or(Some(outcome));
-                }
-                Outcome::Unknown { .. } => last = Some(outcome),
+                _ => {}
             }
-            let remaining = deadline.saturating_duration_since(Instant::now());
-            if remaining.is_zero() {
+            attempts += 1;
+            let unanswered = Unanswered {
+                workspace: rule.workspace.as_ref(),
+                outcome: &outcome,
+                attempts,
+                replaced: self.is_replaced(&caller.service, primary.term),
+            };
+            let again = self.before_repeat(unanswered, deadline).await;
+            // An earlier attempt of unknown outcome stays unknown.
+            if !matches!(last, Some(Outcome::Unknown { .. }))
+                || !matches!(outcome, Outcome::Refused(_))
+            {
+                last = Some(outcome);
+            }
+            if !again {
                 return Err(give_up(last, key.as_ref()));
             }
-            tokio::time::sleep(jittered(pause).min(remaining)).await;
-            pause = (pause * 2).min(MAX_PAUSE);
         }
     }
 
@@ -141,13 +142,18 @@
     /// Waits until the service has a newer term than `term`.
     async fn replaced(&self, service: &Service, term: Term) {
         let mut revision = self.view.subscribe();
-        while self.view.load().view.groups.get(service).is_none_or(|group| group.term <= term) {
+        while !self.is_replaced(service, term) {
             if revision.changed().await.is_err() {
                 std::future::pending::<()>().await;
             }
         }
     }
 
+    /// Whether the service has a newer term than `term`.
+    fn is_replaced(&self, service: &Service, term: Term) -> bool {
+        self.view.load().view.groups.get(service).is_some_and(|group| group.term > term)
+    }
+
     /// Primary of the caller's service; waits for one until the deadline.
     pub(super) async fn primary(&self, caller: &Caller, deadline: Instant) -> Option<PrimaryRef> {
         let mut revision = self.view.subscribe();
@@ -178,11 +184,6 @@
     }
 }
 
-/// Half of `pause` plus a random part up to the other half.
-fn jittered(pause: Duration) -> Duration {
-    pause.mul_f64(rand::random_range(0.5..1.0))
-}
-
 /// Key for a write whose caller gave none.
 pub fn random_key() -> RequestKey {
     RequestKey::from(hex::encode(rand::random::<[u8; 16]>()))
