--- a/src/settings/control.rs
+++ b/src/settings/control.rs
@@ -20,8 +20,9 @@
 /// 500 ms and must survive two lost messages.
 const MIN_LEASE_MS: u64 = 1_500;
 
-/// Longest accepted lease of entry hosts in milliseconds.
-const MAX_LEASE_MS: u64 = 10_000;
+/// Longest accepted lease of entry hosts in milliseconds. Limiter owners and home hosts
+/// count on views that overlap by at most 2,200 ms, this lease and 10 % of drift.
+const MAX_LEASE_MS: u64 = 2_000;
 
 /// Longest name of a host in bytes.
 const MAX_NAME_BYTES: usize = 63;
--- a/tests/control_settings.rs
+++ b/tests/control_settings.rs
@@ -59,8 +59,8 @@
         ("--http-listen", "127.0.0.1", "an IP address with a port is needed"),
         ("--host-key-file", "/none", "at least 16 bytes"),
         ("--token-file", "/none", "at least 16 bytes"),
-        ("--lease-ms", "100", "1500 to 10000 milliseconds are allowed"),
-        ("--lease-ms", "2s", "1500 to 10000 milliseconds are allowed"),
+        ("--lease-ms", "100", "1500 to 2000 milliseconds are allowed"),
+        ("--lease-ms", "2s", "1500 to 2000 milliseconds are allowed"),
         ("--control-hosts", "c1=127.0.0.1:7001,c1=127.0.0.1:7002", "each name once"),
         ("--control-hosts", "c1=127.0.0.1:7001,c.2=127.0.0.1:7002", "letters, digits"),
     ];
