Rank hosts for a session only when the hosts change

Cause: each read of a named session ranked all hosts at its entry and again at the home host; at 3,200 hosts that would be the largest cost of a read. Change: the caller's connection keeps the home hosts of a host list, and a home host skips the check of a mark that it checked at the current list. pomelopin-bench measures the ranking and the limiter's answer.

--- a/src/bin/pomelopin-bench.rs
+++ b/src/bin/pomelopin-bench.rs
@@ -26,6 +26,8 @@
     slopes.extend(state::restart());
     slopes.extend(traffic::renewals());
     slopes.extend(traffic::placement());
+    slopes.extend(traffic::limiter());
+    slopes.extend(traffic::homes());
     for slope in &slopes {
         println!("{}", slope.rows());
     }
--- a/src/capacity/traffic.rs
+++ b/src/capacity/traffic.rs
@@ -7,10 +7,20 @@
 };
 use crate::{
     clock::Millis,
-    ids::Revision,
+    ids::{Revision, SessionId},
     keys::host::HostKey,
+    limits::shares::{Limiter, owner_of},
     ownership::rendezvous,
-    wire::control::{ControlMessage, Renew, RenewAnswer, Update},
+    session::{
+        history::HostHistory,
+        homes::{HomeHistory, SessionItem},
+    },
+    settings::{limits::LimitSettings, session::SessionSettings},
+    state::model::WorkspaceSpec,
+    wire::{
+        control::{ControlMessage, Renew, RenewAnswer, Update},
+        peer::GrantRequest,
+    },
 };
 
 /// Bytes that the bus adds to a message: name, incarnation, sequence and MAC.
@@ -58,6 +68,44 @@
     [bytes, time]
 }
 
+/// Time of one answer of a limiter owner.
+pub fn limiter() -> [Slope; 1] {
+    let mut time = Slope::new("Answer to one request for tokens", "hosts", "us");
+    for hosts in HOSTS {
+        let state = fleet::state(FleetSize { services: 1, ..FleetSize::of_hosts(hosts) });
+        let mut history = HostHistory::default();
+        history.learn(Millis(0), &state.view.hosts, false);
+        let workspace = fleet::workspace(0);
+        let Some(owner) = history.current().and_then(|list| owner_of(&workspace, list)) else {
+            continue;
+        };
+        let mut limiter = Limiter::new(owner.id.clone(), LimitSettings::default());
+        let spec = WorkspaceSpec { rate: 1_000_000, burst: 1_000_000, ..WorkspaceSpec::default() };
+        let host = fleet::host_id(1);
+        let request = GrantRequest { workspace, host, waiting: 1, expected: 10 };
+        let mut now = Millis(10_000);
+        let us = mean_us(|| {
+            now += Millis(1);
+            limiter.grant(now, &request, &spec, &history)
+        });
+        time.push(hosts, us);
+    }
+    [time]
+}
+
+/// Time to find the home hosts of one session.
+pub fn homes() -> [Slope; 1] {
+    let mut time = Slope::new("Home hosts of one session", "hosts", "us");
+    let item = SessionItem::new(&fleet::workspace(0), &SessionId::from("session"));
+    for hosts in HOSTS {
+        let state = fleet::state(FleetSize { services: 1, ..FleetSize::of_hosts(hosts) });
+        let mut history = HomeHistory::new(fleet::host_id(0), SessionSettings::default());
+        history.learn(Millis(0), &state.view.hosts, false);
+        time.push(hosts, mean_us(|| history.home_set(&item)));
+    }
+    [time]
+}
+
 /// Time of one placement decision over all hosts.
 pub fn placement() -> [Slope; 1] {
     let mut time = Slope::new("Rendezvous choice of one owner", "hosts", "us");
--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -7,10 +7,10 @@
 use super::{cx::Cx, dispatch::OwnerRef, error, transaction::Transaction};
 use crate::{
     adapters::caller::{CallerHandler, CancelSignal, Login, Reply, ReplyResult},
-    ids::{Mark, RequestKey, Service, SessionId, Workspace},
+    ids::{HostId, Mark, RequestKey, Service, SessionId, Workspace},
     keys::check::{HeldKey, KeyCheck},
     routing::classify::Classified,
-    session::state::SessionState,
+    session::{history::HostsVersion, state::SessionState},
     settings::session::LookupPolicy,
     wire::peer::{Description, Failure, Field, Rows, Statement, TransactionId},
 };
@@ -47,6 +47,8 @@
     /// Session that the caller named; without a name the connection is its session.
     pub session: SessionState,
     lookup: LookupPolicy,
+    /// Home hosts of the session in a host list.
+    pub homes: Option<(HostsVersion, Vec<HostId>)>,
     /// Idempotency key for the next write or transaction.
     pub request_key: Option<RequestKey>,
     pub transaction: Option<Transaction>,
@@ -139,7 +141,7 @@
     fn new(lookup: LookupPolicy) -> Self {
         let id = SessionId::from(hex::encode(rand::random::<[u8; 16]>()));
         let session = SessionState::generated(id, lookup);
-        Self { session, lookup, request_key: None, transaction: None }
+        Self { session, lookup, homes: None, request_key: None, transaction: None }
     }
 
     /// Sets a variable of the proxy.
@@ -148,6 +150,7 @@
             "pomelopin.session" => {
                 let earlier = self.session.mark(service);
                 self.session = SessionState::named(SessionId::from(value), self.lookup);
+                self.homes = None;
                 if let Some(mark) = earlier {
                     self.session.raise(service, mark);
                 }
--- a/src/entry/marks.rs
+++ b/src/entry/marks.rs
@@ -68,7 +68,7 @@
     ) -> Observed {
         match state.session.requirement(&caller.service) {
             Requirement::Known(mark) => Observed::Known(mark),
-            Requirement::Lookup => match self.look_up(&caller.mark_key(state)).await {
+            Requirement::Lookup => match self.look_up(caller, state).await {
                 Some(mark) => Observed::Known(Some(state.session.complete(&caller.service, mark))),
                 None => Observed::Unknown,
             },
@@ -76,9 +76,9 @@
     }
 
     /// Mark of a shared session from the first home host that knows it.
-    async fn look_up(self: &Arc<Self>, key: &MarkKey) -> Option<Mark> {
-        let item = SessionItem::new(&key.workspace, &key.session);
-        let homes = self.sessions.lock().history.home_set(&item);
+    async fn look_up(self: &Arc<Self>, caller: &Caller, state: &mut CallerState) -> Option<Mark> {
+        let key = &caller.mark_key(state);
+        let homes = self.homes(state, key);
         let view = self.view.load();
         let mut answers: FuturesUnordered<_> =
             homes.iter().map(|host| self.mark_at(&view, host, key)).collect();
@@ -95,6 +95,21 @@
         }
     }
 
+    /// Home hosts of the session; ranking all hosts is repeated only when they change.
+    fn homes(&self, state: &mut CallerState, key: &MarkKey) -> Vec<HostId> {
+        let sessions = self.sessions.lock();
+        let version = sessions.history.version();
+        if let Some((known, homes)) = &state.homes
+            && *known == version
+        {
+            return homes.clone();
+        }
+        let item = SessionItem::new(&key.workspace, &key.session);
+        let homes = sessions.history.home_set(&item);
+        state.homes = Some((version, homes.clone()));
+        homes
+    }
+
     async fn mark_at(
         &self,
         view: &ViewState,
--- a/src/session/marks.rs
+++ b/src/session/marks.rs
@@ -105,7 +105,9 @@
         let entry = self.entries.get_mut(key)?;
         let item = key.item();
         let since = entry.complete_since?;
-        if !history.is_home_since(since, &item) {
+        // A mark that was checked at the current list needs no second check, which
+        // would rank all hosts again.
+        if since != history.version() && !history.is_home_since(since, &item) {
             // The host was not a home host for a while; other marks passed it by.
             entry.complete_since = None;
             return None;
