Write to the data folder in the background

A sync took up to 2.9 s on a busy disk. The event loop waited for it, so control hosts counted as frozen and leaders lost their lease. Writes now go to a thread of their own. Heartbeats go on meanwhile. The tests of the outputs' order are replaced by ones of these promises, and the in-memory group syncs late and loses unsynced writes in a crash.

--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod bus;
 pub mod disk;
+pub mod disk_queue;
 pub mod fencing;
 pub mod log;
 pub mod operator_http;
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -4,7 +4,10 @@
 //! host leads, the lease table and the promotions. It carries out the outputs of
 //! the node in order.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+};
 
 use eyre::{Result, WrapErr};
 use tokio::sync::mpsc;
@@ -12,7 +15,7 @@
 use crate::{
     adapters::{
         bus::{Bus, Inbound},
-        disk::Disk,
+        disk_queue::{Confirmations, DiskQueue},
         fencing::Fencing,
     },
     clock::{Clock, Millis, SystemClock},
@@ -30,7 +33,7 @@
         delta::History,
         model::{ClusterState, Command},
     },
-    wire::{control::ControlMessage, operator::NotLeader},
+    wire::{control::ControlMessage, group::GroupMessage, operator::NotLeader},
 };
 
 /// Changes kept for hosts that are a little behind; about a day of changes at the
@@ -69,7 +72,13 @@
     pub(super) settings: Arc<ControlSettings>,
     pub(super) clock: SystemClock,
     pub(super) node: Node,
-    pub(super) disk: Disk,
+    pub(super) disk: DiskQueue,
+    /// Number of writes given to the disk so far.
+    pub(super) written: u64,
+    /// Number of writes that are synced.
+    pub(super) synced: u64,
+    /// Messages that leave once the given number of writes is synced.
+    pub(super) waiting: VecDeque<(u64, String, GroupMessage)>,
     pub(super) bus: Bus,
     pub(super) fencing: Fencing,
     pub(super) state: ClusterState,
@@ -95,7 +104,7 @@
     pub settings: Arc<ControlSettings>,
     pub clock: SystemClock,
     pub node: Node,
-    pub disk: Disk,
+    pub disk: DiskQueue,
     pub bus: Bus,
     pub fencing: Fencing,
     pub state: ClusterState,
@@ -111,6 +120,9 @@
             clock,
             node,
             disk,
+            written: 0,
+            synced: 0,
+            waiting: VecDeque::new(),
             bus,
             fencing,
             state,
@@ -132,6 +144,7 @@
         mut self,
         mut inbound: mpsc::Receiver<Inbound>,
         mut events: mpsc::Receiver<Event>,
+        mut confirmations: Confirmations,
     ) -> Result<()> {
         let tick = self.settings.group_timing.tick.duration();
         let mut ticks = tokio::time::interval(tick);
@@ -140,6 +153,7 @@
             tokio::select! {
                 biased;
                 _ = ticks.tick() => self.tick()?,
+                Some(confirmed) = confirmations.recv() => self.confirm(confirmed?)?,
                 Some(message) = inbound.recv() => self.receive(message)?,
                 event = events.recv() => match event {
                     Some(event) => self.handle(event),
--- a/src/control/follower.rs
+++ b/src/control/follower.rs
@@ -15,6 +15,15 @@
     },
 };
 
+/// Entries of a leader that were not synced when they were answered.
+#[derive(Debug)]
+pub(super) struct Unanswered {
+    leader: ControlId,
+    term: GroupTerm,
+    echo: Millis,
+    index: u64,
+}
+
 impl Node {
     pub(super) fn on_append(
         &mut self,
@@ -29,10 +38,39 @@
             self.follow(now, term, &from);
             self.merge(&append)
         };
+        let result = self.limit_to_synced(&from, append.sent_at, result);
         let answer = AppendAnswer { echo: append.sent_at, result };
         self.answer_leader(from, GroupBody::AppendAnswer(answer));
     }
 
+    /// Claims only synced entries; the others are answered once they are synced.
+    /// The answer is not delayed, because it also confirms the leader.
+    fn limit_to_synced(
+        &mut self,
+        leader: &ControlId,
+        echo: Millis,
+        result: AppendResult,
+    ) -> AppendResult {
+        let AppendResult::Matched { index } = result else { return result };
+        let synced = self.synced();
+        let (leader, term) = (leader.clone(), self.vote.term);
+        self.unanswered = (index > synced).then_some(Unanswered { leader, term, echo, index });
+        AppendResult::Matched { index: index.min(synced) }
+    }
+
+    /// Answers entries that are synced now.
+    pub(super) fn answer_synced(&mut self) {
+        let synced = self.synced();
+        let term = self.vote.term;
+        let due = |it: &mut Unanswered| it.term != term || it.index <= synced;
+        let Some(answered) = self.unanswered.take_if(due) else { return };
+        if answered.term == term {
+            let result = AppendResult::Matched { index: answered.index };
+            let answer = AppendAnswer { echo: answered.echo, result };
+            self.answer_leader(answered.leader, GroupBody::AppendAnswer(answer));
+        }
+    }
+
     fn follow(&mut self, now: Millis, term: GroupTerm, leader: &ControlId) {
         self.become_follower(now, term, Some(leader.clone()));
         self.timer.heard_leader(now, &self.settings.timing);
@@ -45,7 +83,7 @@
                 if let Some(from) = truncate {
                     self.log.truncate(from);
                     self.history.truncate(from);
-                    self.out.push(Output::Persist(Write::Truncate { from }));
+                    self.persist(from, Write::Truncate { from });
                 }
                 if !entries.is_empty() {
                     self.append_entries(entries);
--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -241,10 +241,10 @@
     /// Commits what a majority holds. Entries of earlier terms are committed only
     /// together with one of the own term: a majority that holds an older entry
     /// does not keep another leader from replacing it.
-    fn commit_majority(&mut self, now: Millis) {
+    pub(super) fn commit_majority(&mut self, now: Millis) {
         let State::Leader(leading) = &self.state else { return };
-        let last = self.log.last().index;
-        let index = leading.replication.majority_index(self.members(), &self.settings.id, last);
+        let synced = self.synced();
+        let index = leading.replication.majority_index(self.members(), &self.settings.id, synced);
         let is_own = self.log.mark(index).is_some_and(|mark| mark.term == self.vote.term);
         if index > self.commit && is_own {
             self.advance_commit(index);
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -1,11 +1,13 @@
 //! Member of the control group as a state machine without I/O.
 //!
 //! [`Node::step`] takes an input and returns outputs, which the runtime carries
-//! out in order. A [`Output::Persist`] must be synced before any later output
-//! takes effect; it may take effect earlier than the outputs before it. If it
-//! fails, the process must stop.
+//! out in order. Writes are synced in order in the background, and each is
+//! confirmed by [`Input::Persisted`]. A message that [`GroupBody::needs_sync`]
+//! leaves only after all earlier writes are synced; everything else takes effect
+//! at once, so a slow disk does not stop heartbeats. If a write fails, the process
+//! must stop.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use bytes::Bytes;
 use derive_more::Display;
@@ -14,6 +16,7 @@
     clock::Millis,
     control::{
         election::{Ballot, ElectionTimer},
+        follower::Unanswered,
         leader::Leading,
         log::Log,
         membership::{Introductions, MembersHistory},
@@ -31,6 +34,9 @@
 /// little behind does not need the snapshot.
 const TAIL_ENTRIES: u64 = 500;
 
+/// First changed index of a write that changes no entry.
+const NO_ENTRY: u64 = u64::MAX;
+
 /// Settings of a [`Node`].
 #[derive(Debug, Clone)]
 pub struct NodeSettings {
@@ -52,6 +58,8 @@
     Message(GroupMessage),
     /// Commands for the log, stored with one sync.
     Propose(Vec<Proposal>),
+    /// The oldest unconfirmed [`Output::Persist`] is synced.
+    Persisted,
     /// State machine's snapshot as of the commit index.
     Compact {
         data: Bytes,
@@ -151,6 +159,10 @@
     pub(super) forming: bool,
     /// A committed entry has listed this host as a voter.
     pub(super) was_member: bool,
+    /// Unconfirmed writes: the first index whose entry each one changes.
+    unsynced: VecDeque<u64>,
+    /// Entries that were not synced when they were answered.
+    pub(super) unanswered: Option<Unanswered>,
     pub(super) hello_at: Millis,
     last_step: Millis,
     reported: RoleChange,
@@ -184,6 +196,8 @@
             assembly: Assembly::default(),
             introductions: Introductions::default(),
             forming: false,
+            unsynced: VecDeque::new(),
+            unanswered: None,
             hello_at: now,
             last_step: now,
             reported: RoleChange::default(),
@@ -200,6 +214,7 @@
             Input::Tick => self.tick(now),
             Input::Message(message) => self.receive(now, message),
             Input::Propose(proposals) => self.propose(now, proposals),
+            Input::Persisted => self.persisted(now),
             Input::Compact { data } => self.compact(data),
         }
         let role = self.role();
@@ -336,13 +351,31 @@
 
     pub(super) fn store_vote(&mut self, vote: Vote) {
         self.vote = vote.clone();
-        self.out.push(Output::Persist(Write::Vote(vote)));
+        self.persist(NO_ENTRY, Write::Vote(vote));
     }
 
     pub(super) fn append_entries(&mut self, entries: Vec<LogEntry>) {
-        self.history.append(self.log.last().index + 1, &entries);
+        let first = self.log.last().index + 1;
+        self.history.append(first, &entries);
         self.log.append(entries.iter().cloned());
-        self.out.push(Output::Persist(Write::Entries(entries)));
+        self.persist(first, Write::Entries(entries));
+    }
+
+    pub(super) fn persist(&mut self, first: u64, write: Write) {
+        self.unsynced.push_back(first);
+        self.out.push(Output::Persist(write));
+    }
+
+    /// Index up to which the own log is synced.
+    pub(super) fn synced(&self) -> u64 {
+        let changed = self.unsynced.iter().copied().min().unwrap_or(NO_ENTRY);
+        self.log.last().index.min(changed - 1)
+    }
+
+    fn persisted(&mut self, now: Millis) {
+        self.unsynced.pop_front();
+        self.commit_majority(now);
+        self.answer_synced();
     }
 
     pub(super) fn advance_commit(&mut self, to: u64) {
@@ -392,6 +425,6 @@
             entries: self.log.after(base),
         };
         self.snapshot = Some(snapshot);
-        self.out.push(Output::Persist(Write::Snapshot(Box::new(write))));
+        self.persist(NO_ENTRY, Write::Snapshot(Box::new(write)));
     }
 }
--- a/src/control/outputs.rs
+++ b/src/control/outputs.rs
@@ -29,25 +29,40 @@
 
 impl Core {
     pub(super) fn step(&mut self, input: Input) -> Result<()> {
-        let outputs = self.node.step(self.clock.now(), input);
-        let (writes, outputs): (Vec<_>, Vec<_>) =
-            outputs.into_iter().partition(|output| matches!(output, Output::Persist(_)));
-        let writes: Vec<_> = writes
-            .into_iter()
-            .filter_map(|output| match output {
-                Output::Persist(write) => Some(write),
-                _ => None,
-            })
-            .collect();
-        if !writes.is_empty() {
-            self.disk.write(&writes)?;
+        let mut writes = Vec::new();
+        for output in self.node.step(self.clock.now(), input) {
+            match output {
+                Output::Persist(write) => {
+                    self.written += 1;
+                    writes.push(write);
+                }
+                output => self.execute(output)?,
+            }
+        }
+        if writes.is_empty() { Ok(()) } else { self.disk.push(writes) }
+    }
+
+    /// Follows `count` synced writes and sends the messages that waited for them.
+    pub(super) fn confirm(&mut self, count: usize) -> Result<()> {
+        for _ in 0..count {
+            self.synced += 1;
+            self.step(Input::Persisted)?;
+            while self.waiting.front().is_some_and(|(writes, ..)| *writes <= self.synced) {
+                let Some((_, addr, message)) = self.waiting.pop_front() else { break };
+                self.send_group(&addr, message)?;
+            }
         }
-        outputs.into_iter().try_for_each(|output| self.execute(output))
+        Ok(())
     }
 
     fn execute(&mut self, output: Output) -> Result<()> {
         match output {
             Output::Persist(_) => {}
+            Output::Send { addr, message }
+                if message.body.needs_sync() && self.written > self.synced =>
+            {
+                self.waiting.push_back((self.written, addr, message));
+            }
             Output::Send { addr, message } => self.send_group(&addr, message)?,
             Output::RestoreSnapshot { index, data } => {
                 self.state = decode_state(&data)?;
--- a/src/control/replication.rs
+++ b/src/control/replication.rs
@@ -91,8 +91,9 @@
 
 impl Replication {
     /// Largest index that a majority of `members` has synced.
-    pub fn majority_index(&self, members: &Members, own: &ControlId, last: u64) -> u64 {
-        let index = |id| if id == own { last } else { self.hosts.get(id).map_or(0, |p| p.matched) };
+    pub fn majority_index(&self, members: &Members, own: &ControlId, synced: u64) -> u64 {
+        let index =
+            |id| if id == own { synced } else { self.hosts.get(id).map_or(0, |p| p.matched) };
         nth_largest(members.0.keys().map(index), members.quorum()).unwrap_or(0)
     }
 
--- a/src/control/runtime.rs
+++ b/src/control/runtime.rs
@@ -17,6 +17,7 @@
     adapters::{
         bus::{Bus, BusSettings, Inbound},
         disk::{Disk, Opened},
+        disk_queue::{Confirmations, DiskQueue},
         fencing::Fencing,
         operator_http::{HttpCx, router},
     },
@@ -52,8 +53,8 @@
     let (events_tx, events) = mpsc::channel(EVENTS);
     let report = Arc::new(Report::new());
     let fencing = Fencing::new(tokio::runtime::Handle::current(), &events_tx)?;
-    let core = open(&settings, clock, bus.clone(), fencing, report.clone())?;
-    let failed = spawn(core, inbound, events)?;
+    let (core, confirmations) = open(&settings, clock, bus.clone(), fencing, report.clone())?;
+    let failed = spawn(core, inbound, events, confirmations)?;
     let token = settings.token.clone();
     let cx = HttpCx { clock, token, bus, report, events: events_tx };
     let server = axum::serve(http, router(cx));
@@ -73,7 +74,7 @@
     bus: Bus,
     fencing: Fencing,
     report: Arc<Report>,
-) -> Result<Core> {
+) -> Result<(Core, Confirmations)> {
     let Opened { disk, id, stored, removed_bytes } =
         Disk::open(&settings.data_folder, &settings.name)?;
     if removed_bytes > 0 {
@@ -87,7 +88,9 @@
     spdlog::info!("opened the data folder", kv: {id = id.as_str(), entries, revision = state.view.revision.0});
     let node = Node::new(node_settings(settings, id), stored, clock.now());
     let settings = settings.clone();
-    Ok(Core::new(Parts { settings, clock, node, disk, bus, fencing, state, report }))
+    let (disk, confirmations) = DiskQueue::start(disk)?;
+    let parts = Parts { settings, clock, node, disk, bus, fencing, state, report };
+    Ok((Core::new(parts), confirmations))
 }
 
 fn node_settings(settings: &ControlSettings, id: crate::ids::ControlId) -> NodeSettings {
@@ -106,17 +109,18 @@
     }
 }
 
-/// Runs the event loop on a thread of its own, because it waits for the disk.
+/// Runs the event loop on a thread of its own, so that HTTP requests do not delay it.
 fn spawn(
     core: Core,
     inbound: mpsc::Receiver<Inbound>,
     events: mpsc::Receiver<Event>,
+    confirmations: Confirmations,
 ) -> Result<oneshot::Receiver<Result<()>>> {
     let (done, failed) = oneshot::channel();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build()?;
     thread::Builder::new().name("control".to_owned()).spawn(move || {
         // The receiver is gone when the process stops.
-        let _ = done.send(runtime.block_on(core.run(inbound, events)));
+        let _ = done.send(runtime.block_on(core.run(inbound, events, confirmations)));
     })?;
     Ok(failed)
 }
--- a/src/wire/group.rs
+++ b/src/wire/group.rs
@@ -116,6 +116,15 @@
     InstallAnswer(InstallAnswer),
 }
 
+impl GroupBody {
+    /// Whether the message promises what must be synced before it leaves: a vote,
+    /// given to another host or to the sender itself, or a snapshot. Answers to
+    /// entries claim only what is synced.
+    pub fn needs_sync(&self) -> bool {
+        matches!(self, Self::Vote { .. } | Self::VoteAnswer { .. } | Self::InstallAnswer(_))
+    }
+}
+
 /// Why a pre-vote was refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Refused {
--- a/tests/control_group.rs
+++ b/tests/control_group.rs
@@ -28,6 +28,7 @@
     ("blank host joins after compaction", 5, blank_host_needs_snapshot),
     ("crash between the outputs of a step", 3, crash_between_outputs),
     ("lossy and slow network", 5, lossy_network),
+    ("disks that stall for seconds", 3, slow_disks),
 ];
 
 #[test]
@@ -195,6 +196,20 @@
     group.drop_percent = 0;
 }
 
+/// Guards against the loss of the leadership, and with it of leases, because a
+/// sync takes long.
+fn slow_disks(group: &mut Group) {
+    let leader = group.leader();
+    group.max_sync_ms = 3_000;
+    for _ in 0..5 {
+        group.propose(leader.as_ref().unwrap());
+        group.run(1_000);
+        assert_eq!(group.leader(), leader);
+    }
+    group.max_sync_ms = 5;
+    group.run(3_000);
+}
+
 /// Guards against a host without disk that forms a second group.
 #[test]
 fn a_blank_host_alone_forms_no_group() {
--- a/tests/control_node.rs
+++ b/tests/control_node.rs
@@ -8,7 +8,7 @@
     control::{
         log::{Log, Merge},
         membership::Introductions,
-        node::{Input, Node, NodeSettings, Output, Role},
+        node::{Input, Node, NodeSettings, Output, Proposal, Role},
         storage::{Snapshot, SnapshotWrite, Stored, Vote, Write},
     },
     ids::ControlId,
@@ -67,9 +67,15 @@
     node.step(now, from("b", term, GroupBody::PreVoteAnswer { granted: true, reason }));
     node.step(now, from("b", term + 1, GroupBody::VoteAnswer { granted: true }));
     assert_eq!(node.role().role, Role::Leader);
+    sync(node, now, 2);
     now
 }
 
+/// Confirms the oldest writes.
+fn sync(node: &mut Node, now: Millis, writes: usize) -> Vec<Output> {
+    (0..writes).flat_map(|_| node.step(now, Input::Persisted)).collect()
+}
+
 fn matched(now: Millis, index: u64) -> GroupBody {
     GroupBody::AppendAnswer(AppendAnswer { echo: now, result: AppendResult::Matched { index } })
 }
@@ -112,24 +118,52 @@
     assert!(node.is_serving(thawed));
 }
 
-/// Guards against answers before the vote or the entries are synced.
+/// Guards against a vote that leaves before it is synced, and against answers that
+/// claim entries before they are synced.
 #[test]
-fn storage_comes_before_the_answer() {
+fn answers_promise_only_what_is_synced() {
     let mut node = node(Vote::default(), &[1]);
     let now = Millis(600);
     node.step(now, Input::Tick);
     let outputs = node.step(now, from("b", 5, GroupBody::Vote { last: mark(1, 2) }));
-    assert_order(&outputs, |body| *body == GroupBody::VoteAnswer { granted: true });
-    let append = Append { previous: mark(1, 2), entries: vec![entry(5)], commit: 0, sent_at: now };
-    let outputs = node.step(now, from("b", 5, GroupBody::Append(append)));
-    assert_order(&outputs, |body| matches!(body, GroupBody::AppendAnswer(_)));
+    assert_eq!(granted(&outputs), Some(true));
+    assert!(sent(&outputs).iter().all(|body| body.needs_sync()));
+    let writes = outputs.iter().filter(|it| matches!(it, Output::Persist(_))).count();
+    sync(&mut node, now, writes);
+    let append = |index, terms: &[u64]| {
+        let entries = terms.iter().copied().map(entry).collect();
+        let previous = if index == 2 { mark(1, 2) } else { mark(5, index) };
+        let append = Append { previous, entries, commit: 0, sent_at: now };
+        from("b", 5, GroupBody::Append(append))
+    };
+    let answer = |index| vec![matched(now, index)];
+    assert_eq!(sent(&node.step(now, append(2, &[5, 5]))), answer(2), "two entries are not synced");
+    assert_eq!(sent(&node.step(now, append(4, &[]))), answer(2), "the heartbeat is answered");
+    assert_eq!(sent(&sync(&mut node, now, 1)), answer(4));
+    assert_eq!(sent(&node.step(now, append(4, &[5]))), answer(4));
+    assert_eq!(sent(&sync(&mut node, now, 1)), answer(5));
+}
+
+/// Guards against a commit that counts the leader's own entry before it is synced.
+#[test]
+fn a_leader_counts_its_own_entry_once_it_is_synced() {
+    let mut node = node(Vote::default(), &[1]);
+    let now = elect(&mut node);
+    node.step(now, from("b", 1, matched(now, node.last().index)));
+    let proposal = Proposal { ticket: 1, bytes: Bytes::from_static(b"command") };
+    node.step(now, Input::Propose(vec![proposal]));
+    let last = node.last().index;
+    let outputs = node.step(now, from("b", 1, matched(now, last)));
+    assert_eq!(committed(&outputs), Vec::<u64>::new());
+    assert_eq!(committed(&sync(&mut node, now, 1)), vec![last]);
 }
 
-fn assert_order(outputs: &[Output], answer: impl Fn(&GroupBody) -> bool) {
-    let stored = outputs.iter().rposition(|output| matches!(output, Output::Persist(_))).unwrap();
-    let sent =
-        |output: &Output| matches!(output, Output::Send { message, .. } if answer(&message.body));
-    assert!(stored < outputs.iter().position(sent).unwrap(), "{outputs:?}");
+fn sent(outputs: &[Output]) -> Vec<GroupBody> {
+    let body = |output: &Output| match output {
+        Output::Send { message, .. } => Some(message.body.clone()),
+        _ => None,
+    };
+    outputs.iter().filter_map(body).collect()
 }
 
 /// Guards against two votes in one term, also over a restart, and against a vote
--- a/tests/control_schedules.rs
+++ b/tests/control_schedules.rs
@@ -17,6 +17,7 @@
     Propose(u8),
     Drop(u8),
     Delay(u8),
+    SlowDisks(u8),
     Cut(u8),
     CutLink(u8, u8),
     Heal,
@@ -30,7 +31,7 @@
 impl Arbitrary for Fault {
     fn arbitrary(g: &mut Gen) -> Self {
         let host = u8::arbitrary(g);
-        match u8::arbitrary(g) % 22 {
+        match u8::arbitrary(g) % 23 {
             0..6 => Self::Run(u16::arbitrary(g) % 800),
             6..11 => Self::Propose(host),
             11 => Self::Drop(u8::arbitrary(g) % 50),
@@ -42,6 +43,7 @@
             17 => Self::Freeze(host),
             18 => Self::LoseDisk(host),
             19 | 20 => Self::CutLink(host, u8::arbitrary(g)),
+            21 => Self::SlowDisks(u8::arbitrary(g)),
             _ => Self::RestoreAll,
         }
     }
@@ -58,6 +60,7 @@
         }
         Fault::Drop(percent) => group.drop_percent = u32::from(percent),
         Fault::Delay(ms) => group.max_delay_ms = u64::from(ms).max(1),
+        Fault::SlowDisks(ms) => group.max_sync_ms = u64::from(ms) * 4,
         Fault::Cut(number) => {
             group.hold_cut = number >= 128;
             group.cut.insert(host(number));
@@ -96,6 +99,7 @@
     heal(group);
     group.drop_percent = 0;
     group.max_delay_ms = 10;
+    group.max_sync_ms = 5;
     for name in group.names() {
         let host = group.hosts.get_mut(&name).unwrap();
         host.crash_after = None;
--- a/tests/group/mod.rs
+++ b/tests/group/mod.rs
@@ -2,14 +2,14 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use bytes::Bytes;
 use pomelopin::{
     clock::Millis,
     control::{
         node::{Input, Node, NodeSettings, Output, Proposal, Role},
-        storage::Stored,
+        storage::{Stored, Write},
     },
     ids::ControlId,
     settings::timing::GroupTiming,
@@ -29,6 +29,12 @@
     pub frozen: bool,
     /// State machine: the number of commands and a digest of all of them.
     pub state: (u64, u64),
+    /// Writes that are not synced, with the time at which they are.
+    pub unsynced: VecDeque<(Millis, Write)>,
+    /// Messages that wait for the number of writes before them.
+    waiting: VecDeque<(u64, String, GroupMessage)>,
+    written: u64,
+    synced: u64,
     /// Outputs after which the process crashes.
     pub crash_after: Option<usize>,
     pub rejected: u64,
@@ -40,6 +46,7 @@
     pub rng: SmallRng,
     pub drop_percent: u32,
     pub max_delay_ms: u64,
+    pub max_sync_ms: u64,
     /// Hosts on the far side of a partition.
     pub cut: BTreeSet<String>,
     /// Pairs of hosts that do not reach each other.
@@ -63,6 +70,7 @@
             rng: SmallRng::seed_from_u64(seed),
             drop_percent: 0,
             max_delay_ms: 10,
+            max_sync_ms: 5,
             cut: BTreeSet::new(),
             links: BTreeSet::new(),
             hold_cut: false,
@@ -108,6 +116,9 @@
         host.state = snapshot.map_or((0, 0), |it| postcard::from_bytes(&it.data).unwrap());
         host.node = Some(Node::new(settings, host.stored.clone(), self.now));
         host.frozen = false;
+        host.unsynced.clear();
+        host.waiting.clear();
+        (host.written, host.synced) = (0, 0);
     }
 
     pub fn kill(&mut self, name: &str) {
@@ -162,6 +173,7 @@
         for _ in 0..ms / STEP_MS {
             self.now += Millis(STEP_MS);
             self.deliver();
+            self.sync();
             for (number, name) in self.names().iter().enumerate() {
                 if (self.now.0 + number as u64 * STEP_MS).is_multiple_of(TICK_MS) {
                     self.step(name, Input::Tick);
@@ -260,7 +272,15 @@
     fn execute(&mut self, name: &str, output: Output) {
         let host = self.hosts.get_mut(name).unwrap();
         match output {
-            Output::Persist(write) => host.stored.apply(&write),
+            Output::Persist(write) => {
+                let delay = Millis(self.rng.random_range(0..=self.max_sync_ms));
+                host.written += 1;
+                host.unsynced.push_back((self.now + delay, write));
+            }
+            Output::Send { addr, message } if message.body.needs_sync() => {
+                host.waiting.push_back((host.written, addr, message));
+                self.release(name);
+            }
             Output::Send { addr, message } => self.send(name, addr, message),
             Output::RestoreSnapshot { index, data } => {
                 host.state = postcard::from_bytes(&data).unwrap();
@@ -286,6 +306,37 @@
         }
     }
 
+    /// Syncs the writes that are due, in order.
+    fn sync(&mut self) {
+        for name in self.names() {
+            loop {
+                let host = self.hosts.get_mut(&name).unwrap();
+                let due = host.unsynced.front().is_some_and(|(at, _)| *at <= self.now);
+                if !due || host.frozen || host.node.is_none() {
+                    break;
+                }
+                let (_, write) = host.unsynced.pop_front().unwrap();
+                host.stored.apply(&write);
+                host.synced += 1;
+                self.step(&name, Input::Persisted);
+                self.release(&name);
+            }
+        }
+    }
+
+    /// Sends the messages whose writes are synced.
+    fn release(&mut self, name: &str) {
+        loop {
+            let host = self.hosts.get_mut(name).unwrap();
+            let synced = host.synced;
+            if host.waiting.front().is_none_or(|(writes, ..)| *writes > synced) {
+                return;
+            }
+            let (_, to, message) = host.waiting.pop_front().unwrap();
+            self.send(name, to, message);
+        }
+    }
+
     fn send(&mut self, from: &str, to: String, message: GroupMessage) {
         let delay = Millis(self.rng.random_range(1..=self.max_delay_ms));
         if self.rng.random_range(0..100) >= self.drop_percent {
