--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -20,3 +20,4 @@
 pub mod snapshot;
 pub mod status;
 pub mod storage;
+pub mod writes;
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -21,7 +21,8 @@
         log::Log,
         membership::{Introductions, MembersHistory},
         snapshot::Assembly,
-        storage::{Snapshot, SnapshotWrite, Stored, Vote, Write},
+        storage::{Snapshot, Stored, Vote, Write},
+        writes::NO_ENTRY,
     },
     ids::ControlId,
     settings::timing::GroupTiming,
@@ -30,13 +31,6 @@
     },
 };
 
-/// Entries before a snapshot that remain in the log, so that a host that is a
-/// little behind does not need the snapshot.
-const TAIL_ENTRIES: u64 = 500;
-
-/// First changed index of a write that changes no entry.
-const NO_ENTRY: u64 = u64::MAX;
-
 /// Settings of a [`Node`].
 #[derive(Debug, Clone)]
 pub struct NodeSettings {
@@ -160,7 +154,7 @@
     /// A committed entry has listed this host as a voter.
     pub(super) was_member: bool,
     /// Unconfirmed writes: the first index whose entry each one changes.
-    unsynced: VecDeque<u64>,
+    pub(super) unsynced: VecDeque<u64>,
     /// Entries that were not synced when they were answered.
     pub(super) unanswered: Option<Unanswered>,
     pub(super) hello_at: Millis,
@@ -361,23 +355,6 @@
         self.persist(first, Write::Entries(entries));
     }
 
-    pub(super) fn persist(&mut self, first: u64, write: Write) {
-        self.unsynced.push_back(first);
-        self.out.push(Output::Persist(write));
-    }
-
-    /// Index up to which the own log is synced.
-    pub(super) fn synced(&self) -> u64 {
-        let changed = self.unsynced.iter().copied().min().unwrap_or(NO_ENTRY);
-        self.log.last().index.min(changed - 1)
-    }
-
-    fn persisted(&mut self, now: Millis) {
-        self.unsynced.pop_front();
-        self.commit_majority(now);
-        self.answer_synced();
-    }
-
     pub(super) fn advance_commit(&mut self, to: u64) {
         while self.commit < to {
             let Some(entry) = self.log.get(self.commit + 1) else { return };
@@ -405,26 +382,4 @@
         let message = GroupMessage { from: self.settings.id.clone(), to, term, body };
         self.out.push(Output::Send { addr, message });
     }
-
-    fn compact(&mut self, data: Bytes) {
-        let Some(last) = self.log.mark(self.commit) else { return };
-        let members = self.history.at(last.index).clone();
-        let tail = last.index.saturating_sub(TAIL_ENTRIES).max(self.log.base().index);
-        let Some(base) = self.log.mark(tail) else { return };
-        self.log.compact(base);
-        self.history.compact(last.index);
-        self.store_snapshot(Snapshot { last, members, data });
-    }
-
-    pub(super) fn store_snapshot(&mut self, snapshot: Snapshot) {
-        let base = self.log.base();
-        let write = SnapshotWrite {
-            snapshot: snapshot.clone(),
-            vote: self.vote.clone(),
-            base,
-            entries: self.log.after(base),
-        };
-        self.snapshot = Some(snapshot);
-        self.persist(NO_ENTRY, Write::Snapshot(Box::new(write)));
-    }
 }
--- /dev/null
+++ b/src/control/writes.rs
@@ -0,0 +1,59 @@
+//! Writes of a node and what is known to be synced.
+
+use bytes::Bytes;
+
+use crate::{
+    clock::Millis,
+    control::{
+        node::{Node, Output},
+        storage::{Snapshot, SnapshotWrite, Write},
+    },
+};
+
+/// Entries before a snapshot that remain in the log, so that a host that is a
+/// little behind does not need the snapshot.
+const TAIL_ENTRIES: u64 = 500;
+
+/// First changed index of a write that changes no entry.
+pub(super) const NO_ENTRY: u64 = u64::MAX;
+
+impl Node {
+    pub(super) fn persist(&mut self, first: u64, write: Write) {
+        self.unsynced.push_back(first);
+        self.out.push(Output::Persist(write));
+    }
+
+    /// Index up to which the own log is synced.
+    pub(super) fn synced(&self) -> u64 {
+        let changed = self.unsynced.iter().copied().min().unwrap_or(NO_ENTRY);
+        self.log.last().index.min(changed - 1)
+    }
+
+    pub(super) fn persisted(&mut self, now: Millis) {
+        self.unsynced.pop_front();
+        self.commit_majority(now);
+        self.answer_synced();
+    }
+
+    pub(super) fn compact(&mut self, data: Bytes) {
+        let Some(last) = self.log.mark(self.commit) else { return };
+        let members = self.history.at(last.index).clone();
+        let tail = last.index.saturating_sub(TAIL_ENTRIES).max(self.log.base().index);
+        let Some(base) = self.log.mark(tail) else { return };
+        self.log.compact(base);
+        self.history.compact(last.index);
+        self.store_snapshot(Snapshot { last, members, data });
+    }
+
+    pub(super) fn store_snapshot(&mut self, snapshot: Snapshot) {
+        let base = self.log.base();
+        let write = SnapshotWrite {
+            snapshot: snapshot.clone(),
+            vote: self.vote.clone(),
+            base,
+            entries: self.log.after(base),
+        };
+        self.snapshot = Some(snapshot);
+        self.persist(NO_ENTRY, Write::Snapshot(Box::new(write)));
+    }
+}
