--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -5,6 +5,7 @@
 pub mod bus;
 pub mod caller;
 pub mod disk;
+pub mod disk_queue;
 pub mod fencing;
 pub mod http;
 pub mod log;
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -1,11 +1,13 @@
 //! Member of the control group as a state machine without I/O.
 //!
 //! [`Node::step`] takes an input and returns outputs, which the runtime carries
-//! out in order. A [`Output::Persist`] must be synced before any later output
-//! takes effect; it may take effect earlier than the outputs before it. If it
-//! fails, the process must stop.
+//! out in order. Writes are synced in order in the background, and each is
+//! confirmed by [`Input::Persisted`]. A message that [`GroupBody::needs_sync`]
+//! leaves only after all earlier writes are synced; everything else takes effect
+//! at once, so a slow disk does not stop heartbeats. If a write fails, the process
+//! must stop.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use bytes::Bytes;
 use derive_more::Display;
@@ -14,11 +16,13 @@
     clock::Millis,
     control::{
         election::{Ballot, ElectionTimer},
+        follower::Unanswered,
         leader::Leading,
         log::Log,
         membership::{Introductions, MembersHistory},
         snapshot::Assembly,
-        storage::{Snapshot, SnapshotWrite, Stored, Vote, Write},
+        storage::{Snapshot, Stored, Vote, Write},
+        writes::NO_ENTRY,
     },
     ids::ControlId,
     settings::timing::GroupTiming,
@@ -27,10 +31,6 @@
     },
 };
 
-/// Entries before a snapshot that remain in the log, so that a host that is a
-/// little behind does not need the snapshot.
-const TAIL_ENTRIES: u64 = 500;
-
 /// Settings of a [`Node`].
 #[derive(Debug, Clone)]
 pub struct NodeSettings {
@@ -52,6 +52,8 @@
     Message(GroupMessage),
     /// Commands for the log, stored with one sync.
     Propose(Vec<Proposal>),
+    /// The oldest unconfirmed [`Output::Persist`] is synced.
+    Persisted,
     /// State machine's snapshot as of the commit index.
     Compact {
         data: Bytes,
@@ -151,6 +153,10 @@
     pub(super) forming: bool,
     /// A committed entry has listed this host as a voter.
     pub(super) was_member: bool,
+    /// Unconfirmed writes: the first index whose entry each one changes.
+    pub(super) unsynced: VecDeque<u64>,
+    /// Entries that were not synced when they were answered.
+    pub(super) unanswered: Option<Unanswered>,
     pub(super) hello_at: Millis,
     last_step: Millis,
     reported: RoleChange,
@@ -184,6 +190,8 @@
             assembly: Assembly::default(),
             introductions: Introductions::default(),
             forming: false,
+            unsynced: VecDeque::new(),
+            unanswered: None,
             hello_at: now,
             last_step: now,
             reported: RoleChange::default(),
@@ -200,6 +208,7 @@
             Input::Tick => self.tick(now),
             Input::Message(message) => self.receive(now, message),
             Input::Propose(proposals) => self.propose(now, proposals),
+            Input::Persisted => self.persisted(now),
             Input::Compact { data } => self.compact(data),
         }
         let role = self.role();
@@ -336,13 +345,14 @@
 
     pub(super) fn store_vote(&mut self, vote: Vote) {
         self.vote = vote.clone();
-        self.out.push(Output::Persist(Write::Vote(vote)));
+        self.persist(NO_ENTRY, Write::Vote(vote));
     }
 
     pub(super) fn append_entries(&mut self, entries: Vec<LogEntry>) {
-        self.history.append(self.log.last().index + 1, &entries);
+        let first = self.log.last().index + 1;
+        self.history.append(first, &entries);
         self.log.append(entries.iter().cloned());
-        self.out.push(Output::Persist(Write::Entries(entries)));
+        self.persist(first, Write::Entries(entries));
     }
 
     pub(super) fn advance_commit(&mut self, to: u64) {
@@ -372,26 +382,4 @@
         let message = GroupMessage { from: self.settings.id.clone(), to, term, body };
         self.out.push(Output::Send { addr, message });
     }
-
-    fn compact(&mut self, data: Bytes) {
-        let Some(last) = self.log.mark(self.commit) else { return };
-        let members = self.history.at(last.index).clone();
-        let tail = last.index.saturating_sub(TAIL_ENTRIES).max(self.log.base().index);
-        let Some(base) = self.log.mark(tail) else { return };
-        self.log.compact(base);
-        self.history.compact(last.index);
-        self.store_snapshot(Snapshot { last, members, data });
-    }
-
-    pub(super) fn store_snapshot(&mut self, snapshot: Snapshot) {
-        let base = self.log.base();
-        let write = SnapshotWrite {
-            snapshot: snapshot.clone(),
-            vote: self.vote.clone(),
-            base,
-            entries: self.log.after(base),
-        };
-        self.snapshot = Some(snapshot);
-        self.out.push(Output::Persist(Write::Snapshot(Box::new(write))));
-    }
 }
