Repeat a cancellation until the statement ends

Cause: a caller's statement listened for one cancel request only. A request that came while the statement was on its way to its owner or waited for a slot had no effect there, and all later requests were ignored, so the statement waited for its lock until the target gave up.

Ruled out: the registry of connections and the owner's cancellation, which end a statement that already runs at the target.

Change: after a cancel request the entry host repeats the attempt every 20 ms until the statement has ended. Each attempt ends before the statement's answer is taken, so none reaches the transaction's next statement.

--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -2,7 +2,10 @@
 
 use std::{sync::Arc, time::Duration};
 
-use tokio::{sync::Mutex, time::Instant};
+use tokio::{
+    sync::Mutex,
+    time::{Instant, timeout},
+};
 
 use super::{cx::Cx, dispatch::OwnerRef, error, transaction::Transaction};
 use crate::{
@@ -21,6 +24,11 @@
 /// Time for one statement, waits and retries included.
 pub const REQUEST_DEADLINE: Duration = Duration::from_secs(5);
 
+/// Time between attempts to cancel a statement.
+///
+/// An attempt has no effect while the statement is on its way or waits for a slot.
+const CANCEL_REPEAT: Duration = Duration::from_millis(20);
+
 /// Type number of `text` in the protocol.
 const TEXT_OID: u32 = 25;
 
@@ -99,11 +107,15 @@
             reply = &mut work => return reply,
             () = cancel.cancelled() => {}
         }
-        let running = caller.running.lock().clone();
-        if let Some(running) = running {
-            self.cx.cancel(running).await;
+        loop {
+            let running = caller.running.lock().clone();
+            if let Some(running) = running {
+                self.cx.cancel(running).await;
+            }
+            if let Ok(reply) = timeout(CANCEL_REPEAT, &mut work).await {
+                return reply;
+            }
         }
-        work.await
     }
 
     async fn describe(&self, caller: &Caller, sql: &str) -> Result<Description, Failure> {
--- a/tests/entry/transactions.rs
+++ b/tests/entry/transactions.rs
@@ -1,8 +1,9 @@
-//! Transactions of callers: isolation, errors and lost callers.
+//! Transactions of callers: isolation, errors, lost callers and cancellation.
 
 use std::time::{Duration, Instant};
 
 use pomelopin::{ids::KeyId, keys::key::Key};
+use tokio::time::sleep;
 use tokio_postgres::{Client, NoTls};
 
 use crate::cluster::{Cluster, WITHDRAWN, refusal, run};
@@ -13,6 +14,15 @@
 /// SQLSTATE of statements in a failed transaction.
 const FAILED: &str = "25P02";
 
+/// SQLSTATE of a cancelled statement.
+const CANCELLED: &str = "57014";
+
+/// Pause between two cancel requests.
+const CANCEL_PAUSE: Duration = Duration::from_millis(5);
+
+/// Cancelled statements of the test; the requests meet them at different steps.
+const ROUNDS: usize = 30;
+
 /// Begins a transaction that holds the lock of row `row`.
 async fn hold_row(client: &Client, value: &str) {
     run(client, "BEGIN").await.unwrap();
@@ -125,3 +135,40 @@
     assert!(started.elapsed() < PROMPT, "waited {:?}", started.elapsed());
     assert_eq!(run(&other, "SELECT value FROM bookings").await.unwrap(), ["other"]);
 }
+
+/// SQLSTATE of a statement that is cancelled until it ends.
+async fn cancelled(client: &Client, sql: &str) -> String {
+    let token = client.cancel_token();
+    let repeat = async {
+        // A request that arrives before the statement has no effect.
+        loop {
+            let _ = token.cancel_query(NoTls).await;
+            sleep(CANCEL_PAUSE).await;
+        }
+    };
+    tokio::select! {
+        code = refusal(client, sql) => code,
+        () = repeat => unreachable!(),
+    }
+}
+
+/// Guards against a cancellation that has no effect, ends the connection, or reaches
+/// another statement.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_statement_that_waits_for_a_lock_can_be_cancelled() {
+    let cluster = cluster_with_row().await;
+    let holder = cluster.connect(0, "alpha").await;
+    hold_row(&holder, "held").await;
+    let waiter = cluster.connect(1, "alpha").await;
+    for round in 0..ROUNDS {
+        run(&waiter, "BEGIN").await.unwrap();
+        run(&waiter, "SELECT id FROM bookings").await.unwrap();
+        let started = Instant::now();
+        let code = cancelled(&waiter, &update("waited")).await;
+        assert_eq!(code, CANCELLED, "round {round} after {:?}", started.elapsed());
+        run(&waiter, "ROLLBACK").await.unwrap();
+    }
+    run(&holder, "COMMIT").await.unwrap();
+    run(&waiter, &update("later")).await.unwrap();
+    assert_eq!(run(&waiter, "SELECT value FROM bookings").await.unwrap(), ["later"]);
+}
