Refuse messages of callers above 16 MiB

Cause: the message codec accepts lengths up to 1 GiB and waits for the whole message, so a caller could make the host buffer that much, before its password was checked too.

Ruled out: the startup message, whose length the codec limits already.

Change: while a message is incomplete, its length header is checked; above 16 MiB the caller gets 08P01 and the connection ends.

--- a/src/adapters/caller/connection.rs
+++ b/src/adapters/caller/connection.rs
@@ -1,10 +1,11 @@
 //! Listener for callers and the message loop of one connection.
 
-use std::{sync::Arc, time::Duration};
+use std::{future::poll_fn, sync::Arc, task::Poll, time::Duration};
 
 use futures::{SinkExt, StreamExt};
 use pgwire::{
     api::{ClientInfo, NoopHandler, PgWireConnectionState},
+    error::PgWireError,
     messages::{PgWireBackendMessage, PgWireFrontendMessage, response::TransactionStatus},
     tokio::{
         TlsAcceptor,
@@ -28,6 +29,11 @@
 /// Half-open connections would otherwise hold memory for ever.
 const STARTUP_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Largest accepted message in bytes.
+///
+/// `pgwire` accepts 1 GiB and would buffer it, also before the password is checked.
+pub const MAX_MESSAGE_BYTES: u32 = 16 << 20;
+
 type Socket = Framed<MaybeTls, PgWireMessageServerCodec<String>>;
 
 /// Listener with what its connections share.
@@ -97,7 +103,7 @@
         let idle = cycle_ended && socket.transaction_status() == TransactionStatus::Idle;
         let message = tokio::select! {
             biased;
-            message = socket.next() => message,
+            message = next(&mut socket) => message,
             () = is_set(&mut stop), if idle => return leave(socket).await,
         };
         // Between the messages of an extended query an answer may still be due.
@@ -119,7 +125,7 @@
 ) -> std::io::Result<Option<Socket>> {
     let Some(mut socket) = negotiate_tls(stream, tls).await? else { return Ok(None) };
     while !matches!(socket.state(), PgWireConnectionState::ReadyForQuery) {
-        let message = socket.next().await;
+        let message = next(&mut socket).await;
         if !handle(&mut socket, message, connection).await? {
             return Ok(None);
         }
@@ -127,10 +133,32 @@
     Ok(Some(socket))
 }
 
+/// Next message; an error as soon as its header states more than the limit.
+async fn next(socket: &mut Socket) -> Option<Result<PgWireFrontendMessage, PgWireError>> {
+    poll_fn(|cx| match socket.poll_next_unpin(cx) {
+        // The runtime makes a reader pending after a bounded number of reads, so a
+        // fast sender cannot fill the buffer without this check.
+        Poll::Pending if is_too_long(socket) => Poll::Ready(Some(Err(convert::too_long()))),
+        polled => polled,
+    })
+    .await
+}
+
+/// Whether the incomplete message in the buffer is longer than the limit.
+fn is_too_long(socket: &Socket) -> bool {
+    // Messages before the startup message have no type byte; `pgwire` limits them.
+    let has_type = !matches!(
+        socket.state(),
+        PgWireConnectionState::AwaitingSslRequest | PgWireConnectionState::AwaitingStartup
+    );
+    let length = socket.read_buffer().get(1..5).and_then(|bytes| bytes.try_into().ok());
+    has_type && length.is_some_and(|bytes| u32::from_be_bytes(bytes) > MAX_MESSAGE_BYTES)
+}
+
 /// Handles one message; false if the connection must end.
 async fn handle<H: CallerHandler>(
     socket: &mut Socket,
-    message: Option<Result<PgWireFrontendMessage, pgwire::error::PgWireError>>,
+    message: Option<Result<PgWireFrontendMessage, PgWireError>>,
     connection: &Arc<Connection<H>>,
 ) -> std::io::Result<bool> {
     let message = match message {
--- a/src/adapters/caller/convert.rs
+++ b/src/adapters/caller/convert.rs
@@ -14,7 +14,7 @@
     messages::data::DataRow,
 };
 
-use super::ReplyResult;
+use super::{ReplyResult, connection::MAX_MESSAGE_BYTES};
 use crate::wire::peer::{Bind, Failure, Field, Rows, Statement};
 
 /// Severity of errors that leave the connection usable.
@@ -47,6 +47,12 @@
     user_error(FATAL, failure)
 }
 
+/// Error for a message that is longer than [`MAX_MESSAGE_BYTES`].
+pub fn too_long() -> PgWireError {
+    let message = format!("messages may have at most {MAX_MESSAGE_BYTES} bytes");
+    fatal(&Failure { code: "08P01".to_owned(), message })
+}
+
 fn user_error(severity: &str, failure: &Failure) -> PgWireError {
     let info = ErrorInfo::new(severity.to_owned(), failure.code.clone(), failure.message.clone());
     PgWireError::UserError(Box::new(info))
--- a/tests/entry/main.rs
+++ b/tests/entry/main.rs
@@ -8,6 +8,7 @@
 mod host;
 mod keys;
 mod once;
+mod protocol;
 mod sessions;
 mod stop;
 mod transactions;
--- /dev/null
+++ b/tests/entry/protocol.rs
@@ -0,0 +1,98 @@
+//! Messages that a caller's client must not send.
+
+use std::time::Duration;
+
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::timeout,
+};
+
+use crate::cluster::{Cluster, refusal, run};
+
+/// Longest time until a faulty message is answered.
+const ANSWER_TIME: Duration = Duration::from_secs(3);
+
+/// Longest time until a connection without a login is closed.
+const STARTUP_TIME: Duration = Duration::from_secs(13);
+
+/// Startup message of a caller without a key.
+fn startup() -> Vec<u8> {
+    let parameters = b"user\0open\0database\0returns\0\0";
+    let length = u32::try_from(8 + parameters.len()).unwrap();
+    [&length.to_be_bytes()[..], &196_608_u32.to_be_bytes(), parameters].concat()
+}
+
+/// All bytes until the host closes the connection.
+async fn until_closed(stream: &mut TcpStream) -> String {
+    let mut bytes = Vec::new();
+    let closed = timeout(ANSWER_TIME, stream.read_to_end(&mut bytes)).await;
+    closed.expect("the connection is still open").unwrap();
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+/// Guards against a host that buffers messages of any stated length, and against
+/// faulty packets that stop it.
+#[tokio::test(flavor = "multi_thread")]
+async fn faulty_messages_end_their_connection_only() {
+    let cluster = Cluster::start().await;
+    let cases: [(&str, Vec<u8>, &str); 3] = [
+        ("query of 512 MiB", [&b"Q"[..], &(512_u32 << 20).to_be_bytes(), b"SEL"].concat(), "08P01"),
+        (
+            "query above the limit",
+            [&b"Q"[..], &((16_u32 << 20) + 1).to_be_bytes()].concat(),
+            "08P01",
+        ),
+        ("end in a message", [&b"Q"[..], &100_u32.to_be_bytes(), b"SELECT"].concat(), ""),
+    ];
+    for (name, message, expected) in cases {
+        let mut stream = TcpStream::connect(cluster.entries[0].caller).await.unwrap();
+        stream.write_all(&startup()).await.unwrap();
+        stream.write_all(&message).await.unwrap();
+        if expected.is_empty() {
+            stream.shutdown().await.unwrap();
+        }
+        let answer = until_closed(&mut stream).await;
+        assert!(answer.contains(expected), "{name}: {answer:?}");
+    }
+    let client = cluster.connect(0, "alpha").await;
+    run(&client, "SELECT id FROM bookings").await.unwrap();
+}
+
+/// Guards against connections that hold memory for ever without a login.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_connection_that_does_not_start_is_closed() {
+    let cluster = Cluster::start().await;
+    let half = startup()[..12].to_vec();
+    let mut streams = Vec::new();
+    for sent in [Vec::new(), half] {
+        let mut stream = TcpStream::connect(cluster.entries[0].caller).await.unwrap();
+        stream.write_all(&sent).await.unwrap();
+        streams.push(stream);
+    }
+    for stream in &mut streams {
+        let closed = timeout(STARTUP_TIME, stream.read_to_end(&mut Vec::new())).await;
+        assert_eq!(closed.expect("the connection is still open").unwrap(), 0);
+    }
+}
+
+/// Guards against statements whose refusal ends the connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_statements_leave_the_connection_usable() {
+    let cluster = Cluster::start().await;
+    let client = cluster.connect(0, "alpha").await;
+    let cases = [
+        ("CREATE TABLE t (id text)", "0A000"),
+        ("SELECT id FROM bookings; SELECT id FROM bookings", "0A000"),
+        ("SELECT id FROM bookings, credits", "0A000"),
+        ("SELECT id FROM pomelopin_requests", "0A000"),
+        ("SELEC id FROM bookings", "42601"),
+        ("SELECT id FROM absent", "42501"),
+    ];
+    for (sql, expected) in cases {
+        assert_eq!(refusal(&client, sql).await, expected, "{sql}");
+        let error = client.query(sql, &[]).await.unwrap_err();
+        assert_eq!(crate::cluster::code(&error), expected, "{sql}");
+        assert_eq!(run(&client, "SELECT id FROM bookings").await.unwrap(), [""; 0], "{sql}");
+    }
+}
