Read what callers still send after the last message

Cause: in a planned stop some callers saw a closed connection instead of 57P01: a statement was under way, and closing a socket with unread bytes resets the connection. Found by tests/entry no_request_is_cut_off. Change: after 57P01 the host reads until the caller closes its side, at most 1 s.

--- a/src/adapters/caller/connection.rs
+++ b/src/adapters/caller/connection.rs
@@ -34,6 +34,9 @@
 /// `pgwire` accepts 1 GiB and would buffer it, also before the password is checked.
 pub const MAX_MESSAGE_BYTES: u32 = 16 << 20;
 
+/// Time for a caller to close its side after the last message.
+const LAST_BYTES_TIMEOUT: Duration = Duration::from_secs(1);
+
 type Socket = Framed<MaybeTls, PgWireMessageServerCodec<String>>;
 
 /// Listener with what its connections share.
@@ -197,5 +200,10 @@
     };
     let info: pgwire::error::ErrorInfo = convert::fatal(&failure).into();
     socket.send(PgWireBackendMessage::ErrorResponse(info.into())).await?;
-    socket.close().await
+    socket.close().await?;
+    // A statement may be under way to this host. Closing with unread bytes would
+    // reset the connection, and the caller could lose the message.
+    let unread = async { while let Some(Ok(_)) = socket.next().await {} };
+    let _ = timeout(LAST_BYTES_TIMEOUT, unread).await;
+    Ok(())
 }
