Use one computation of the cluster status

Cause: the control host had its own copy of state::status, which lists hosts, groups and instances for operators. Change: the control host passes the acknowledged revisions to state::status.

--- a/src/control/status.rs
+++ b/src/control/status.rs
@@ -1,17 +1,16 @@
 //! Answers to operators that read the state.
 
+use indexmap::IndexMap;
+
 use crate::{
     clock::Millis,
     control::{
-        core::{Core, Leading},
+        core::Core,
         operators::{Answer, Request},
     },
-    ids::HostId,
-    state::model::{Assignment, ClusterView, Drain, Instance},
-    wire::operator::{
-        AuditResponse, ControlStatus, FileResponse, GroupStatus, HostState, HostStatus,
-        InstanceStatus, OwnerStatus, StatusResponse,
-    },
+    ids::{HostId, Revision},
+    state::status::status,
+    wire::operator::{AuditResponse, ControlStatus, FileResponse, StatusResponse},
 };
 
 impl Core {
@@ -32,16 +31,16 @@
     }
 
     fn status(&self, now: Millis) -> StatusResponse {
+        let leader = self.node.role().leader;
+        status(&self.state.view, &self.acknowledged(), leader, self.control_status(now))
+    }
+
+    /// Revision in force at each host that holds a lease.
+    fn acknowledged(&self) -> IndexMap<HostId, Revision> {
         let view = &self.state.view;
-        StatusResponse {
-            leader: self.node.role().leader,
-            control: self.control_status(now),
-            version: view.version,
-            revision: view.revision,
-            hosts: hosts(view, self.leading.as_ref()),
-            groups: groups(view),
-            instances: view.instances.values().map(|it| instance(view, it)).collect(),
-        }
+        let Some(leading) = &self.leading else { return IndexMap::new() };
+        let lease = |id: &HostId| Some((id.clone(), leading.leases.get(id)?.revision));
+        view.hosts.keys().filter_map(lease).collect()
     }
 
     fn control_status(&self, now: Millis) -> Vec<ControlStatus> {
@@ -63,67 +62,3 @@
         voters.chain(learners).collect()
     }
 }
-
-fn hosts(view: &ClusterView, leading: Option<&Leading>) -> Vec<HostStatus> {
-    let drained = |id: &HostId| view.desired.drains.contains(&Drain::Host(id.clone()));
-    let live = view.hosts.values().map(|host| HostStatus {
-        id: host.id.clone(),
-        failure_domain: host.failure_domain.clone(),
-        incarnation: Some(host.incarnation),
-        state: match (host.leaving, drained(&host.id)) {
-            (true, _) => HostState::Leaving,
-            (false, true) => HostState::Draining,
-            (false, false) => HostState::Live,
-        },
-        revision: leading.and_then(|it| it.leases.get(&host.id)).map(|lease| lease.revision),
-    });
-    let missing = view.desired.hosts.iter().filter(|(id, _)| !view.hosts.contains_key(*id));
-    let missing = missing.map(|(id, spec)| HostStatus {
-        id: id.clone(),
-        failure_domain: spec.failure_domain.clone(),
-        incarnation: None,
-        state: HostState::Missing,
-        revision: None,
-    });
-    live.chain(missing).collect()
-}
-
-fn groups(view: &ClusterView) -> Vec<GroupStatus> {
-    let names = view.desired.services.keys();
-    let others = view.groups.keys().filter(|name| !view.desired.services.contains_key(*name));
-    let names = names.chain(others);
-    let status = names.map(|service| {
-        let group = view.groups.get(service).cloned().unwrap_or_default();
-        let announced = view.instances.values().filter(|it| it.spec.service == *service).count();
-        GroupStatus {
-            service: service.clone(),
-            term: group.term,
-            primary: group.primary,
-            promotion: group.promotion.map(|promotion| promotion.term),
-            announced: u32::try_from(announced).unwrap_or(u32::MAX),
-            expected: view.desired.services.get(service).map_or(0, |spec| spec.instances),
-        }
-    });
-    status.collect()
-}
-
-fn instance(view: &ClusterView, instance: &Instance) -> InstanceStatus {
-    let spec = &instance.spec;
-    InstanceStatus {
-        id: spec.id.clone(),
-        service: spec.service.clone(),
-        failure_domain: spec.failure_domain.clone(),
-        draining: spec.leaving || view.desired.drains.contains(&Drain::Instance(spec.id.clone())),
-        connections: spec.connections,
-        owner: instance.owner.as_ref().map(owner),
-        previous: instance.previous.as_ref().map(owner),
-    }
-}
-
-fn owner(assignment: &Assignment) -> OwnerStatus {
-    OwnerStatus {
-        host: assignment.host.clone(),
-        epoch: assignment.epoch,
-        connections: assignment.connections,
-    }
-}
