--- a/src/adapters/http.rs
+++ b/src/adapters/http.rs
@@ -15,22 +15,18 @@
     routing::{get, post},
 };
 use derive_more::{Display, Error};
-use hmac::{Hmac, Mac};
 use indexmap::IndexMap;
 use parking_lot::Mutex;
-use sha2::Sha256;
 use tokio::sync::mpsc;
 
 use crate::{
     adapters::metrics::{AnnouncementResult, CONTENT_TYPE, EntryMetrics},
     ids::{Incarnation, InstanceId},
+    keys::announcement::{SIGNATURE_HEADER, is_signed},
     settings::http::HttpSettings,
     wire::announcement::Announcement,
 };
 
-/// Header with the hexadecimal HMAC-SHA256 of an announcement's body.
-pub const SIGNATURE_HEADER: &str = "x-pomelopin-signature";
-
 /// Readiness and health of the host.
 pub trait HostStatus: Send + Sync + 'static {
     /// Whether the load balancer may send new callers.
@@ -117,26 +113,6 @@
     }
 }
 
-/// Hexadecimal HMAC-SHA256 of `body`.
-pub fn sign(key: &[u8], body: &[u8]) -> String {
-    mac(key, body).map(|mac| hex::encode(mac.finalize().into_bytes())).unwrap_or_default()
-}
-
-fn is_signed(key: &[u8], body: &[u8], signature: &[u8]) -> bool {
-    let Ok(signature) = hex::decode(signature) else { return false };
-    if key.is_empty() {
-        return false;
-    }
-    mac(key, body).is_some_and(|mac| mac.verify_slice(&signature).is_ok())
-}
-
-/// HMAC of `body`; every key length is accepted, so there is always one.
-fn mac(key: &[u8], body: &[u8]) -> Option<Hmac<Sha256>> {
-    let mut mac = Hmac::<Sha256>::new_from_slice(key).ok()?;
-    mac.update(body);
-    Some(mac)
-}
-
 /// State of the listener's handlers.
 pub struct HttpState<S> {
     pub status: S,
--- a/src/entry/caller.rs
+++ b/src/entry/caller.rs
@@ -99,6 +99,26 @@
     }
 
     async fn run(&self, caller: &Caller, statement: Statement, cancel: &CancelSignal) -> Reply {
+        let reply = self.answer(caller, statement, cancel).await;
+        self.cx.metrics.request(caller.workspace_name(), error::outcome(&reply.result));
+        reply
+    }
+
+    async fn describe(&self, caller: &Caller, sql: &str) -> Result<Description, Failure> {
+        self.cx.describe(caller, sql).await
+    }
+
+    fn closed(&self, caller: &Caller) {
+        if let Ok(mut state) = caller.state.try_lock()
+            && let Some(transaction) = state.transaction.take()
+        {
+            self.cx.clone().abandon(transaction);
+        }
+    }
+}
+
+impl CallerService {
+    async fn answer(&self, caller: &Caller, statement: Statement, cancel: &CancelSignal) -> Reply {
         let mut state = caller.state.lock().await;
         let deadline = Instant::now() + REQUEST_DEADLINE;
         let work = self.cx.statement(caller, &mut state, &statement, deadline);
@@ -120,20 +140,6 @@
         }
     }
 
-    async fn describe(&self, caller: &Caller, sql: &str) -> Result<Description, Failure> {
-        self.cx.describe(caller, sql).await
-    }
-
-    fn closed(&self, caller: &Caller) {
-        if let Ok(mut state) = caller.state.try_lock()
-            && let Some(transaction) = state.transaction.take()
-        {
-            self.cx.clone().abandon(transaction);
-        }
-    }
-}
-
-impl CallerService {
     fn authenticate(&self, login: &Login) -> Result<Option<(Workspace, HeldKey)>, Failure> {
         if self.is_open(&login.user) {
             return Ok(None);
--- a/src/entry/error.rs
+++ b/src/entry/error.rs
@@ -5,7 +5,10 @@
 use std::fmt::Display;
 
 use crate::{
-    adapters::caller::{Reply, ReplyResult},
+    adapters::{
+        caller::{Reply, ReplyResult},
+        metrics::RequestOutcome,
+    },
     keys::check::KeyRefusal,
     routing::{choice::ChoiceError, classify::Unsupported, route::RouteError},
     wire::peer::{Failure, Outcome, Refusal},
@@ -101,3 +104,18 @@
         _ => failure("57P03", "no instance answered the read in time"),
     }
 }
+
+/// Outcome of a statement as metrics count it.
+pub fn outcome(result: &ReplyResult) -> RequestOutcome {
+    let (ReplyResult::Error(failure) | ReplyResult::TransactionFailed(failure)) = result else {
+        return RequestOutcome::Done;
+    };
+    match failure.code.as_str() {
+        "53400" => RequestOutcome::OverRate,
+        "08007" => RequestOutcome::Unknown,
+        "57P03" | "57P01" | "57014" | "53300" | "28000" | "28P01" | "42501" | "0A000" => {
+            RequestOutcome::Refused
+        }
+        _ => RequestOutcome::Failed,
+    }
+}
--- a/src/keys/announcement.rs
+++ b/src/keys/announcement.rs
@@ -1,16 +1,25 @@
 //! Signature of target announcements.
 
-use crate::keys::host::HostKey;
+use hmac::{Hmac, Mac};
+use sha2::Sha256;
 
 /// Header that holds the hexadecimal signature of an announcement's body.
 pub const SIGNATURE_HEADER: &str = "x-pomelopin-signature";
 
-/// Value of the signature header for `body`.
-pub fn signature(key: &HostKey, body: &[u8]) -> String {
-    hex::encode(key.sign(body))
+/// Hexadecimal HMAC-SHA256 of `body`, the value of the signature header.
+pub fn signature(key: &[u8], body: &[u8]) -> String {
+    mac(key, body).map(|mac| hex::encode(mac.finalize().into_bytes())).unwrap_or_default()
 }
 
-/// Whether `header` is the signature of `body`.
-pub fn is_signed(key: &HostKey, body: &[u8], header: &str) -> bool {
-    hex::decode(header).is_ok_and(|signature| key.verify(body, &signature))
+/// Whether `header` is the signature of `body`; an empty key signs nothing.
+pub fn is_signed(key: &[u8], body: &[u8], header: &[u8]) -> bool {
+    let Ok(signature) = hex::decode(header) else { return false };
+    !key.is_empty() && mac(key, body).is_some_and(|mac| mac.verify_slice(&signature).is_ok())
+}
+
+/// HMAC of `body`; every key length is accepted, so there is always one.
+fn mac(key: &[u8], body: &[u8]) -> Option<Hmac<Sha256>> {
+    let mut mac = Hmac::<Sha256>::new_from_slice(key).ok()?;
+    mac.update(body);
+    Some(mac)
 }
--- a/src/target/announcer.rs
+++ b/src/target/announcer.rs
@@ -3,14 +3,13 @@
 use std::{sync::Arc, time::Duration};
 
 use eyre::{Result, eyre};
-use hmac::{Hmac, Mac};
-use sha2::Sha256;
 
 use super::{http::FROM_HEADER, instance::Instance};
-use crate::{state::model::InstanceSpec, wire::announcement::Announcement};
-
-/// Header with the HMAC of the body.
-const SIGNATURE_HEADER: &str = "x-pomelopin-signature";
+use crate::{
+    keys::announcement::{SIGNATURE_HEADER, signature},
+    state::model::InstanceSpec,
+    wire::announcement::Announcement,
+};
 
 /// Longest time that an entry host has to answer.
 const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(400);
@@ -86,7 +85,7 @@
         return Err(eyre!("cut off"));
     }
     let body = serde_json::to_vec(announcement)?;
-    let signature = sign(&instance.settings.announcement_key, &body)?;
+    let signature = signature(&instance.settings.announcement_key, &body);
     client
         .post(format!("http://{entry}/announce"))
         .timeout(ANNOUNCE_TIMEOUT)
@@ -99,11 +98,3 @@
         .error_for_status()?;
     Ok(())
 }
-
-/// Hexadecimal HMAC-SHA256 of `body` under `key`.
-pub fn sign(key: &[u8], body: &[u8]) -> Result<String> {
-    let mut mac =
-        Hmac::<Sha256>::new_from_slice(key).map_err(|_| eyre!("the key cannot be used"))?;
-    mac.update(body);
-    Ok(hex::encode(mac.finalize().into_bytes()))
-}
--- a/tests/announce.rs
+++ b/tests/announce.rs
@@ -7,7 +7,7 @@
 
 use pomelopin::{
     adapters::{
-        http::{Announcements, HostStatus, HttpState, SIGNATURE_HEADER, router, sign},
+        http::{Announcements, HostStatus, HttpState, router},
         metrics::{
             ControlMetrics, ControlRole, EntryMetrics, PromotionResult, Queue, ReadSource,
             RequestOutcome,
@@ -15,6 +15,7 @@
     },
     clock::Millis,
     ids::{Incarnation, Mark, Revision, Term},
+    keys::announcement::{SIGNATURE_HEADER, signature as sign},
     settings::http::HttpSettings,
     state::model::{InstanceSpec, Role},
     wire::announcement::Announcement,
--- a/tests/keys.rs
+++ b/tests/keys.rs
@@ -122,11 +122,11 @@
 
 #[test]
 fn announcements_need_the_signature_of_their_body() {
-    let key = HostKey::new("0123456789abcdef").expect("key");
-    let header = signature(&key, b"body");
-    assert!(is_signed(&key, b"body", &header));
+    let key = b"0123456789abcdef";
+    let header = signature(key, b"body");
+    assert!(is_signed(key, b"body", header.as_bytes()));
     for (body, header) in [("other", header.as_str()), ("body", "zz"), ("body", "")] {
-        assert!(!is_signed(&key, body.as_bytes(), header), "{body} {header}");
+        assert!(!is_signed(key, body.as_bytes(), header.as_bytes()), "{body} {header}");
     }
 }
 
--- a/tests/target/control.rs
+++ b/tests/target/control.rs
@@ -6,9 +6,10 @@
 use pomelopin::{
     clock::Millis,
     ids::{Mark, Term},
+    keys::announcement::signature as sign,
     settings::target::TargetSettings,
     state::model::Role,
-    target::{announcer::sign, http::Status},
+    target::http::Status,
     wire::{announcement::Announcement, control::FenceAnswer},
 };
 use tokio::{
@@ -109,7 +110,7 @@
     let mut received = Vec::new();
     for step in 0..3 {
         let (signature, body) = timeout(PATIENCE, rx.recv()).await.unwrap().unwrap();
-        assert_eq!(signature, sign(b"key", &body).unwrap());
+        assert_eq!(signature, sign(b"key", &body));
         received.push(serde_json::from_slice::<Announcement>(&body).unwrap());
         if step == 0 {
             // The promotion at the start may be announced a second time.
