--- a/src/entry/control.rs
+++ b/src/entry/control.rs
@@ -81,6 +81,7 @@
     fn renew(&mut self) {
         let now = self.cx.clock.now();
         self.check_lease();
+        self.cx.metrics.lease(self.cx.lease.lock().until().since(now));
         if now.since(self.heard_at) > LEADER_SILENCE {
             self.current = (self.current + 1) % self.cx.settings.control_hosts.len();
         }
--- a/src/entry/marks.rs
+++ b/src/entry/marks.rs
@@ -12,6 +12,7 @@
     view::ViewState,
 };
 use crate::{
+    adapters::metrics::MarkResult,
     clock::Clock,
     ids::{HostId, Mark, Workspace},
     session::{
@@ -69,8 +70,14 @@
         match state.session.requirement(&caller.service) {
             Requirement::Known(mark) => Observed::Known(mark),
             Requirement::Lookup => match self.look_up(caller, state).await {
-                Some(mark) => Observed::Known(Some(state.session.complete(&caller.service, mark))),
-                None => Observed::Unknown,
+                Some(mark) => {
+                    self.metrics.lookup(MarkResult::Known);
+                    Observed::Known(Some(state.session.complete(&caller.service, mark)))
+                }
+                None => {
+                    self.metrics.lookup(MarkResult::Unknown);
+                    Observed::Unknown
+                }
             },
         }
     }
