Measure the wait for tokens

Cause: the added latency of a replica read is 3.1 to 3.6 ms at p99, over the goal of 1 ms; the wait for tokens was suspected. Change: pomelopin_queue_wait_seconds{queue="limit"} records each wait. Conclusion: the metric is kept, the latency goal stays open.

--- a/src/entry/tokens.rs
+++ b/src/entry/tokens.rs
@@ -11,6 +11,7 @@
 
 use super::{cx::Cx, error, view::ViewState};
 use crate::{
+    adapters::metrics::Queue as QueueName,
     clock::{Clock, Millis},
     ids::{HostId, Workspace},
     limits::{
@@ -122,7 +123,10 @@
             return Ok(());
         };
         self.limits.waiting.notify_one();
-        match tokio::time::timeout_at(deadline, rx).await {
+        let since = Instant::now();
+        let verdict = tokio::time::timeout_at(deadline, rx).await;
+        self.metrics.waited(QueueName::Limit, since.elapsed());
+        match verdict {
             Ok(Ok(Verdict::Admitted)) => Ok(()),
             Ok(_) => Err(error::over_rate()),
             Err(_) => {
