--- a/src/bin/pomelopin-control.rs
+++ b/src/bin/pomelopin-control.rs
@@ -5,7 +5,10 @@
 use pomelopin::{
     adapters::log,
     control::runtime,
-    settings::control::{ControlSettings, control_arguments},
+    settings::{
+        control::{ControlSettings, control_arguments},
+        finding::settings_or_exit,
+    },
 };
 
 /// Worker threads for HTTP; the event loop has its own thread.
@@ -13,19 +16,10 @@
 
 fn main() -> ExitCode {
     let arguments = control_arguments().run();
-    let settings = match arguments.check() {
+    let settings = match settings_or_exit(arguments.check(), arguments.check_settings) {
         Ok(settings) => settings,
-        Err(findings) => {
-            for finding in findings {
-                eprintln!("pomelopin-control: {finding}");
-            }
-            return ExitCode::from(2);
-        }
+        Err(exit) => return exit,
     };
-    if arguments.check_settings {
-        println!("all settings are valid");
-        return ExitCode::SUCCESS;
-    }
     if let Err(error) = log::init(arguments.log, &settings.name) {
         eprintln!("pomelopin-control: cannot set up the log: {error}");
         return ExitCode::FAILURE;
--- a/src/bin/pomelopin-entry.rs
+++ b/src/bin/pomelopin-entry.rs
@@ -7,25 +7,19 @@
     adapters::log,
     entry::runtime,
     ids::Incarnation,
-    settings::entry::{EntryArguments, EntrySettings, entry_arguments},
+    settings::{
+        entry::{EntryArguments, EntrySettings, entry_arguments},
+        finding::settings_or_exit,
+    },
 };
 use tokio::signal::unix::{SignalKind, signal};
 
 fn main() -> ExitCode {
     let arguments = entry_arguments().run();
-    let settings = match arguments.check() {
+    let settings = match settings_or_exit(arguments.check(), arguments.check_settings) {
         Ok(settings) => settings,
-        Err(findings) => {
-            for finding in findings {
-                eprintln!("{finding}");
-            }
-            return ExitCode::from(2);
-        }
+        Err(exit) => return exit,
     };
-    if arguments.check_settings {
-        println!("settings are valid");
-        return ExitCode::SUCCESS;
-    }
     match start(&arguments, settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/src/bin/pomelopin-load.rs
+++ b/src/bin/pomelopin-load.rs
@@ -10,7 +10,10 @@
         compare::compare,
         run::check,
     },
-    settings::load::{LoadSettings, Mode, ReportForm, load_arguments},
+    settings::{
+        finding::settings_or_exit,
+        load::{LoadSettings, Mode, ReportForm, load_arguments},
+    },
 };
 use serde::Serialize;
 use spdlog::{
@@ -21,26 +24,14 @@
 /// Exit code for violations.
 const EXIT_VIOLATIONS: u8 = 1;
 
-/// Exit code for settings that cannot be used.
-const EXIT_SETTINGS: u8 = 2;
-
 fn main() -> Result<ExitCode> {
     let arguments = load_arguments()
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Load and experiment tool: reports the measures and every violation")
         .run();
-    match arguments.validate() {
-        Err(findings) => {
-            for finding in findings {
-                eprintln!("{finding}");
-            }
-            Ok(ExitCode::from(EXIT_SETTINGS))
-        }
-        Ok(_) if arguments.check_settings => {
-            println!("settings are valid");
-            Ok(ExitCode::SUCCESS)
-        }
+    match settings_or_exit(arguments.validate(), arguments.check_settings) {
+        Err(exit) => Ok(exit),
         Ok(settings) => {
             log_to_stderr()?;
             run(settings)
--- a/src/bin/pomelopin-target.rs
+++ b/src/bin/pomelopin-target.rs
@@ -5,31 +5,22 @@
 use bpaf::Parser;
 use eyre::Result;
 use pomelopin::{
-    settings::target::{TargetSettings, target_arguments},
+    settings::{
+        finding::settings_or_exit,
+        target::{TargetSettings, target_arguments},
+    },
     target::run::{Listeners, start},
 };
 
-/// Exit code for settings that cannot be used.
-const EXIT_SETTINGS: u8 = 2;
-
 fn main() -> Result<ExitCode> {
     let arguments = target_arguments()
         .to_options()
         .version(env!("CARGO_PKG_VERSION"))
         .descr("Stand-in database instance that speaks the PostgreSQL protocol")
         .run();
-    match arguments.validate() {
-        Err(findings) => {
-            for finding in findings {
-                eprintln!("{finding}");
-            }
-            Ok(ExitCode::from(EXIT_SETTINGS))
-        }
-        Ok(_) if arguments.check_settings => {
-            println!("settings are valid");
-            Ok(ExitCode::SUCCESS)
-        }
+    match settings_or_exit(arguments.validate(), arguments.check_settings) {
         Ok(settings) => serve(settings),
+        Err(exit) => Ok(exit),
     }
 }
 
--- a/src/settings/finding.rs
+++ b/src/settings/finding.rs
@@ -1,5 +1,7 @@
 //! Settings that cannot be used, reported together.
 
+use std::process::ExitCode;
+
 use derive_more::Display;
 
 /// Setting that cannot be used.
@@ -51,3 +53,27 @@
         self.0.is_empty()
     }
 }
+
+/// Exit code of a process whose settings cannot be used.
+const EXIT_SETTINGS: u8 = 2;
+
+/// Settings to run with, or the exit code of a process that stops here: it has
+/// printed all findings, or was only asked to check.
+pub fn settings_or_exit<T, F: std::fmt::Display>(
+    checked: Result<T, Vec<F>>,
+    check_only: bool,
+) -> Result<T, ExitCode> {
+    match checked {
+        Err(findings) => {
+            for finding in findings {
+                eprintln!("{finding}");
+            }
+            Err(ExitCode::from(EXIT_SETTINGS))
+        }
+        Ok(_) if check_only => {
+            println!("settings are valid");
+            Err(ExitCode::SUCCESS)
+        }
+        Ok(settings) => Ok(settings),
+    }
+}
