--- a/src/adapters/caller/handlers.rs
+++ b/src/adapters/caller/handlers.rs
@@ -32,7 +32,7 @@
 };
 
 use super::{CallerHandler, CancelSignal, Login, Reply, ReplyResult, convert, registry::Registry};
-use crate::wire::peer::{Failure, Statement};
+use crate::wire::peer::{Description, Statement};
 
 /// Startup parameters that are not options of the session.
 const PLAIN_PARAMETERS: [&str; 3] = [METADATA_USER, METADATA_DATABASE, "options"];
@@ -68,6 +68,12 @@
         Ok(self.handler.run(&session, statement, &self.signal).await)
     }
 
+    async fn describe(&self, sql: &str) -> PgWireResult<Description> {
+        let session = self.session()?;
+        let description = self.handler.describe(&session, sql).await;
+        description.map_err(|failure| convert::error(&failure))
+    }
+
     async fn login<C: ClientInfo>(&self, client: &C, password: String) -> PgWireResult<()> {
         let metadata = client.metadata();
         let get = |name: &str| metadata.get(name).cloned().unwrap_or_default();
@@ -280,9 +286,7 @@
         C::Error: Debug,
         PgWireError: From<<C as Sink<PgWireBackendMessage>>::Error>,
     {
-        let session = self.session()?;
-        let description = self.handler.describe(&session, &target.statement).await;
-        let description = description.map_err(|f: Failure| convert::error(&f))?;
+        let description = self.describe(&target.statement).await?;
         let parameters = description.parameters.iter().map(|oid| convert::type_of(*oid)).collect();
         let fields = convert::fields(&description.fields, None);
         Ok(DescribeStatementResponse::new(parameters, fields))
@@ -299,9 +303,7 @@
         C::Error: Debug,
         PgWireError: From<<C as Sink<PgWireBackendMessage>>::Error>,
     {
-        let session = self.session()?;
-        let description = self.handler.describe(&session, &target.statement.statement).await;
-        let description = description.map_err(|f: Failure| convert::error(&f))?;
+        let description = self.describe(&target.statement.statement).await?;
         let format = &target.result_column_format;
         Ok(DescribePortalResponse::new(convert::fields(&description.fields, Some(format))))
     }
