Copy the hosts of a view only when they change

Cause: each delta, also one of a rate or a key, copied all live hosts at every entry host, 3,200 at the target size. Change: the copy is made per change of hosts, from the list before it.

--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -68,15 +68,15 @@
 /// Live hosts after each change of hosts in a delta.
 fn host_lists(hosts: &IndexMap<HostId, Host>, update: &Update) -> Vec<IndexMap<HostId, Host>> {
     let Update::Delta { changes, .. } = update else { return Vec::new() };
-    let mut hosts = hosts.clone();
-    let mut lists = Vec::new();
+    let mut lists: Vec<IndexMap<HostId, Host>> = Vec::new();
     for change in changes {
         let Change::Host(id, host) = change else { continue };
+        let mut hosts = lists.last().unwrap_or(hosts).clone();
         match host {
             Some(host) => hosts.insert(id.clone(), host.clone()),
             None => hosts.shift_remove(id),
         };
-        lists.push(hosts.clone());
+        lists.push(hosts);
     }
     lists
 }
