Let hosts outside the settings join a control group

Cause: on the users' platform only three seeds are known, hosts move to new addresses and lose their disks, and a suspended machine's steady clock stands still. Change: an open group takes in any host, passes introductions on to the leader, removes voters that are silent for long, and lets a removed host join again; the process clock counts suspended time. Ruled out: a second group implementation. The tests of the closed group pass unchanged but for the new settings field.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -5,10 +5,11 @@
 
 use std::{
     sync::atomic::{AtomicU64, Ordering},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use derive_more::{Add, AddAssign, Display, From, Into, Sub};
+use rustix::time::{ClockId, clock_gettime};
 use serde::{Deserialize, Serialize};
 
 /// Point in time or span on a monotonic clock, in milliseconds.
@@ -52,24 +53,31 @@
     fn now(&self) -> Millis;
 }
 
-/// Monotonic clock of the process, starting at zero.
+/// Monotonic clock of the process, starting at zero. It counts the time during which
+/// the machine is suspended, so that a lease does not outlive a suspension.
 #[derive(Debug, Clone, Copy)]
 pub struct SystemClock {
-    start: Instant,
+    start: Millis,
 }
 
 impl Default for SystemClock {
     fn default() -> Self {
-        Self { start: Instant::now() }
+        Self { start: since_boot() }
     }
 }
 
 impl Clock for SystemClock {
     fn now(&self) -> Millis {
-        Millis(u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX))
+        since_boot().since(self.start)
     }
 }
 
+fn since_boot() -> Millis {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    Millis(seconds * 1_000 + u64::try_from(time.tv_nsec).unwrap_or_default() / 1_000_000)
+}
+
 /// Clock that only moves when a test advances it.
 #[derive(Debug, Default)]
 pub struct ManualClock {
--- a/src/control/campaign.rs
+++ b/src/control/campaign.rs
@@ -100,6 +100,8 @@
                 self.start_vote(now);
             }
         } else if reason == Refused::Removed {
+            // A host that was removed while it was away joins an open group again.
+            self.was_member &= !self.settings.policy.open;
             self.out.push(Output::Removed { by: from });
         }
     }
@@ -139,7 +141,8 @@
         let member = self.members().0.get(id).map(|member| self.bus_addr(member));
         member.or_else(|| {
             let name = id.as_str().rsplit_once('.').map(|(name, _)| name)?;
-            self.settings.group.get(name).cloned()
+            let open = self.settings.policy.open.then(|| name.to_owned());
+            self.settings.group.get(name).cloned().or(open)
         })
     }
 }
--- a/src/control/formation.rs
+++ b/src/control/formation.rs
@@ -2,16 +2,19 @@
 
 use crate::{
     clock::Millis,
-    control::{membership::MembersHistory, node::Node},
+    control::{
+        membership::MembersHistory,
+        node::{Node, Output},
+    },
     ids::ControlId,
-    wire::group::{GroupBody, Hello, Member, Members},
+    wire::group::{GroupBody, GroupMessage, GroupTerm, Hello, Member, Members},
 };
 
 impl Node {
     /// Introduces a host that never was a voter. A removed host stays silent: its
     /// name may belong to its replacement.
     pub(super) fn introduce(&mut self, now: Millis) {
-        let blank = self.is_blank();
+        let blank = self.is_blank() && self.settings.policy.may_form;
         let group = &self.settings.group;
         if blank && self.introductions.may_form(now, &self.settings.member.name, group) {
             self.form_group(now);
@@ -36,6 +39,18 @@
         }
     }
 
+    /// Passes an introduction on to the leader: a joining host may know only hosts
+    /// that do not lead.
+    pub(super) fn forward_hello(&mut self, from: &ControlId, term: GroupTerm, hello: &Hello) {
+        let Some(leader) = self.leader.clone().filter(|id| *id != self.settings.id) else { return };
+        let Some(addr) = self.members().0.get(&leader).map(|member| self.bus_addr(member)) else {
+            return;
+        };
+        let body = GroupBody::Hello(hello.clone());
+        let message = GroupMessage { from: from.clone(), to: Some(leader), term, body };
+        self.out.push(Output::Send { addr, message });
+    }
+
     fn send_hello(&mut self, addr: String, to: Option<ControlId>, answer: bool, nonce: u64) {
         let member = self.settings.member.clone();
         let body = GroupBody::Hello(Hello { member, initialized: !self.is_blank(), answer, nonce });
@@ -49,6 +64,7 @@
         self.forming = true;
         self.start_vote(now);
     }
+
     /// Address of a host; the settings come before the log, so that an address can
     /// be changed while the host is down.
     pub(super) fn bus_addr(&self, member: &Member) -> String {
--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -257,7 +257,8 @@
     /// Starts to send the log to a host that wants to become a voter.
     pub(super) fn consider_learner(&mut self, now: Millis, id: ControlId, member: Member) {
         let silence = self.settings.timing.replace;
-        let is_configured = self.settings.group.contains_key(&member.name);
+        let is_configured =
+            self.settings.policy.open || self.settings.group.contains_key(&member.name);
         let predecessor = self.members().named(&member.name).map(|(id, _)| id.clone());
         let replaces_live = predecessor.is_some_and(|old| {
             old == self.settings.id
@@ -284,12 +285,14 @@
     /// change and an entry of the own term must be committed first; otherwise
     /// two majorities without a common host could exist.
     fn change_members(&mut self, now: Millis) {
-        let State::Leader(leading) = &mut self.state else { return };
+        let State::Leader(leading) = &self.state else { return };
         if self.commit < leading.first.max(self.history.last_change()) {
             return;
         }
+        let silent = self.silent_voter(now);
+        let State::Leader(leading) = &mut self.state else { return };
         let mut next = self.history.current().clone();
-        if let Some(id) = next.replaced().cloned() {
+        if let Some(id) = next.replaced().cloned().or(silent) {
             next.0.remove(&id);
             // Without its progress the host is not taken for one that wants to join.
             leading.replication.hosts.remove(&id);
@@ -301,6 +304,27 @@
         self.append_as_leader(now, vec![Payload::Members(next)]);
     }
 
+    /// Voter of an open group that has been silent for long, if the others can go on
+    /// without it.
+    fn silent_voter(&self, now: Millis) -> Option<ControlId> {
+        let State::Leader(leading) = &self.state else { return None };
+        let policy = &self.settings.policy;
+        let voters = &self.members().0;
+        if !policy.open || voters.len() <= MIN_VOTERS {
+            return None;
+        }
+        let silence = |id: &ControlId| {
+            leading.replication.hosts.get(id).map_or(Millis(0), |p| now.since(p.heard))
+        };
+        let live = voters.keys().filter(|id| silence(id) < self.settings.timing.replace).count();
+        let quorum_after = (voters.len() - 1) / 2 + 1;
+        let is_new = now.since(leading.since) < policy.remove_after;
+        if is_new || live < quorum_after {
+            return None;
+        }
+        voters.keys().find(|id| silence(id) >= policy.remove_after).cloned()
+    }
+
     /// Host that is no voter yet, holds nearly all entries and answers.
     fn learner(&self, now: Millis) -> Option<(ControlId, Member)> {
         let State::Leader(leading) = &self.state else { return None };
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -43,6 +43,28 @@
     /// each process.
     pub seed: u64,
     pub timing: GroupTiming,
+    pub policy: GroupPolicy,
+}
+
+/// How a group takes in hosts and how much of its log it keeps.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct GroupPolicy {
+    /// Hosts outside the configured group may join, and their names are their bus
+    /// addresses.
+    pub open: bool,
+    /// Whether a blank host may form a new group.
+    pub may_form: bool,
+    /// Silence after which a voter is removed from an open group.
+    pub remove_after: Millis,
+    /// Entries before a snapshot that remain in the log, so that a host that is a
+    /// little behind does not need the snapshot.
+    pub tail_entries: u64,
+}
+
+impl Default for GroupPolicy {
+    fn default() -> Self {
+        Self { open: false, may_form: true, remove_after: Millis(8_000), tail_entries: 500 }
+    }
 }
 
 /// Event for a [`Node`].
@@ -270,11 +292,16 @@
 
     fn receive(&mut self, now: Millis, message: GroupMessage) {
         let GroupMessage { from, to, term, body } = message;
-        if from == self.settings.id || to.is_some_and(|to| to != self.settings.id) {
+        if from == self.settings.id || to.as_ref().is_some_and(|to| *to != self.settings.id) {
             return;
         }
         match body {
-            GroupBody::Hello(hello) => self.on_hello(now, from, hello),
+            GroupBody::Hello(hello) => {
+                if hello.answer && to.is_none() {
+                    self.forward_hello(&from, term, &hello);
+                }
+                self.on_hello(now, from, hello);
+            }
             GroupBody::PreVote { last } => self.on_pre_vote(now, from, term, last),
             GroupBody::Vote { last } => self.on_vote(now, from, term, last),
             body => {
--- a/src/control/runtime.rs
+++ b/src/control/runtime.rs
@@ -24,7 +24,7 @@
     clock::{Clock, SystemClock},
     control::{
         core::{Core, Event, Parts},
-        node::{Node, NodeSettings},
+        node::{GroupPolicy, Node, NodeSettings},
         outputs::decode_state,
         report::Report,
     },
@@ -106,6 +106,7 @@
         group: settings.group.clone(),
         seed: rand::random(),
         timing: settings.group_timing.clone(),
+        policy: GroupPolicy::default(),
     }
 }
 
--- a/src/control/writes.rs
+++ b/src/control/writes.rs
@@ -10,10 +10,6 @@
     },
 };
 
-/// Entries before a snapshot that remain in the log, so that a host that is a
-/// little behind does not need the snapshot.
-const TAIL_ENTRIES: u64 = 500;
-
 /// First changed index of a write that changes no entry.
 pub(super) const NO_ENTRY: u64 = u64::MAX;
 
@@ -38,7 +34,8 @@
     pub(super) fn compact(&mut self, data: Bytes) {
         let Some(last) = self.log.mark(self.commit) else { return };
         let members = self.history.at(last.index).clone();
-        let tail = last.index.saturating_sub(TAIL_ENTRIES).max(self.log.base().index);
+        let tail =
+            last.index.saturating_sub(self.settings.policy.tail_entries).max(self.log.base().index);
         let Some(base) = self.log.mark(tail) else { return };
         self.log.compact(base);
         self.history.compact(last.index);
--- a/tests/control_node.rs
+++ b/tests/control_node.rs
@@ -8,7 +8,7 @@
     control::{
         log::{Log, Merge},
         membership::Introductions,
-        node::{Input, Node, NodeSettings, Output, Proposal, Role},
+        node::{GroupPolicy, Input, Node, NodeSettings, Output, Proposal, Role},
         storage::{Snapshot, SnapshotWrite, Stored, Vote, Write},
     },
     ids::ControlId,
@@ -46,6 +46,7 @@
         group: ["a", "b", "c"].map(|name| (name.to_owned(), name.to_owned())).into(),
         seed: 1,
         timing: GroupTiming::default(),
+        policy: GroupPolicy::default(),
     };
     Node::new(settings, Stored { vote, entries, ..Stored::default() }, Millis(0))
 }
--- a/tests/group/mod.rs
+++ b/tests/group/mod.rs
@@ -8,7 +8,7 @@
 use pomelopin::{
     clock::Millis,
     control::{
-        node::{Input, Node, NodeSettings, Output, Proposal, Role},
+        node::{GroupPolicy, Input, Node, NodeSettings, Output, Proposal, Role},
         storage::{Stored, Write},
     },
     ids::ControlId,
@@ -111,6 +111,7 @@
             group: addresses,
             seed,
             timing: GroupTiming::default(),
+            policy: GroupPolicy::default(),
         };
         let snapshot = host.stored.snapshot.as_ref();
         host.state = snapshot.map_or((0, 0), |it| postcard::from_bytes(&it.data).unwrap());
