--- /dev/null
+++ b/src/fleet/control.rs
@@ -0,0 +1,501 @@
+//! Event loop of a control host: the replicated log, and as its leader the registry,
+//! the entry hosts and the changes of primaries.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    io::{Read, Write as _},
+};
+
+use bytes::Bytes;
+use eyre::{Result, WrapErr};
+use flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder};
+use indexmap::IndexMap;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::{
+    adapters::disk_queue::{Confirmations, DiskQueue},
+    clock::{Clock, Millis, SystemClock},
+    control::node::{Input, Node, Output, Proposal, Role},
+    fleet::{
+        config::FleetConfig,
+        failover::{self, Failover},
+        hosts::Hosts,
+        link::{ConnectionId, Inbound, Links, encode},
+        messages::{Announcement, ConfigDocument, FleetView, Frame, TargetRole, ViewRevision},
+        registry::{Noted, Registry},
+        runtime::{Ports, Tasks},
+        state::{FleetCommand, FleetState},
+    },
+    ids::{HostId, InstanceId, Service},
+    wire::group::{GroupMessage, GroupTerm},
+};
+
+/// Interval between ticks of the event loop.
+pub const TICK: Millis = Millis(25);
+
+/// Interval between looks at the targets' health.
+const FAILOVER_TICK: Millis = Millis(50);
+
+/// Entries after which the state is stored and the log shortened.
+const SNAPSHOT_ENTRIES: u64 = 64;
+
+/// Silence after which the connection to another control host is opened anew.
+const PEER_SILENCE: Millis = Millis(700);
+
+/// Largest document after decompression, in bytes.
+const MAX_DOCUMENT_BYTES: u64 = 16 * 1024 * 1024;
+
+/// Call of an operator or a target.
+#[derive(Debug)]
+pub enum Call {
+    /// Puts a checked document in force.
+    Configure(ConfigDocument),
+    ReadConfig,
+    Announce(Box<Announcement>),
+    Leave(InstanceId),
+}
+
+/// Answer to a [`Call`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Answer {
+    Done,
+    Config(ConfigDocument),
+    /// HTTP address of the leader.
+    Leader(String),
+    /// No leader is known, or this host cannot prove that it leads.
+    Unavailable,
+}
+
+/// Event from another task.
+#[derive(Debug)]
+pub enum Event {
+    Call { call: Call, reply: oneshot::Sender<Answer> },
+    Failover { service: Service, event: failover::Event },
+}
+
+/// State that exists only while the host leads.
+pub(super) struct Leading {
+    pub(super) since: Millis,
+    pub(super) registry: Registry,
+    pub(super) hosts: Hosts,
+    pub(super) failover: Failover,
+    /// Connection and last sent versions of each entry host.
+    pub(super) connections: IndexMap<HostId, HostConnection>,
+    pub(super) view: FleetView,
+    pub(super) view_stale: bool,
+    pub(super) failover_at: Millis,
+}
+
+/// What was last sent to an entry host.
+pub(super) struct HostConnection {
+    pub(super) id: ConnectionId,
+    pub(super) view: ViewRevision,
+    pub(super) config_sent: (u64, Millis),
+    pub(super) shares_sent: Millis,
+    pub(super) echo: Millis,
+}
+
+/// Proposal whose commit an operator waits for.
+struct Waiting {
+    index: u64,
+    term: GroupTerm,
+    reply: oneshot::Sender<Answer>,
+}
+
+/// State of a control host.
+pub struct Control<P> {
+    pub(super) clock: SystemClock,
+    pub(super) node: Node,
+    pub(super) name: String,
+    disk: DiskQueue,
+    written: u64,
+    synced: u64,
+    unsynced: VecDeque<(u64, String, GroupMessage)>,
+    links: Links,
+    heard: HashMap<String, Millis>,
+    pub(super) state: FleetState,
+    pub(super) config: FleetConfig,
+    pub(super) answers: HashMap<ConnectionId, mpsc::Sender<Bytes>>,
+    pub(super) leading: Option<Leading>,
+    proposals: Vec<Proposal>,
+    tickets: u64,
+    proposed: HashMap<u64, oneshot::Sender<Answer>>,
+    waiting: Vec<Waiting>,
+    pub(super) ports: P,
+    pub(super) tasks: Tasks,
+}
+
+impl<P: Ports> Control<P> {
+    /// Joins the parts; `state` is what the stored snapshot holds.
+    pub fn new(
+        name: String,
+        clock: SystemClock,
+        node: Node,
+        disk: DiskQueue,
+        state: FleetState,
+        ports: P,
+        tasks: Tasks,
+    ) -> Self {
+        let config = decode_config(&ports, &state.config);
+        Self {
+            clock,
+            node,
+            name,
+            disk,
+            written: 0,
+            synced: 0,
+            unsynced: VecDeque::new(),
+            links: Links::default(),
+            heard: HashMap::new(),
+            state,
+            config,
+            answers: HashMap::new(),
+            leading: None,
+            proposals: Vec::new(),
+            tickets: 0,
+            proposed: HashMap::new(),
+            waiting: Vec::new(),
+            ports,
+            tasks,
+        }
+    }
+
+    /// Runs until an error or until the senders are gone.
+    pub async fn run(
+        mut self,
+        mut inbound: mpsc::Receiver<Inbound>,
+        mut events: mpsc::Receiver<Event>,
+        mut confirmations: Confirmations,
+    ) -> Result<()> {
+        let mut ticks = tokio::time::interval(TICK.duration());
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                biased;
+                Some(confirmed) = confirmations.recv() => self.confirm(confirmed?)?,
+                Some(message) = inbound.recv() => self.receive(message)?,
+                event = events.recv() => match event {
+                    Some(event) => self.handle(event),
+                    None => return Ok(()),
+                },
+                _ = ticks.tick() => self.tick()?,
+            }
+            while let Ok(message) = inbound.try_recv() {
+                self.receive(message)?;
+            }
+            while let Ok(event) = events.try_recv() {
+                self.handle(event);
+            }
+            self.finish_batch()?;
+        }
+    }
+
+    fn tick(&mut self) -> Result<()> {
+        self.step(Input::Tick)?;
+        self.reconnect();
+        if self.node.is_serving(self.clock.now()) {
+            self.lead();
+        }
+        Ok(())
+    }
+
+    fn receive(&mut self, inbound: Inbound) -> Result<()> {
+        match inbound {
+            Inbound::Opened { id, answers } => {
+                self.answers.insert(id, answers);
+            }
+            Inbound::Closed { id } => {
+                self.answers.remove(&id);
+            }
+            Inbound::Received { frame: Frame::Group(message), .. } => {
+                let name = message.from.as_str().rsplit_once('.').map_or("", |(name, _)| name);
+                self.heard.insert(name.to_owned(), self.clock.now());
+                self.step(Input::Message(message))?;
+            }
+            Inbound::Received { id, frame: Frame::Report(report) } => self.report(id, &report),
+            Inbound::Received { .. } => spdlog::debug!("ignoring an unexpected frame"),
+        }
+        Ok(())
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Call { call, reply } => self.call(call, reply),
+            Event::Failover { service, event } => self.failover_event(&service, event),
+        }
+    }
+
+    fn call(&mut self, call: Call, reply: oneshot::Sender<Answer>) {
+        let now = self.clock.now();
+        if !self.node.is_serving(now) || self.leading.is_none() {
+            // The caller may have gone.
+            let _ = reply.send(self.refusal());
+            return;
+        }
+        match call {
+            Call::Configure(document) if document.version <= self.state.config.version => {
+                spdlog::info!("configuration is not newer than the one in force", kv: {version = document.version, in_force = self.state.config.version});
+                let _ = reply.send(Answer::Done);
+            }
+            Call::Configure(document) => {
+                let ticket = self.propose(&FleetCommand::Configure(document));
+                self.proposed.insert(ticket, reply);
+            }
+            Call::ReadConfig => {
+                let _ = reply.send(Answer::Config(self.state.config.clone()));
+            }
+            Call::Announce(announcement) => {
+                self.announce(now, &announcement);
+                let _ = reply.send(Answer::Done);
+            }
+            Call::Leave(id) => {
+                self.leave(&id);
+                let _ = reply.send(Answer::Done);
+            }
+        }
+    }
+
+    fn announce(&mut self, now: Millis, announcement: &Announcement) {
+        let Some(leading) = &mut self.leading else { return };
+        let noted = leading.registry.note(now, announcement);
+        if noted == Noted::Stale {
+            spdlog::info!("stale announcement ignored", kv: {target = announcement.id.as_str(), sequence = announcement.sequence});
+            return;
+        }
+        if noted == Noted::Changed {
+            spdlog::info!("target changed", kv: {target = announcement.id.as_str(), service = announcement.service.as_str(), addr = announcement.addr.as_str(), role = format!("{:?}", announcement.role).as_str(), draining = announcement.draining});
+            leading.view_stale = true;
+        }
+        if announcement.role == TargetRole::Primary
+            && leading.failover.claimed(&announcement.service, &announcement.id)
+        {
+            leading.view_stale = true;
+        }
+    }
+
+    fn leave(&mut self, id: &InstanceId) {
+        let Some(leading) = &mut self.leading else { return };
+        if leading.registry.remove(id) {
+            spdlog::info!("target left", kv: {target = id.as_str()});
+            leading.view_stale = true;
+        }
+    }
+
+    /// Names the leader if another host leads.
+    fn refusal(&self) -> Answer {
+        let leader = self.node.role().leader.filter(|leader| leader != self.node.id());
+        let member = leader.and_then(|id| self.node.members().0.get(&id).cloned());
+        member.map_or(Answer::Unavailable, |member| Answer::Leader(member.http_addr))
+    }
+
+    pub(super) fn propose(&mut self, command: &FleetCommand) -> u64 {
+        self.tickets += 1;
+        match postcard::to_stdvec(command) {
+            Ok(bytes) => {
+                let bytes = bytes.into();
+                self.proposals.push(Proposal { ticket: self.tickets, bytes });
+            }
+            Err(error) => spdlog::error!("cannot encode a command: {error}"),
+        }
+        self.tickets
+    }
+
+    fn finish_batch(&mut self) -> Result<()> {
+        while !self.proposals.is_empty() {
+            let proposals = std::mem::take(&mut self.proposals);
+            self.step(Input::Propose(proposals))?;
+        }
+        if self.node.entries_since_snapshot() >= SNAPSHOT_ENTRIES {
+            let data = postcard::to_stdvec(&self.state).wrap_err("cannot encode the state")?;
+            self.step(Input::Compact { data: data.into() })?;
+        }
+        self.push_view();
+        Ok(())
+    }
+
+    fn step(&mut self, input: Input) -> Result<()> {
+        let mut writes = Vec::new();
+        for output in self.node.step(self.clock.now(), input) {
+            match output {
+                Output::Persist(write) => {
+                    self.written += 1;
+                    writes.push(write);
+                }
+                output => self.execute(output)?,
+            }
+        }
+        if writes.is_empty() { Ok(()) } else { self.disk.push(writes) }
+    }
+
+    /// Follows `count` synced writes and sends the messages that waited for them.
+    fn confirm(&mut self, count: usize) -> Result<()> {
+        for _ in 0..count {
+            self.synced += 1;
+            self.step(Input::Persisted)?;
+            while self.unsynced.front().is_some_and(|(writes, ..)| *writes <= self.synced) {
+                let Some((_, addr, message)) = self.unsynced.pop_front() else { break };
+                self.links.send(&addr, encode(&Frame::Group(message)));
+            }
+        }
+        Ok(())
+    }
+
+    fn execute(&mut self, output: Output) -> Result<()> {
+        match output {
+            Output::Persist(_) => {}
+            Output::Send { addr, message }
+                if message.body.needs_sync() && self.written > self.synced =>
+            {
+                self.unsynced.push_back((self.written, addr, message));
+            }
+            Output::Send { addr, message } => {
+                self.links.send(&addr, encode(&Frame::Group(message)));
+            }
+            Output::RestoreSnapshot { index, data } => {
+                self.state = decode_state(&data)?;
+                self.config = decode_config(&self.ports, &self.state.config);
+                spdlog::info!("restored a snapshot", kv: {index, version = self.state.config.version});
+            }
+            Output::Committed { index, term, bytes } => self.apply(index, term, &bytes)?,
+            Output::Proposed { ticket, index, term } => {
+                if let Some(reply) = self.proposed.remove(&ticket) {
+                    self.waiting.push(Waiting { index, term, reply });
+                }
+            }
+            Output::ProposalRejected { ticket, .. } => {
+                if let Some(reply) = self.proposed.remove(&ticket) {
+                    let _ = reply.send(Answer::Unavailable);
+                }
+            }
+            Output::RoleChanged(change) => {
+                let leader = change.leader.as_ref().map_or("none", |leader| leader.as_str());
+                spdlog::info!("role changed", kv: {role = change.role.to_string().as_str(), term = change.term.0, leader});
+                self.change_role(change.role, change.term.0);
+            }
+            Output::Frozen { gap } => self.thaw(gap),
+            Output::Removed { by } => {
+                spdlog::warn!("regarded as removed from the group", kv: {by = by.as_str()});
+            }
+        }
+        Ok(())
+    }
+
+    fn apply(&mut self, index: u64, term: GroupTerm, bytes: &Bytes) -> Result<()> {
+        let command: FleetCommand = postcard::from_bytes(bytes)
+            .wrap_err_with(|| format!("cannot decode the command at index {index}"))?;
+        let before = self.state.config.version;
+        self.state.apply(&command);
+        if self.state.config.version != before {
+            self.config = decode_config(&self.ports, &self.state.config);
+            spdlog::info!("configuration in force", kv: {version = self.state.config.version, index});
+        }
+        let done = |it: &mut Waiting| it.index <= index;
+        for waiting in self.waiting.extract_if(.., done).collect::<Vec<_>>() {
+            let committed = waiting.index == index && waiting.term == term;
+            let answer = if committed { Answer::Done } else { Answer::Unavailable };
+            let _ = waiting.reply.send(answer);
+        }
+        if let FleetCommand::PromotionBegan { service, .. } = &command {
+            self.failover_event(service, failover::Event::Logged);
+        }
+        Ok(())
+    }
+
+    fn change_role(&mut self, role: Role, term: u64) {
+        if role == Role::Leader {
+            let now = self.clock.now();
+            self.leading.get_or_insert_with(|| Leading::new(now, term));
+        } else if self.leading.take().is_some() {
+            self.proposals.clear();
+            for (_, reply) in self.proposed.drain() {
+                let _ = reply.send(Answer::Unavailable);
+            }
+            for waiting in self.waiting.drain(..) {
+                let _ = waiting.reply.send(Answer::Unavailable);
+            }
+        }
+    }
+
+    /// A leader that did not run begins anew: its knowledge of targets and hosts is
+    /// as old as the gap.
+    fn thaw(&mut self, gap: Millis) {
+        spdlog::warn!("the process did not run", kv: {gap_ms = gap.0});
+        if let Some(leading) = &mut self.leading {
+            *leading = Leading::new(self.clock.now(), leading.view.revision.term);
+            leading.view.revision.number = self.clock.now().0;
+        }
+    }
+
+    /// Opens connections to silent control hosts anew.
+    fn reconnect(&mut self) {
+        let now = self.clock.now();
+        let own = self.node.id().clone();
+        for (id, member) in &self.node.members().0 {
+            let heard = self.heard.entry(member.name.clone()).or_insert(now);
+            if *id != own && now.since(*heard) > PEER_SILENCE {
+                self.links.reset(&member.bus_addr);
+                *heard = now;
+            }
+        }
+    }
+}
+
+impl Leading {
+    fn new(now: Millis, term: u64) -> Self {
+        let revision = ViewRevision { term, number: 0 };
+        Self {
+            since: now,
+            registry: Registry::default(),
+            hosts: Hosts::new(now),
+            failover: Failover::default(),
+            connections: IndexMap::new(),
+            view: FleetView { revision, ..FleetView::default() },
+            view_stale: true,
+            failover_at: now + FAILOVER_TICK,
+        }
+    }
+
+    /// Whether it is time to look at the targets' health.
+    pub(super) fn failover_due(&mut self, now: Millis) -> bool {
+        let due = now >= self.failover_at;
+        if due {
+            self.failover_at = now + FAILOVER_TICK;
+        }
+        due
+    }
+}
+
+/// Compresses an operator's document.
+pub fn compress(document: &[u8]) -> Result<Bytes> {
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+    encoder.write_all(document)?;
+    Ok(encoder.finish()?.into())
+}
+
+/// Operator's document as it was sent.
+pub fn decompress(document: &ConfigDocument) -> Result<Vec<u8>> {
+    let mut bytes = Vec::new();
+    let mut decoder = DeflateDecoder::new(document.deflated.as_ref()).take(MAX_DOCUMENT_BYTES);
+    decoder.read_to_end(&mut bytes).wrap_err("cannot decompress the configuration")?;
+    Ok(bytes)
+}
+
+/// State from a snapshot.
+pub fn decode_state(data: &[u8]) -> Result<FleetState> {
+    postcard::from_bytes(data).wrap_err("cannot decode the state in the snapshot")
+}
+
+/// Configuration of a document in the log. It was checked before it was logged, so a
+/// failure means that the log was written by another version of the program.
+pub fn decode_config<P: Ports>(ports: &P, document: &ConfigDocument) -> FleetConfig {
+    if document.version == 0 {
+        return FleetConfig::default();
+    }
+    match decompress(document).and_then(|bytes| ports.decode_config(&bytes)) {
+        Ok(config) => config,
+        Err(error) => {
+            spdlog::error!("cannot read the configuration in force: {error:#}");
+            FleetConfig::default()
+        }
+    }
+}
--- /dev/null
+++ b/src/fleet/failover.rs
@@ -0,0 +1,538 @@
+//! Change of a service's primary as a state machine without I/O.
+//!
+//! A commit is acknowledged once one replica holds it. The change therefore pauses
+//! all replicas but the candidate, so that nothing can be acknowledged that the
+//! candidate lacks, and goes on only if the candidate holds at least what every
+//! other replica had received. Entry hosts first stop relying on the old primary.
+//! The intent is in the log before the first call; each call has a higher number
+//! than all earlier ones, so that a call that is carried out late has no effect
+//! after a newer one.
+
+use indexmap::IndexMap;
+
+use crate::{
+    clock::Millis,
+    fleet::{
+        hosts::Hosts,
+        messages::{Announcement, TargetRole, ViewRevision},
+        registry::Registry,
+    },
+    ids::{InstanceId, Mark, Service},
+};
+
+/// Time for which a target's failure must last before its primary is replaced.
+const FAILING_AT_LEAST: Millis = Millis(700);
+
+/// Silence of a target that hosts do not use, after which it counts as lost: more
+/// than two missed announcements of the longest usual interval.
+const SILENT_AT_LEAST: Millis = Millis(4_000);
+
+/// Part of the hosts that must report a failure while others get answers.
+const FAILING_PERCENT: usize = 30;
+
+/// Time that a leader listens before it judges targets: every target announces
+/// itself once, and every host reports.
+const LISTEN: Millis = Millis(1_800);
+
+/// Interval between questions to the targets during a change.
+const ASK_INTERVAL: Millis = Millis(100);
+
+/// Time after which a target that does not answer is left out of the comparison, if
+/// the hosts' reports prove that the candidate holds all that was acknowledged.
+const GIVE_UP_ON_SILENT: Millis = Millis(700);
+
+/// Time after which a promotion without effect is sent again.
+const REPEAT_CALL: Millis = Millis(1_500);
+
+/// Time after which a change without a result begins anew.
+const RESTART_AFTER: Millis = Millis(5_000);
+
+/// Pause between two changes of one service.
+const PAUSE_BETWEEN: Millis = Millis(1_000);
+
+/// Question or order to a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Order {
+    Status,
+    /// Stop receiving, under a term above all others.
+    Pause(u64),
+    Resume,
+}
+
+/// Answer of a target to an [`Order`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TargetStatus {
+    pub role: TargetRole,
+    /// Newest term that the target knows.
+    pub term: u64,
+    /// Position up to which it has received the log.
+    pub received: Mark,
+}
+
+/// Result of a call that promotes a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallOutcome {
+    Accepted,
+    /// A higher number was used, or the target is not running.
+    Refused,
+    /// No answer; the call may still be carried out.
+    Unknown,
+}
+
+/// Event for one service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Event {
+    Answered {
+        target: InstanceId,
+        order: Order,
+        status: Option<TargetStatus>,
+    },
+    Called {
+        token: u64,
+        outcome: CallOutcome,
+    },
+    /// The intent is committed.
+    Logged,
+}
+
+/// What the runtime must do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    Ask {
+        service: Service,
+        target: InstanceId,
+        order: Order,
+    },
+    /// Add the intent to the log.
+    LogBegin {
+        service: Service,
+        target: InstanceId,
+    },
+    Call {
+        service: Service,
+        target: InstanceId,
+        token: u64,
+    },
+    LogEnd {
+        service: Service,
+    },
+    /// The view differs: hosts must learn of the primary or of a change.
+    ViewChanged,
+}
+
+/// Why a primary is replaced.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reason {
+    Draining,
+    Failing,
+    Gone,
+    /// An earlier leader began a promotion whose end is not known.
+    Unfinished,
+}
+
+/// What the decisions look at.
+pub struct Cx<'a> {
+    pub now: Millis,
+    /// Term of the leader; calls of a later leader have higher numbers.
+    pub term: u64,
+    /// When this host became the leader.
+    pub since: Millis,
+    pub registry: &'a Registry,
+    pub hosts: &'a Hosts,
+    pub view: ViewRevision,
+}
+
+/// Primary of one service and its change.
+#[derive(Debug, Default)]
+pub struct ServiceState {
+    pub primary: Option<InstanceId>,
+    change: Option<Change>,
+    ended: Option<Millis>,
+}
+
+#[derive(Debug)]
+struct Change {
+    reason: Reason,
+    since: Millis,
+    /// View that tells hosts of the change.
+    view: Option<ViewRevision>,
+    asked: Option<Millis>,
+    statuses: IndexMap<InstanceId, TargetStatus>,
+    paused: IndexMap<InstanceId, Mark>,
+    candidate: Option<InstanceId>,
+    step: Step,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Step {
+    /// Statuses are collected and replicas are paused.
+    Choosing,
+    Logging,
+    /// Hosts still may rely on the old primary.
+    Revoking,
+    Calling {
+        sent: Millis,
+        token: u64,
+    },
+}
+
+/// Changes of all services.
+#[derive(Debug, Default)]
+pub struct Failover {
+    services: IndexMap<Service, ServiceState>,
+    calls: u64,
+}
+
+/// Bits of a call's number that count the calls of one leader.
+const CALL_BITS: u32 = 20;
+
+impl Failover {
+    /// Primary of `service` and whether it is about to change.
+    pub fn primary(&self, service: &Service) -> Option<(Option<&InstanceId>, bool)> {
+        let state = self.services.get(service)?;
+        Some((state.primary.as_ref(), state.change.is_some()))
+    }
+
+    /// All services.
+    pub fn services(&self) -> impl Iterator<Item = (&Service, &ServiceState)> {
+        self.services.iter()
+    }
+
+    /// Notes that `target` says it is the primary.
+    pub fn claimed(&mut self, service: &Service, target: &InstanceId) -> bool {
+        let state = self.services.entry(service.clone()).or_default();
+        if state.primary.as_ref() == Some(target) {
+            return false;
+        }
+        state.primary = Some(target.clone());
+        true
+    }
+
+    /// Regular work: starts changes and repeats what got no answer.
+    pub fn tick(
+        &mut self,
+        cx: &Cx<'_>,
+        services: impl Iterator<Item = Service>,
+        unfinished: &IndexMap<Service, InstanceId>,
+    ) -> Vec<Action> {
+        let mut out = Vec::new();
+        for service in services {
+            let state = self.services.entry(service.clone()).or_default();
+            if state.change.is_none()
+                && let Some(reason) = state.trouble(cx, &service, unfinished)
+            {
+                spdlog::warn!("change of a primary begins", kv: {service = service.as_str(), reason = format!("{reason:?}").as_str(), primary = state.primary.as_ref().map_or("none", |id| id.as_str())});
+                state.change = Some(Change::new(cx.now, reason));
+                out.push(Action::ViewChanged);
+            }
+            state.advance(cx, &service, &mut self.calls, &mut out);
+        }
+        out
+    }
+
+    /// Handles an event of `service`.
+    pub fn handle(&mut self, cx: &Cx<'_>, service: &Service, event: Event) -> Vec<Action> {
+        let mut out = Vec::new();
+        let Some(state) = self.services.get_mut(service) else { return out };
+        let Some(change) = &mut state.change else { return out };
+        match event {
+            Event::Answered { target, order, status: Some(status) } => {
+                if matches!(order, Order::Pause(_)) {
+                    change.paused.insert(target.clone(), status.received);
+                }
+                change.statuses.insert(target, status);
+            }
+            Event::Answered { status: None, .. } => {}
+            Event::Logged if change.step == Step::Logging => change.step = Step::Revoking,
+            Event::Logged => {}
+            Event::Called { token, outcome } => change.called(cx.now, token, outcome),
+        }
+        state.advance(cx, service, &mut self.calls, &mut out);
+        out
+    }
+}
+
+impl ServiceState {
+    /// Why the primary must be replaced, if it must.
+    fn trouble(
+        &self,
+        cx: &Cx<'_>,
+        service: &Service,
+        unfinished: &IndexMap<Service, InstanceId>,
+    ) -> Option<Reason> {
+        if cx.now.since(cx.since) < LISTEN || cx.registry.of(service).count() < 2 {
+            return None;
+        }
+        if self.ended.is_some_and(|at| cx.now.since(at) < PAUSE_BETWEEN) {
+            return None;
+        }
+        if unfinished.contains_key(service) {
+            return Some(Reason::Unfinished);
+        }
+        let known = self.primary.as_ref().and_then(|id| cx.registry.get(id));
+        let Some(primary) = known else { return Some(Reason::Gone) };
+        if primary.role != TargetRole::Primary {
+            return Some(Reason::Gone);
+        }
+        if primary.draining {
+            let has_other = cx.registry.of(service).any(|it| !it.draining && it.id != primary.id);
+            return has_other.then_some(Reason::Draining);
+        }
+        is_failing(cx, &primary.id).then_some(Reason::Failing)
+    }
+
+    fn advance(&mut self, cx: &Cx<'_>, service: &Service, calls: &mut u64, out: &mut Vec<Action>) {
+        let Some(change) = &mut self.change else { return };
+        if change.view.is_none() {
+            // The view with the change has the next number.
+            change.view = Some(ViewRevision { number: cx.view.number + 1, ..cx.view });
+        }
+        match change.step {
+            Step::Choosing => self.choose(cx, service, out),
+            Step::Logging => {}
+            Step::Revoking => {
+                let is_known = change.view.is_some_and(|view| cx.hosts.have_view(cx.now, view));
+                if is_known {
+                    self.call(cx, service, calls, out);
+                }
+            }
+            Step::Calling { sent, .. } => {
+                if self.has_taken_effect(cx) {
+                    self.finish(cx, service, out);
+                } else if cx.now.since(sent) >= REPEAT_CALL {
+                    self.call(cx, service, calls, out);
+                } else {
+                    self.ask(cx, service, out);
+                }
+            }
+        }
+        self.restart_if_stuck(cx, service, out);
+    }
+
+    /// Collects statuses until a candidate is known to hold all acknowledged commits.
+    fn choose(&mut self, cx: &Cx<'_>, service: &Service, out: &mut Vec<Action>) {
+        let primary = self.primary.clone();
+        self.ask(cx, service, out);
+        let Some(change) = &mut self.change else { return };
+        if let Some(current) = change.settled_by(cx, primary.as_ref()) {
+            change.candidate = Some(current.clone());
+            change.step = Step::Logging;
+            out.push(Action::LogBegin { service: service.clone(), target: current });
+            return;
+        }
+        let Some(candidate) = change.best(cx, service, primary.as_ref()) else { return };
+        if change.candidate.as_ref() != Some(&candidate) {
+            change.candidate = Some(candidate.clone());
+            change.asked = None;
+            self.ask(cx, service, out);
+            return;
+        }
+        if change.is_safe(cx, service, &candidate, primary.as_ref()) {
+            spdlog::info!("candidate chosen", kv: {service = service.as_str(), candidate = candidate.as_str(), after_ms = cx.now.since(change.since).0});
+            change.step = Step::Logging;
+            out.push(Action::LogBegin { service: service.clone(), target: candidate });
+        }
+    }
+
+    /// Asks all targets of the service for their status; replicas other than the
+    /// candidate are paused.
+    fn ask(&mut self, cx: &Cx<'_>, service: &Service, out: &mut Vec<Action>) {
+        let Some(change) = &mut self.change else { return };
+        if change.asked.is_some_and(|at| cx.now.since(at) < ASK_INTERVAL) {
+            return;
+        }
+        change.asked = Some(cx.now);
+        let term = change.statuses.values().map(|status| status.term).max().unwrap_or_default();
+        for target in cx.registry.of(service) {
+            let is_candidate = change.candidate.as_ref() == Some(&target.id);
+            let is_primary = self.primary.as_ref() == Some(&target.id);
+            let pauses = change.candidate.is_some() && change.step == Step::Choosing;
+            let order = if pauses && !is_candidate && !is_primary {
+                Order::Pause(term + 1)
+            } else {
+                Order::Status
+            };
+            out.push(Action::Ask { service: service.clone(), target: target.id.clone(), order });
+        }
+    }
+
+    fn call(&mut self, cx: &Cx<'_>, service: &Service, calls: &mut u64, out: &mut Vec<Action>) {
+        let Some(change) = &mut self.change else { return };
+        let Some(target) = change.candidate.clone() else { return };
+        *calls += 1;
+        let token = (cx.term << CALL_BITS) | *calls;
+        change.step = Step::Calling { sent: cx.now, token };
+        change.statuses.clear();
+        out.push(Action::Call { service: service.clone(), target, token });
+    }
+
+    fn has_taken_effect(&self, cx: &Cx<'_>) -> bool {
+        let Some(change) = &self.change else { return false };
+        let Some(candidate) = &change.candidate else { return false };
+        let says_so = |status: &TargetStatus| status.role == TargetRole::Primary;
+        change.statuses.get(candidate).is_some_and(says_so)
+            || (self.primary.as_ref() == Some(candidate)
+                && change.reason != Reason::Unfinished
+                && cx.registry.get(candidate).is_some_and(|it| it.role == TargetRole::Primary))
+    }
+
+    fn finish(&mut self, cx: &Cx<'_>, service: &Service, out: &mut Vec<Action>) {
+        let Some(change) = self.change.take() else { return };
+        let Some(candidate) = change.candidate else { return };
+        spdlog::info!("change of a primary ends", kv: {service = service.as_str(), primary = candidate.as_str(), took_ms = cx.now.since(change.since).0});
+        for target in change.paused.keys().filter(|id| **id != candidate) {
+            let (service, target) = (service.clone(), target.clone());
+            out.push(Action::Ask { service, target, order: Order::Resume });
+        }
+        self.primary = Some(candidate);
+        self.ended = Some(cx.now);
+        out.push(Action::LogEnd { service: service.clone() });
+        out.push(Action::ViewChanged);
+    }
+
+    /// Begins anew when nothing was decided for long, for example because the
+    /// candidate was lost as well. Paused replicas are resumed if no call is under
+    /// way.
+    fn restart_if_stuck(&mut self, cx: &Cx<'_>, service: &Service, out: &mut Vec<Action>) {
+        let Some(change) = &self.change else { return };
+        if cx.now.since(change.since) < RESTART_AFTER {
+            return;
+        }
+        spdlog::warn!("change of a primary begins again", kv: {service = service.as_str(), step = format!("{:?}", change.step).as_str()});
+        if change.step == Step::Choosing {
+            for target in change.paused.keys() {
+                let (service, target) = (service.clone(), target.clone());
+                out.push(Action::Ask { service, target, order: Order::Resume });
+            }
+        }
+        let called = matches!(change.step, Step::Calling { .. });
+        self.change = None;
+        self.ended = Some(cx.now);
+        if called {
+            self.change = Some(Change::new(cx.now, Reason::Unfinished));
+        }
+        out.push(Action::ViewChanged);
+    }
+}
+
+impl Change {
+    fn new(now: Millis, reason: Reason) -> Self {
+        Self {
+            reason,
+            since: now,
+            view: None,
+            asked: None,
+            statuses: IndexMap::new(),
+            paused: IndexMap::new(),
+            candidate: None,
+            step: Step::Choosing,
+        }
+    }
+
+    fn called(&mut self, now: Millis, token: u64, outcome: CallOutcome) {
+        let Step::Calling { token: current, .. } = self.step else { return };
+        if token != current {
+            return;
+        }
+        match outcome {
+            // The next call follows at once, with a higher number.
+            CallOutcome::Refused => {
+                let sent = Millis(now.0.saturating_sub(REPEAT_CALL.0 - ASK_INTERVAL.0));
+                self.step = Step::Calling { sent, token };
+            }
+            CallOutcome::Accepted | CallOutcome::Unknown => {}
+        }
+    }
+
+    /// Primary that still serves although a promotion may be under way or was
+    /// suspected to be needed: calling it again makes late calls void.
+    fn settled_by(&self, cx: &Cx<'_>, primary: Option<&InstanceId>) -> Option<InstanceId> {
+        if self.reason != Reason::Unfinished {
+            return None;
+        }
+        let leads = |status: &&TargetStatus| status.role == TargetRole::Primary;
+        let serving = self.statuses.iter().filter(|(_, status)| leads(status));
+        let newest = serving.max_by_key(|(_, status)| status.term).map(|(id, _)| id.clone());
+        newest.filter(|id| {
+            primary.is_none_or(|primary| primary == id) || cx.registry.get(id).is_some()
+        })
+    }
+
+    /// Replica that should become the primary: of those that have received most, the
+    /// first that is not leaving.
+    fn best(
+        &self,
+        cx: &Cx<'_>,
+        service: &Service,
+        primary: Option<&InstanceId>,
+    ) -> Option<InstanceId> {
+        let replicas = || others(cx, service, primary);
+        let waited = cx.now.since(self.since) >= GIVE_UP_ON_SILENT;
+        let all_known = replicas().all(|it| self.statuses.contains_key(&it.id));
+        if !all_known && !waited {
+            return None;
+        }
+        if let Some(candidate) = &self.candidate
+            && self.holds_most(candidate)
+            && cx.registry.get(candidate).is_some_and(|it| !it.draining)
+        {
+            return Some(candidate.clone());
+        }
+        let rank = |it: &&Announcement| {
+            let received = self.statuses.get(&it.id).map(|status| status.received);
+            (received, !it.draining)
+        };
+        let staying = replicas().filter(|it| !it.draining && self.statuses.contains_key(&it.id));
+        let best = staying.max_by_key(rank);
+        best.or_else(|| replicas().filter(|it| self.statuses.contains_key(&it.id)).max_by_key(rank))
+            .map(|it| it.id.clone())
+    }
+
+    fn holds_most(&self, candidate: &InstanceId) -> bool {
+        let Some(own) = self.statuses.get(candidate) else { return false };
+        self.paused.values().all(|received| own.received >= *received)
+    }
+
+    /// Whether the candidate holds everything that was or can be acknowledged.
+    fn is_safe(
+        &self,
+        cx: &Cx<'_>,
+        service: &Service,
+        candidate: &InstanceId,
+        primary: Option<&InstanceId>,
+    ) -> bool {
+        if !self.holds_most(candidate) {
+            return false;
+        }
+        let unpaused = others(cx, service, primary)
+            .filter(|it| it.id != *candidate && !self.paused.contains_key(&it.id));
+        let silent = unpaused.count();
+        if silent == 0 {
+            return true;
+        }
+        // A replica that does not answer may hold more. The hosts know what was
+        // acknowledged to callers.
+        let waited = cx.now.since(self.since) >= GIVE_UP_ON_SILENT;
+        let Some(own) = self.statuses.get(candidate) else { return false };
+        waited && cx.hosts.acknowledged(service).is_none_or(|newest| own.received >= newest)
+    }
+}
+
+/// Targets of the service other than the primary.
+fn others<'a>(
+    cx: &'a Cx<'_>,
+    service: &'a Service,
+    primary: Option<&'a InstanceId>,
+) -> impl Iterator<Item = &'a Announcement> {
+    cx.registry.of(service).filter(move |it| Some(&it.id) != primary)
+}
+
+/// Whether a primary answers too few hosts.
+fn is_failing(cx: &Cx<'_>, id: &InstanceId) -> bool {
+    let opinions = cx.hosts.opinions(cx.now, id);
+    let total = opinions.answering + opinions.failing;
+    if total == 0 {
+        return cx.registry.silence(cx.now, id).is_some_and(|span| span >= SILENT_AT_LEAST);
+    }
+    opinions.failing * 100 >= total * FAILING_PERCENT && opinions.longest >= FAILING_AT_LEAST
+}
--- /dev/null
+++ b/src/fleet/leader.rs
@@ -0,0 +1,259 @@
+//! Work of a control host while it leads: reports of entry hosts, the view and the
+//! changes of primaries.
+
+use std::mem;
+
+use crate::{
+    clock::{Clock, Millis},
+    fleet::{
+        control::{Control, HostConnection, Leading},
+        failover::{self, Action, Order},
+        hosts::LEASE,
+        link::{ConnectionId, encode},
+        messages::{FleetView, Frame, HostReport, HostUpdate, Primary, Redirect, ViewRevision},
+        registry::Noted,
+        runtime::Ports,
+        shares::shares_of,
+        state::FleetCommand,
+    },
+    ids::{HostId, Service},
+};
+
+/// Interval between two deliveries of shares to one host.
+const SHARES_INTERVAL: Millis = Millis(400);
+
+/// Time after which a configuration is sent again to a host that has not confirmed it.
+const RESEND_CONFIG: Millis = Millis(1_000);
+
+/// Time for which a new leader leaves shares as they are: it does not know the
+/// demand before every host has reported more than once.
+const SHARES_DELAY: Millis = Millis(1_500);
+
+/// Shortest interval between two configurations that are pushed to one host.
+const PUSH_INTERVAL: Millis = Millis(200);
+
+impl<P: Ports> Control<P> {
+    /// Regular work of a leader.
+    pub(super) fn lead(&mut self) {
+        let now = self.clock.now();
+        let Some(leading) = &mut self.leading else { return };
+        let silent_hosts = leading.hosts.forget_silent(now);
+        let silent_targets = leading.registry.forget_silent(now);
+        leading.view_stale |= silent_hosts || silent_targets;
+        if leading.failover_due(now) {
+            let services: Vec<Service> = self.config.services.keys().cloned().collect();
+            let mut failover = mem::take(&mut leading.failover);
+            let cx = leading.failover_cx(now);
+            let actions = failover.tick(&cx, services.into_iter(), &self.state.promotions);
+            leading.failover = failover;
+            self.act(actions);
+        }
+        self.push_configs(now);
+    }
+
+    pub(super) fn failover_event(&mut self, service: &Service, event: failover::Event) {
+        let now = self.clock.now();
+        let Some(leading) = &mut self.leading else { return };
+        let mut failover = mem::take(&mut leading.failover);
+        let actions = failover.handle(&leading.failover_cx(now), service, event);
+        leading.failover = failover;
+        self.act(actions);
+    }
+
+    fn act(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Ask { service, target, order } => self.ask(&service, &target, order),
+                Action::LogBegin { service, target } => {
+                    self.propose(&FleetCommand::PromotionBegan { service, target });
+                }
+                Action::LogEnd { service } => {
+                    self.propose(&FleetCommand::PromotionEnded { service });
+                }
+                Action::Call { service, target, token } => {
+                    spdlog::info!("promotion is called", kv: {service = service.as_str(), target = target.as_str(), token});
+                    let holder = self.name.clone();
+                    self.tasks.promote(self.ports.clone(), service, target, holder, token);
+                }
+                Action::ViewChanged => {
+                    if let Some(leading) = &mut self.leading {
+                        leading.view_stale = true;
+                    }
+                }
+            }
+        }
+        self.push_view();
+    }
+
+    fn ask(&self, service: &Service, target: &crate::ids::InstanceId, order: Order) {
+        let known = self.leading.as_ref().and_then(|leading| leading.registry.get(target));
+        if let Some(known) = known {
+            self.tasks.ask(self.ports.clone(), service.clone(), known.clone(), order);
+        }
+    }
+
+    /// Handles the report of an entry host.
+    pub(super) fn report(&mut self, id: ConnectionId, report: &HostReport) {
+        let now = self.clock.now();
+        if !self.node.is_serving(now) || self.leading.is_none() {
+            self.redirect(id);
+            return;
+        }
+        let Some(leading) = &mut self.leading else { return };
+        let is_new = leading.hosts.note(now, report);
+        for announcement in &report.known {
+            leading.view_stale |= leading.registry.suggest(now, announcement) == Noted::Changed;
+            if announcement.role == crate::fleet::messages::TargetRole::Primary
+                && leading.failover.primary(&announcement.service).is_none()
+            {
+                leading.failover.claimed(&announcement.service, &announcement.id);
+            }
+        }
+        if is_new {
+            spdlog::info!("entry host reported", kv: {host = report.host.as_str(), hosts = leading.hosts.len()});
+            leading.view_stale = true;
+        }
+        if report.leaving {
+            leading.connections.shift_remove(&report.host);
+            return;
+        }
+        let connection = leading
+            .connections
+            .entry(report.host.clone())
+            .or_insert_with(|| HostConnection::new(id));
+        if connection.id != id || is_new {
+            *connection = HostConnection::new(id);
+        }
+        connection.echo = report.sent_at;
+        connection.view = report.view_revision;
+        self.push_view();
+        self.answer(now, &report.host, true);
+    }
+
+    fn redirect(&self, id: ConnectionId) {
+        let members = &self.node.members().0;
+        let leader = self.node.role().leader.filter(|leader| leader != self.node.id());
+        let leader = leader.and_then(|id| members.get(&id)).map(|member| member.bus_addr.clone());
+        let members = members.values().map(|member| member.bus_addr.clone()).collect();
+        self.send(id, &Frame::NotLeader(Redirect { leader, members }));
+    }
+
+    fn send(&self, id: ConnectionId, frame: &Frame) -> bool {
+        let Some(answers) = self.answers.get(&id) else { return false };
+        answers.try_send(encode(frame)).is_ok()
+    }
+
+    /// Sends a host what it lacks.
+    fn answer(&mut self, now: Millis, host: &HostId, always: bool) {
+        let Some(leading) = &mut self.leading else { return };
+        let Some(connection) = leading.connections.get_mut(host) else { return };
+        let known = leading.hosts.get(host).map_or(0, |host| host.config_version);
+        let mut update = HostUpdate {
+            echo: connection.echo,
+            lease: LEASE,
+            config: None,
+            view: None,
+            shares: None,
+        };
+        let in_force = self.state.config.version;
+        let (sent, sent_at) = connection.config_sent;
+        let is_due = sent != in_force || now.since(sent_at) >= RESEND_CONFIG;
+        if known < in_force && is_due && now.since(sent_at) >= PUSH_INTERVAL {
+            connection.config_sent = (in_force, now);
+            update.config = Some(self.state.config.clone());
+        }
+        if connection.view != leading.view.revision {
+            connection.view = leading.view.revision;
+            update.view = Some(leading.view.clone());
+        }
+        if always
+            && now.since(leading.since) >= SHARES_DELAY
+            && now.since(connection.shares_sent) >= SHARES_INTERVAL
+        {
+            connection.shares_sent = now;
+            update.shares = Some(shares_of(host, leading.hosts.demands(), &self.config.workspaces));
+        }
+        let id = connection.id;
+        if !always && update.config.is_none() && update.view.is_none() {
+            return;
+        }
+        if !self.send(id, &Frame::Update(update))
+            && let Some(leading) = &mut self.leading
+        {
+            leading.connections.shift_remove(host);
+        }
+    }
+
+    /// Sends a newer configuration to hosts that lack it.
+    fn push_configs(&mut self, now: Millis) {
+        let Some(leading) = &self.leading else { return };
+        let in_force = self.state.config.version;
+        let lacks = |host: &&HostId| {
+            leading.hosts.get(host).is_some_and(|host| host.config_version < in_force)
+        };
+        let behind: Vec<HostId> = leading.connections.keys().filter(lacks).cloned().collect();
+        for host in behind {
+            self.answer(now, &host, false);
+        }
+    }
+
+    /// Computes the view anew if something changed, and sends it to all hosts.
+    pub(super) fn push_view(&mut self) {
+        let now = self.clock.now();
+        let serving = self.node.is_serving(now);
+        let control =
+            self.node.members().0.values().map(|member| member.bus_addr.clone()).collect();
+        let Some(leading) = &mut self.leading else { return };
+        if !serving || !mem::take(&mut leading.view_stale) {
+            return;
+        }
+        let revision = leading.view.revision;
+        let next = FleetView {
+            revision: ViewRevision { number: revision.number + 1, ..revision },
+            hosts: u32::try_from(leading.hosts.len()).unwrap_or(u32::MAX),
+            targets: leading.registry.all().cloned().collect(),
+            primaries: leading.primaries(),
+            control,
+        };
+        leading.view = next;
+        let hosts: Vec<HostId> = leading.connections.keys().cloned().collect();
+        for host in hosts {
+            self.answer(now, &host, false);
+        }
+    }
+}
+
+impl Leading {
+    fn failover_cx(&self, now: Millis) -> failover::Cx<'_> {
+        failover::Cx {
+            now,
+            term: self.view.revision.term,
+            since: self.since,
+            registry: &self.registry,
+            hosts: &self.hosts,
+            view: self.view.revision,
+        }
+    }
+
+    fn primaries(&self) -> Vec<Primary> {
+        let services = self.failover.services().map(|(service, _)| service);
+        services
+            .filter_map(|service| {
+                let (id, changing) = self.failover.primary(service)?;
+                Some(Primary { service: service.clone(), id: id.cloned(), changing })
+            })
+            .collect()
+    }
+}
+
+impl HostConnection {
+    fn new(id: ConnectionId) -> Self {
+        Self {
+            id,
+            view: ViewRevision::default(),
+            config_sent: (0, Millis(0)),
+            shares_sent: Millis(0),
+            echo: Millis(0),
+        }
+    }
+}
--- /dev/null
+++ b/src/fleet/link.rs
@@ -0,0 +1,205 @@
+//! Framed TCP connections of a fleet.
+//!
+//! Connections may go silent without an end, so senders bound the time for which
+//! data may stay unacknowledged, and whoever expects answers opens a new connection
+//! when none arrive.
+
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use eyre::{Result, WrapErr};
+use futures::{SinkExt, StreamExt};
+use tokio::{
+    net::{TcpListener, TcpStream, tcp::OwnedReadHalf, tcp::OwnedWriteHalf},
+    sync::mpsc,
+    time::timeout,
+};
+use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
+
+use crate::fleet::messages::Frame;
+
+/// Time for a connection to be set up; several round trips between distant domains.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Time for which sent data may stay unacknowledged.
+const UNACKNOWLEDGED_MS: u32 = 1_500;
+
+/// Largest frame in bytes; a part of a snapshot or a batch of log entries fits.
+const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
+
+/// Frames that wait for a connection. A receiver that is behind by more is cut off;
+/// the protocols repeat what is lost.
+const QUEUED_FRAMES: usize = 256;
+
+/// Reading side of a connection.
+pub type FrameReader = FramedRead<OwnedReadHalf, LengthDelimitedCodec>;
+
+/// Writing side of a connection.
+pub type FrameWriter = FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>;
+
+/// Encodes a frame.
+pub fn encode(frame: &Frame) -> Bytes {
+    match postcard::to_stdvec(frame) {
+        Ok(bytes) => bytes.into(),
+        Err(error) => {
+            spdlog::error!("cannot encode a frame: {error}");
+            Bytes::new()
+        }
+    }
+}
+
+/// Decodes a frame.
+pub fn decode(bytes: &[u8]) -> Result<Frame> {
+    postcard::from_bytes(bytes).wrap_err("cannot decode a frame")
+}
+
+/// Opens a connection.
+pub async fn connect(addr: &str) -> Result<TcpStream> {
+    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await??;
+    prepare(&stream);
+    Ok(stream)
+}
+
+/// Sets the options of a connection of ours.
+pub fn prepare(stream: &TcpStream) {
+    if let Err(error) = stream.set_nodelay(true) {
+        spdlog::debug!("cannot set TCP_NODELAY: {error}");
+    }
+    if let Err(error) = rustix::net::sockopt::set_tcp_user_timeout(stream, UNACKNOWLEDGED_MS) {
+        spdlog::debug!("cannot set TCP_USER_TIMEOUT: {error}");
+    }
+}
+
+/// Splits a connection into its framed sides.
+pub fn split(stream: TcpStream) -> (FrameReader, FrameWriter) {
+    let codec = || LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
+    let (reader, writer) = stream.into_split();
+    (FramedRead::new(reader, codec()), FramedWrite::new(writer, codec()))
+}
+
+/// Number of an accepted connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ConnectionId(pub u64);
+
+/// What arrives on accepted connections.
+#[derive(Debug)]
+pub enum Inbound {
+    Opened { id: ConnectionId, answers: mpsc::Sender<Bytes> },
+    Received { id: ConnectionId, frame: Frame },
+    Closed { id: ConnectionId },
+}
+
+/// Accepts connections until the receiver of `events` is gone.
+pub async fn listen(addr: SocketAddr, events: mpsc::Sender<Inbound>) -> Result<()> {
+    let listener =
+        TcpListener::bind(addr).await.wrap_err_with(|| format!("cannot listen on {addr}"))?;
+    let mut next = 0;
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                next += 1;
+                tokio::task::spawn_local(serve(ConnectionId(next), stream, events.clone()));
+            }
+            Err(error) => {
+                spdlog::warn!("cannot accept a connection: {error}");
+                tokio::time::sleep(CONNECT_TIMEOUT).await;
+            }
+        }
+    }
+}
+
+async fn serve(id: ConnectionId, stream: TcpStream, events: mpsc::Sender<Inbound>) {
+    prepare(&stream);
+    let (mut reader, mut writer) = split(stream);
+    let (answers, mut queue) = mpsc::channel::<Bytes>(QUEUED_FRAMES);
+    if events.send(Inbound::Opened { id, answers }).await.is_err() {
+        return;
+    }
+    loop {
+        tokio::select! {
+            read = reader.next() => {
+                let Some(Ok(bytes)) = read else { break };
+                match decode(&bytes) {
+                    Ok(frame) => {
+                        if events.send(Inbound::Received { id, frame }).await.is_err() {
+                            return;
+                        }
+                    }
+                    Err(error) => {
+                        spdlog::warn!("closing a connection after an invalid frame: {error:#}");
+                        break;
+                    }
+                }
+            }
+            answer = queue.recv() => {
+                let Some(bytes) = answer else { break };
+                if writer.send(bytes).await.is_err() {
+                    break;
+                }
+            }
+        }
+    }
+    // The receiver is gone when the process stops.
+    let _ = events.send(Inbound::Closed { id }).await;
+}
+
+/// Outgoing connections by address; each is opened when it is first needed and again
+/// after it has failed.
+#[derive(Debug, Default)]
+pub struct Links {
+    queues: HashMap<String, mpsc::Sender<Bytes>>,
+}
+
+impl Links {
+    /// Queues a frame for `addr`; drops it if the queue is full.
+    pub fn send(&mut self, addr: &str, bytes: Bytes) {
+        let queue = self.queues.entry(addr.to_owned()).or_insert_with(|| {
+            let (tx, rx) = mpsc::channel(QUEUED_FRAMES);
+            tokio::task::spawn_local(run_link(addr.to_owned(), rx));
+            tx
+        });
+        match queue.try_send(bytes) {
+            Ok(()) => {}
+            Err(mpsc::error::TrySendError::Full(_)) => {
+                spdlog::debug!("queue to {addr} is full, a frame is dropped");
+            }
+            Err(mpsc::error::TrySendError::Closed(_)) => {
+                self.queues.remove(addr);
+            }
+        }
+    }
+
+    /// Closes the connection to `addr`; the next frame opens a new one.
+    pub fn reset(&mut self, addr: &str) {
+        self.queues.remove(addr);
+    }
+}
+
+/// Sends queued frames; ends when the queue is dropped or the connection fails.
+async fn run_link(addr: String, mut queue: mpsc::Receiver<Bytes>) {
+    let stream = match connect(&addr).await {
+        Ok(stream) => stream,
+        Err(error) => {
+            spdlog::debug!("cannot connect to {addr}: {error:#}");
+            return;
+        }
+    };
+    let (mut reader, mut writer) = split(stream);
+    loop {
+        tokio::select! {
+            bytes = queue.recv() => {
+                let Some(bytes) = bytes else { return };
+                if let Err(error) = writer.send(bytes).await {
+                    spdlog::debug!("connection to {addr} failed: {error}");
+                    return;
+                }
+            }
+            // Nothing is expected; the end of the stream shows that the peer is gone.
+            read = reader.next() => {
+                if !matches!(read, Some(Ok(_))) {
+                    return;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/fleet/mod.rs
@@ -0,0 +1,17 @@
+//! Control of a fleet of entry hosts whose members are discovered at run time.
+//!
+//! The control group keeps the configuration and the promotions that have begun in
+//! its log. Announcements of targets, leases of entry hosts and the division of
+//! rates are in the leader's memory and are learned again after a change of leader.
+
+pub mod config;
+pub mod control;
+pub mod failover;
+pub mod hosts;
+pub mod leader;
+pub mod link;
+pub mod messages;
+pub mod registry;
+pub mod runtime;
+pub mod shares;
+pub mod state;
--- /dev/null
+++ b/src/fleet/runtime.rs
@@ -0,0 +1,187 @@
+//! Start of a control host of a fleet.
+
+use std::{collections::BTreeMap, future::Future, net::SocketAddr, path::PathBuf};
+
+use eyre::Result;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::{
+    adapters::{
+        disk::{Disk, Opened},
+        disk_queue::DiskQueue,
+    },
+    clock::{Clock, Millis, SystemClock},
+    control::node::{GroupPolicy, Node, NodeSettings},
+    fleet::{
+        config::FleetConfig,
+        control::{Answer, Call, Control, Event, decode_state},
+        failover::{self, CallOutcome, Order, TargetStatus},
+        link::listen,
+        messages::Announcement,
+        state::FleetState,
+    },
+    ids::{InstanceId, Service},
+    settings::timing::GroupTiming,
+    wire::group::Member,
+};
+
+/// Events that wait for the event loop.
+const EVENTS: usize = 1024;
+
+/// Entries before a snapshot that remain in the log; documents of many routes would
+/// otherwise fill small disks.
+const TAIL_ENTRIES: u64 = 64;
+
+/// Calls of a control host to targets and to the platform.
+pub trait Ports: Clone + 'static {
+    /// Gives an order to a target; `None` without an answer.
+    fn ask(
+        &self,
+        target: &Announcement,
+        order: Order,
+    ) -> impl Future<Output = Option<TargetStatus>>;
+
+    /// Calls the platform to make `target` the primary of `service`.
+    fn promote(
+        &self,
+        service: &Service,
+        target: &InstanceId,
+        holder: &str,
+        token: u64,
+    ) -> impl Future<Output = CallOutcome>;
+
+    /// Reads an operator's document.
+    fn decode_config(&self, document: &[u8]) -> Result<FleetConfig>;
+}
+
+/// Settings of a control host.
+#[derive(Debug, Clone)]
+pub struct FleetControlSettings {
+    /// Address for other hosts; it also names the host.
+    pub bus_addr: SocketAddr,
+    /// Address for operators and targets.
+    pub http_addr: String,
+    /// Bus addresses of the hosts that form the group, or that a joining host asks.
+    pub seeds: Vec<String>,
+    /// Whether the system starts for the first time.
+    pub may_form: bool,
+    pub data_folder: PathBuf,
+    pub timing: GroupTiming,
+    /// Name of the host in calls to the platform.
+    pub holder: String,
+}
+
+/// Handle for calls to the event loop.
+#[derive(Debug, Clone)]
+pub struct ControlHandle {
+    events: mpsc::Sender<Event>,
+}
+
+impl ControlHandle {
+    /// Answer to `call`.
+    pub async fn call(&self, call: Call) -> Answer {
+        let (reply, answer) = oneshot::channel();
+        if self.events.send(Event::Call { call, reply }).await.is_err() {
+            return Answer::Unavailable;
+        }
+        answer.await.unwrap_or(Answer::Unavailable)
+    }
+}
+
+/// Tasks that call targets and the platform and report to the event loop.
+#[derive(Debug, Clone)]
+pub struct Tasks {
+    events: mpsc::Sender<Event>,
+}
+
+impl Tasks {
+    pub(super) fn ask<P: Ports>(
+        &self,
+        ports: P,
+        service: Service,
+        target: Announcement,
+        order: Order,
+    ) {
+        let events = self.events.clone();
+        tokio::task::spawn_local(async move {
+            let status = ports.ask(&target, order).await;
+            let event = failover::Event::Answered { target: target.id, order, status };
+            // The event loop is gone when the process stops.
+            let _ = events.send(Event::Failover { service, event }).await;
+        });
+    }
+
+    pub(super) fn promote<P: Ports>(
+        &self,
+        ports: P,
+        service: Service,
+        target: InstanceId,
+        holder: String,
+        token: u64,
+    ) {
+        let events = self.events.clone();
+        tokio::task::spawn_local(async move {
+            let outcome = ports.promote(&service, &target, &holder, token).await;
+            spdlog::info!("promotion was answered", kv: {service = service.as_str(), target = target.as_str(), token, outcome = format!("{outcome:?}").as_str()});
+            let event = failover::Event::Called { token, outcome };
+            let _ = events.send(Event::Failover { service, event }).await;
+        });
+    }
+}
+
+/// Starts the event loop in the current local set; the result ends with the loop.
+pub fn start<P: Ports>(
+    settings: &FleetControlSettings,
+    ports: P,
+) -> Result<(ControlHandle, impl Future<Output = Result<()>> + use<P>)> {
+    let clock = SystemClock::default();
+    let name = settings.bus_addr.to_string();
+    let Opened { disk, id, stored, removed_bytes } = Disk::open(&settings.data_folder, &name)?;
+    if removed_bytes > 0 {
+        spdlog::warn!("removed {removed_bytes} bytes of an incomplete write from the log");
+    }
+    let state = match &stored.snapshot {
+        Some(snapshot) => decode_state(&snapshot.data)?,
+        None => FleetState::default(),
+    };
+    spdlog::info!("opened the data folder", kv: {id = id.as_str(), entries = stored.entries.len(), version = state.config.version});
+    let node = Node::new(node_settings(settings, id), stored, clock.now());
+    let (disk, confirmations) = DiskQueue::start(disk)?;
+    let (events_tx, events) = mpsc::channel(EVENTS);
+    let (inbound_tx, inbound) = mpsc::channel(EVENTS);
+    let tasks = Tasks { events: events_tx.clone() };
+    let holder = settings.holder.clone();
+    let control = Control::new(holder, clock, node, disk, state, ports, tasks);
+    let bus_addr = settings.bus_addr;
+    let run = async move {
+        tokio::select! {
+            result = listen(bus_addr, inbound_tx) => result,
+            result = control.run(inbound, events, confirmations) => result,
+        }
+    };
+    Ok((ControlHandle { events: events_tx }, run))
+}
+
+fn node_settings(settings: &FleetControlSettings, id: crate::ids::ControlId) -> NodeSettings {
+    let name = settings.bus_addr.to_string();
+    let group: BTreeMap<String, String> =
+        settings.seeds.iter().map(|addr| (addr.clone(), addr.clone())).collect();
+    NodeSettings {
+        id,
+        member: Member {
+            name: name.clone(),
+            bus_addr: name,
+            http_addr: settings.http_addr.clone(),
+            since: 0,
+        },
+        group,
+        seed: rand::random(),
+        timing: settings.timing.clone(),
+        policy: GroupPolicy {
+            open: true,
+            may_form: settings.may_form,
+            remove_after: Millis(8_000),
+            tail_entries: TAIL_ENTRIES,
+        },
+    }
+}
--- /dev/null
+++ b/src/gateway/control_link.rs
@@ -0,0 +1,237 @@
+//! Connection of an entry host to the leader of the control group.
+
+use std::{collections::VecDeque, rc::Rc, time::Duration};
+
+use eyre::{Result, bail};
+use futures::{SinkExt, StreamExt};
+use tokio::time::{Instant, interval, timeout_at};
+
+use crate::{
+    clock::Millis,
+    fleet::{
+        control::decompress,
+        link::{FrameReader, FrameWriter, connect, decode, encode, split},
+        messages::{Frame, HostReport, HostUpdate, Redirect, ViewRevision},
+    },
+    gateway::{
+        cx::{Cx, Phase},
+        ports::Targets,
+    },
+    ids::Incarnation,
+};
+
+/// Interval between reports; three of them fit into a lease.
+const REPORT_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Silence of the leader after which another connection is tried. Below the rest of
+/// a lease, so that a dead connection does not end it.
+const SILENCE: Duration = Duration::from_millis(900);
+
+/// Pause before the next host is tried.
+const RETRY_PAUSE: Duration = Duration::from_millis(60);
+
+/// Addresses that are remembered.
+const KEPT_ADDRESSES: usize = 16;
+
+/// Control hosts that an entry host may ask, the most promising first.
+#[derive(Debug, Default)]
+pub struct Directory {
+    addresses: VecDeque<String>,
+    seeds: Vec<String>,
+}
+
+impl Directory {
+    /// Directory that begins with the configured hosts.
+    pub fn new(seeds: Vec<String>) -> Self {
+        Self { addresses: seeds.iter().cloned().collect(), seeds }
+    }
+
+    /// Takes over new configured hosts.
+    pub fn set_seeds(&mut self, seeds: Vec<String>) {
+        for seed in &seeds {
+            self.add(seed);
+        }
+        self.seeds = seeds;
+    }
+
+    /// Address to ask next.
+    pub fn next_address(&mut self) -> Option<String> {
+        if self.addresses.is_empty() {
+            self.addresses.extend(self.seeds.iter().cloned());
+        }
+        let next = self.addresses.pop_front()?;
+        self.addresses.push_back(next.clone());
+        Some(next)
+    }
+
+    /// Notes where the leader is said to be.
+    pub fn redirect(&mut self, redirect: Redirect) {
+        self.set_members(&redirect.members);
+        if let Some(leader) = redirect.leader {
+            self.addresses.retain(|addr| *addr != leader);
+            self.addresses.push_front(leader);
+        }
+    }
+
+    /// Notes the members of the control group.
+    pub fn set_members(&mut self, members: &[String]) {
+        for member in members {
+            self.add(member);
+        }
+        while self.addresses.len() > KEPT_ADDRESSES {
+            let gone = self.addresses.iter().position(|addr| !members.contains(addr));
+            self.addresses.remove(gone.unwrap_or(0));
+        }
+    }
+
+    fn add(&mut self, addr: &String) {
+        if !self.addresses.contains(addr) {
+            self.addresses.push_back(addr.clone());
+        }
+    }
+}
+
+/// Keeps a connection to the leader until the host has stopped.
+pub async fn run<T: Targets>(
+    cx: Rc<Cx<T>>,
+    directory: Rc<std::cell::RefCell<Directory>>,
+    incarnation: Incarnation,
+) {
+    let mut link = Link { cx, directory, incarnation, leader_term: 0 };
+    loop {
+        let next = link.directory.borrow_mut().next_address();
+        if let Some(addr) = next
+            && let Err(error) = link.follow(&addr).await
+        {
+            spdlog::debug!("no leader at {addr}: {error:#}");
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
+
+struct Link<T: Targets> {
+    cx: Rc<Cx<T>>,
+    directory: Rc<std::cell::RefCell<Directory>>,
+    incarnation: Incarnation,
+    /// Term of the leader that sent the last view.
+    leader_term: u64,
+}
+
+impl<T: Targets> Link<T> {
+    /// Reports to the host at `addr` as long as it leads.
+    async fn follow(&mut self, addr: &str) -> Result<()> {
+        let (mut reader, mut writer) = split(connect(addr).await?);
+        let mut reports = interval(REPORT_INTERVAL);
+        let mut heard = Instant::now();
+        let mut first = true;
+        let mut confirmed = self.confirmed();
+        let mut phases = self.cx.phases();
+        loop {
+            tokio::select! {
+                _ = reports.tick() => {
+                    self.report(&mut writer, first, false).await?;
+                    first = false;
+                }
+                read = timeout_at(heard + SILENCE, next_frame(&mut reader)) => {
+                    let Ok(frame) = read else { bail!("the host is silent") };
+                    heard = Instant::now();
+                    match frame? {
+                        Frame::Update(update) => {
+                            let is_new_leader = self.apply(update)?;
+                            // A change of the view or the configuration is confirmed at once.
+                            if self.confirmed() != confirmed || is_new_leader {
+                                confirmed = self.confirmed();
+                                self.report(&mut writer, is_new_leader, false).await?;
+                            }
+                        }
+                        Frame::NotLeader(redirect) => {
+                            self.directory.borrow_mut().redirect(redirect);
+                            bail!("the host does not lead");
+                        }
+                        _ => bail!("unexpected frame"),
+                    }
+                }
+                _ = phases.wait_for(|phase| *phase >= Phase::Ending) => {
+                    self.report(&mut writer, false, true).await?;
+                    std::future::pending::<()>().await;
+                }
+            }
+        }
+    }
+
+    fn confirmed(&self) -> (ViewRevision, u64) {
+        let knowledge = self.cx.knowledge.borrow();
+        (knowledge.revision(), knowledge.config.version)
+    }
+
+    async fn report(&self, writer: &mut FrameWriter, full: bool, leaving: bool) -> Result<()> {
+        let cx = &self.cx;
+        let report = {
+            let knowledge = cx.knowledge.borrow();
+            HostReport {
+                host: cx.settings.host.clone(),
+                incarnation: self.incarnation,
+                sent_at: cx.now(),
+                config_version: knowledge.config.version,
+                view_revision: knowledge.revision(),
+                leaving,
+                demand: cx.quota.borrow_mut().take_demand(),
+                targets: cx.health.borrow().report(cx.now()),
+                acknowledged: cx
+                    .acknowledged
+                    .borrow()
+                    .iter()
+                    .map(|(service, mark)| (service.clone(), *mark))
+                    .collect(),
+                known: if full { knowledge.known_targets() } else { Vec::new() },
+            }
+        };
+        writer.send(encode(&Frame::Report(report))).await?;
+        Ok(())
+    }
+
+    /// Takes over an update; returns whether it is the first of a new leader.
+    fn apply(&mut self, update: HostUpdate) -> Result<bool> {
+        let cx = &self.cx;
+        let now = cx.now();
+        if let Some(document) = update.config {
+            let config = cx.targets.decode_config(&decompress(&document)?)?;
+            if cx.knowledge.borrow_mut().set_config(config) {
+                spdlog::info!("configuration in force", kv: {version = document.version});
+            }
+        }
+        let mut is_new_leader = false;
+        if let Some(view) = update.view {
+            let newest = cx.knowledge.borrow().revision();
+            if view.revision > newest {
+                is_new_leader = view.revision.term != self.leader_term;
+                self.leader_term = view.revision.term;
+                self.directory.borrow_mut().set_members(&view.control);
+                self.take_view(view);
+            }
+        }
+        if let Some(shares) = update.shares {
+            cx.quota.borrow_mut().set_shares(now, &shares);
+        }
+        if update.lease > Millis(0) {
+            cx.lease.borrow_mut().extend(update.echo, update.lease);
+        }
+        Ok(is_new_leader)
+    }
+
+    fn take_view(&self, view: crate::fleet::messages::FleetView) {
+        let cx = &self.cx;
+        spdlog::info!("view of the targets", kv: {term = view.revision.term, number = view.revision.number, targets = view.targets.len(), hosts = view.hosts, changing = view.primaries.iter().filter(|it| it.changing).count()});
+        let exists = |id: &crate::ids::InstanceId| view.targets.iter().any(|it| it.id == *id);
+        cx.pools.retain(exists);
+        cx.health.borrow_mut().retain(exists);
+        cx.knowledge.borrow_mut().set_view(view);
+    }
+}
+
+async fn next_frame(reader: &mut FrameReader) -> Result<Frame> {
+    match reader.next().await {
+        Some(bytes) => decode(&bytes?),
+        None => bail!("the connection has ended"),
+    }
+}
--- /dev/null
+++ b/src/gateway/cx.rs
@@ -0,0 +1,129 @@
+//! What the sessions of an entry host share.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+};
+
+use tokio::sync::watch;
+
+use crate::{
+    clock::{Clock, Millis, SystemClock},
+    fleet::messages::Announcement,
+    gateway::{
+        freshness::Freshness, health::TargetsHealth, knowledge::Knowledge, lease::TrustLease,
+        pool::Pools, ports::Targets, quota::Quota,
+    },
+    ids::{FailureDomain, HostId, Mark, Service},
+};
+
+/// Settings of an entry host.
+#[derive(Debug, Clone)]
+pub struct GatewaySettings {
+    pub host: HostId,
+    pub domain: FailureDomain,
+    /// Percentage of a statement's timeout for which a caller may wait for a
+    /// connection. A longer wait leaves no time for a retry elsewhere.
+    pub wait_percent: u64,
+}
+
+impl Default for GatewaySettings {
+    fn default() -> Self {
+        Self { host: HostId::from("entry"), domain: FailureDomain::from("local"), wait_percent: 40 }
+    }
+}
+
+/// Phase of an entry host's life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    Serving,
+    /// Not ready for new sessions; open ones go on.
+    Leaving,
+    /// Sessions end between two operations.
+    Closing,
+    /// Open transactions end as well.
+    Ending,
+}
+
+/// Shared state of an entry host.
+pub struct Cx<T: Targets> {
+    pub clock: SystemClock,
+    pub settings: GatewaySettings,
+    pub targets: T,
+    pub knowledge: RefCell<Knowledge>,
+    pub lease: RefCell<TrustLease>,
+    pub freshness: RefCell<Freshness>,
+    pub health: RefCell<TargetsHealth>,
+    pub quota: RefCell<Quota>,
+    pub pools: Rc<Pools<T::Connection>>,
+    pub acknowledged: RefCell<indexmap::IndexMap<Service, Mark>>,
+    pub sessions: Cell<usize>,
+    phase: watch::Sender<Phase>,
+}
+
+impl<T: Targets> Cx<T> {
+    /// State of a host that knows nothing yet.
+    pub fn new(settings: GatewaySettings, targets: T) -> Self {
+        Self {
+            clock: SystemClock::default(),
+            settings,
+            targets,
+            knowledge: RefCell::default(),
+            lease: RefCell::default(),
+            freshness: RefCell::default(),
+            health: RefCell::default(),
+            quota: RefCell::default(),
+            pools: Rc::new(Pools::default()),
+            acknowledged: RefCell::default(),
+            sessions: Cell::new(0),
+            phase: watch::Sender::new(Phase::Serving),
+        }
+    }
+
+    /// Current time.
+    pub fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    /// Current phase.
+    pub fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    /// Receiver of changes of the phase.
+    pub fn phases(&self) -> watch::Receiver<Phase> {
+        self.phase.subscribe()
+    }
+
+    /// Enters a later phase.
+    pub fn enter(&self, phase: Phase) {
+        self.phase.send_replace(phase);
+    }
+
+    /// Whether new sessions should be sent here.
+    pub fn is_ready(&self) -> bool {
+        self.phase() == Phase::Serving && self.knowledge.borrow().is_complete()
+    }
+
+    /// Whether the known primary of `service` leads without asking it.
+    pub fn trusts_primary(&self, service: &Service) -> bool {
+        let knowledge = self.knowledge.borrow();
+        let changing = knowledge.service(service).is_none_or(|service| service.changing);
+        !changing && self.lease.borrow().is_valid(self.now())
+    }
+
+    /// Connections to `target` that this host may have.
+    pub fn connection_limit(&self, target: &Announcement) -> u32 {
+        let knowledge = self.knowledge.borrow();
+        let service = knowledge.config.services.get(&target.service);
+        let all = service.map_or(1, |service| service.max_connections);
+        (all / knowledge.view.hosts.max(1)).max(1)
+    }
+
+    /// Notes a commit that a caller was or will be told of.
+    pub fn note_commit(&self, service: &Service, position: Mark) {
+        let mut acknowledged = self.acknowledged.borrow_mut();
+        let newest = acknowledged.entry(service.clone()).or_default();
+        *newest = (*newest).max(position);
+    }
+}
--- /dev/null
+++ b/src/gateway/knowledge.rs
@@ -0,0 +1,106 @@
+//! What an entry host has learned from control: configuration, targets, primaries.
+
+use std::rc::Rc;
+
+use indexmap::IndexMap;
+
+use crate::{
+    clock::Millis,
+    fleet::{
+        config::FleetConfig,
+        messages::{Announcement, FleetView, TargetRole, ViewRevision},
+    },
+    ids::{InstanceId, Service},
+};
+
+/// View of the fleet, indexed by service.
+#[derive(Debug, Default)]
+pub struct Knowledge {
+    pub config: Rc<FleetConfig>,
+    pub view: FleetView,
+    services: IndexMap<Service, ServiceView>,
+    /// Primaries that a target's answer has disproved.
+    disproved: IndexMap<Service, (InstanceId, Millis)>,
+}
+
+/// Targets of one service.
+#[derive(Debug, Clone, Default)]
+pub struct ServiceView {
+    pub targets: Vec<Rc<Announcement>>,
+    pub primary: Option<Rc<Announcement>>,
+    /// Whether the primary is about to change.
+    pub changing: bool,
+}
+
+/// Time for which an answer that disproves the primary is believed over the view.
+const DISPROVED_FOR: Millis = Millis(200);
+
+impl Knowledge {
+    /// Takes over a newer configuration; returns whether it is newer.
+    pub fn set_config(&mut self, config: FleetConfig) -> bool {
+        let newer = config.version > self.config.version;
+        if newer {
+            self.config = Rc::new(config);
+        }
+        newer
+    }
+
+    /// Takes over a view. A leader's first views may lack targets that have not yet
+    /// announced themselves to it; the host's own report makes them complete.
+    pub fn set_view(&mut self, view: FleetView) {
+        self.services.clear();
+        for target in &view.targets {
+            let service = self.services.entry(target.service.clone()).or_default();
+            service.targets.push(Rc::new(target.clone()));
+        }
+        for primary in &view.primaries {
+            let service = self.services.entry(primary.service.clone()).or_default();
+            service.changing = primary.changing;
+            let is_primary = |it: &&Rc<Announcement>| Some(&it.id) == primary.id.as_ref();
+            service.primary = service.targets.iter().find(is_primary).cloned();
+        }
+        self.view = view;
+    }
+
+    /// Revision of the view.
+    pub fn revision(&self) -> ViewRevision {
+        self.view.revision
+    }
+
+    /// Targets of `service`.
+    pub fn service(&self, service: &Service) -> Option<&ServiceView> {
+        self.services.get(service)
+    }
+
+    /// Notes that `target` refused a write because it does not lead.
+    pub fn disprove(&mut self, now: Millis, service: &Service, target: &InstanceId) {
+        self.disproved.insert(service.clone(), (target.clone(), now));
+    }
+
+    /// Primary of `service`, unless it has just said that it does not lead.
+    pub fn primary(&self, now: Millis, service: &Service) -> Option<Rc<Announcement>> {
+        let primary = self.services.get(service)?.primary.clone()?;
+        let disproved = self
+            .disproved
+            .get(service)
+            .is_some_and(|(id, at)| *id == primary.id && now.since(*at) < DISPROVED_FOR);
+        (!disproved).then_some(primary)
+    }
+
+    /// Whether there are a configuration and targets.
+    pub fn is_complete(&self) -> bool {
+        self.config.version > 0 && !self.services.is_empty()
+    }
+
+    /// Targets for the report to a new leader, with the primaries as they are known.
+    pub fn known_targets(&self) -> Vec<Announcement> {
+        let with_role = |target: &Announcement| {
+            let service = self.services.get(&target.service);
+            let primary = service.and_then(|service| service.primary.as_ref());
+            let leads = primary.is_some_and(|primary| primary.id == target.id);
+            let role = if leads { TargetRole::Primary } else { TargetRole::Replica };
+            Announcement { role, ..target.clone() }
+        };
+        self.view.targets.iter().map(with_role).collect()
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod configuration;
 pub mod control;
 pub mod entry;
+pub mod fleet;
+pub mod gateway;
 pub mod ids;
 pub mod keys;
 pub mod limits;
