--- a/src/fleet/hosts.rs
+++ b/src/fleet/hosts.rs
@@ -5,10 +5,10 @@
 use crate::{
     clock::Millis,
     fleet::{
-        messages::{Health, HostReport, ViewRevision},
+        messages::{EntryHost, Health, HostReport, ViewRevision},
         shares::Demand,
     },
-    ids::{HostId, Incarnation, InstanceId, Mark, Service},
+    ids::{FailureDomain, HostId, Incarnation, InstanceId, Mark, Service},
 };
 
 /// Lease of an entry host, counted by it from the sending of its report.
@@ -25,11 +25,14 @@
 const HEALTH_AGE: Millis = Millis(1_200);
 
 /// One entry host.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Host {
     pub incarnation: Incarnation,
     pub config_version: u64,
     pub demand: Demand,
+    addr: String,
+    domain: FailureDomain,
+    leaving: bool,
     heard: Millis,
     lease_until: Millis,
     view: ViewRevision,
@@ -54,23 +57,40 @@
     pub longest: Millis,
 }
 
+impl Host {
+    fn new(now: Millis, report: &HostReport) -> Self {
+        Self {
+            incarnation: report.incarnation,
+            config_version: 0,
+            demand: Demand::default(),
+            addr: report.bus_addr.clone(),
+            domain: report.domain.clone(),
+            leaving: report.leaving,
+            heard: now,
+            lease_until: now,
+            view: ViewRevision::default(),
+            health: IndexMap::new(),
+            acknowledged: IndexMap::new(),
+        }
+    }
+}
+
 impl Hosts {
     /// Table of a leader that starts at `now`.
     pub fn new(now: Millis) -> Self {
         Self { hosts: IndexMap::new(), earlier_leases_end: now + LEASE_SPAN }
     }
 
-    /// Notes a report and extends the host's lease; returns whether the host is new.
+    /// Notes a report and extends the host's lease; returns whether the
+    /// hosts that may own targets changed.
     pub fn note(&mut self, now: Millis, report: &HostReport) -> bool {
-        if report.leaving {
-            return self.hosts.shift_remove(&report.host).is_some();
-        }
         let is_new = self.get(&report.host).is_none_or(|it| it.incarnation != report.incarnation);
         if is_new {
-            let host = Host { incarnation: report.incarnation, ..Host::default() };
-            self.hosts.insert(report.host.clone(), host);
+            self.hosts.insert(report.host.clone(), Host::new(now, report));
         }
         let host = &mut self.hosts[&report.host];
+        let changed = is_new || host.leaving != report.leaving;
+        host.leaving = report.leaving;
         host.heard = now;
         host.lease_until = now + LEASE_SPAN;
         host.view = report.view_revision;
@@ -81,7 +101,7 @@
             let newest = host.acknowledged.entry(service.clone()).or_default();
             *newest = (*newest).max(*mark);
         }
-        is_new
+        changed
     }
 
     /// Forgets hosts that have been silent for long; returns whether there were any.
@@ -106,6 +126,18 @@
         self.hosts.is_empty()
     }
 
+    /// Hosts that may own targets.
+    pub fn owners(&self) -> Vec<EntryHost> {
+        let staying = self.hosts.iter().filter(|(_, host)| !host.leaving);
+        staying
+            .map(|(id, host)| EntryHost {
+                id: id.clone(),
+                addr: host.addr.clone(),
+                domain: host.domain.clone(),
+            })
+            .collect()
+    }
+
     /// Demand of each host.
     pub fn demands(&self) -> impl Iterator<Item = (&HostId, &Demand)> + Clone {
         self.hosts.iter().map(|(id, host)| (id, &host.demand))
--- a/src/fleet/leader.rs
+++ b/src/fleet/leader.rs
@@ -100,7 +100,9 @@
             return;
         }
         let Some(leading) = &mut self.leading else { return };
-        let is_new = leading.hosts.note(now, report);
+        let known_before = leading.hosts.get(&report.host).map(|host| host.incarnation);
+        let changed = leading.hosts.note(now, report);
+        let is_new = known_before != Some(report.incarnation);
         for announcement in &report.known {
             leading.view_stale |= leading.registry.suggest(now, announcement) == Noted::Changed;
             if announcement.role == crate::fleet::messages::TargetRole::Primary
@@ -109,14 +111,10 @@
                 leading.failover.claimed(&announcement.service, &announcement.id);
             }
         }
-        if is_new {
-            spdlog::info!("entry host reported", kv: {host = report.host.as_str(), hosts = leading.hosts.len()});
+        if changed {
+            spdlog::info!("entry host reported", kv: {host = report.host.as_str(), leaving = report.leaving, hosts = leading.hosts.len()});
             leading.view_stale = true;
         }
-        if report.leaving {
-            leading.connections.shift_remove(&report.host);
-            return;
-        }
         let connection = leading
             .connections
             .entry(report.host.clone())
@@ -210,7 +208,7 @@
         let revision = leading.view.revision;
         let next = FleetView {
             revision: ViewRevision { number: revision.number + 1, ..revision },
-            hosts: u32::try_from(leading.hosts.len()).unwrap_or(u32::MAX),
+            hosts: leading.hosts.owners(),
             targets: leading.registry.all().cloned().collect(),
             primaries: leading.primaries(),
             control,
--- a/src/fleet/messages.rs
+++ b/src/fleet/messages.rs
@@ -5,6 +5,10 @@
 
 use crate::{
     clock::Millis,
+    gateway::{
+        statement::Answer,
+        work::{Job, Obstacle},
+    },
     ids::{FailureDomain, HostId, Incarnation, InstanceId, Mark, Service, Workspace},
     wire::group::GroupMessage,
 };
@@ -17,6 +21,23 @@
     Update(HostUpdate),
     /// Answer to a report at a host that does not lead.
     NotLeader(Redirect),
+    /// Work for the owner of a target. Calls with the same stream, unless it is 0, use
+    /// one connection as long as a transaction is open on it.
+    Call {
+        number: u64,
+        stream: u64,
+        job: Job,
+    },
+    Outcome {
+        number: u64,
+        result: Result<Answer, Obstacle>,
+    },
+    /// Nothing more comes on the stream; an open transaction is rolled back.
+    End {
+        stream: u64,
+    },
+    Ping,
+    Pong,
 }
 
 /// Where the leader is, as far as the sender knows.
@@ -35,7 +56,10 @@
     pub sent_at: Millis,
     pub config_version: u64,
     pub view_revision: ViewRevision,
-    /// Host is about to stop and needs no lease.
+    /// Address for other entry hosts.
+    pub bus_addr: String,
+    pub domain: FailureDomain,
+    /// Host is about to stop and must not own targets.
     pub leaving: bool,
     /// Operations that callers sent since the last report.
     pub demand: Vec<(Workspace, u32)>,
@@ -99,13 +123,21 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FleetView {
     pub revision: ViewRevision,
-    /// Entry hosts that share the targets' connections.
-    pub hosts: u32,
+    /// Entry hosts that may own targets.
+    pub hosts: Vec<EntryHost>,
     pub targets: Vec<Announcement>,
     pub primaries: Vec<Primary>,
     pub control: Vec<String>,
 }
 
+/// Entry host for other entry hosts.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EntryHost {
+    pub id: HostId,
+    pub addr: String,
+    pub domain: FailureDomain,
+}
+
 /// Primary of a service.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Primary {
--- a/src/gateway/control_link.rs
+++ b/src/gateway/control_link.rs
@@ -129,7 +129,7 @@
         loop {
             tokio::select! {
                 _ = reports.tick() => {
-                    self.report(&mut writer, first, false).await?;
+                    self.report(&mut writer, first).await?;
                     first = false;
                 }
                 read = timeout_at(heard + SILENCE, next_frame(&mut reader)) => {
@@ -141,7 +141,7 @@
                             // A change of the view or the configuration is confirmed at once.
                             if self.confirmed() != confirmed || is_new_leader {
                                 confirmed = self.confirmed();
-                                self.report(&mut writer, is_new_leader, false).await?;
+                                self.report(&mut writer, is_new_leader).await?;
                             }
                         }
                         Frame::NotLeader(redirect) => {
@@ -151,10 +151,8 @@
                         _ => bail!("unexpected frame"),
                     }
                 }
-                _ = phases.wait_for(|phase| *phase >= Phase::Ending) => {
-                    self.report(&mut writer, false, true).await?;
-                    std::future::pending::<()>().await;
-                }
+                // Another host takes over the targets as soon as this one begins to leave.
+                Ok(()) = phases.changed() => self.report(&mut writer, false).await?,
             }
         }
     }
@@ -164,7 +162,7 @@
         (knowledge.revision(), knowledge.config.version)
     }
 
-    async fn report(&self, writer: &mut FrameWriter, full: bool, leaving: bool) -> Result<()> {
+    async fn report(&self, writer: &mut FrameWriter, full: bool) -> Result<()> {
         let cx = &self.cx;
         let report = {
             let knowledge = cx.knowledge.borrow();
@@ -174,7 +172,9 @@
                 sent_at: cx.now(),
                 config_version: knowledge.config.version,
                 view_revision: knowledge.revision(),
-                leaving,
+                bus_addr: cx.settings.bus_addr.clone(),
+                domain: cx.settings.domain.clone(),
+                leaving: cx.phase() > Phase::Serving,
                 demand: cx.quota.borrow_mut().take_demand(),
                 targets: cx.health.borrow().report(cx.now()),
                 acknowledged: cx
@@ -221,11 +221,12 @@
 
     fn take_view(&self, view: crate::fleet::messages::FleetView) {
         let cx = &self.cx;
-        spdlog::info!("view of the targets", kv: {term = view.revision.term, number = view.revision.number, targets = view.targets.len(), hosts = view.hosts, changing = view.primaries.iter().filter(|it| it.changing).count()});
+        spdlog::info!("view of the targets", kv: {term = view.revision.term, number = view.revision.number, targets = view.targets.len(), hosts = view.hosts.len(), changing = view.primaries.iter().filter(|it| it.changing).count()});
         let exists = |id: &crate::ids::InstanceId| view.targets.iter().any(|it| it.id == *id);
         cx.pools.retain(exists);
         cx.health.borrow_mut().retain(exists);
         cx.knowledge.borrow_mut().set_view(view);
+        cx.trim_pools();
     }
 }
 
--- a/src/gateway/cx.rs
+++ b/src/gateway/cx.rs
@@ -11,17 +11,24 @@
     clock::{Clock, Millis, SystemClock},
     fleet::messages::Announcement,
     gateway::{
-        freshness::Freshness, health::TargetsHealth, knowledge::Knowledge, lease::TrustLease,
-        pool::Pools, ports::Targets, quota::Quota,
+        executor::Gates, freshness::Freshness, health::TargetsHealth, knowledge::Knowledge,
+        lease::TrustLease, owners::ranking, peers::Peers, pool::Pools, ports::Targets,
+        quota::Quota,
     },
     ids::{FailureDomain, HostId, Mark, Service},
 };
 
+/// Percentage of a target's connections that its owner may use. The others remain for
+/// hosts that cannot reach the owner, and for control.
+const OWNER_PERCENT: u32 = 75;
+
 /// Settings of an entry host.
 #[derive(Debug, Clone)]
 pub struct GatewaySettings {
     pub host: HostId,
     pub domain: FailureDomain,
+    /// Address for other entry hosts.
+    pub bus_addr: String,
     /// Percentage of a statement's timeout for which a caller may wait for a
     /// connection. A longer wait leaves no time for a retry elsewhere.
     pub wait_percent: u64,
@@ -29,7 +36,12 @@
 
 impl Default for GatewaySettings {
     fn default() -> Self {
-        Self { host: HostId::from("entry"), domain: FailureDomain::from("local"), wait_percent: 40 }
+        Self {
+            host: HostId::from("entry"),
+            domain: FailureDomain::from("local"),
+            bus_addr: String::new(),
+            wait_percent: 40,
+        }
     }
 }
 
@@ -56,6 +68,8 @@
     pub health: RefCell<TargetsHealth>,
     pub quota: RefCell<Quota>,
     pub pools: Rc<Pools<T::Connection>>,
+    pub gates: Gates,
+    pub peers: Peers,
     pub acknowledged: RefCell<indexmap::IndexMap<Service, Mark>>,
     pub sessions: Cell<usize>,
     phase: watch::Sender<Phase>,
@@ -74,6 +88,8 @@
             health: RefCell::default(),
             quota: RefCell::default(),
             pools: Rc::new(Pools::default()),
+            gates: Gates::default(),
+            peers: Peers::default(),
             acknowledged: RefCell::default(),
             sessions: Cell::new(0),
             phase: watch::Sender::new(Phase::Serving),
@@ -117,7 +133,23 @@
         let knowledge = self.knowledge.borrow();
         let service = knowledge.config.services.get(&target.service);
         let all = service.map_or(1, |service| service.max_connections);
-        (all / knowledge.view.hosts.max(1)).max(1)
+        let hosts = &knowledge.view.hosts;
+        let owns = ranking(target, hosts).first().is_some_and(|it| it.id == self.settings.host);
+        let others = u32::try_from(hosts.len()).unwrap_or(u32::MAX).max(1);
+        let for_owner = all * OWNER_PERCENT / 100;
+        let part = if owns { for_owner } else { (all - for_owner) / others };
+        part.max(1)
+    }
+
+    /// Closes idle connections that belong to other hosts now.
+    pub fn trim_pools(&self) {
+        for id in self.pools.targets() {
+            let target = self.knowledge.borrow().target(&id);
+            if let Some(target) = target {
+                let limit = self.connection_limit(&target);
+                self.pools.with(&id, |pool| pool.trim(limit));
+            }
+        }
     }
 
     /// Notes a commit that a caller was or will be told of.
--- a/src/gateway/knowledge.rs
+++ b/src/gateway/knowledge.rs
@@ -72,6 +72,12 @@
         self.services.get(service)
     }
 
+    /// Target by id.
+    pub fn target(&self, id: &InstanceId) -> Option<Rc<Announcement>> {
+        let mut all = self.services.values().flat_map(|service| &service.targets);
+        all.find(|target| target.id == *id).cloned()
+    }
+
     /// Notes that `target` refused a write because it does not lead.
     pub fn disprove(&mut self, now: Millis, service: &Service, target: &InstanceId) {
         self.disproved.insert(service.clone(), (target.clone(), now));
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,11 +6,17 @@
 
 pub mod control_link;
 pub mod cx;
+pub mod executor;
 pub mod freshness;
+pub mod gate;
 pub mod health;
 pub mod knowledge;
+pub mod lane;
 pub mod lease;
 pub mod operation;
+pub mod owner;
+pub mod owners;
+pub mod peers;
 pub mod placement;
 pub mod pool;
 pub mod ports;
@@ -21,3 +27,4 @@
 pub mod session;
 pub mod statement;
 pub mod transaction;
+pub mod work;
--- a/src/gateway/operation.rs
+++ b/src/gateway/operation.rs
@@ -1,21 +1,20 @@
-//! Single statements: choice of a target, checkout of a connection, the exchange and
-//! what is done after a failure.
+//! Operations of a session: choice of a target, its execution, and what is done after
+//! a failure.
 
 use std::rc::Rc;
 
-use tokio::time::timeout;
-
 use crate::{
-    clock::{Clock, Millis},
+    clock::Millis,
     fleet::messages::{Announcement, TargetRole},
     gateway::{
         cx::Cx,
+        lane::Lane,
         placement::ReadChoice,
-        pool::{Checkout, Decision, Grant, Pooled, Wanted},
-        ports::{TargetConnection, TargetFailure, TargetRequest, Targets},
-        prepare::{ConnectionState, Prepared},
+        ports::{TargetConnection, Targets},
+        prepare::Prepared,
         session::{Access, Session},
-        statement::{Answer, ErrorCode, Statement, TransactionState},
+        statement::{Answer, ErrorCode, TransactionState},
+        work::{Job, Obstacle, Reason, Work},
     },
     ids::{InstanceId, Mark},
 };
@@ -23,14 +22,11 @@
 /// Pause before another look for a target, when none can be used.
 const LOOK_AGAIN: Millis = Millis(15);
 
-/// Callers that may wait for each connection of this host.
-const QUEUE_PER_CONNECTION: usize = 12;
-
 /// Advice to callers that find no primary: about the time of a promotion.
-const RETRY_WITHOUT_PRIMARY: Millis = Millis(500);
+const RETRY_WITHOUT_TARGET: Millis = Millis(500);
 
-/// Advice to callers that find all connections in use.
-const RETRY_WHEN_FULL: Millis = Millis(100);
+/// Advice to callers whose target had no slot.
+const RETRY_WHEN_BUSY: Millis = Millis(100);
 
 /// Percentage of a statement's timeout after which a read that got no answer is sent
 /// to another target.
@@ -45,16 +41,6 @@
     pub arrived: Millis,
 }
 
-/// Why no answer of a target is available.
-pub enum Obstacle {
-    /// Nothing ran.
-    NotRun(Millis, &'static str),
-    /// Target refused or lacks something; another one may do. Nothing ran.
-    Elsewhere,
-    /// Statement was sent and no answer came.
-    Lost,
-}
-
 /// Which target an operation needs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Need {
@@ -64,9 +50,9 @@
     Readable,
 }
 
-/// Target with a connection to it.
-pub struct Placed<C: 'static> {
-    pub checkout: Checkout<C>,
+/// Way to a target that may be used.
+pub struct Placed<T: Targets> {
+    pub lane: Lane<T>,
     /// Position that the target's log must hold.
     pub after: Option<Mark>,
     /// When the target was known to be the primary.
@@ -83,6 +69,26 @@
         self.arrived + Millis(span)
     }
 
+    /// Work with the session's values.
+    pub fn job(&self, target: &InstanceId, work: Work, until: Millis) -> Job {
+        let now = self.cx.now();
+        Job {
+            target: target.clone(),
+            workspace: self.access.workspace.clone(),
+            values: self.session.values.clone(),
+            priority: self.access.route.priority,
+            wait: self.wait_until().since(now),
+            limit: until.since(now),
+            work,
+        }
+    }
+
+    /// Work of a caller's statement.
+    pub fn statement(prepared: Prepared<'_>, after: Option<Mark>) -> Work {
+        let (request, shape) = (prepared.request.clone(), prepared.shape.cloned());
+        Work::Statement { request, shape, after }
+    }
+
     /// Position that makes a read fresh enough on any target.
     fn required(&self) -> Option<Mark> {
         let service = &self.access.route.service;
@@ -116,175 +122,75 @@
         choice.choose(&service.targets).map(|it| (it.clone(), required))
     }
 
-    /// Finds a target and a connection to it. Targets in `tried` are left out.
+    /// Finds a target and the way to it. Targets in `tried` are left out as long as
+    /// there are others.
     pub async fn place(
         &self,
         need: Need,
+        keeps: bool,
         tried: &mut Vec<InstanceId>,
-    ) -> Result<Placed<T::Connection>, Obstacle> {
+    ) -> Result<Placed<T>, Obstacle> {
         loop {
             let Some((target, after)) = self.choose(need, tried) else {
                 if self.cx.now() >= self.wait_until() {
-                    return Err(Obstacle::NotRun(RETRY_WITHOUT_PRIMARY, "no target can be used"));
+                    return Err(Obstacle::NotRun(RETRY_WITHOUT_TARGET, Reason::NoTarget));
                 }
                 tokio::time::sleep(LOOK_AGAIN.duration()).await;
                 tried.clear();
                 continue;
             };
-            let mut checkout = match self.checkout(&target).await {
-                Ok(checkout) => checkout,
-                Err(Obstacle::Elsewhere) if self.cx.now() < self.wait_until() => {
-                    tried.push(target.id.clone());
-                    if need == Need::Writable {
-                        tokio::time::sleep(LOOK_AGAIN.duration()).await;
-                    }
-                    continue;
-                }
-                Err(Obstacle::Elsewhere) => {
-                    return Err(Obstacle::NotRun(RETRY_WITHOUT_PRIMARY, "target is unreachable"));
-                }
-                Err(obstacle) => return Err(obstacle),
-            };
             let is_primary = self.primary().is_some_and(|it| it.id == target.id);
+            let mut lane = Lane::new(self.cx, target.clone(), keeps);
             if need == Need::Writable {
-                return Ok(Placed { checkout, after: None, leads_since: None });
+                return Ok(Placed { lane, after: None, leads_since: None });
             }
-            let trusted_at = self.cx.now();
             if is_primary && self.cx.trusts_primary(&target.service) {
-                return Ok(Placed { checkout, after: None, leads_since: Some(trusted_at) });
+                let leads_since = Some(self.cx.now());
+                return Ok(Placed { lane, after: None, leads_since });
             }
             if after.is_some() {
-                return Ok(Placed { checkout, after, leads_since: None });
+                return Ok(Placed { lane, after, leads_since: None });
             }
-            match self.confirm_primary(&mut checkout).await {
-                Ok(Some(asked)) => {
-                    return Ok(Placed { checkout, after: None, leads_since: Some(asked) });
+            let asked = self.cx.now();
+            match self.confirms_primary(&mut lane).await {
+                Ok(true) => return Ok(Placed { lane, after: None, leads_since: Some(asked) }),
+                Ok(false) => {
+                    let now = self.cx.now();
+                    let mut knowledge = self.cx.knowledge.borrow_mut();
+                    knowledge.disprove(now, &target.service, &target.id);
                 }
-                Ok(None) => {
-                    self.cx.knowledge.borrow_mut().disprove(
-                        self.cx.now(),
-                        &target.service,
-                        &target.id,
-                    );
-                    checkout.release(self.cx.now());
-                    tried.push(target.id.clone());
+                Err(Obstacle::NotRun(retry, reason)) => {
+                    return Err(Obstacle::NotRun(retry, reason));
                 }
-                Err(_) => tried.push(target.id.clone()),
+                Err(_) => {}
             }
+            tried.push(target.id.clone());
         }
     }
 
-    /// Asks the target whether it leads; returns when it was asked.
-    async fn confirm_primary(
-        &self,
-        checkout: &mut Checkout<T::Connection>,
-    ) -> Result<Option<Millis>, Obstacle> {
-        let asked = self.cx.now();
-        let mut answers =
-            self.exchange(checkout, &[TargetRequest::Status], self.wait_until()).await?;
-        let status = answers.pop().as_ref().and_then(T::Connection::status);
-        Ok(status.filter(|it| it.role == TargetRole::Primary).map(|_| asked))
-    }
-
-    /// Checks out a connection to `target`.
-    async fn checkout(
-        &self,
-        target: &Rc<Announcement>,
-    ) -> Result<Checkout<T::Connection>, Obstacle> {
-        let limit = self.cx.connection_limit(target);
-        let wanted = Wanted {
-            now: self.cx.now(),
-            session: self.session,
-            workspace: self.access.workspace.as_ref(),
-            priority: self.access.route.priority,
-            limit,
-            longest_queue: limit as usize * QUEUE_PER_CONNECTION,
-        };
-        let decision = self.cx.pools.with(&target.id, |pool| pool.request(wanted));
-        let grant = match decision {
-            Decision::Granted(grant) => grant,
-            Decision::Refused => return Err(Obstacle::NotRun(RETRY_WHEN_FULL, "queue is full")),
-            Decision::Wait(granted) => {
-                let span = self.wait_until().since(self.cx.now());
-                match timeout(span.duration(), granted).await {
-                    Ok(Ok(grant)) => grant,
-                    Ok(Err(_)) => return Err(Obstacle::Elsewhere),
-                    Err(_) => {
-                        return Err(Obstacle::NotRun(
-                            RETRY_WHEN_FULL,
-                            "all connections are in use",
-                        ));
-                    }
-                }
-            }
-        };
-        let (cx, target) = (self.cx, target.clone());
-        let new = |pooled| Checkout::new(pooled, target.clone(), cx.pools.clone(), limit);
-        match grant {
-            Grant::Connection(pooled) => Ok(new(Some(pooled))),
-            Grant::Permit => {
-                let mut checkout = new(None);
-                checkout.fill(self.open(&target).await?);
-                Ok(checkout)
-            }
-        }
+    /// Asks the target whether it leads.
+    async fn confirms_primary(&self, lane: &mut Lane<T>) -> Result<bool, Obstacle> {
+        let job = self.job(&lane.target.id, Work::Status, self.wait_until());
+        let answer = self.run(lane, &job).await?;
+        let status = T::Connection::status(&answer);
+        Ok(status.is_some_and(|it| it.role == TargetRole::Primary))
     }
 
-    async fn open(&self, target: &Announcement) -> Result<Pooled<T::Connection>, Obstacle> {
+    /// Executes work and notes how the target answered.
+    pub async fn run(&self, lane: &mut Lane<T>, job: &Job) -> Result<Answer, Obstacle> {
         let cx = self.cx;
-        let workspace = self.access.workspace.clone();
-        match cx.targets.open(target, workspace.as_ref()).await {
-            Ok((connection, _)) => {
-                Ok(Pooled { connection, workspace, state: ConnectionState::default() })
-            }
-            Err(TargetFailure::Refused(error)) if error.code == ErrorCode::TooMany => {
-                let now = cx.now();
-                cx.pools.with(&target.id, |pool| pool.refused(now));
-                tokio::time::sleep(LOOK_AGAIN.duration()).await;
-                Err(Obstacle::Elsewhere)
-            }
-            Err(failure) => {
-                cx.health.borrow_mut().unreachable(cx.now(), &target.id);
-                spdlog::info!("cannot connect to a target", kv: {target = target.id.as_str(), failure = format!("{failure:?}").as_str()});
-                Err(Obstacle::Elsewhere)
-            }
-        }
-    }
-
-    /// Sends requests and collects their answers.
-    pub async fn exchange(
-        &self,
-        checkout: &mut Checkout<T::Connection>,
-        requests: &[TargetRequest<'_>],
-        deadline: Millis,
-    ) -> Result<Vec<Answer>, Obstacle> {
-        exchange(self.cx, checkout, requests, deadline).await
-    }
-
-    /// Runs a statement on a checked-out connection.
-    pub async fn forward(
-        &self,
-        checkout: &mut Checkout<T::Connection>,
-        prepared: Prepared<'_>,
-        after: Option<Mark>,
-        deadline: Millis,
-    ) -> Result<Answer, Obstacle> {
-        let mut requests = Vec::new();
-        let Some(pooled) = checkout.pooled() else { return Err(Obstacle::Elsewhere) };
-        pooled.state.set_values(self.session, &mut requests);
-        let request = prepared.request;
-        match (prepared.shape, &request.statement) {
-            (Some(shape), Statement::Execute { arguments, .. }) => {
-                let name = pooled.state.name_of(shape, &mut requests);
-                requests.push(TargetRequest::Execute { request, name, arguments, after });
+        let attempt = cx.health.borrow_mut().sent(cx.now(), &job.target);
+        let result = lane.run(cx, job).await;
+        let now = cx.now();
+        let mut health = cx.health.borrow_mut();
+        match &result {
+            Ok(answer) => health.answered(now, &job.target, attempt, answer.position),
+            Err(Obstacle::NotRun(..)) => health.ended(now, &job.target, attempt, false),
+            Err(Obstacle::Unreachable | Obstacle::Lost) => {
+                health.ended(now, &job.target, attempt, true);
             }
-            _ => requests.push(TargetRequest::Forward { request, after }),
         }
-        let mut answers = self.exchange(checkout, &requests, deadline).await?;
-        let answer = answers.pop().ok_or(Obstacle::Lost)?;
-        // A connection whose state could not be set is not used again.
-        let is_set = answers.iter().all(|answer| answer.result.is_ok());
-        if is_set { Ok(answer) } else { Err(Obstacle::Lost) }
+        result
     }
 
     /// Runs a single read.
@@ -292,55 +198,57 @@
         let mut tried = Vec::new();
         let mut last = None;
         while self.cx.now() < self.deadline() {
-            let mut placed = match self.place(Need::Readable, &mut tried).await {
+            let mut placed = match self.place(Need::Readable, false, &mut tried).await {
                 Ok(placed) => placed,
                 Err(obstacle) => return last.unwrap_or_else(|| self.refusal(&obstacle)),
             };
-            let sent = self.cx.now();
-            let id = placed.checkout.target.id.clone();
-            let answer = self
-                .forward(&mut placed.checkout, prepared, placed.after, self.repeat_at(sent))
-                .await;
-            match answer {
+            let id = placed.lane.target.id.clone();
+            let work = Self::statement(prepared, placed.after);
+            let job = self.job(&id, work, self.repeat_at());
+            match self.run(&mut placed.lane, &job).await {
                 Ok(answer) => {
                     self.observe(&placed, &answer);
-                    placed.checkout.release(self.cx.now());
                     match answer.code() {
                         Some(ErrorCode::Lagging | ErrorCode::Busy | ErrorCode::NoStatement) => {
-                            tried.push(id);
-                            last = Some(answer);
+                            last = Some(Answer { state: TransactionState::Idle, ..answer });
                         }
                         _ => return answer,
                     }
                 }
-                Err(_) => {
-                    tried.push(id);
-                    last = Some(self.lost());
+                Err(obstacle @ Obstacle::NotRun(..)) if !tried.is_empty() => {
+                    return self.refusal(&obstacle);
                 }
+                Err(obstacle) => last = Some(self.refusal(&obstacle)),
             }
+            tried.push(id);
         }
         last.unwrap_or_else(|| self.lost())
     }
 
-    fn repeat_at(&self, sent: Millis) -> Millis {
+    fn repeat_at(&self) -> Millis {
         let span = self.access.route.statement_timeout.0 * REPEAT_READ_PERCENT / 100;
-        self.deadline().min(sent + Millis(span))
+        self.deadline().min(self.cx.now() + Millis(span))
     }
 
     /// Runs a single write.
     pub async fn write(&self, prepared: Prepared<'_>) -> Answer {
         let mut tried = Vec::new();
         loop {
-            let mut placed = match self.place(Need::Writable, &mut tried).await {
+            let mut placed = match self.place(Need::Writable, false, &mut tried).await {
                 Ok(placed) => placed,
                 Err(obstacle) => return self.refusal(&obstacle),
             };
             let sent = self.cx.now();
-            let target = placed.checkout.target.clone();
-            let deadline = self.deadline();
-            let answer = self.forward(&mut placed.checkout, prepared, None, deadline).await;
-            let Ok(answer) = answer else { return self.lost() };
-            placed.checkout.release(self.cx.now());
+            let target = placed.lane.target.clone();
+            let job = self.job(&target.id, Self::statement(prepared, None), self.deadline());
+            let answer = match self.run(&mut placed.lane, &job).await {
+                Ok(answer) => answer,
+                Err(Obstacle::Unreachable) if self.cx.now() < self.wait_until() => {
+                    tokio::time::sleep(LOOK_AGAIN.duration()).await;
+                    continue;
+                }
+                Err(obstacle) => return self.refusal(&obstacle),
+            };
             match answer.code() {
                 None => {
                     if let Some(position) = answer.position {
@@ -354,7 +262,7 @@
                         self.cx.knowledge.borrow_mut().disprove(now, &target.service, &target.id);
                     }
                     if self.cx.now() >= self.wait_until() {
-                        return self.refusal(&Obstacle::NotRun(RETRY_WHEN_FULL, "target is busy"));
+                        return self.refusal(&Obstacle::NotRun(RETRY_WHEN_BUSY, Reason::Busy));
                     }
                     tokio::time::sleep(LOOK_AGAIN.duration()).await;
                 }
@@ -364,21 +272,21 @@
     }
 
     /// Notes the position in an answer of a primary.
-    pub fn observe(&self, placed: &Placed<T::Connection>, answer: &Answer) {
+    pub fn observe(&self, placed: &Placed<T>, answer: &Answer) {
         if let (Some(since), Some(position)) = (placed.leads_since, answer.position) {
-            let service = &placed.checkout.target.service;
+            let service = &placed.lane.target.service;
             self.cx.freshness.borrow_mut().observe(service, since, position);
         }
     }
 
-    /// Answer to a statement that was not run.
+    /// Answer to a statement that got none from a target.
     pub fn refusal(&self, obstacle: &Obstacle) -> Answer {
-        let (retry, why) = match obstacle {
-            Obstacle::NotRun(retry, why) => (*retry, *why),
-            Obstacle::Elsewhere => (RETRY_WITHOUT_PRIMARY, "no target can be used"),
+        let (retry, reason) = match obstacle {
+            Obstacle::NotRun(retry, reason) => (*retry, *reason),
+            Obstacle::Unreachable => (RETRY_WITHOUT_TARGET, Reason::NoTarget),
             Obstacle::Lost => return self.lost(),
         };
-        let text = format!("{why}; retry after {retry}");
+        let text = format!("{}; retry after {retry}", reason.text());
         Answer::error(ErrorCode::Busy, text, TransactionState::Idle)
     }
 
@@ -393,43 +301,3 @@
         Answer::error(code, text, TransactionState::Idle)
     }
 }
-
-/// Sends requests on a checked-out connection and collects their answers.
-pub async fn exchange<T: Targets>(
-    cx: &Cx<T>,
-    checkout: &mut Checkout<T::Connection>,
-    requests: &[TargetRequest<'_>],
-    deadline: Millis,
-) -> Result<Vec<Answer>, Obstacle> {
-    let id = checkout.target.id.clone();
-    let Some(pooled) = checkout.pooled() else { return Err(Obstacle::Elsewhere) };
-    let attempt = cx.health.borrow_mut().sent(cx.now(), &id);
-    let span = deadline.since(cx.now());
-    let exchange = async {
-        pooled.connection.send(requests).await?;
-        let mut answers = Vec::with_capacity(requests.len());
-        for _ in requests {
-            answers.push(pooled.connection.receive().await?);
-        }
-        Ok::<_, TargetFailure>(answers)
-    };
-    let result = timeout(span.duration(), exchange).await;
-    let now = cx.clock.now();
-    match result {
-        Ok(Ok(answers)) => {
-            let position = answers.last().and_then(|answer| answer.position);
-            cx.health.borrow_mut().answered(now, &id, attempt, position);
-            Ok(answers)
-        }
-        Ok(Err(failure)) => {
-            spdlog::info!("connection to a target failed", kv: {target = id.as_str(), failure = format!("{failure:?}").as_str()});
-            cx.health.borrow_mut().ended(now, &id, attempt, true);
-            Err(Obstacle::Lost)
-        }
-        Err(_) => {
-            spdlog::info!("no answer from a target", kv: {target = id.as_str(), waited_ms = span.0});
-            cx.health.borrow_mut().ended(now, &id, attempt, true);
-            Err(Obstacle::Lost)
-        }
-    }
-}
--- /dev/null
+++ b/src/gateway/peers.rs
@@ -0,0 +1,201 @@
+//! Calls to the owners of targets at other entry hosts.
+//!
+//! One connection leads to each owner. While answers are outstanding, silence is
+//! probed; an owner that does not answer the probe is not used for a while, and what
+//! was outstanding counts as lost.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use eyre::{Result, bail};
+use futures::{SinkExt, StreamExt};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::{Instant, interval},
+};
+
+use crate::{
+    fleet::{
+        link::{FrameReader, FrameWriter, connect, decode, encode, split},
+        messages::Frame,
+    },
+    gateway::{
+        statement::Answer,
+        work::{Job, Obstacle},
+    },
+};
+
+/// Interval between looks at the silence of an owner.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// Silence after which an owner is probed.
+const PROBE_AFTER: Duration = Duration::from_millis(100);
+
+/// Silence after which an owner counts as lost: a lost packet is sent again within
+/// it.
+const LOST_AFTER: Duration = Duration::from_millis(350);
+
+/// Time for which a lost owner is not used.
+const AVOID: Duration = Duration::from_millis(700);
+
+/// Frames that wait for a connection.
+const QUEUED_FRAMES: usize = 256;
+
+type Reply = oneshot::Sender<Result<Answer, Obstacle>>;
+
+/// Connections to other entry hosts.
+#[derive(Debug, Default)]
+pub struct Peers {
+    links: RefCell<HashMap<String, Rc<Peer>>>,
+    next: Cell<u64>,
+}
+
+/// Connection to one owner.
+#[derive(Debug)]
+struct Peer {
+    queue: mpsc::Sender<Message>,
+    /// Time until which the owner is not used.
+    avoided: Cell<Option<Instant>>,
+}
+
+#[derive(Debug)]
+enum Message {
+    Call { number: u64, frame: Bytes, reply: Reply },
+    Notice(Bytes),
+}
+
+impl Peers {
+    /// Number that no other call or stream of this host has.
+    pub fn number(&self) -> u64 {
+        self.next.set(self.next.get() + 1);
+        self.next.get()
+    }
+
+    /// Whether the owner at `addr` should be used.
+    pub fn is_usable(&self, addr: &str) -> bool {
+        let links = self.links.borrow();
+        let avoided = links.get(addr).and_then(|peer| peer.avoided.get());
+        avoided.is_none_or(|until| Instant::now() >= until)
+    }
+
+    /// Has the owner at `addr` execute `job`.
+    pub async fn call(&self, addr: &str, stream: u64, job: &Job) -> Result<Answer, Obstacle> {
+        let number = self.number();
+        let frame = encode(&Frame::Call { number, stream, job: job.clone() });
+        let (reply, outcome) = oneshot::channel();
+        let peer = self.peer(addr);
+        if peer.queue.try_send(Message::Call { number, frame, reply }).is_err() {
+            self.links.borrow_mut().remove(addr);
+            return Err(Obstacle::Unreachable);
+        }
+        // The owner counts the same time; the rest is for the way there and back.
+        let limit = job.limit.duration() + LOOK;
+        match tokio::time::timeout(limit, outcome).await {
+            Ok(Ok(result)) => result,
+            Ok(Err(_)) | Err(_) => Err(Obstacle::Lost),
+        }
+    }
+
+    /// Tells the owner that nothing more comes on `stream`.
+    pub fn end(&self, addr: &str, stream: u64) {
+        let peer = self.peer(addr);
+        if peer.queue.try_send(Message::Notice(encode(&Frame::End { stream }))).is_err() {
+            // The owner rolls back when the connection ends.
+            self.links.borrow_mut().remove(addr);
+        }
+    }
+
+    fn peer(&self, addr: &str) -> Rc<Peer> {
+        let mut links = self.links.borrow_mut();
+        if let Some(peer) = links.get(addr).filter(|peer| !peer.queue.is_closed()) {
+            return peer.clone();
+        }
+        let avoided = links.get(addr).and_then(|peer| peer.avoided.get());
+        let (queue, messages) = mpsc::channel(QUEUED_FRAMES);
+        let peer = Rc::new(Peer { queue, avoided: Cell::new(avoided) });
+        tokio::task::spawn_local(run(addr.to_owned(), peer.clone(), messages));
+        links.insert(addr.to_owned(), peer.clone());
+        peer
+    }
+}
+
+/// Keeps one connection until it fails.
+async fn run(addr: String, peer: Rc<Peer>, mut messages: mpsc::Receiver<Message>) {
+    let mut outstanding = HashMap::new();
+    let result = match connect(&addr).await {
+        Ok(stream) => {
+            peer.avoided.set(None);
+            let (reader, writer) = split(stream);
+            exchange(reader, writer, &mut messages, &mut outstanding).await
+        }
+        Err(error) => Err(error),
+    };
+    let connected = peer.avoided.get().is_none() && !outstanding.is_empty();
+    peer.avoided.set(Some(Instant::now() + AVOID));
+    messages.close();
+    if let Err(error) = result {
+        spdlog::info!("owner is not reachable", kv: {addr = addr.as_str(), outstanding = outstanding.len(), error = format!("{error:#}").as_str()});
+    }
+    for (_, reply) in outstanding.drain() {
+        let _: Result<(), _> = Reply::send(reply, Err(Obstacle::Lost));
+    }
+    // What is still queued was never sent.
+    while let Ok(message) = messages.try_recv() {
+        if let Message::Call { reply, .. } = message {
+            let _ = reply.send(Err(Obstacle::Unreachable));
+        }
+    }
+    if connected {
+        spdlog::debug!("connection to {addr} had outstanding calls");
+    }
+}
+
+async fn exchange(
+    mut reader: FrameReader,
+    mut writer: FrameWriter,
+    messages: &mut mpsc::Receiver<Message>,
+    outstanding: &mut HashMap<u64, Reply>,
+) -> Result<()> {
+    let mut looks = interval(LOOK);
+    let mut heard = Instant::now();
+    loop {
+        tokio::select! {
+            message = messages.recv() => match message {
+                Some(Message::Call { number, frame, reply }) => {
+                    if outstanding.is_empty() {
+                        heard = Instant::now();
+                    }
+                    outstanding.insert(number, reply);
+                    writer.send(frame).await?;
+                }
+                Some(Message::Notice(frame)) => writer.send(frame).await?,
+                None => return Ok(()),
+            },
+            read = reader.next() => {
+                let Some(bytes) = read else { bail!("the connection has ended") };
+                heard = Instant::now();
+                if let Frame::Outcome { number, result } = decode(&bytes?)?
+                    && let Some(reply) = outstanding.remove(&number)
+                {
+                    // The caller may have given up.
+                    let _ = reply.send(result);
+                }
+            }
+            _ = looks.tick(), if !outstanding.is_empty() => {
+                outstanding.retain(|_, reply| !reply.is_closed());
+                let silence = heard.elapsed();
+                if silence >= LOST_AFTER {
+                    bail!("no answer for {} ms", silence.as_millis());
+                }
+                if silence >= PROBE_AFTER {
+                    writer.send(encode(&Frame::Ping)).await?;
+                }
+            }
+        }
+    }
+}
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -17,7 +17,6 @@
     gateway::{
         prepare::ConnectionState,
         queue::{Queue, Waiter},
-        session::Session,
     },
     ids::{InstanceId, Workspace},
 };
@@ -80,7 +79,7 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Wanted<'a> {
     pub now: Millis,
-    pub session: &'a Session,
+    pub values: &'a IndexMap<String, String>,
     pub workspace: Option<&'a Workspace>,
     pub priority: u32,
     /// Connections that this host may have.
@@ -107,7 +106,7 @@
             .iter()
             .enumerate()
             .filter(|(_, (it, _))| it.workspace.as_ref() == wanted.workspace);
-        let nearest = same.min_by_key(|(_, (it, _))| it.state.distance(wanted.session));
+        let nearest = same.min_by_key(|(_, (it, _))| it.state.distance(wanted.values));
         if let Some((index, _)) = nearest {
             return Decision::Granted(Grant::Connection(self.idle.swap_remove(index).0));
         }
@@ -170,6 +169,14 @@
         self.full_until = now + FULL_PAUSE;
     }
 
+    /// Closes idle connections beyond `limit`.
+    pub fn trim(&mut self, limit: u32) {
+        while self.open > limit && !self.idle.is_empty() {
+            self.idle.remove(0);
+            self.open -= 1;
+        }
+    }
+
     /// Counts connections that rest inside transactions.
     pub fn rest(&mut self, begins: bool) {
         self.resting = if begins { self.resting + 1 } else { self.resting.saturating_sub(1) };
@@ -198,6 +205,11 @@
         change(pools.entry(target.clone()).or_default())
     }
 
+    /// Targets with a pool.
+    pub fn targets(&self) -> Vec<InstanceId> {
+        self.0.borrow().keys().cloned().collect()
+    }
+
     /// Drops the pools of targets that are gone.
     pub fn retain(&self, exists: impl Fn(&InstanceId) -> bool) {
         self.0.borrow_mut().retain(|id, _| exists(id));
--- a/src/gateway/prepare.rs
+++ b/src/gateway/prepare.rs
@@ -24,13 +24,17 @@
 impl ConnectionState {
     /// Adds the requests that make the connection's values those of the session, and
     /// notes them as done.
-    pub fn set_values<'a>(&mut self, session: &'a Session, out: &mut Vec<TargetRequest<'a>>) {
-        let surplus = self.values.keys().any(|name| !session.values.contains_key(name));
+    pub fn set_values<'a>(
+        &mut self,
+        values: &'a IndexMap<String, String>,
+        out: &mut Vec<TargetRequest<'a>>,
+    ) {
+        let surplus = self.values.keys().any(|name| !values.contains_key(name));
         if surplus || self.names.len() > KEPT_STATEMENTS {
             out.push(TargetRequest::Reset);
             *self = Self { next_name: self.next_name, ..Self::default() };
         }
-        for (name, value) in &session.values {
+        for (name, value) in values {
             if self.values.get(name) != Some(value) {
                 out.push(TargetRequest::Set { name, value });
                 self.values.insert(name.clone(), value.clone());
@@ -50,10 +54,10 @@
     }
 
     /// Number of values that would have to be changed for a session.
-    pub fn distance(&self, session: &Session) -> usize {
-        let differs = |(name, value): (&String, &String)| session.values.get(name) != Some(value);
+    pub fn distance(&self, values: &IndexMap<String, String>) -> usize {
+        let differs = |(name, value): (&String, &String)| values.get(name) != Some(value);
         self.values.iter().filter(|it| differs(*it)).count()
-            + session.values.len().saturating_sub(self.values.len())
+            + values.len().saturating_sub(self.values.len())
     }
 }
 
--- a/src/gateway/statement.rs
+++ b/src/gateway/statement.rs
@@ -1,11 +1,12 @@
 //! Statements of callers and answers of targets, independent of a wire protocol.
 
 use derive_more::Display;
+use serde::{Deserialize, Serialize};
 
 use crate::ids::Mark;
 
 /// What a statement does.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Statement {
     Begin {
         read_only: bool,
@@ -35,14 +36,14 @@
 }
 
 /// Prepared statement without its name.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Shape {
     pub writes: bool,
     pub text: String,
 }
 
 /// Statement of a caller with its id and text.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Request {
     pub id: String,
     pub text: String,
@@ -51,7 +52,7 @@
 
 /// Why a statement failed. Those of [`ErrorCode::promises_no_effect`] tell the caller
 /// that nothing of its attempt is kept.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
 pub enum ErrorCode {
     /// Not run for want of capacity or because of a limit.
     Busy,
@@ -100,7 +101,7 @@
 }
 
 /// Error with its explanation.
-#[derive(Debug, Clone, PartialEq, Eq, Display)]
+#[derive(Debug, Clone, PartialEq, Eq, Display, Serialize, Deserialize)]
 #[display("{code}: {text}")]
 pub struct StatementError {
     pub code: ErrorCode,
@@ -115,7 +116,7 @@
 }
 
 /// Where a session stands.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TransactionState {
     #[default]
     Idle,
@@ -124,7 +125,7 @@
 }
 
 /// Answer to one statement.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Answer {
     pub rows: Vec<String>,
     /// Signature of the target, or why the statement failed.
--- a/src/gateway/transaction.rs
+++ b/src/gateway/transaction.rs
@@ -7,16 +7,17 @@
     clock::Millis,
     gateway::{
         cx::Cx,
-        operation::{Need, Obstacle, Operation, Placed, exchange},
-        ports::{TargetRequest, Targets},
+        operation::{Need, Operation, Placed},
+        ports::Targets,
         prepare::Prepared,
         session::{Access, Session},
         statement::{Answer, ErrorCode, OWN_SIGNATURE, Request, Statement, TransactionState},
+        work::{Obstacle, Reason, Work},
     },
 };
 
-/// Time for a target to roll back before the connection is closed instead.
-const ROLLBACK_TIMEOUT: Millis = Millis(300);
+/// Advice to callers whose transaction no target began.
+const RETRY_BEGIN: Millis = Millis(300);
 
 /// Attempts to begin at a target before the transaction is refused.
 const BEGIN_ATTEMPTS: usize = 4;
@@ -26,7 +27,7 @@
     read_only: bool,
     access: Access,
     arrived: Millis,
-    placed: Option<Placed<T::Connection>>,
+    placed: Option<Placed<T>>,
     wrote: bool,
     failed: bool,
 }
@@ -62,19 +63,16 @@
         let operation = Operation { cx, session, access: &self.access, arrived };
         let deadline = arrived + self.access.route.statement_timeout;
         let Some(placed) = &mut self.placed else { return operation.lost() };
-        placed.checkout.rest(false);
-        match operation.forward(&mut placed.checkout, prepared, None, deadline).await {
+        let work = Operation::<T>::statement(prepared, None);
+        let job = operation.job(&placed.lane.target.id, work, deadline);
+        match operation.run(&mut placed.lane, &job).await {
             Ok(answer) => {
-                placed.checkout.rest(true);
                 self.failed = answer.state != TransactionState::Open;
-                if self.failed && answer.state == TransactionState::Idle {
-                    self.placed = None;
-                }
                 self.failed_answer(answer)
             }
             Err(_) => {
                 // No commit was sent, so the target rolls back when the connection ends.
-                self.placed = None;
+                self.end(cx).await;
                 self.failed = true;
                 let text = "connection to the target was lost; nothing is kept";
                 Answer::error(ErrorCode::Aborted, text, TransactionState::Failed)
@@ -99,44 +97,34 @@
         let operation = Operation { cx, session, access: &self.access, arrived };
         let need = if self.read_only { Need::Readable } else { Need::Writable };
         let mut tried = Vec::new();
-        let mut last = Obstacle::Elsewhere;
+        let mut last = Obstacle::Unreachable;
         for _ in 0..BEGIN_ATTEMPTS {
-            let mut placed = match operation.place(need, &mut tried).await {
+            let mut placed = match operation.place(need, true, &mut tried).await {
                 Ok(placed) => placed,
                 Err(obstacle) => return Err(operation.refusal(&obstacle)),
             };
-            let request = TargetRequest::Begin { read_only: self.read_only, after: placed.after };
-            let mut requests = Vec::new();
-            if let Some(pooled) = placed.checkout.pooled() {
-                pooled.state.set_values(session, &mut requests);
-            }
-            requests.push(request);
+            let target = placed.lane.target.clone();
+            let work = Work::Begin { read_only: self.read_only, after: placed.after };
             let deadline = arrived + self.access.route.statement_timeout;
-            let target = placed.checkout.target.clone();
-            match operation.exchange(&mut placed.checkout, &requests, deadline).await {
-                Ok(answers) if answers.iter().all(|answer| answer.result.is_ok()) => {
+            let job = operation.job(&target.id, work, deadline);
+            match operation.run(&mut placed.lane, &job).await {
+                Ok(answer) if answer.result.is_ok() => {
                     self.placed = Some(placed);
                     return Ok(());
                 }
-                Ok(answers) => {
-                    let code = answers.iter().find_map(Answer::code);
-                    if code == Some(ErrorCode::ReadOnly) {
+                Ok(answer) => {
+                    if answer.code() == Some(ErrorCode::ReadOnly) {
                         let now = cx.now();
                         cx.knowledge.borrow_mut().disprove(now, &target.service, &target.id);
                     }
-                    // A refused beginning leaves the connection as it was.
-                    let usable =
-                        answers.last().is_some_and(|it| it.state == TransactionState::Idle);
-                    if usable && answers.len() == 1 {
-                        placed.checkout.release(cx.now());
-                    }
                 }
                 // Nothing of a transaction without a commit is kept.
                 Err(obstacle) => last = obstacle,
             }
+            placed.lane.end(cx).await;
             tried.push(target.id.clone());
         }
-        let not_run = Obstacle::NotRun(ROLLBACK_TIMEOUT, "no target begins a transaction");
+        let not_run = Obstacle::NotRun(RETRY_BEGIN, Reason::NoTarget);
         Err(operation.refusal(if matches!(last, Obstacle::NotRun(..)) { &last } else { &not_run }))
     }
 
@@ -154,18 +142,13 @@
         let Some(mut placed) = self.placed.take() else {
             return Answer::error(ErrorCode::Aborted, "no connection", TransactionState::Idle);
         };
-        placed.checkout.rest(false);
+        let operation = Operation { cx, session, access: &self.access, arrived };
         let deadline = arrived + self.access.route.statement_timeout;
-        let forward = TargetRequest::Forward { request, after: None };
-        let result = exchange(cx, &mut placed.checkout, &[forward], deadline).await;
-        let answer = result.ok().and_then(|mut answers| answers.pop());
-        let Some(answer) = answer else {
-            let operation = Operation { cx, session, access: &self.access, arrived };
-            return operation.lost();
-        };
-        if answer.state == TransactionState::Idle {
-            placed.checkout.release(cx.now());
-        }
+        let work = Work::Statement { request: request.clone(), shape: None, after: None };
+        let job = operation.job(&placed.lane.target.id, work, deadline);
+        let result = operation.run(&mut placed.lane, &job).await;
+        let answer = result.unwrap_or_else(|_| operation.lost());
+        placed.lane.end(cx).await;
         if let (Ok(_), Some(position), true) = (&answer.result, answer.position, self.wrote) {
             let service = &self.access.route.service;
             cx.freshness.borrow_mut().observe(service, arrived, position);
@@ -175,16 +158,10 @@
         Answer { state: TransactionState::Idle, ..answer }
     }
 
-    /// Rolls back and returns the connection.
+    /// Rolls back and gives the connection back.
     pub async fn end(&mut self, cx: &Cx<T>) {
-        let Some(mut placed) = self.placed.take() else { return };
-        let deadline = cx.now() + ROLLBACK_TIMEOUT;
-        let result = exchange(cx, &mut placed.checkout, &[TargetRequest::Rollback], deadline).await;
-        let is_idle = |answers: &Vec<Answer>| {
-            answers.iter().all(|it| it.result.is_ok() && it.state == TransactionState::Idle)
-        };
-        if result.is_ok_and(|answers| is_idle(&answers)) {
-            placed.checkout.release(cx.now());
+        if let Some(placed) = self.placed.take() {
+            placed.lane.end(cx).await;
         }
     }
 
--- /dev/null
+++ b/src/gateway/work.rs
@@ -0,0 +1,80 @@
+//! Work of a session for one target, as it travels to the target's owner.
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    clock::Millis,
+    gateway::statement::{Request, Shape},
+    ids::{InstanceId, Mark, Workspace},
+};
+
+/// What a target is asked to do.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Work {
+    Statement {
+        request: Request,
+        /// Prepared statement that an execution names.
+        shape: Option<Shape>,
+        after: Option<Mark>,
+    },
+    Begin {
+        read_only: bool,
+        after: Option<Mark>,
+    },
+    Rollback,
+    /// Asks for the target's role.
+    Status,
+}
+
+/// Work with what its execution depends on.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Job {
+    pub target: InstanceId,
+    pub workspace: Option<Workspace>,
+    /// Values of the session.
+    pub values: IndexMap<String, String>,
+    /// Rank of the route; 0 is served first.
+    pub priority: u32,
+    /// Longest wait for a slot and a connection.
+    pub wait: Millis,
+    /// Longest time until the answer.
+    pub limit: Millis,
+    pub work: Work,
+}
+
+/// Why there is no answer of the target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Obstacle {
+    /// Nothing ran; the caller may come back after the span.
+    NotRun(Millis, Reason),
+    /// Target cannot be reached from where the work was. Nothing ran.
+    Unreachable,
+    /// Work was sent and no answer came.
+    Lost,
+}
+
+/// Why work was not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Reason {
+    /// Expected wait for a slot is too long.
+    Queue,
+    /// All connections are in use.
+    Connections,
+    /// No target can be used.
+    NoTarget,
+    /// Target refused the work for want of a slot.
+    Busy,
+}
+
+impl Reason {
+    /// Explanation for callers.
+    pub fn text(self) -> &'static str {
+        match self {
+            Self::Queue => "the wait for a slot would be too long",
+            Self::Connections => "all connections are in use",
+            Self::NoTarget => "no target can be used",
+            Self::Busy => "the target has no free slot",
+        }
+    }
+}
