Admit operations as long as the rate covers the demand of all hosts

Ruled out: full slots (2 refusals). Change: hosts report admitted operations, the leader keeps a bucket for each workspace and limits only those whose demand it does not cover.

--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -21,9 +21,12 @@
         failover::{self, Failover},
         hosts::Hosts,
         link::{ConnectionId, Inbound, Links, encode},
-        messages::{Announcement, ConfigDocument, FleetView, Frame, TargetRole, ViewRevision},
+        messages::{
+            Announcement, ConfigDocument, FleetView, Frame, Share, TargetRole, ViewRevision,
+        },
         registry::{Noted, Registry},
         runtime::{Ports, Tasks},
+        shares::Rates,
         state::{FleetCommand, FleetState},
     },
     ids::{HostId, InstanceId, Service},
@@ -79,6 +82,7 @@
     pub(super) registry: Registry,
     pub(super) hosts: Hosts,
     pub(super) failover: Failover,
+    pub(super) rates: Rates,
     /// Connection and last sent versions of each entry host.
     pub(super) connections: IndexMap<HostId, HostConnection>,
     pub(super) view: FleetView,
@@ -91,7 +95,8 @@
     pub(super) id: ConnectionId,
     pub(super) view: ViewRevision,
     pub(super) config_sent: (u64, Millis),
-    pub(super) shares_sent: Millis,
+    pub(super) shares: Vec<Share>,
+    pub(super) parts_sent: Millis,
     pub(super) echo: Millis,
 }
 
@@ -207,13 +212,20 @@
             Inbound::Closed { id } => {
                 self.answers.remove(&id);
             }
-            Inbound::Received { frame: Frame::Group(message), .. } => {
+            Inbound::Received { id, frame } => self.receive_frame(id, *frame)?,
+        }
+        Ok(())
+    }
+
+    fn receive_frame(&mut self, id: ConnectionId, frame: Frame) -> Result<()> {
+        match frame {
+            Frame::Group(message) => {
                 let name = message.from.as_str().rsplit_once('.').map_or("", |(name, _)| name);
                 self.heard.insert(name.to_owned(), self.clock.now());
                 self.step(Input::Message(message))?;
             }
-            Inbound::Received { id, frame: Frame::Report(report) } => self.report(id, &report),
-            Inbound::Received { .. } => spdlog::debug!("ignoring an unexpected frame"),
+            Frame::Report(report) => self.report(id, &report),
+            _ => spdlog::debug!("ignoring an unexpected frame"),
         }
         Ok(())
     }
@@ -448,6 +460,7 @@
             registry: Registry::default(),
             hosts: Hosts::new(now),
             failover: Failover::default(),
+            rates: Rates::default(),
             connections: IndexMap::new(),
             view: FleetView { revision, ..FleetView::default() },
             view_stale: true,
--- a/src/fleet/hosts.rs
+++ b/src/fleet/hosts.rs
@@ -95,7 +95,7 @@
         host.lease_until = now + LEASE_SPAN;
         host.view = report.view_revision;
         host.config_version = report.config_version;
-        host.demand.note(now, &report.demand);
+        host.demand.note(now, &report.usage);
         host.health = report.targets.iter().map(|it| (it.id.clone(), it.health)).collect();
         for (service, mark) in &report.acknowledged {
             let newest = host.acknowledged.entry(service.clone()).or_default();
--- a/src/fleet/leader.rs
+++ b/src/fleet/leader.rs
@@ -13,14 +13,13 @@
         messages::{FleetView, Frame, HostReport, HostUpdate, Primary, Redirect, ViewRevision},
         registry::Noted,
         runtime::Ports,
-        shares::shares_of,
         state::FleetCommand,
     },
     ids::{HostId, Service},
 };
 
-/// Interval between two deliveries of shares to one host.
-const SHARES_INTERVAL: Millis = Millis(400);
+/// Interval between two deliveries of the parts of the demands to one host.
+const PARTS_INTERVAL: Millis = Millis(2_000);
 
 /// Time after which a configuration is sent again to a host that has not confirmed it.
 const RESEND_CONFIG: Millis = Millis(1_000);
@@ -103,6 +102,8 @@
         let known_before = leading.hosts.get(&report.host).map(|host| host.incarnation);
         let changed = leading.hosts.note(now, report);
         let is_new = known_before != Some(report.incarnation);
+        leading.rates.note(&report.usage);
+        leading.rates.plan(now, &self.config.workspaces, leading.hosts.demands());
         for announcement in &report.known {
             leading.view_stale |= leading.registry.suggest(now, announcement) == Noted::Changed;
             if announcement.role == crate::fleet::messages::TargetRole::Primary
@@ -152,6 +153,7 @@
             config: None,
             view: None,
             shares: None,
+            parts: None,
         };
         let in_force = self.state.config.version;
         let (sent, sent_at) = connection.config_sent;
@@ -164,12 +166,18 @@
             connection.view = leading.view.revision;
             update.view = Some(leading.view.clone());
         }
-        if always
-            && now.since(leading.since) >= SHARES_DELAY
-            && now.since(connection.shares_sent) >= SHARES_INTERVAL
-        {
-            connection.shares_sent = now;
-            update.shares = Some(shares_of(host, leading.hosts.demands(), &self.config.workspaces));
+        if always && now.since(leading.since) >= SHARES_DELAY {
+            let demand = leading.hosts.get(host).map(|host| &host.demand);
+            let workspaces = &self.config.workspaces;
+            let shares = demand.map(|demand| leading.rates.shares(demand, workspaces));
+            if let Some(shares) = shares.filter(|shares| *shares != connection.shares) {
+                connection.shares.clone_from(&shares);
+                update.shares = Some(shares);
+            }
+            if now.since(connection.parts_sent) >= PARTS_INTERVAL {
+                connection.parts_sent = now;
+                update.parts = demand.map(|demand| leading.rates.parts(demand));
+            }
         }
         let id = connection.id;
         if !always && update.config.is_none() && update.view.is_none() {
@@ -250,7 +258,8 @@
             id,
             view: ViewRevision::default(),
             config_sent: (0, Millis(0)),
-            shares_sent: Millis(0),
+            shares: Vec::new(),
+            parts_sent: Millis(0),
             echo: Millis(0),
         }
     }
--- a/src/fleet/link.rs
+++ b/src/fleet/link.rs
@@ -85,7 +85,7 @@
 #[derive(Debug)]
 pub enum Inbound {
     Opened { id: ConnectionId, answers: mpsc::Sender<Bytes> },
-    Received { id: ConnectionId, frame: Frame },
+    Received { id: ConnectionId, frame: Box<Frame> },
     Closed { id: ConnectionId },
 }
 
@@ -121,7 +121,7 @@
                 let Some(Ok(bytes)) = read else { break };
                 match decode(&bytes) {
                     Ok(frame) => {
-                        if events.send(Inbound::Received { id, frame }).await.is_err() {
+                        if events.send(Inbound::Received { id, frame: Box::new(frame) }).await.is_err() {
                             return;
                         }
                     }
--- a/src/fleet/messages.rs
+++ b/src/fleet/messages.rs
@@ -61,8 +61,8 @@
     pub domain: FailureDomain,
     /// Host is about to stop and must not own targets.
     pub leaving: bool,
-    /// Operations that callers sent since the last report.
-    pub demand: Vec<(Workspace, u32)>,
+    /// Operations of callers since the last report.
+    pub usage: Vec<Usage>,
     pub targets: Vec<TargetHealth>,
     /// Newest acknowledged commit of each service.
     pub acknowledged: Vec<(Service, Mark)>,
@@ -70,6 +70,16 @@
     pub known: Vec<Announcement>,
 }
 
+/// Operations of a workspace at one host.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Usage {
+    pub workspace: Workspace,
+    /// Operations that callers sent.
+    pub offered: u32,
+    /// Operations that the host admitted.
+    pub admitted: u32,
+}
+
 /// How a target answered an entry host lately.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Health {
@@ -101,7 +111,10 @@
     pub lease: Millis,
     pub config: Option<ConfigDocument>,
     pub view: Option<FleetView>,
+    /// Workspaces that are limited, if that changed; all others are not.
     pub shares: Option<Vec<Share>>,
+    /// Parts of the workspaces' demands that the host has.
+    pub parts: Option<Vec<(Workspace, f32)>>,
 }
 
 /// Operator's document as it was sent, compressed.
--- a/src/gateway/control_link.rs
+++ b/src/gateway/control_link.rs
@@ -175,7 +175,7 @@
                 bus_addr: cx.settings.bus_addr.clone(),
                 domain: cx.settings.domain.clone(),
                 leaving: cx.phase() > Phase::Serving,
-                demand: cx.quota.borrow_mut().take_demand(),
+                usage: cx.quota.borrow_mut().take_usage(),
                 targets: cx.health.borrow().report(cx.now()),
                 acknowledged: cx
                     .acknowledged
@@ -193,7 +193,6 @@
     /// Takes over an update; returns whether it is the first of a new leader.
     fn apply(&mut self, update: HostUpdate) -> Result<bool> {
         let cx = &self.cx;
-        let now = cx.now();
         if let Some(document) = update.config {
             let config = cx.targets.decode_config(&decompress(&document)?)?;
             if cx.knowledge.borrow_mut().set_config(config) {
@@ -211,7 +210,10 @@
             }
         }
         if let Some(shares) = update.shares {
-            cx.quota.borrow_mut().set_shares(now, &shares);
+            cx.quota.borrow_mut().set_shares(shares);
+        }
+        if let Some(parts) = update.parts {
+            cx.quota.borrow_mut().set_parts(parts);
         }
         if update.lease > Millis(0) {
             cx.lease.borrow_mut().extend(update.echo, update.lease);
--- a/src/gateway/cx.rs
+++ b/src/gateway/cx.rs
@@ -11,9 +11,9 @@
     clock::{Clock, Millis, SystemClock},
     fleet::messages::Announcement,
     gateway::{
-        executor::Gates, freshness::Freshness, health::TargetsHealth, knowledge::Knowledge,
-        lease::TrustLease, owners::ranking, peers::Peers, pool::Pools, ports::Targets,
-        quota::Quota,
+        decisions::LineBudget, executor::Gates, freshness::Freshness, health::TargetsHealth,
+        knowledge::Knowledge, lease::TrustLease, owners::ranking, peers::Peers, pool::Pools,
+        ports::Targets, quota::Quota,
     },
     ids::{FailureDomain, HostId, Mark, Service},
 };
@@ -72,6 +72,7 @@
     pub peers: Peers,
     pub acknowledged: RefCell<indexmap::IndexMap<Service, Mark>>,
     pub sessions: Cell<usize>,
+    pub lines: RefCell<LineBudget>,
     phase: watch::Sender<Phase>,
 }
 
@@ -92,6 +93,7 @@
             peers: Peers::default(),
             acknowledged: RefCell::default(),
             sessions: Cell::new(0),
+            lines: RefCell::default(),
             phase: watch::Sender::new(Phase::Serving),
         }
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod control_link;
 pub mod cx;
+pub mod decisions;
 pub mod executor;
 pub mod freshness;
 pub mod gate;
--- a/src/gateway/owner.rs
+++ b/src/gateway/owner.rs
@@ -46,7 +46,7 @@
             }
             Inbound::Received { id, frame } => {
                 if let Some(guest) = guests.get_mut(&id) {
-                    guest.receive(&cx, frame);
+                    guest.receive(&cx, *frame);
                 }
             }
         }
--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -1,9 +1,19 @@
-//! Limits of the workspaces at one entry host: a token bucket for each share of a
-//! rate that the control leader grants.
+//! Limits of the workspaces at one entry host.
+//!
+//! A workspace that the leader limits gets a bucket of its part of the rate. Any other
+//! one is bounded by its whole rate and burst, or, without contact to the leader, by
+//! the part of its demand that this host had.
 
 use indexmap::IndexMap;
 
-use crate::{clock::Millis, fleet::messages::Share, ids::Workspace};
+use crate::{
+    clock::Millis,
+    fleet::{
+        config::FleetWorkspace,
+        messages::{Share, Usage},
+    },
+    ids::Workspace,
+};
 
 /// Milliseconds per second.
 const SECOND_MS: f32 = 1_000.0;
@@ -11,60 +21,85 @@
 /// Longest advice to a caller when to come back.
 const LONGEST_RETRY: Millis = Millis(1_000);
 
+/// Smallest depth of a bucket without contact, in operations: a host with few callers
+/// would otherwise refuse two operations that happen to coincide.
+const LEAST_DEPTH: f32 = 2.0;
+
 /// Buckets of the workspaces.
 #[derive(Debug, Default)]
 pub struct Quota {
     buckets: IndexMap<Workspace, Bucket>,
-    demand: IndexMap<Workspace, u32>,
+    limited: IndexMap<Workspace, Share>,
+    parts: IndexMap<Workspace, f32>,
+    usage: IndexMap<Workspace, (u32, u32)>,
 }
 
 #[derive(Debug)]
 struct Bucket {
-    rate: f32,
-    burst: f32,
     tokens: f32,
     at: Millis,
 }
 
-impl Bucket {
-    fn refill(&mut self, now: Millis) {
-        let earned = self.rate * now.since(self.at).0 as f32 / SECOND_MS;
-        self.tokens = (self.tokens + earned).min(self.burst.max(1.0));
-        self.at = self.at.max(now);
+impl Quota {
+    /// Takes over the workspaces that the leader limits; all others are not.
+    pub fn set_shares(&mut self, shares: Vec<Share>) {
+        self.limited = shares.into_iter().map(|it| (it.workspace.clone(), it)).collect();
     }
-}
 
-impl Quota {
-    /// Takes over the shares that control grants.
-    pub fn set_shares(&mut self, now: Millis, shares: &[Share]) {
-        self.buckets.retain(|workspace, _| shares.iter().any(|it| it.workspace == *workspace));
-        for share in shares {
-            let new = || Bucket { rate: 0.0, burst: 0.0, tokens: share.burst / 2.0, at: now };
-            let bucket = self.buckets.entry(share.workspace.clone()).or_insert_with(new);
-            bucket.refill(now);
-            bucket.rate = share.rate;
-            bucket.burst = share.burst;
-            bucket.refill(now);
-        }
+    /// Takes over the parts of the demands that this host has.
+    pub fn set_parts(&mut self, parts: Vec<(Workspace, f32)>) {
+        self.parts = parts.into_iter().collect();
     }
 
     /// Counts an operation and takes a token for it; otherwise returns when the next
-    /// one is due. A workspace without a share is admitted: control has not yet
-    /// divided its rate.
-    pub fn admit(&mut self, now: Millis, workspace: &Workspace) -> Result<(), Millis> {
-        *self.demand.entry(workspace.clone()).or_default() += 1;
-        let Some(bucket) = self.buckets.get_mut(workspace) else { return Ok(()) };
-        bucket.refill(now);
-        if bucket.tokens >= 1.0 {
-            bucket.tokens -= 1.0;
-            return Ok(());
+    /// one is due. `in_contact` tells whether the leader would have said that the
+    /// workspace is limited.
+    pub fn admit(
+        &mut self,
+        now: Millis,
+        workspace: &Workspace,
+        limits: &FleetWorkspace,
+        in_contact: bool,
+    ) -> Result<(), Millis> {
+        let (rate, depth) = self.terms(workspace, limits, in_contact);
+        let usage = self.usage.entry(workspace.clone()).or_default();
+        usage.0 += 1;
+        let new = || Bucket { tokens: depth, at: now };
+        let bucket = self.buckets.entry(workspace.clone()).or_insert_with(new);
+        let earned = rate * now.since(bucket.at).0 as f32 / SECOND_MS;
+        bucket.tokens = (bucket.tokens + earned).min(depth.max(1.0));
+        bucket.at = now;
+        if bucket.tokens < 1.0 {
+            let missing_ms = (1.0 - bucket.tokens) * SECOND_MS / rate.max(0.1);
+            return Err(Millis(missing_ms as u64 + 1).min(LONGEST_RETRY));
+        }
+        bucket.tokens -= 1.0;
+        usage.1 += 1;
+        Ok(())
+    }
+
+    fn terms(
+        &self,
+        workspace: &Workspace,
+        limits: &FleetWorkspace,
+        in_contact: bool,
+    ) -> (f32, f32) {
+        if let Some(share) = self.limited.get(workspace) {
+            return (share.rate, share.burst);
+        }
+        let (rate, burst) = (limits.rate as f32, limits.burst as f32);
+        if in_contact {
+            return (rate, burst);
         }
-        let missing_ms = (1.0 - bucket.tokens) * SECOND_MS / bucket.rate.max(0.1);
-        Err(Millis(missing_ms as u64 + 1).min(LONGEST_RETRY))
+        let part = self.parts.get(workspace).copied().unwrap_or_default();
+        (rate * part, (burst * part).max(LEAST_DEPTH))
     }
 
     /// Operations since the last call.
-    pub fn take_demand(&mut self) -> Vec<(Workspace, u32)> {
-        self.demand.drain(..).collect()
+    pub fn take_usage(&mut self) -> Vec<Usage> {
+        let usage = self.usage.drain(..);
+        usage
+            .map(|(workspace, (offered, admitted))| Usage { workspace, offered, admitted })
+            .collect()
     }
 }
--- a/src/gateway/runtime.rs
+++ b/src/gateway/runtime.rs
@@ -9,6 +9,7 @@
     clock::Millis,
     gateway::{
         cx::{Cx, Phase},
+        decisions::Line,
         operation::Operation,
         ports::{Caller, CallerMessage, Targets},
         prepare::Prepared,
@@ -16,6 +17,7 @@
         statement::{Answer, ErrorCode, Request, Statement, StatementError, TransactionState},
         transaction::{Transaction, change_session},
     },
+    ids::Workspace,
 };
 
 /// Times of a stop, from the order on.
@@ -126,11 +128,39 @@
         loop {
             let Some(message) = self.next(caller, phases).await? else { return Ok(()) };
             let CallerMessage::Request(request) = message else { return Ok(()) };
+            let arrived = self.cx.now();
             let answer = self.handle(&request).await;
+            self.log_failure(&request, &answer, arrived);
             caller.answer(&answer).await?;
         }
     }
 
+    /// Writes a line for a request that failed, within the budget of lines.
+    fn log_failure(&self, request: &Request, answer: &Answer, arrived: Millis) {
+        let Err(error) = &answer.result else { return };
+        let cx = &self.cx;
+        let now = cx.now();
+        let Line::Write { left_out } = cx.lines.borrow_mut().line(now) else { return };
+        let knowledge = cx.knowledge.borrow();
+        let route = knowledge.config.routes.get(self.session.database.as_str());
+        let service = route.map_or("none", |route| route.service.as_str());
+        let primary = route.and_then(|route| knowledge.primary(now, &route.service));
+        spdlog::info!("request failed", kv: {
+            id = request.id.as_str(),
+            database = self.session.database.as_str(),
+            service,
+            code = error.code.to_string().as_str(),
+            reason = error.text.as_str(),
+            took_ms = now.since(arrived).0,
+            primary = primary.as_ref().map_or("none", |it| it.id.as_str()),
+            leased = cx.lease.borrow().is_valid(now),
+            config = knowledge.config.version,
+            view_term = knowledge.revision().term,
+            view = knowledge.revision().number,
+            left_out
+        });
+    }
+
     /// Next message; `None` if the host closes the session.
     async fn next<C: Caller>(
         &mut self,
@@ -207,7 +237,7 @@
             Err(error) => return Answer::error(error.code, error.text, idle),
         };
         if let Some(workspace) = &access.workspace
-            && let Err(retry) = self.cx.quota.borrow_mut().admit(arrived, workspace)
+            && let Err(retry) = self.admit(arrived, workspace)
         {
             let text = format!("rate of the workspace is exceeded; retry after {retry}");
             return Answer::error(ErrorCode::Busy, text, idle);
@@ -234,6 +264,15 @@
     }
 }
 
+impl<T: Targets> Served<T> {
+    fn admit(&self, now: Millis, workspace: &Workspace) -> Result<(), Millis> {
+        let knowledge = self.cx.knowledge.borrow();
+        let Some(limits) = knowledge.config.workspaces.get(workspace) else { return Ok(()) };
+        let in_contact = self.cx.lease.borrow().is_valid(now);
+        self.cx.quota.borrow_mut().admit(now, workspace, limits, in_contact)
+    }
+}
+
 fn unknown_statement(state: TransactionState) -> Answer {
     Answer::error(ErrorCode::NoStatement, "no such prepared statement", state)
 }
