Report early what a burst admits, and test the fleet's decisions

Change: a host reports at once when it has admitted a tenth of a second's rate, and a new limit begins with at most the share's depth.

--- a/src/gateway/control_link.rs
+++ b/src/gateway/control_link.rs
@@ -23,6 +23,9 @@
 /// Interval between reports; three of them fit into a lease.
 const REPORT_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Shortest interval between reports that are sent before their usual time.
+const URGENT_GAP: Duration = Duration::from_millis(100);
+
 /// Silence of the leader after which another connection is tried. Below the rest of
 /// a lease, so that a dead connection does not end it.
 const SILENCE: Duration = Duration::from_millis(900);
@@ -126,6 +129,7 @@
         let mut first = true;
         let mut confirmed = self.confirmed();
         let mut phases = self.cx.phases();
+        let mut reported = Instant::now();
         loop {
             tokio::select! {
                 _ = reports.tick() => {
@@ -151,6 +155,10 @@
                         _ => bail!("unexpected frame"),
                     }
                 }
+                () = self.cx.report_soon.notified(), if reported.elapsed() >= URGENT_GAP => {
+                    reported = Instant::now();
+                    self.report(&mut writer, false).await?;
+                }
                 // Another host takes over the targets as soon as this one begins to leave.
                 Ok(()) = phases.changed() => self.report(&mut writer, false).await?,
             }
--- a/src/gateway/cx.rs
+++ b/src/gateway/cx.rs
@@ -5,7 +5,7 @@
     rc::Rc,
 };
 
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::{
     clock::{Clock, Millis, SystemClock},
@@ -73,6 +73,8 @@
     pub acknowledged: RefCell<indexmap::IndexMap<Service, Mark>>,
     pub sessions: Cell<usize>,
     pub lines: RefCell<LineBudget>,
+    /// Asks for a report to control before its usual time.
+    pub report_soon: Notify,
     phase: watch::Sender<Phase>,
 }
 
@@ -94,6 +96,7 @@
             acknowledged: RefCell::default(),
             sessions: Cell::new(0),
             lines: RefCell::default(),
+            report_soon: Notify::new(),
             phase: watch::Sender::new(Phase::Serving),
         }
     }
--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -25,6 +25,13 @@
 /// would otherwise refuse two operations that happen to coincide.
 const LEAST_DEPTH: f32 = 2.0;
 
+/// Part of a second's rate after which a host reports what it has admitted before its
+/// usual time.
+const URGENT_PART: f32 = 0.1;
+
+/// Operations that are worth a report of their own.
+const URGENT_LEAST: f32 = 4.0;
+
 /// Buckets of the workspaces.
 #[derive(Debug, Default)]
 pub struct Quota {
@@ -32,6 +39,7 @@
     limited: IndexMap<Workspace, Share>,
     parts: IndexMap<Workspace, f32>,
     usage: IndexMap<Workspace, (u32, u32)>,
+    urgent: bool,
 }
 
 #[derive(Debug)]
@@ -41,8 +49,15 @@
 }
 
 impl Quota {
-    /// Takes over the workspaces that the leader limits; all others are not.
+    /// Takes over the workspaces that the leader limits; all others are not. A limit
+    /// begins without the operations that the bucket had saved: with many hosts they
+    /// would add up to more than a burst.
     pub fn set_shares(&mut self, shares: Vec<Share>) {
+        for share in shares.iter().filter(|it| !self.limited.contains_key(&it.workspace)) {
+            if let Some(bucket) = self.buckets.get_mut(&share.workspace) {
+                bucket.tokens = bucket.tokens.min(share.burst);
+            }
+        }
         self.limited = shares.into_iter().map(|it| (it.workspace.clone(), it)).collect();
     }
 
@@ -75,6 +90,7 @@
         }
         bucket.tokens -= 1.0;
         usage.1 += 1;
+        self.urgent |= usage.1 as f32 >= (limits.rate as f32 * URGENT_PART).max(URGENT_LEAST);
         Ok(())
     }
 
@@ -95,8 +111,14 @@
         (rate * part, (burst * part).max(LEAST_DEPTH))
     }
 
+    /// Whether so much was admitted since the last report that the leader should know.
+    pub fn is_urgent(&self) -> bool {
+        self.urgent
+    }
+
     /// Operations since the last call.
     pub fn take_usage(&mut self) -> Vec<Usage> {
+        self.urgent = false;
         let usage = self.usage.drain(..);
         usage
             .map(|(workspace, (offered, admitted))| Usage { workspace, offered, admitted })
--- a/src/gateway/runtime.rs
+++ b/src/gateway/runtime.rs
@@ -269,7 +269,12 @@
         let knowledge = self.cx.knowledge.borrow();
         let Some(limits) = knowledge.config.workspaces.get(workspace) else { return Ok(()) };
         let in_contact = self.cx.lease.borrow().is_valid(now);
-        self.cx.quota.borrow_mut().admit(now, workspace, limits, in_contact)
+        let mut quota = self.cx.quota.borrow_mut();
+        let admitted = quota.admit(now, workspace, limits, in_contact);
+        if quota.is_urgent() {
+            self.cx.report_soon.notify_one();
+        }
+        admitted
     }
 }
 
--- /dev/null
+++ b/tests/fleet_failover.rs
@@ -0,0 +1,302 @@
+//! Change of a primary: nothing acknowledged is lost, and no host relies on the old
+//! primary when the new one begins.
+
+use indexmap::IndexMap;
+use pomelopin::{
+    clock::Millis,
+    fleet::{
+        failover::{Action, CallOutcome, Cx, Event, Failover, Order, TargetStatus},
+        hosts::Hosts,
+        messages::{Announcement, Health, HostReport, TargetHealth, TargetRole, ViewRevision},
+        registry::Registry,
+    },
+    ids::{Incarnation, InstanceId, Mark, Service},
+};
+
+const STEP: u64 = 50;
+
+/// Control leader with three targets and a few entry hosts.
+struct Bench {
+    now: Millis,
+    registry: Registry,
+    hosts: Hosts,
+    failover: Failover,
+    unfinished: IndexMap<Service, InstanceId>,
+    view: u64,
+    term: u64,
+    /// Position and role of each target; `None` for one that does not answer.
+    targets: IndexMap<&'static str, Option<(TargetRole, Mark)>>,
+    paused: Vec<String>,
+    calls: Vec<(String, u64)>,
+    /// Whether the platform carries out calls.
+    carries_out: bool,
+    failing: Option<Millis>,
+    confirms_view: bool,
+    acknowledged: Mark,
+    sequence: u64,
+}
+
+fn service() -> Service {
+    Service::from("ledger")
+}
+
+impl Bench {
+    fn new() -> Self {
+        let mark = Mark::new(3, 100);
+        let mut bench = Self {
+            now: Millis(10_000),
+            registry: Registry::default(),
+            hosts: Hosts::new(Millis(0)),
+            failover: Failover::default(),
+            unfinished: IndexMap::new(),
+            view: 1,
+            term: 7,
+            targets: IndexMap::from([
+                ("p", Some((TargetRole::Primary, mark))),
+                ("r1", Some((TargetRole::Replica, mark))),
+                ("r2", Some((TargetRole::Replica, mark))),
+            ]),
+            paused: Vec::new(),
+            calls: Vec::new(),
+            carries_out: true,
+            failing: None,
+            confirms_view: true,
+            acknowledged: mark,
+            sequence: 0,
+        };
+        bench.failover.claimed(&service(), &"p".into());
+        bench.announce(false);
+        bench
+    }
+
+    fn announce(&mut self, primary_drains: bool) {
+        self.sequence += 1;
+        for (id, state) in &self.targets {
+            let Some((role, _)) = state else { continue };
+            self.registry.note(
+                self.now,
+                &Announcement {
+                    id: (*id).into(),
+                    service: service(),
+                    addr: format!("{id}:1"),
+                    domain: "a".into(),
+                    draining: primary_drains && *id == "p",
+                    role: *role,
+                    slots: 2,
+                    born: 1,
+                    sequence: self.sequence,
+                    cold: Millis(0),
+                },
+            );
+        }
+    }
+
+    fn report(&mut self) {
+        for name in ["h1", "h2", "h3"] {
+            let health = self.failing.map_or(Health::Answering, Health::Failing);
+            let view = if self.confirms_view { self.view } else { 1 };
+            self.hosts.note(
+                self.now,
+                &HostReport {
+                    host: name.into(),
+                    incarnation: Incarnation(1),
+                    sent_at: self.now,
+                    config_version: 1,
+                    view_revision: ViewRevision { term: self.term, number: view },
+                    bus_addr: String::new(),
+                    domain: "a".into(),
+                    leaving: false,
+                    usage: Vec::new(),
+                    targets: vec![TargetHealth { id: "p".into(), health }],
+                    acknowledged: vec![(service(), self.acknowledged)],
+                    known: Vec::new(),
+                },
+            );
+        }
+    }
+
+    fn run(&mut self, ms: u64) {
+        for _ in 0..ms / STEP {
+            self.now += Millis(STEP);
+            self.report();
+            let mut failover = std::mem::take(&mut self.failover);
+            let services = [service()].into_iter();
+            let actions = failover.tick(&self.cx(), services, &self.unfinished);
+            self.failover = failover;
+            self.act(actions);
+        }
+    }
+
+    fn cx(&self) -> Cx<'_> {
+        Cx {
+            now: self.now,
+            term: self.term,
+            since: Millis(0),
+            registry: &self.registry,
+            hosts: &self.hosts,
+            view: ViewRevision { term: self.term, number: self.view },
+        }
+    }
+
+    fn event(&mut self, event: Event) {
+        let mut failover = std::mem::take(&mut self.failover);
+        let actions = failover.handle(&self.cx(), &service(), event);
+        self.failover = failover;
+        self.act(actions);
+    }
+
+    fn act(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Ask { target, order, .. } => self.answer(target, order),
+                Action::LogBegin { target, .. } => {
+                    self.unfinished.insert(service(), target);
+                    self.event(Event::Logged);
+                }
+                Action::LogEnd { .. } => {
+                    self.unfinished.clear();
+                }
+                Action::Call { target, token, .. } => self.call(&target, token),
+                Action::ViewChanged => self.view += 1,
+            }
+        }
+    }
+
+    fn answer(&mut self, target: InstanceId, order: Order) {
+        let Some(Some((role, received))) = self.targets.get(target.as_str()).copied() else {
+            self.event(Event::Answered { target, order, status: None });
+            return;
+        };
+        match order {
+            Order::Pause(term) => {
+                assert!(term > received.term.0, "a pause needs a term above the newest one");
+                self.paused.push(target.to_string());
+            }
+            Order::Resume => self.paused.retain(|id| *id != target.as_str()),
+            Order::Status => {}
+        }
+        let status = Some(TargetStatus { role, term: received.term.0, received });
+        self.event(Event::Answered { target, order, status });
+    }
+
+    fn call(&mut self, target: &InstanceId, token: u64) {
+        self.calls.push((target.to_string(), token));
+        if self.carries_out {
+            for state in self.targets.values_mut().flatten() {
+                state.0 = TargetRole::Replica;
+            }
+            let promoted = self.targets.get_mut(target.as_str()).and_then(Option::as_mut);
+            promoted.expect("the promoted target runs").0 = TargetRole::Primary;
+        }
+        let outcome = if self.carries_out { CallOutcome::Accepted } else { CallOutcome::Unknown };
+        self.event(Event::Called { token, outcome });
+    }
+
+    fn promoted(&self) -> Vec<&str> {
+        self.calls.iter().map(|(target, _)| target.as_str()).collect()
+    }
+}
+
+/// Guards against a planned change that loses commits which only the other replica
+/// received: it is paused before the call, and the candidate holds what it held.
+#[test]
+fn planned_change_pauses_the_other_replica() {
+    let mut bench = Bench::new();
+    bench.targets["r2"] = Some((TargetRole::Replica, Mark::new(3, 90)));
+    bench.announce(true);
+    bench.run(1_000);
+    assert_eq!(bench.promoted(), ["r1"]);
+    assert!(bench.paused.is_empty(), "paused replicas are resumed at the end");
+    assert_eq!(bench.failover.primary(&service()), Some((Some(&"r1".into()), false)));
+}
+
+/// Guards against the promotion of a replica that lacks an acknowledged commit.
+#[test]
+fn replica_with_the_highest_position_is_promoted() {
+    let mut bench = Bench::new();
+    bench.targets["p"] = None;
+    bench.targets["r1"] = Some((TargetRole::Replica, Mark::new(3, 99)));
+    bench.failing = Some(Millis(800));
+    bench.run(1_000);
+    assert_eq!(bench.promoted(), ["r2"]);
+}
+
+/// Guards against a promotion while the replica that acknowledged the last commit
+/// cannot be asked.
+#[test]
+fn change_waits_for_a_silent_replica_that_may_hold_more() {
+    let mut bench = Bench::new();
+    bench.targets["p"] = None;
+    bench.targets["r2"] = None;
+    bench.acknowledged = Mark::new(3, 101);
+    bench.failing = Some(Millis(800));
+    bench.run(4_000);
+    assert!(bench.calls.is_empty());
+    bench.targets["r2"] = Some((TargetRole::Replica, Mark::new(3, 101)));
+    bench.run(4_000);
+    assert_eq!(bench.promoted(), ["r2"]);
+}
+
+/// A silent replica does not block the change if the hosts' reports prove that the
+/// candidate holds all acknowledged commits.
+#[test]
+fn change_goes_on_without_a_silent_replica_that_cannot_hold_more() {
+    let mut bench = Bench::new();
+    bench.targets["p"] = None;
+    bench.targets["r2"] = None;
+    bench.failing = Some(Millis(800));
+    bench.run(2_000);
+    assert_eq!(bench.promoted(), ["r1"]);
+}
+
+/// Guards against stale reads at the old primary: no call before every host has
+/// confirmed that it no longer relies on it.
+#[test]
+fn no_call_before_hosts_confirm_the_view() {
+    let mut bench = Bench::new();
+    bench.confirms_view = false;
+    bench.announce(true);
+    bench.run(2_000);
+    assert!(bench.calls.is_empty());
+    bench.confirms_view = true;
+    bench.run(500);
+    assert_eq!(bench.calls.len(), 1);
+}
+
+/// Guards against a late call that undoes a newer one: numbers only rise, also over
+/// leaders.
+#[test]
+fn numbers_of_calls_rise() {
+    let mut bench = Bench::new();
+    bench.carries_out = false;
+    bench.announce(true);
+    bench.run(4_000);
+    let first: Vec<u64> = bench.calls.iter().map(|(_, token)| *token).collect();
+    assert!(first.len() > 1 && first.is_sorted_by(|a, b| a < b));
+    let mut next = Bench::new();
+    next.term = bench.term + 1;
+    next.announce(true);
+    next.run(1_000);
+    assert!(next.calls[0].1 > first[first.len() - 1]);
+}
+
+/// Guards against a call of an earlier leader that is carried out when nobody expects
+/// it: the next leader calls for the primary that serves, with a higher number.
+#[test]
+fn unfinished_promotion_is_settled() {
+    let mut bench = Bench::new();
+    bench.unfinished.insert(service(), "r2".into());
+    bench.run(1_000);
+    assert_eq!(bench.promoted(), ["p"]);
+    assert!(bench.unfinished.is_empty());
+}
+
+/// Guards against a change for a primary that only a few hosts cannot reach for a
+/// moment.
+#[test]
+fn short_failures_change_nothing() {
+    let mut bench = Bench::new();
+    bench.failing = Some(Millis(300));
+    bench.run(3_000);
+    assert!(bench.calls.is_empty());
+}
--- /dev/null
+++ b/tests/fleet_rates.rs
@@ -0,0 +1,127 @@
+//! Limits over all entry hosts: no caller inside the rate is refused, and no workspace
+//! gets more than its rate and burst.
+
+use indexmap::IndexMap;
+use pomelopin::{
+    clock::Millis,
+    fleet::{
+        config::FleetWorkspace,
+        shares::{Demand, Rates},
+    },
+    gateway::quota::Quota,
+    ids::{HostId, Workspace},
+};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+const REPORT_MS: u64 = 400;
+/// Shortest interval between reports before their usual time.
+const URGENT_MS: u64 = 100;
+const WINDOW_MS: u64 = 5_000;
+
+/// Hosts whose callers send at random, and the leader.
+struct Fleet {
+    rng: SmallRng,
+    hosts: Vec<(HostId, Quota, Demand)>,
+    rates: Rates,
+    workspaces: IndexMap<Workspace, FleetWorkspace>,
+    admitted: Vec<u64>,
+    refused: usize,
+}
+
+fn workspace() -> Workspace {
+    Workspace::from("w")
+}
+
+impl Fleet {
+    fn new(hosts: usize, rate: u32, seed: u64) -> Self {
+        let named =
+            |number| (HostId::from(format!("h{number}")), Quota::default(), Demand::default());
+        Self {
+            rng: SmallRng::seed_from_u64(seed),
+            hosts: (0..hosts).map(named).collect(),
+            rates: Rates::default(),
+            workspaces: IndexMap::from([(workspace(), FleetWorkspace { rate, burst: rate })]),
+            admitted: Vec::new(),
+            refused: 0,
+        }
+    }
+
+    /// Runs from `from` to `to` with `per_second` operations of all hosts together.
+    fn run(&mut self, from: u64, to: u64, per_second: f64) {
+        let limits = self.workspaces[&workspace()].clone();
+        let per_host = per_second / self.hosts.len() as f64 / 1_000.0;
+        for ms in from..to {
+            let now = Millis(ms);
+            for index in 0..self.hosts.len() {
+                if self.rng.random_bool(per_host.min(1.0)) {
+                    let (_, quota, _) = &mut self.hosts[index];
+                    match quota.admit(now, &workspace(), &limits, true) {
+                        Ok(()) => self.admitted.push(ms),
+                        Err(_) => self.refused += 1,
+                    }
+                }
+                let is_urgent = self.hosts[index].1.is_urgent() && ms % URGENT_MS == 0;
+                if is_urgent || (ms + index as u64 * 7) % REPORT_MS == 0 {
+                    self.report(now, index);
+                }
+            }
+        }
+    }
+
+    fn report(&mut self, now: Millis, index: usize) {
+        let usage = self.hosts[index].1.take_usage();
+        self.hosts[index].2.note(now, &usage);
+        self.rates.note(&usage);
+        let demands = self.hosts.iter().map(|(id, _, demand)| (id, demand));
+        self.rates.plan(now, &self.workspaces, demands);
+        let (_, quota, demand) = &mut self.hosts[index];
+        quota.set_shares(self.rates.shares(demand, &self.workspaces));
+    }
+
+    /// Most operations that were admitted in any window.
+    fn most_in_a_window(&self) -> usize {
+        let times = &self.admitted;
+        let count = |(index, start): (usize, &u64)| {
+            times[index..].partition_point(|ms| *ms < start + WINDOW_MS)
+        };
+        times.iter().enumerate().map(count).max().unwrap_or_default()
+    }
+}
+
+/// Guards against refusals at hosts with few callers: 83 hosts with half an operation
+/// a second each had buckets of less than one operation.
+#[test]
+fn many_hosts_with_little_demand_refuse_nothing() {
+    for seed in 0..5 {
+        let mut fleet = Fleet::new(83, 64, seed);
+        fleet.run(0, 20_000, 40.0);
+        assert_eq!(fleet.refused, 0, "seed {seed}, {} admitted", fleet.admitted.len());
+    }
+}
+
+/// Guards against a workspace that gets more than its rate when it begins to send
+/// several times as much: rate, burst, a tenth and 20 operations in 5 s.
+#[test]
+fn workspace_that_sends_many_times_its_rate_is_limited() {
+    for (hosts, rate) in [(7, 142), (7, 30), (83, 64)] {
+        for seed in 0..5 {
+            let mut fleet = Fleet::new(hosts, rate, seed);
+            fleet.run(0, 5_000, f64::from(rate) / 1.6);
+            fleet.run(5_000, 15_000, f64::from(rate) / 1.6 * 7.5);
+            let bound = f64::from(rate * 5 + rate) * 1.1 + 20.0;
+            let most = fleet.most_in_a_window();
+            assert!(most as f64 <= bound, "{hosts} hosts, rate {rate}, seed {seed}: {most}");
+        }
+    }
+}
+
+/// Guards against a limit that refuses most of what it should admit.
+#[test]
+fn limited_workspace_gets_its_rate() {
+    for seed in 0..5 {
+        let mut fleet = Fleet::new(7, 100, seed);
+        fleet.run(0, 20_000, 300.0);
+        let late = fleet.admitted.iter().filter(|ms| **ms >= 10_000).count();
+        assert!(late >= 850, "seed {seed}: {late} of 1000 admitted");
+    }
+}
--- a/tests/group/mod.rs
+++ b/tests/group/mod.rs
@@ -54,6 +54,10 @@
     /// Late messages cross the partition after it is healed.
     pub hold_cut: bool,
     pub compact_after: u64,
+    /// Policy of hosts that start.
+    pub policy: GroupPolicy,
+    /// Hosts that are configured; empty for all.
+    pub seeds: Vec<String>,
     messages: Vec<(Millis, String, String, GroupMessage)>,
     /// First committed command and state of each index.
     committed: BTreeMap<u64, (GroupTerm, Bytes, (u64, u64))>,
@@ -75,6 +79,8 @@
             links: BTreeSet::new(),
             hold_cut: false,
             compact_after: u64::MAX,
+            policy: GroupPolicy::default(),
+            seeds: Vec::new(),
             messages: Vec::new(),
             committed: BTreeMap::new(),
             leaders: BTreeMap::new(),
@@ -99,7 +105,8 @@
 
     pub fn start(&mut self, name: &str) {
         let seed = self.rng.random();
-        let addresses = self.names().into_iter().map(|name| (name.clone(), name)).collect();
+        let configured = if self.seeds.is_empty() { self.names() } else { self.seeds.clone() };
+        let addresses = configured.into_iter().map(|name| (name.clone(), name)).collect();
         let host = self.hosts.get_mut(name).unwrap();
         let settings = NodeSettings {
             id: ControlId::from(format!("{name}.{}", host.generation)),
@@ -111,7 +118,7 @@
             group: addresses,
             seed,
             timing: GroupTiming::default(),
-            policy: GroupPolicy::default(),
+            policy: self.policy.clone(),
         };
         let snapshot = host.stored.snapshot.as_ref();
         host.state = snapshot.map_or((0, 0), |it| postcard::from_bytes(&it.data).unwrap());
