--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -3,27 +3,28 @@
 
 use std::{
     collections::{HashMap, VecDeque},
-    io::{Read, Write as _},
+    sync::Arc,
 };
 
 use bytes::Bytes;
 use eyre::{Result, WrapErr};
-use flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder};
 use indexmap::IndexMap;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::{
     adapters::disk_queue::{Confirmations, DiskQueue},
     clock::{Clock, Millis, SystemClock},
-    control::node::{Input, Node, Output, Proposal, Role},
+    control::node::{Input, Node, Proposal, Role},
     fleet::{
         config::FleetConfig,
+        document::decode_config,
         failover::{self, Failover},
         hosts::Hosts,
-        link::{ConnectionId, Inbound, Links, encode},
+        link::{ConnectionId, Inbound, Links},
         messages::{
             Announcement, ConfigDocument, FleetView, Frame, Share, TargetRole, ViewRevision,
         },
+        metrics::{ControlMetrics, ControlState},
         registry::{Noted, Registry},
         runtime::{Ports, Tasks},
         shares::Rates,
@@ -42,12 +43,6 @@
 /// Entries after which the state is stored and the log shortened.
 const SNAPSHOT_ENTRIES: u64 = 64;
 
-/// Silence after which the connection to another control host is opened anew.
-const PEER_SILENCE: Millis = Millis(700);
-
-/// Largest document after decompression, in bytes.
-const MAX_DOCUMENT_BYTES: u64 = 16 * 1024 * 1024;
-
 /// Call of an operator or a target.
 #[derive(Debug)]
 pub enum Call {
@@ -101,10 +96,10 @@
 }
 
 /// Proposal whose commit an operator waits for.
-struct Waiting {
-    index: u64,
-    term: GroupTerm,
-    reply: oneshot::Sender<Answer>,
+pub(super) struct Waiting {
+    pub(super) index: u64,
+    pub(super) term: GroupTerm,
+    pub(super) reply: oneshot::Sender<Answer>,
 }
 
 /// State of a control host.
@@ -112,35 +107,42 @@
     pub(super) clock: SystemClock,
     pub(super) node: Node,
     pub(super) name: String,
-    disk: DiskQueue,
-    written: u64,
-    synced: u64,
-    unsynced: VecDeque<(u64, String, GroupMessage)>,
-    links: Links,
-    heard: HashMap<String, Millis>,
+    pub(super) disk: DiskQueue,
+    pub(super) written: u64,
+    pub(super) synced: u64,
+    pub(super) unsynced: VecDeque<(u64, String, GroupMessage)>,
+    pub(super) links: Links,
+    pub(super) heard: HashMap<String, Millis>,
     pub(super) state: FleetState,
     pub(super) config: FleetConfig,
     pub(super) answers: HashMap<ConnectionId, mpsc::Sender<Bytes>>,
     pub(super) leading: Option<Leading>,
     proposals: Vec<Proposal>,
     tickets: u64,
-    proposed: HashMap<u64, oneshot::Sender<Answer>>,
-    waiting: Vec<Waiting>,
+    pub(super) proposed: HashMap<u64, oneshot::Sender<Answer>>,
+    pub(super) waiting: Vec<Waiting>,
     pub(super) ports: P,
     pub(super) tasks: Tasks,
+    pub(super) metrics: Arc<ControlMetrics>,
+}
+
+/// Parts that a [`Control`] joins.
+pub struct Parts<P> {
+    /// Name of the host in calls to the platform.
+    pub name: String,
+    pub clock: SystemClock,
+    pub node: Node,
+    pub disk: DiskQueue,
+    pub state: FleetState,
+    pub ports: P,
+    pub tasks: Tasks,
+    pub metrics: Arc<ControlMetrics>,
 }
 
 impl<P: Ports> Control<P> {
     /// Joins the parts; `state` is what the stored snapshot holds.
-    pub fn new(
-        name: String,
-        clock: SystemClock,
-        node: Node,
-        disk: DiskQueue,
-        state: FleetState,
-        ports: P,
-        tasks: Tasks,
-    ) -> Self {
+    pub fn new(parts: Parts<P>) -> Self {
+        let Parts { name, clock, node, disk, state, ports, tasks, metrics } = parts;
         let config = decode_config(&ports, &state.config);
         Self {
             clock,
@@ -162,6 +164,7 @@
             waiting: Vec::new(),
             ports,
             tasks,
+            metrics,
         }
     }
 
@@ -201,9 +204,33 @@
         if self.node.is_serving(self.clock.now()) {
             self.lead();
         }
+        self.update_metrics();
         Ok(())
     }
 
+    fn update_metrics(&self) {
+        let role = self.node.role();
+        let leading = self.leading.as_ref();
+        let changes = |leading: &Leading| {
+            let services = leading.failover.services().map(|(service, _)| service);
+            let changing = |service: &&Service| {
+                leading.failover.primary(service).is_some_and(|(_, changing)| changing)
+            };
+            services.filter(changing).count()
+        };
+        self.metrics.update(ControlState {
+            leads: role.role == Role::Leader,
+            serving: self.node.is_serving(self.clock.now()),
+            term: role.term.0,
+            commit: self.node.commit(),
+            voters: self.node.members().0.len(),
+            config_version: self.state.config.version,
+            hosts: leading.map_or(0, |leading| leading.hosts.len()),
+            targets: leading.map_or(0, |leading| leading.registry.all().count()),
+            changing: leading.map_or(0, changes),
+        });
+    }
+
     fn receive(&mut self, inbound: Inbound) -> Result<()> {
         match inbound {
             Inbound::Opened { id, answers } => {
@@ -270,7 +297,9 @@
     fn announce(&mut self, now: Millis, announcement: &Announcement) {
         let Some(leading) = &mut self.leading else { return };
         let noted = leading.registry.note(now, announcement);
+        self.metrics.announcements.inc();
         if noted == Noted::Stale {
+            self.metrics.stale_announcements.inc();
             spdlog::info!("stale announcement ignored", kv: {target = announcement.id.as_str(), sequence = announcement.sequence});
             return;
         }
@@ -325,95 +354,7 @@
         Ok(())
     }
 
-    fn step(&mut self, input: Input) -> Result<()> {
-        let mut writes = Vec::new();
-        for output in self.node.step(self.clock.now(), input) {
-            match output {
-                Output::Persist(write) => {
-                    self.written += 1;
-                    writes.push(write);
-                }
-                output => self.execute(output)?,
-            }
-        }
-        if writes.is_empty() { Ok(()) } else { self.disk.push(writes) }
-    }
-
-    /// Follows `count` synced writes and sends the messages that waited for them.
-    fn confirm(&mut self, count: usize) -> Result<()> {
-        for _ in 0..count {
-            self.synced += 1;
-            self.step(Input::Persisted)?;
-            while self.unsynced.front().is_some_and(|(writes, ..)| *writes <= self.synced) {
-                let Some((_, addr, message)) = self.unsynced.pop_front() else { break };
-                self.links.send(&addr, encode(&Frame::Group(message)));
-            }
-        }
-        Ok(())
-    }
-
-    fn execute(&mut self, output: Output) -> Result<()> {
-        match output {
-            Output::Persist(_) => {}
-            Output::Send { addr, message }
-                if message.body.needs_sync() && self.written > self.synced =>
-            {
-                self.unsynced.push_back((self.written, addr, message));
-            }
-            Output::Send { addr, message } => {
-                self.links.send(&addr, encode(&Frame::Group(message)));
-            }
-            Output::RestoreSnapshot { index, data } => {
-                self.state = decode_state(&data)?;
-                self.config = decode_config(&self.ports, &self.state.config);
-                spdlog::info!("restored a snapshot", kv: {index, version = self.state.config.version});
-            }
-            Output::Committed { index, term, bytes } => self.apply(index, term, &bytes)?,
-            Output::Proposed { ticket, index, term } => {
-                if let Some(reply) = self.proposed.remove(&ticket) {
-                    self.waiting.push(Waiting { index, term, reply });
-                }
-            }
-            Output::ProposalRejected { ticket, .. } => {
-                if let Some(reply) = self.proposed.remove(&ticket) {
-                    let _ = reply.send(Answer::Unavailable);
-                }
-            }
-            Output::RoleChanged(change) => {
-                let leader = change.leader.as_ref().map_or("none", |leader| leader.as_str());
-                spdlog::info!("role changed", kv: {role = change.role.to_string().as_str(), term = change.term.0, leader});
-                self.change_role(change.role, change.term.0);
-            }
-            Output::Frozen { gap } => self.thaw(gap),
-            Output::Removed { by } => {
-                spdlog::warn!("regarded as removed from the group", kv: {by = by.as_str()});
-            }
-        }
-        Ok(())
-    }
-
-    fn apply(&mut self, index: u64, term: GroupTerm, bytes: &Bytes) -> Result<()> {
-        let command: FleetCommand = postcard::from_bytes(bytes)
-            .wrap_err_with(|| format!("cannot decode the command at index {index}"))?;
-        let before = self.state.config.version;
-        self.state.apply(&command);
-        if self.state.config.version != before {
-            self.config = decode_config(&self.ports, &self.state.config);
-            spdlog::info!("configuration in force", kv: {version = self.state.config.version, index});
-        }
-        let done = |it: &mut Waiting| it.index <= index;
-        for waiting in self.waiting.extract_if(.., done).collect::<Vec<_>>() {
-            let committed = waiting.index == index && waiting.term == term;
-            let answer = if committed { Answer::Done } else { Answer::Unavailable };
-            let _ = waiting.reply.send(answer);
-        }
-        if let FleetCommand::PromotionBegan { service, .. } = &command {
-            self.failover_event(service, failover::Event::Logged);
-        }
-        Ok(())
-    }
-
-    fn change_role(&mut self, role: Role, term: u64) {
+    pub(super) fn change_role(&mut self, role: Role, term: u64) {
         if role == Role::Leader {
             let now = self.clock.now();
             self.leading.get_or_insert_with(|| Leading::new(now, term));
@@ -430,26 +371,13 @@
 
     /// A leader that did not run begins anew: its knowledge of targets and hosts is
     /// as old as the gap.
-    fn thaw(&mut self, gap: Millis) {
+    pub(super) fn thaw(&mut self, gap: Millis) {
         spdlog::warn!("the process did not run", kv: {gap_ms = gap.0});
         if let Some(leading) = &mut self.leading {
             *leading = Leading::new(self.clock.now(), leading.view.revision.term);
             leading.view.revision.number = self.clock.now().0;
         }
     }
-
-    /// Opens connections to silent control hosts anew.
-    fn reconnect(&mut self) {
-        let now = self.clock.now();
-        let own = self.node.id().clone();
-        for (id, member) in &self.node.members().0 {
-            let heard = self.heard.entry(member.name.clone()).or_insert(now);
-            if *id != own && now.since(*heard) > PEER_SILENCE {
-                self.links.reset(&member.bus_addr);
-                *heard = now;
-            }
-        }
-    }
 }
 
 impl Leading {
@@ -477,38 +405,3 @@
         due
     }
 }
-
-/// Compresses an operator's document.
-pub fn compress(document: &[u8]) -> Result<Bytes> {
-    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
-    encoder.write_all(document)?;
-    Ok(encoder.finish()?.into())
-}
-
-/// Operator's document as it was sent.
-pub fn decompress(document: &ConfigDocument) -> Result<Vec<u8>> {
-    let mut bytes = Vec::new();
-    let mut decoder = DeflateDecoder::new(document.deflated.as_ref()).take(MAX_DOCUMENT_BYTES);
-    decoder.read_to_end(&mut bytes).wrap_err("cannot decompress the configuration")?;
-    Ok(bytes)
-}
-
-/// State from a snapshot.
-pub fn decode_state(data: &[u8]) -> Result<FleetState> {
-    postcard::from_bytes(data).wrap_err("cannot decode the state in the snapshot")
-}
-
-/// Configuration of a document in the log. It was checked before it was logged, so a
-/// failure means that the log was written by another version of the program.
-pub fn decode_config<P: Ports>(ports: &P, document: &ConfigDocument) -> FleetConfig {
-    if document.version == 0 {
-        return FleetConfig::default();
-    }
-    match decompress(document).and_then(|bytes| ports.decode_config(&bytes)) {
-        Ok(config) => config,
-        Err(error) => {
-            spdlog::error!("cannot read the configuration in force: {error:#}");
-            FleetConfig::default()
-        }
-    }
-}
--- a/src/fleet/failover.rs
+++ b/src/fleet/failover.rs
@@ -21,7 +21,7 @@
 };
 
 /// Time for which a target's failure must last before its primary is replaced.
-const FAILING_AT_LEAST: Millis = Millis(700);
+const FAILING_AT_LEAST: Millis = Millis(500);
 
 /// Silence of a target that hosts do not use, after which it counts as lost: more
 /// than two missed announcements of the longest usual interval.
--- /dev/null
+++ b/src/fleet/group_io.rs
@@ -0,0 +1,125 @@
+//! Outputs of the control group's node, carried out in order.
+
+use bytes::Bytes;
+use eyre::{Result, WrapErr};
+
+use crate::{
+    clock::{Clock, Millis},
+    control::node::{Input, Output},
+    fleet::{
+        control::{Answer, Control, Waiting},
+        document::{decode_config, decode_state},
+        failover,
+        link::encode,
+        messages::Frame,
+        runtime::Ports,
+        state::FleetCommand,
+    },
+    wire::group::GroupTerm,
+};
+
+/// Silence after which the connection to another control host is opened anew.
+const PEER_SILENCE: Millis = Millis(700);
+
+impl<P: Ports> Control<P> {
+    pub(super) fn step(&mut self, input: Input) -> Result<()> {
+        let mut writes = Vec::new();
+        for output in self.node.step(self.clock.now(), input) {
+            match output {
+                Output::Persist(write) => {
+                    self.written += 1;
+                    writes.push(write);
+                }
+                output => self.execute(output)?,
+            }
+        }
+        if writes.is_empty() { Ok(()) } else { self.disk.push(writes) }
+    }
+
+    /// Follows `count` synced writes and sends the messages that waited for them.
+    pub(super) fn confirm(&mut self, count: usize) -> Result<()> {
+        for _ in 0..count {
+            self.synced += 1;
+            self.step(Input::Persisted)?;
+            while self.unsynced.front().is_some_and(|(writes, ..)| *writes <= self.synced) {
+                let Some((_, addr, message)) = self.unsynced.pop_front() else { break };
+                self.links.send(&addr, encode(&Frame::Group(message)));
+            }
+        }
+        Ok(())
+    }
+
+    fn execute(&mut self, output: Output) -> Result<()> {
+        match output {
+            Output::Persist(_) => {}
+            Output::Send { addr, message }
+                if message.body.needs_sync() && self.written > self.synced =>
+            {
+                self.unsynced.push_back((self.written, addr, message));
+            }
+            Output::Send { addr, message } => {
+                self.links.send(&addr, encode(&Frame::Group(message)));
+            }
+            Output::RestoreSnapshot { index, data } => {
+                self.state = decode_state(&data)?;
+                self.config = decode_config(&self.ports, &self.state.config);
+                spdlog::info!("restored a snapshot", kv: {index, version = self.state.config.version});
+            }
+            Output::Committed { index, term, bytes } => self.apply(index, term, &bytes)?,
+            Output::Proposed { ticket, index, term } => {
+                if let Some(reply) = self.proposed.remove(&ticket) {
+                    self.waiting.push(Waiting { index, term, reply });
+                }
+            }
+            Output::ProposalRejected { ticket, .. } => {
+                if let Some(reply) = self.proposed.remove(&ticket) {
+                    let _ = reply.send(Answer::Unavailable);
+                }
+            }
+            Output::RoleChanged(change) => {
+                let leader = change.leader.as_ref().map_or("none", |leader| leader.as_str());
+                spdlog::info!("role changed", kv: {role = change.role.to_string().as_str(), term = change.term.0, leader});
+                self.change_role(change.role, change.term.0);
+            }
+            Output::Frozen { gap } => self.thaw(gap),
+            Output::Removed { by } => {
+                spdlog::warn!("regarded as removed from the group", kv: {by = by.as_str()});
+            }
+        }
+        Ok(())
+    }
+
+    fn apply(&mut self, index: u64, term: GroupTerm, bytes: &Bytes) -> Result<()> {
+        let command: FleetCommand = postcard::from_bytes(bytes)
+            .wrap_err_with(|| format!("cannot decode the command at index {index}"))?;
+        let before = self.state.config.version;
+        self.state.apply(&command);
+        if self.state.config.version != before {
+            self.config = decode_config(&self.ports, &self.state.config);
+            spdlog::info!("configuration in force", kv: {version = self.state.config.version, index});
+        }
+        let done = |it: &mut Waiting| it.index <= index;
+        for waiting in self.waiting.extract_if(.., done).collect::<Vec<_>>() {
+            let committed = waiting.index == index && waiting.term == term;
+            let answer = if committed { Answer::Done } else { Answer::Unavailable };
+            let _ = waiting.reply.send(answer);
+        }
+        if let FleetCommand::PromotionBegan { service, .. } = &command {
+            self.failover_event(service, failover::Event::Logged);
+        }
+        Ok(())
+    }
+
+    /// Opens connections to silent control hosts anew.
+    pub(super) fn reconnect(&mut self) {
+        let now = self.clock.now();
+        let own = self.node.id().clone();
+        for (id, member) in &self.node.members().0 {
+            let heard = self.heard.entry(member.name.clone()).or_insert(now);
+            if *id != own && now.since(*heard) > PEER_SILENCE {
+                self.links.reset(&member.bus_addr);
+                *heard = now;
+            }
+        }
+    }
+}
--- a/src/fleet/leader.rs
+++ b/src/fleet/leader.rs
@@ -71,6 +71,7 @@
                 }
                 Action::Call { service, target, token } => {
                     spdlog::info!("promotion is called", kv: {service = service.as_str(), target = target.as_str(), token});
+                    self.metrics.promotions.inc();
                     let holder = self.name.clone();
                     self.tasks.promote(self.ports.clone(), service, target, holder, token);
                 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -6,11 +6,14 @@
 
 pub mod config;
 pub mod control;
+pub mod document;
 pub mod failover;
+pub mod group_io;
 pub mod hosts;
 pub mod leader;
 pub mod link;
 pub mod messages;
+pub mod metrics;
 pub mod registry;
 pub mod runtime;
 pub mod shares;
--- a/src/fleet/runtime.rs
+++ b/src/fleet/runtime.rs
@@ -1,6 +1,6 @@
 //! Start of a control host of a fleet.
 
-use std::{collections::BTreeMap, future::Future, net::SocketAddr, path::PathBuf};
+use std::{collections::BTreeMap, future::Future, net::SocketAddr, path::PathBuf, sync::Arc};
 
 use eyre::Result;
 use tokio::sync::{mpsc, oneshot};
@@ -14,10 +14,12 @@
     control::node::{GroupPolicy, Node, NodeSettings},
     fleet::{
         config::FleetConfig,
-        control::{Answer, Call, Control, Event, decode_state},
+        control::{Answer, Call, Control, Event, Parts},
+        document::decode_state,
         failover::{self, CallOutcome, Order, TargetStatus},
         link::listen,
         messages::Announcement,
+        metrics::ControlMetrics,
         state::FleetState,
     },
     ids::{InstanceId, Service},
@@ -72,9 +74,10 @@
 }
 
 /// Handle for calls to the event loop.
-#[derive(Debug, Clone)]
+#[derive(Clone)]
 pub struct ControlHandle {
     events: mpsc::Sender<Event>,
+    pub metrics: Arc<ControlMetrics>,
 }
 
 impl ControlHandle {
@@ -150,8 +153,10 @@
     let (events_tx, events) = mpsc::channel(EVENTS);
     let (inbound_tx, inbound) = mpsc::channel(EVENTS);
     let tasks = Tasks { events: events_tx.clone() };
-    let holder = settings.holder.clone();
-    let control = Control::new(holder, clock, node, disk, state, ports, tasks);
+    let name = settings.holder.clone();
+    let metrics = ControlMetrics::new();
+    let parts = Parts { name, clock, node, disk, state, ports, tasks, metrics: metrics.clone() };
+    let control = Control::new(parts);
     let bus_addr = settings.bus_addr;
     let run = async move {
         tokio::select! {
@@ -159,7 +164,7 @@
             result = control.run(inbound, events, confirmations) => result,
         }
     };
-    Ok((ControlHandle { events: events_tx }, run))
+    Ok((ControlHandle { events: events_tx, metrics }, run))
 }
 
 fn node_settings(settings: &FleetControlSettings, id: crate::ids::ControlId) -> NodeSettings {
--- a/src/gateway/control_link.rs
+++ b/src/gateway/control_link.rs
@@ -9,7 +9,7 @@
 use crate::{
     clock::Millis,
     fleet::{
-        control::decompress,
+        document::decompress,
         link::{FrameReader, FrameWriter, connect, decode, encode, split},
         messages::{Frame, HostReport, HostUpdate, Redirect, ViewRevision},
     },
@@ -235,6 +235,7 @@
         let exists = |id: &crate::ids::InstanceId| view.targets.iter().any(|it| it.id == *id);
         cx.pools.retain(exists);
         cx.health.borrow_mut().retain(exists);
+        cx.paths.borrow_mut().retain(exists);
         cx.knowledge.borrow_mut().set_view(view);
         cx.trim_pools();
     }
--- a/src/gateway/cx.rs
+++ b/src/gateway/cx.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::{Cell, RefCell},
     rc::Rc,
+    sync::Arc,
 };
 
 use tokio::sync::{Notify, watch};
@@ -12,8 +13,8 @@
     fleet::messages::Announcement,
     gateway::{
         decisions::LineBudget, executor::Gates, freshness::Freshness, health::TargetsHealth,
-        knowledge::Knowledge, lease::TrustLease, owners::ranking, peers::Peers, pool::Pools,
-        ports::Targets, quota::Quota,
+        knowledge::Knowledge, lease::TrustLease, metrics::GatewayMetrics, owners::ranking,
+        peers::Peers, pool::Pools, ports::Targets, quota::Quota,
     },
     ids::{FailureDomain, HostId, Mark, Service},
 };
@@ -65,7 +66,10 @@
     pub knowledge: RefCell<Knowledge>,
     pub lease: RefCell<TrustLease>,
     pub freshness: RefCell<Freshness>,
+    /// How targets answer, whichever way the work takes.
     pub health: RefCell<TargetsHealth>,
+    /// How targets answer over connections of this host.
+    pub paths: RefCell<TargetsHealth>,
     pub quota: RefCell<Quota>,
     pub pools: Rc<Pools<T::Connection>>,
     pub gates: Gates,
@@ -73,6 +77,7 @@
     pub acknowledged: RefCell<indexmap::IndexMap<Service, Mark>>,
     pub sessions: Cell<usize>,
     pub lines: RefCell<LineBudget>,
+    pub metrics: Arc<GatewayMetrics>,
     /// Asks for a report to control before its usual time.
     pub report_soon: Notify,
     phase: watch::Sender<Phase>,
@@ -89,6 +94,7 @@
             lease: RefCell::default(),
             freshness: RefCell::default(),
             health: RefCell::default(),
+            paths: RefCell::default(),
             quota: RefCell::default(),
             pools: Rc::new(Pools::default()),
             gates: Gates::default(),
@@ -96,6 +102,7 @@
             acknowledged: RefCell::default(),
             sessions: Cell::new(0),
             lines: RefCell::default(),
+            metrics: GatewayMetrics::new(),
             report_soon: Notify::new(),
             phase: watch::Sender::new(Phase::Serving),
         }
--- a/src/gateway/executor.rs
+++ b/src/gateway/executor.rs
@@ -10,6 +10,7 @@
     gateway::{
         cx::Cx,
         gate::{Entry, Gate},
+        health::Attempt,
         pool::{Checkout, Decision, Grant, Pooled, Wanted},
         ports::{TargetConnection, TargetFailure, TargetRequest, Targets},
         prepare::ConnectionState,
@@ -50,6 +51,39 @@
     }
 }
 
+/// Statement whose end is noted also if its caller gives up.
+struct Attempted<'a, T: Targets> {
+    cx: &'a Cx<T>,
+    target: &'a InstanceId,
+    attempt: Option<Attempt>,
+}
+
+impl<'a, T: Targets> Attempted<'a, T> {
+    fn new(cx: &'a Cx<T>, target: &'a InstanceId) -> Self {
+        let attempt = cx.paths.borrow_mut().sent(cx.now(), target);
+        Self { cx, target, attempt: Some(attempt) }
+    }
+
+    fn end(mut self, result: &Result<Answer, Obstacle>) {
+        let Some(attempt) = self.attempt.take() else { return };
+        let now = self.cx.now();
+        let mut paths = self.cx.paths.borrow_mut();
+        match result {
+            Ok(answer) => paths.answered(now, self.target, attempt, answer.position),
+            Err(_) => paths.ended(now, self.target, attempt, true),
+        }
+    }
+}
+
+impl<T: Targets> Drop for Attempted<'_, T> {
+    fn drop(&mut self) {
+        if let Some(attempt) = self.attempt.take() {
+            let now = self.cx.now();
+            self.cx.paths.borrow_mut().ended(now, self.target, attempt, false);
+        }
+    }
+}
+
 /// Waiting ticket that is cancelled when it is dropped.
 struct Waiting<'a> {
     gates: &'a Gates,
@@ -77,6 +111,11 @@
     let arrived = cx.now();
     let known = cx.knowledge.borrow().target(&job.target);
     let Some(target) = known else { return Err(Obstacle::Unreachable) };
+    // Work at a target that does not answer would fill its slots and then wait for
+    // nothing.
+    if held.is_none() && !cx.paths.borrow().is_usable(cx.now(), &target.id) {
+        return Err(Obstacle::Unreachable);
+    }
     let _slot = enter(cx, &target, job, held.is_some()).await?;
     let mut checkout = match held.take() {
         Some(checkout) => checkout,
@@ -87,7 +126,9 @@
     };
     checkout.rest(false);
     let left = job.limit.since(cx.now().since(arrived));
+    let attempt = Attempted::new(cx, &target.id);
     let result = run::<T>(&mut checkout, job, left).await;
+    attempt.end(&result);
     if let Ok(answer) = &result {
         match answer.state {
             TransactionState::Idle => checkout.release(cx.now()),
@@ -196,6 +237,7 @@
             Err(Obstacle::NotRun(RETRY_WHEN_FULL, Reason::Busy))
         }
         Err(failure) => {
+            cx.paths.borrow_mut().unreachable(cx.now(), &target.id);
             spdlog::info!("cannot connect to a target", kv: {target = target.id.as_str(), failure = format!("{failure:?}").as_str()});
             Err(Obstacle::Unreachable)
         }
--- a/src/gateway/health.rs
+++ b/src/gateway/health.rs
@@ -10,7 +10,7 @@
 
 /// Time for which an unanswered statement is no sign of a failure; longer than the
 /// slowest usual statement with its wait for a slot.
-const PATIENCE: Millis = Millis(600);
+const PATIENCE: Millis = Millis(400);
 
 /// Interval between attempts at a target that fails.
 const PROBE_INTERVAL: Millis = Millis(250);
@@ -144,6 +144,11 @@
         Some((state.position, state.position_at))
     }
 
+    /// Number of targets that do not answer.
+    pub fn failing(&self, now: Millis) -> usize {
+        self.targets.values().filter(|state| state.silence(now).is_some()).count()
+    }
+
     /// Report for the control leader.
     pub fn report(&self, now: Millis) -> Vec<TargetHealth> {
         let health = |state: &State| match state.silence(now) {
--- /dev/null
+++ b/src/gateway/metrics.rs
@@ -0,0 +1,153 @@
+//! Metrics of an entry host of a fleet.
+
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text},
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+    registry::{Registry, Unit},
+};
+
+use crate::{
+    clock::Millis,
+    fleet::config::Consistency,
+    gateway::{cx::Cx, ports::Targets, statement::Answer},
+};
+
+/// Prefix of all names.
+const PREFIX: &str = "pomelopin_entry";
+
+/// Bounds of latencies, in seconds.
+const LATENCY_BOUNDS: [f64; 11] = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0];
+
+/// Label of successful requests.
+const DONE: &str = "done";
+
+/// Milliseconds per second.
+const SECOND_MS: f64 = 1_000.0;
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RequestLabels {
+    route: &'static str,
+    outcome: String,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RouteLabel {
+    route: &'static str,
+}
+
+type Latencies = Family<RouteLabel, Histogram, fn() -> Histogram>;
+
+/// Counters and gauges; shared with the listener that exposes them.
+pub struct GatewayMetrics {
+    registry: Mutex<Registry>,
+    requests: Family<RequestLabels, Counter>,
+    latency: Latencies,
+    sessions: Gauge,
+    connections: Gauge,
+    waiting: Gauge,
+    running: Gauge,
+    config: Gauge,
+    view: Gauge,
+    hosts: Gauge,
+    leased: Gauge,
+    ready: Gauge,
+    limited: Gauge,
+    failing: Gauge,
+}
+
+impl GatewayMetrics {
+    /// Metrics of a host that starts.
+    pub fn new() -> Arc<Self> {
+        let mut registry = Registry::with_prefix(PREFIX);
+        let mut gauge = |name, help| {
+            let gauge = Gauge::default();
+            registry.register(name, help, gauge.clone());
+            gauge
+        };
+        let sessions = gauge("sessions", "Open sessions of callers");
+        let connections = gauge("connections", "Connections to targets");
+        let waiting = gauge("waiting", "Statements that wait for a slot of a target");
+        let running = gauge("running", "Statements under way at targets");
+        let config = gauge("config_version", "Version of the configuration in force");
+        let view = gauge("view_revision", "Revision of the view of the targets");
+        let hosts = gauge("hosts", "Entry hosts that own targets");
+        let leased = gauge("leased", "1 while the host relies on what it knows of primaries");
+        let ready = gauge("ready", "1 while the host asks for new sessions");
+        let limited = gauge("limited_workspaces", "Workspaces whose rate is divided");
+        let failing = gauge("failing_targets", "Targets that do not answer");
+        let requests = Family::default();
+        registry.register("requests", "Requests by route and outcome", requests.clone());
+        let latency = Latencies::new_with_constructor(|| Histogram::new(LATENCY_BOUNDS));
+        let help = "Time from a request to its answer";
+        registry.register_with_unit("request_latency", help, Unit::Seconds, latency.clone());
+        Arc::new(Self {
+            registry: Mutex::new(registry),
+            requests,
+            latency,
+            sessions,
+            connections,
+            waiting,
+            running,
+            config,
+            view,
+            hosts,
+            leased,
+            ready,
+            limited,
+            failing,
+        })
+    }
+
+    /// Notes an answer to a caller.
+    pub fn answered(&self, route: Option<Consistency>, answer: &Answer, took: Millis) {
+        let route = match route {
+            Some(Consistency::Primary) => "primary",
+            Some(Consistency::Bounded(_)) => "bounded_age",
+            Some(Consistency::ReadYourWrites(_)) => "read_your_writes",
+            None => "none",
+        };
+        let outcome = match &answer.result {
+            Ok(_) => DONE.to_owned(),
+            Err(error) => error.code.to_string(),
+        };
+        self.requests.get_or_create(&RequestLabels { route, outcome }).inc();
+        self.latency.get_or_create(&RouteLabel { route }).observe(took.0 as f64 / SECOND_MS);
+    }
+
+    /// Takes over the state of the host.
+    pub fn update<T: Targets>(&self, cx: &Cx<T>) {
+        let now = cx.now();
+        let (connections, _) = cx.pools.usage();
+        let gates = cx.gates.borrow();
+        let usage = gates.values().map(|gate| gate.usage());
+        let (waiting, running) = usage.fold((0, 0), |sum, gate| (sum.0 + gate.0, sum.1 + gate.1));
+        let knowledge = cx.knowledge.borrow();
+        set(&self.sessions, cx.sessions.get());
+        set(&self.connections, connections);
+        set(&self.waiting, waiting);
+        set(&self.running, running);
+        set(&self.config, knowledge.config.version);
+        set(&self.view, knowledge.revision().number);
+        set(&self.hosts, knowledge.view.hosts.len());
+        set(&self.leased, u64::from(cx.lease.borrow().is_valid(now)));
+        set(&self.ready, u64::from(cx.is_ready()));
+        set(&self.limited, cx.quota.borrow().limited());
+        set(&self.failing, cx.health.borrow().failing(now));
+    }
+
+    /// All metrics as text.
+    pub fn encode(&self) -> String {
+        let mut buf = String::new();
+        if let Err(error) = text::encode(&mut buf, &self.registry.lock()) {
+            spdlog::error!("cannot encode the metrics: {error}");
+        }
+        buf
+    }
+}
+
+fn set(gauge: &Gauge, value: impl TryInto<i64>) {
+    gauge.set(value.try_into().unwrap_or(i64::MAX));
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 pub mod knowledge;
 pub mod lane;
 pub mod lease;
+pub mod metrics;
 pub mod operation;
 pub mod owner;
 pub mod owners;
--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -100,7 +100,9 @@
         limits: &FleetWorkspace,
         in_contact: bool,
     ) -> (f32, f32) {
-        if let Some(share) = self.limited.get(workspace) {
+        // A limit that the leader cannot lift any more would hold for as long as it is
+        // away.
+        if in_contact && let Some(share) = self.limited.get(workspace) {
             return (share.rate, share.burst);
         }
         let (rate, burst) = (limits.rate as f32, limits.burst as f32);
@@ -111,6 +113,23 @@
         (rate * part, (burst * part).max(LEAST_DEPTH))
     }
 
+    /// Takes back an operation that no target has run. The caller will send it again;
+    /// counted each time, repetitions would use up the rate while a service is away.
+    pub fn refund(&mut self, workspace: &Workspace) {
+        if let Some(bucket) = self.buckets.get_mut(workspace) {
+            bucket.tokens += 1.0;
+        }
+        if let Some((offered, admitted)) = self.usage.get_mut(workspace) {
+            *offered = offered.saturating_sub(1);
+            *admitted = admitted.saturating_sub(1);
+        }
+    }
+
+    /// Number of workspaces that the leader limits.
+    pub fn limited(&self) -> usize {
+        self.limited.len()
+    }
+
     /// Whether so much was admitted since the last report that the leader should know.
     pub fn is_urgent(&self) -> bool {
         self.urgent
--- a/src/gateway/runtime.rs
+++ b/src/gateway/runtime.rs
@@ -130,16 +130,21 @@
             let CallerMessage::Request(request) = message else { return Ok(()) };
             let arrived = self.cx.now();
             let answer = self.handle(&request).await;
-            self.log_failure(&request, &answer, arrived);
+            self.note_answer(&request, &answer, arrived);
             caller.answer(&answer).await?;
         }
     }
 
-    /// Writes a line for a request that failed, within the budget of lines.
-    fn log_failure(&self, request: &Request, answer: &Answer, arrived: Millis) {
-        let Err(error) = &answer.result else { return };
+    /// Counts an answer, and writes a line for a request that failed, within the budget
+    /// of lines.
+    fn note_answer(&self, request: &Request, answer: &Answer, arrived: Millis) {
         let cx = &self.cx;
         let now = cx.now();
+        let route =
+            cx.knowledge.borrow().config.routes.get(self.session.database.as_str()).cloned();
+        let consistency = route.map(|route| route.consistency);
+        cx.metrics.answered(consistency, answer, now.since(arrived));
+        let Err(error) = &answer.result else { return };
         let Line::Write { left_out } = cx.lines.borrow_mut().line(now) else { return };
         let knowledge = cx.knowledge.borrow();
         let route = knowledge.config.routes.get(self.session.database.as_str());
@@ -208,10 +213,14 @@
                 Answer::own(TransactionState::Idle)
             }
             Statement::Read | Statement::Write | Statement::Execute { .. } => {
+                let failed_before = transaction.state() == TransactionState::Failed;
                 let answer = match Prepared::new(&self.session, request) {
                     Some(prepared) => transaction.run(&self.cx, &self.session, prepared).await,
                     None => unknown_statement(transaction.state()),
                 };
+                if !failed_before && transaction.never_began() {
+                    self.refund(transaction.workspace());
+                }
                 self.transaction = Some(transaction);
                 answer
             }
@@ -252,7 +261,11 @@
         let operation =
             Operation { cx: &self.cx, session: &self.session, access: &access, arrived };
         if !prepared.writes() {
-            return operation.read(prepared).await;
+            let answer = operation.read(prepared).await;
+            if answer.code() == Some(ErrorCode::Busy) {
+                self.refund(access.workspace.as_ref());
+            }
+            return answer;
         }
         let answer = operation.write(prepared).await;
         if let (Ok(_), Some(position)) = (&answer.result, answer.position) {
@@ -260,11 +273,20 @@
             self.session.committed(service, position);
             self.cx.note_commit(service, position);
         }
+        if answer.code() == Some(ErrorCode::Busy) {
+            self.refund(access.workspace.as_ref());
+        }
         answer
     }
 }
 
 impl<T: Targets> Served<T> {
+    fn refund(&self, workspace: Option<&Workspace>) {
+        if let Some(workspace) = workspace {
+            self.cx.quota.borrow_mut().refund(workspace);
+        }
+    }
+
     fn admit(&self, now: Millis, workspace: &Workspace) -> Result<(), Millis> {
         let knowledge = self.cx.knowledge.borrow();
         let Some(limits) = knowledge.config.workspaces.get(workspace) else { return Ok(()) };
--- a/src/gateway/transaction.rs
+++ b/src/gateway/transaction.rs
@@ -14,6 +14,7 @@
         statement::{Answer, ErrorCode, OWN_SIGNATURE, Request, Statement, TransactionState},
         work::{Obstacle, Reason, Work},
     },
+    ids::Workspace,
 };
 
 /// Advice to callers whose transaction no target began.
@@ -30,12 +31,21 @@
     placed: Option<Placed<T>>,
     wrote: bool,
     failed: bool,
+    began_at_target: bool,
 }
 
 impl<T: Targets> Transaction<T> {
     /// Transaction that begins at `arrived`.
     pub fn new(read_only: bool, access: Access, arrived: Millis) -> Self {
-        Self { read_only, access, arrived, placed: None, wrote: false, failed: false }
+        Self {
+            read_only,
+            access,
+            arrived,
+            placed: None,
+            wrote: false,
+            failed: false,
+            began_at_target: false,
+        }
     }
 
     /// Whether the transaction holds a connection.
@@ -110,6 +120,7 @@
             match operation.run(&mut placed.lane, &job).await {
                 Ok(answer) if answer.result.is_ok() => {
                     self.placed = Some(placed);
+                    self.began_at_target = true;
                     return Ok(());
                 }
                 Ok(answer) => {
@@ -171,6 +182,16 @@
         self.failed = true;
     }
 
+    /// Whether no target has begun the transaction and none will.
+    pub fn never_began(&self) -> bool {
+        self.failed && !self.began_at_target
+    }
+
+    /// Workspace of the transaction.
+    pub fn workspace(&self) -> Option<&Workspace> {
+        self.access.workspace.as_ref()
+    }
+
     /// Time at which the transaction began.
     pub fn began(&self) -> Millis {
         self.arrived
--- a/tests/fleet_rates.rs
+++ b/tests/fleet_rates.rs
@@ -6,6 +6,7 @@
     clock::Millis,
     fleet::{
         config::FleetWorkspace,
+        messages::Share,
         shares::{Demand, Rates},
     },
     gateway::quota::Quota,
@@ -60,8 +61,8 @@
                         Err(_) => self.refused += 1,
                     }
                 }
-                let is_urgent = self.hosts[index].1.is_urgent() && ms % URGENT_MS == 0;
-                if is_urgent || (ms + index as u64 * 7) % REPORT_MS == 0 {
+                let is_urgent = self.hosts[index].1.is_urgent() && ms.is_multiple_of(URGENT_MS);
+                if is_urgent || (ms + index as u64 * 7).is_multiple_of(REPORT_MS) {
                     self.report(now, index);
                 }
             }
@@ -125,3 +126,30 @@
         assert!(late >= 850, "seed {seed}: {late} of 1000 admitted");
     }
 }
+
+/// Guards against a rate that is used up by operations which no target has run: while
+/// a service has no primary, callers repeat each operation.
+#[test]
+fn operations_that_did_not_run_do_not_count() {
+    let limits = FleetWorkspace { rate: 10, burst: 10 };
+    let mut quota = Quota::default();
+    for _ in 0..100 {
+        assert!(quota.admit(Millis(1), &workspace(), &limits, true).is_ok());
+        quota.refund(&workspace());
+    }
+    assert!(quota.take_usage().iter().all(|used| (used.offered, used.admitted) == (0, 0)));
+}
+
+/// Guards against a limit that stays after the leader that set it is gone.
+#[test]
+fn limits_end_without_contact_to_the_leader() {
+    let limits = FleetWorkspace { rate: 100, burst: 100 };
+    let mut quota = Quota::default();
+    quota.set_parts(vec![(workspace(), 0.5)]);
+    quota.set_shares(vec![Share { workspace: workspace(), rate: 0.0, burst: 0.0 }]);
+    assert!(quota.admit(Millis(1), &workspace(), &limits, true).is_err());
+    let admitted = (0..20).filter(|step| {
+        quota.admit(Millis(1_000 + step * 50), &workspace(), &limits, false).is_ok()
+    });
+    assert!(admitted.count() >= 19);
+}
--- a/tests/group/mod.rs
+++ b/tests/group/mod.rs
@@ -1,6 +1,7 @@
 //! In-memory control group with virtual time, seeded network and storage.
 
 #![allow(dead_code, reason = "each test file uses a part")]
+#![allow(clippy::unwrap_used, reason = "a failed step ends the test")]
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
