Send fewer bytes between hosts

At the start each of 60 to 83 hosts caused a view of about 6 KB for all others; reports repeated every target and commit. Change: views that only add hosts or targets wait up to 400 ms; frames over 256 bytes are deflated; reports hold primaries and failing targets only, and commits once. A leader that was frozen closes its hosts' connections, so that they report all again.

--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -81,7 +81,11 @@
     /// Connection and last sent versions of each entry host.
     pub(super) connections: IndexMap<HostId, HostConnection>,
     pub(super) view: FleetView,
+    /// Hosts should learn of a change at once.
     pub(super) view_stale: bool,
+    /// Hosts should learn of a change at the next opportunity.
+    pub(super) view_outdated: bool,
+    pub(super) view_sent: Millis,
     pub(super) failover_at: Millis,
 }
 
@@ -305,7 +309,8 @@
         }
         if noted == Noted::Changed {
             spdlog::info!("target changed", kv: {target = announcement.id.as_str(), service = announcement.service.as_str(), addr = announcement.addr.as_str(), role = format!("{:?}", announcement.role).as_str(), draining = announcement.draining});
-            leading.view_stale = true;
+            leading.view_stale |= announcement.draining || announcement.role == TargetRole::Primary;
+            leading.view_outdated = true;
         }
         if announcement.role == TargetRole::Primary
             && leading.failover.claimed(&announcement.service, &announcement.id)
@@ -374,6 +379,10 @@
     pub(super) fn thaw(&mut self, gap: Millis) {
         spdlog::warn!("the process did not run", kv: {gap_ms = gap.0});
         if let Some(leading) = &mut self.leading {
+            // Hosts that connect again report all that they know.
+            for connection in leading.connections.values() {
+                self.answers.remove(&connection.id);
+            }
             *leading = Leading::new(self.clock.now(), leading.view.revision.term);
             leading.view.revision.number = self.clock.now().0;
         }
@@ -392,6 +401,8 @@
             connections: IndexMap::new(),
             view: FleetView { revision, ..FleetView::default() },
             view_stale: true,
+            view_outdated: false,
+            view_sent: Millis(0),
             failover_at: now + FAILOVER_TICK,
         }
     }
--- a/src/fleet/leader.rs
+++ b/src/fleet/leader.rs
@@ -19,7 +19,11 @@
 };
 
 /// Interval between two deliveries of the parts of the demands to one host.
-const PARTS_INTERVAL: Millis = Millis(2_000);
+const PARTS_INTERVAL: Millis = Millis(5_000);
+
+/// Shortest interval between views that only add hosts or targets: when all hosts
+/// start together, each would otherwise cause a view for all others.
+const VIEW_INTERVAL: Millis = Millis(400);
 
 /// Time after which a configuration is sent again to a host that has not confirmed it.
 const RESEND_CONFIG: Millis = Millis(1_000);
@@ -38,7 +42,7 @@
         let Some(leading) = &mut self.leading else { return };
         let silent_hosts = leading.hosts.forget_silent(now);
         let silent_targets = leading.registry.forget_silent(now);
-        leading.view_stale |= silent_hosts || silent_targets;
+        leading.view_outdated |= silent_hosts || silent_targets;
         if leading.failover_due(now) {
             let services: Vec<Service> = self.config.services.keys().cloned().collect();
             let mut failover = mem::take(&mut leading.failover);
@@ -106,7 +110,7 @@
         leading.rates.note(&report.usage);
         leading.rates.plan(now, &self.config.workspaces, leading.hosts.demands());
         for announcement in &report.known {
-            leading.view_stale |= leading.registry.suggest(now, announcement) == Noted::Changed;
+            leading.view_outdated |= leading.registry.suggest(now, announcement) == Noted::Changed;
             if announcement.role == crate::fleet::messages::TargetRole::Primary
                 && leading.failover.primary(&announcement.service).is_none()
             {
@@ -115,7 +119,7 @@
         }
         if changed {
             spdlog::info!("entry host reported", kv: {host = report.host.as_str(), leaving = report.leaving, hosts = leading.hosts.len()});
-            leading.view_stale = true;
+            leading.view_outdated = true;
         }
         let connection = leading
             .connections
@@ -211,9 +215,13 @@
         let control =
             self.node.members().0.values().map(|member| member.bus_addr.clone()).collect();
         let Some(leading) = &mut self.leading else { return };
-        if !serving || !mem::take(&mut leading.view_stale) {
+        let is_due = leading.view_outdated && now.since(leading.view_sent) >= VIEW_INTERVAL;
+        if !serving || !(leading.view_stale || is_due) {
             return;
         }
+        leading.view_stale = false;
+        leading.view_outdated = false;
+        leading.view_sent = now;
         let revision = leading.view.revision;
         let next = FleetView {
             revision: ViewRevision { number: revision.number + 1, ..revision },
--- a/src/fleet/link.rs
+++ b/src/fleet/link.rs
@@ -4,10 +4,16 @@
 //! data may stay unacknowledged, and whoever expects answers opens a new connection
 //! when none arrive.
 
-use std::{collections::HashMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::HashMap,
+    io::{Read, Write as _},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use bytes::Bytes;
-use eyre::{Result, WrapErr};
+use eyre::{Result, WrapErr, bail};
+use flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder};
 use futures::{SinkExt, StreamExt};
 use tokio::{
     net::{TcpListener, TcpStream, tcp::OwnedReadHalf, tcp::OwnedWriteHalf},
@@ -37,20 +43,50 @@
 /// Writing side of a connection.
 pub type FrameWriter = FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>;
 
+/// Size from which a frame is compressed: smaller ones gain less than the codes take.
+const COMPRESS_FROM_BYTES: usize = 256;
+
+/// First byte of a frame that is not compressed.
+const PLAIN: u8 = 0;
+
+/// First byte of a compressed frame.
+const DEFLATED: u8 = 1;
+
 /// Encodes a frame.
 pub fn encode(frame: &Frame) -> Bytes {
-    match postcard::to_stdvec(frame) {
+    match try_encode(frame) {
         Ok(bytes) => bytes.into(),
         Err(error) => {
-            spdlog::error!("cannot encode a frame: {error}");
+            spdlog::error!("cannot encode a frame: {error:#}");
             Bytes::new()
         }
     }
 }
 
+fn try_encode(frame: &Frame) -> Result<Vec<u8>> {
+    let plain = postcard::to_extend(frame, vec![PLAIN])?;
+    if plain.len() < COMPRESS_FROM_BYTES {
+        return Ok(plain);
+    }
+    let mut encoder = DeflateEncoder::new(vec![DEFLATED], Compression::fast());
+    encoder.write_all(&plain[1..])?;
+    let deflated = encoder.finish()?;
+    Ok(if deflated.len() < plain.len() { deflated } else { plain })
+}
+
 /// Decodes a frame.
 pub fn decode(bytes: &[u8]) -> Result<Frame> {
-    postcard::from_bytes(bytes).wrap_err("cannot decode a frame")
+    let frame = match bytes.split_first() {
+        Some((&PLAIN, plain)) => postcard::from_bytes(plain),
+        Some((&DEFLATED, deflated)) => {
+            let mut plain = Vec::new();
+            let limit = MAX_FRAME_BYTES as u64;
+            DeflateDecoder::new(deflated).take(limit).read_to_end(&mut plain)?;
+            postcard::from_bytes(&plain)
+        }
+        _ => bail!("a frame has an unknown form"),
+    };
+    frame.wrap_err("cannot decode a frame")
 }
 
 /// Opens a connection.
--- a/src/gateway/control_link.rs
+++ b/src/gateway/control_link.rs
@@ -1,9 +1,10 @@
 //! Connection of an entry host to the leader of the control group.
 
-use std::{collections::VecDeque, rc::Rc, time::Duration};
+use std::{cell::RefCell, collections::VecDeque, rc::Rc, time::Duration};
 
 use eyre::{Result, bail};
 use futures::{SinkExt, StreamExt};
+use indexmap::IndexMap;
 use tokio::time::{Instant, interval, timeout_at};
 
 use crate::{
@@ -11,13 +12,14 @@
     fleet::{
         document::decompress,
         link::{FrameReader, FrameWriter, connect, decode, encode, split},
-        messages::{Frame, HostReport, HostUpdate, Redirect, ViewRevision},
+        messages::{Frame, Health, HostReport, HostUpdate, Redirect, TargetHealth, ViewRevision},
     },
     gateway::{
         cx::{Cx, Phase},
+        knowledge::Knowledge,
         ports::Targets,
     },
-    ids::Incarnation,
+    ids::{Incarnation, Mark, Service},
 };
 
 /// Interval between reports; three of them fit into a lease.
@@ -97,10 +99,11 @@
 /// Keeps a connection to the leader until the host has stopped.
 pub async fn run<T: Targets>(
     cx: Rc<Cx<T>>,
-    directory: Rc<std::cell::RefCell<Directory>>,
+    directory: Rc<RefCell<Directory>>,
     incarnation: Incarnation,
 ) {
-    let mut link = Link { cx, directory, incarnation, leader_term: 0 };
+    let reported = RefCell::default();
+    let mut link = Link { cx, directory, incarnation, leader_term: 0, reported };
     loop {
         let next = link.directory.borrow_mut().next_address();
         if let Some(addr) = next
@@ -114,10 +117,12 @@
 
 struct Link<T: Targets> {
     cx: Rc<Cx<T>>,
-    directory: Rc<std::cell::RefCell<Directory>>,
+    directory: Rc<RefCell<Directory>>,
     incarnation: Incarnation,
     /// Term of the leader that sent the last view.
     leader_term: u64,
+    /// Commits that the leader at the present connection was told of.
+    reported: RefCell<IndexMap<Service, Mark>>,
 }
 
 impl<T: Targets> Link<T> {
@@ -184,13 +189,8 @@
                 domain: cx.settings.domain.clone(),
                 leaving: cx.phase() > Phase::Serving,
                 usage: cx.quota.borrow_mut().take_usage(),
-                targets: cx.health.borrow().report(cx.now()),
-                acknowledged: cx
-                    .acknowledged
-                    .borrow()
-                    .iter()
-                    .map(|(service, mark)| (service.clone(), *mark))
-                    .collect(),
+                targets: self.health(&knowledge),
+                acknowledged: self.acknowledged(full),
                 known: if full { knowledge.known_targets() } else { Vec::new() },
             }
         };
@@ -198,6 +198,29 @@
         Ok(())
     }
 
+    /// Health of the primaries and of the targets that fail; nobody decides on others.
+    fn health(&self, knowledge: &Knowledge) -> Vec<TargetHealth> {
+        let mut health = self.cx.health.borrow().report(self.cx.now());
+        health.retain(|it| it.health != Health::Answering || knowledge.is_primary(&it.id));
+        health
+    }
+
+    /// Newest commits that the leader has not been told of.
+    fn acknowledged(&self, full: bool) -> Vec<(Service, Mark)> {
+        let mut reported = self.reported.borrow_mut();
+        if full {
+            reported.clear();
+        }
+        let newest = self.cx.acknowledged.borrow();
+        let unreported: Vec<(Service, Mark)> = newest
+            .iter()
+            .filter(|(service, mark)| reported.get(*service) != Some(*mark))
+            .map(|(service, mark)| (service.clone(), *mark))
+            .collect();
+        reported.extend(unreported.iter().cloned());
+        unreported
+    }
+
     /// Takes over an update; returns whether it is the first of a new leader.
     fn apply(&mut self, update: HostUpdate) -> Result<bool> {
         let cx = &self.cx;
--- a/src/gateway/knowledge.rs
+++ b/src/gateway/knowledge.rs
@@ -93,6 +93,12 @@
         (!disproved).then_some(primary)
     }
 
+    /// Whether the target is the primary of its service.
+    pub fn is_primary(&self, id: &InstanceId) -> bool {
+        let mut primaries = self.services.values().filter_map(|service| service.primary.as_ref());
+        primaries.any(|primary| primary.id == *id)
+    }
+
     /// Whether there are a configuration and targets.
     pub fn is_complete(&self) -> bool {
         self.config.version > 0 && !self.services.is_empty()
