Ask targets before an announced primary replaces the known one

Change: a second claim puts the primary in doubt, hosts ask it for its role, and the targets' own answers decide; a promotion that an earlier leader left unfinished leaves the primary in doubt from the first view on. Lines on targets that do not answer are bounded like those on requests.

--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -218,7 +218,10 @@
         let changes = |leading: &Leading| {
             let services = leading.failover.services().map(|(service, _)| service);
             let changing = |service: &&Service| {
-                leading.failover.primary(service).is_some_and(|(_, changing)| changing)
+                leading
+                    .failover
+                    .primary(service, &self.state.promotions)
+                    .is_some_and(|(_, changing)| changing)
             };
             services.filter(changing).count()
         };
--- a/src/fleet/failover.rs
+++ b/src/fleet/failover.rs
@@ -128,6 +128,8 @@
     Gone,
     /// An earlier leader began a promotion whose end is not known.
     Unfinished,
+    /// Another target says that it is the primary. The announcement may be old.
+    Disputed,
 }
 
 /// What the decisions look at.
@@ -146,6 +148,8 @@
 #[derive(Debug, Default)]
 pub struct ServiceState {
     pub primary: Option<InstanceId>,
+    /// Another target has said that it is the primary.
+    disputed: bool,
     change: Option<Change>,
     ended: Option<Millis>,
 }
@@ -187,10 +191,21 @@
 const CALL_BITS: u32 = 20;
 
 impl Failover {
-    /// Primary of `service` and whether it is about to change.
-    pub fn primary(&self, service: &Service) -> Option<(Option<&InstanceId>, bool)> {
+    /// Primary of `service` and whether it is about to change; a promotion that an
+    /// earlier leader began may be carried out at any time.
+    pub fn primary(
+        &self,
+        service: &Service,
+        unfinished: &IndexMap<Service, InstanceId>,
+    ) -> Option<(Option<&InstanceId>, bool)> {
         let state = self.services.get(service)?;
-        Some((state.primary.as_ref(), state.change.is_some()))
+        let changing = state.change.is_some() || unfinished.contains_key(service);
+        Some((state.primary.as_ref(), changing))
+    }
+
+    /// Whether a primary of `service` is known.
+    pub fn knows(&self, service: &Service) -> bool {
+        self.services.get(service).is_some_and(|state| state.primary.is_some())
     }
 
     /// All services.
@@ -198,14 +213,24 @@
         self.services.iter()
     }
 
-    /// Notes that `target` says it is the primary.
+    /// Notes that `target` says it is the primary; returns whether the view differs. An
+    /// announcement may have been on its way for seconds, so another target than the
+    /// known primary is asked first.
     pub fn claimed(&mut self, service: &Service, target: &InstanceId) -> bool {
         let state = self.services.entry(service.clone()).or_default();
         if state.primary.as_ref() == Some(target) {
             return false;
         }
-        state.primary = Some(target.clone());
-        true
+        let is_candidate = state
+            .change
+            .as_ref()
+            .is_some_and(|it| it.candidate.as_ref() == Some(target) && it.was_called());
+        if state.primary.is_none() || is_candidate {
+            state.primary = Some(target.clone());
+            return true;
+        }
+        state.disputed = state.change.is_none();
+        false
     }
 
     /// Regular work: starts changes and repeats what got no answer.
@@ -222,6 +247,7 @@
                 && let Some(reason) = state.trouble(cx, &service, unfinished)
             {
                 spdlog::warn!("change of a primary begins", kv: {service = service.as_str(), reason = format!("{reason:?}").as_str(), primary = state.primary.as_ref().map_or("none", |id| id.as_str())});
+                state.disputed = false;
                 state.change = Some(Change::new(cx.now, reason));
                 out.push(Action::ViewChanged);
             }
@@ -260,6 +286,9 @@
         service: &Service,
         unfinished: &IndexMap<Service, InstanceId>,
     ) -> Option<Reason> {
+        if self.disputed && !unfinished.contains_key(service) {
+            return Some(Reason::Disputed);
+        }
         if cx.now.since(cx.since) < LISTEN || cx.registry.of(service).count() < 2 {
             return None;
         }
@@ -314,12 +343,19 @@
         let primary = self.primary.clone();
         self.ask(cx, service, out);
         let Some(change) = &mut self.change else { return };
-        if let Some(current) = change.settled_by(cx, primary.as_ref()) {
+        if let Some(current) = change.settled_by() {
             change.candidate = Some(current.clone());
+            if change.reason != Reason::Unfinished {
+                self.finish(cx, service, out);
+                return;
+            }
             change.step = Step::Logging;
             out.push(Action::LogBegin { service: service.clone(), target: current });
             return;
         }
+        if change.reason == Reason::Disputed && cx.now.since(change.since) < GIVE_UP_ON_SILENT {
+            return;
+        }
         let Some(candidate) = change.best(cx, service, primary.as_ref()) else { return };
         if change.candidate.as_ref() != Some(&candidate) {
             change.candidate = Some(candidate.clone());
@@ -444,18 +480,20 @@
         }
     }
 
+    /// Whether a promotion was called.
+    fn was_called(&self) -> bool {
+        matches!(self.step, Step::Calling { .. })
+    }
+
     /// Primary that still serves although a promotion may be under way or was
     /// suspected to be needed: calling it again makes late calls void.
-    fn settled_by(&self, cx: &Cx<'_>, primary: Option<&InstanceId>) -> Option<InstanceId> {
-        if self.reason != Reason::Unfinished {
+    fn settled_by(&self) -> Option<InstanceId> {
+        if !matches!(self.reason, Reason::Unfinished | Reason::Disputed | Reason::Gone) {
             return None;
         }
         let leads = |status: &&TargetStatus| status.role == TargetRole::Primary;
         let serving = self.statuses.iter().filter(|(_, status)| leads(status));
-        let newest = serving.max_by_key(|(_, status)| status.term).map(|(id, _)| id.clone());
-        newest.filter(|id| {
-            primary.is_none_or(|primary| primary == id) || cx.registry.get(id).is_some()
-        })
+        serving.max_by_key(|(_, status)| status.term).map(|(id, _)| id.clone())
     }
 
     /// Replica that should become the primary: of those that have received most, the
--- a/src/fleet/leader.rs
+++ b/src/fleet/leader.rs
@@ -3,6 +3,8 @@
 
 use std::mem;
 
+use indexmap::IndexMap;
+
 use crate::{
     clock::{Clock, Millis},
     fleet::{
@@ -15,7 +17,7 @@
         runtime::Ports,
         state::FleetCommand,
     },
-    ids::{HostId, Service},
+    ids::{HostId, InstanceId, Service},
 };
 
 /// Interval between two deliveries of the parts of the demands to one host.
@@ -89,7 +91,7 @@
         self.push_view();
     }
 
-    fn ask(&self, service: &Service, target: &crate::ids::InstanceId, order: Order) {
+    fn ask(&self, service: &Service, target: &InstanceId, order: Order) {
         let known = self.leading.as_ref().and_then(|leading| leading.registry.get(target));
         if let Some(known) = known {
             self.tasks.ask(self.ports.clone(), service.clone(), known.clone(), order);
@@ -112,7 +114,7 @@
         for announcement in &report.known {
             leading.view_outdated |= leading.registry.suggest(now, announcement) == Noted::Changed;
             if announcement.role == crate::fleet::messages::TargetRole::Primary
-                && leading.failover.primary(&announcement.service).is_none()
+                && !leading.failover.knows(&announcement.service)
             {
                 leading.failover.claimed(&announcement.service, &announcement.id);
             }
@@ -227,7 +229,7 @@
             revision: ViewRevision { number: revision.number + 1, ..revision },
             hosts: leading.hosts.owners(),
             targets: leading.registry.all().cloned().collect(),
-            primaries: leading.primaries(),
+            primaries: leading.primaries(&self.state.promotions),
             control,
         };
         leading.view = next;
@@ -250,11 +252,11 @@
         }
     }
 
-    fn primaries(&self) -> Vec<Primary> {
+    fn primaries(&self, unfinished: &IndexMap<Service, InstanceId>) -> Vec<Primary> {
         let services = self.failover.services().map(|(service, _)| service);
         services
             .filter_map(|service| {
-                let (id, changing) = self.failover.primary(service)?;
+                let (id, changing) = self.failover.primary(service, unfinished)?;
                 Some(Primary { service: service.clone(), id: id.cloned(), changing })
             })
             .collect()
--- a/src/gateway/cx.rs
+++ b/src/gateway/cx.rs
@@ -12,11 +12,20 @@
     clock::{Clock, Millis, SystemClock},
     fleet::messages::Announcement,
     gateway::{
-        decisions::LineBudget, executor::Gates, freshness::Freshness, health::TargetsHealth,
-        knowledge::Knowledge, lease::TrustLease, metrics::GatewayMetrics, owners::ranking,
-        peers::Peers, pool::Pools, ports::Targets, quota::Quota,
+        decisions::{Line, LineBudget},
+        executor::Gates,
+        freshness::Freshness,
+        health::TargetsHealth,
+        knowledge::Knowledge,
+        lease::TrustLease,
+        metrics::GatewayMetrics,
+        owners::ranking,
+        peers::Peers,
+        pool::Pools,
+        ports::Targets,
+        quota::Quota,
     },
-    ids::{FailureDomain, HostId, Mark, Service},
+    ids::{FailureDomain, HostId, InstanceId, Mark, Service},
 };
 
 /// Percentage of a target's connections that its owner may use. The others remain for
@@ -77,6 +86,7 @@
     pub acknowledged: RefCell<indexmap::IndexMap<Service, Mark>>,
     pub sessions: Cell<usize>,
     pub lines: RefCell<LineBudget>,
+    pub target_lines: RefCell<LineBudget>,
     pub metrics: Arc<GatewayMetrics>,
     /// Asks for a report to control before its usual time.
     pub report_soon: Notify,
@@ -102,6 +112,7 @@
             acknowledged: RefCell::default(),
             sessions: Cell::new(0),
             lines: RefCell::default(),
+            target_lines: RefCell::default(),
             metrics: GatewayMetrics::new(),
             report_soon: Notify::new(),
             phase: watch::Sender::new(Phase::Serving),
@@ -164,6 +175,14 @@
         }
     }
 
+    /// Writes a line on a target that did not answer, within the budget of lines.
+    pub fn log_target(&self, target: &InstanceId, event: &str, detail: &str) {
+        let Line::Write { left_out } = self.target_lines.borrow_mut().line(self.now()) else {
+            return;
+        };
+        spdlog::info!("target did not answer", kv: {target = target.as_str(), event, detail, left_out});
+    }
+
     /// Notes a commit that a caller was or will be told of.
     pub fn note_commit(&self, service: &Service, position: Mark) {
         let mut acknowledged = self.acknowledged.borrow_mut();
--- a/src/gateway/executor.rs
+++ b/src/gateway/executor.rs
@@ -127,7 +127,7 @@
     checkout.rest(false);
     let left = job.limit.since(cx.now().since(arrived));
     let attempt = Attempted::new(cx, &target.id);
-    let result = run::<T>(&mut checkout, job, left).await;
+    let result = run(cx, &mut checkout, job, left).await;
     attempt.end(&result);
     if let Ok(answer) = &result {
         match answer.state {
@@ -238,7 +238,7 @@
         }
         Err(failure) => {
             cx.paths.borrow_mut().unreachable(cx.now(), &target.id);
-            spdlog::info!("cannot connect to a target", kv: {target = target.id.as_str(), failure = format!("{failure:?}").as_str()});
+            cx.log_target(&target.id, "connect", &format!("{failure:?}"));
             Err(Obstacle::Unreachable)
         }
     }
@@ -246,6 +246,7 @@
 
 /// Sends the requests that the work needs and returns the answer to the last one.
 async fn run<T: Targets>(
+    cx: &Cx<T>,
     checkout: &mut Checkout<T::Connection>,
     job: &Job,
     left: Millis,
@@ -286,11 +287,11 @@
     let mut answers = match result {
         Ok(Ok(answers)) => answers,
         Ok(Err(failure)) => {
-            spdlog::info!("connection to a target failed", kv: {target = id.as_str(), failure = format!("{failure:?}").as_str()});
+            cx.log_target(&id, "exchange", &format!("{failure:?}"));
             return Err(Obstacle::Lost);
         }
         Err(_) => {
-            spdlog::info!("no answer from a target", kv: {target = id.as_str(), waited_ms = left.0});
+            cx.log_target(&id, "exchange", &format!("no answer within {left}"));
             return Err(Obstacle::Lost);
         }
     };
--- a/tests/fleet_failover.rs
+++ b/tests/fleet_failover.rs
@@ -207,7 +207,10 @@
     bench.run(1_000);
     assert_eq!(bench.promoted(), ["r1"]);
     assert!(bench.paused.is_empty(), "paused replicas are resumed at the end");
-    assert_eq!(bench.failover.primary(&service()), Some((Some(&"r1".into()), false)));
+    assert_eq!(
+        bench.failover.primary(&service(), &bench.unfinished),
+        Some((Some(&"r1".into()), false))
+    );
 }
 
 /// Guards against the promotion of a replica that lacks an acknowledged commit.
@@ -300,3 +303,48 @@
     bench.run(3_000);
     assert!(bench.calls.is_empty());
 }
+
+/// Guards against an old announcement of a primary that was replaced: callers were sent
+/// back to it and read old data (soak, seed 1). The targets are asked, and hosts do not
+/// rely on the primary until they have answered.
+#[test]
+fn late_announcement_of_an_old_primary_changes_nothing() {
+    let mut bench = Bench::new();
+    bench.run(1_000);
+    assert!(!bench.failover.claimed(&service(), &"r1".into()));
+    assert_eq!(bench.failover.primary(&service(), &bench.unfinished).unwrap().0, Some(&"p".into()));
+    let view = bench.view;
+    bench.run(50);
+    assert!(bench.view > view, "hosts learn that the primary is in doubt");
+    bench.run(500);
+    assert!(bench.calls.is_empty());
+    assert_eq!(
+        bench.failover.primary(&service(), &bench.unfinished),
+        Some((Some(&"p".into()), false))
+    );
+}
+
+/// A target that really leads is found by its own answer.
+#[test]
+fn new_primary_is_found_by_its_status() {
+    let mut bench = Bench::new();
+    bench.run(1_000);
+    bench.targets["p"] = Some((TargetRole::Replica, Mark::new(4, 100)));
+    bench.targets["r1"] = Some((TargetRole::Primary, Mark::new(4, 100)));
+    bench.failover.claimed(&service(), &"r1".into());
+    bench.run(500);
+    assert!(bench.calls.is_empty());
+    assert_eq!(
+        bench.failover.primary(&service(), &bench.unfinished),
+        Some((Some(&"r1".into()), false))
+    );
+}
+
+/// Guards against hosts that rely on a primary while a promotion of an earlier leader
+/// may be carried out.
+#[test]
+fn unfinished_promotion_leaves_the_primary_in_doubt() {
+    let mut bench = Bench::new();
+    bench.unfinished.insert(service(), "r2".into());
+    assert!(bench.failover.primary(&service(), &bench.unfinished).unwrap().1);
+}
