Search for the primary without contact to control; promote targets that hosts reach

Change: a host without a lease asks the targets which one leads; a replica that most hosts fail to reach is chosen last, and a failing primary stays if no other target is reachable.

--- a/src/fleet/failover.rs
+++ b/src/fleet/failover.rs
@@ -307,7 +307,12 @@
             let has_other = cx.registry.of(service).any(|it| !it.draining && it.id != primary.id);
             return has_other.then_some(Reason::Draining);
         }
-        is_failing(cx, &primary.id).then_some(Reason::Failing)
+        // Another target that hosts cannot reach either would serve no better.
+        let has_better = cx
+            .registry
+            .of(service)
+            .any(|it| it.id != primary.id && !it.draining && is_reachable(cx, &it.id));
+        (has_better && is_failing(cx, &primary.id)).then_some(Reason::Failing)
     }
 
     fn advance(&mut self, cx: &Cx<'_>, service: &Service, calls: &mut u64, out: &mut Vec<Action>) {
@@ -518,7 +523,7 @@
         }
         let rank = |it: &&Announcement| {
             let received = self.statuses.get(&it.id).map(|status| status.received);
-            (received, !it.draining)
+            (is_reachable(cx, &it.id), received, !it.draining)
         };
         let staying = replicas().filter(|it| !it.draining && self.statuses.contains_key(&it.id));
         let best = staying.max_by_key(rank);
@@ -565,6 +570,11 @@
     cx.registry.of(service).filter(move |it| Some(&it.id) != primary)
 }
 
+/// Whether at least half of the hosts can use a target, as far as they have tried.
+fn is_reachable(cx: &Cx<'_>, id: &InstanceId) -> bool {
+    cx.hosts.opinions(cx.now, id).failing * 2 <= cx.hosts.len()
+}
+
 /// Whether a primary answers too few hosts.
 fn is_failing(cx: &Cx<'_>, id: &InstanceId) -> bool {
     let opinions = cx.hosts.opinions(cx.now, id);
--- a/src/gateway/cx.rs
+++ b/src/gateway/cx.rs
@@ -6,6 +6,7 @@
     sync::Arc,
 };
 
+use indexmap::IndexMap;
 use tokio::sync::{Notify, watch};
 
 use crate::{
@@ -83,11 +84,13 @@
     pub pools: Rc<Pools<T::Connection>>,
     pub gates: Gates,
     pub peers: Peers,
-    pub acknowledged: RefCell<indexmap::IndexMap<Service, Mark>>,
+    pub acknowledged: RefCell<IndexMap<Service, Mark>>,
     pub sessions: Cell<usize>,
     pub lines: RefCell<LineBudget>,
     pub target_lines: RefCell<LineBudget>,
     pub metrics: Arc<GatewayMetrics>,
+    /// When the targets of a service were last asked which one leads.
+    pub searched: RefCell<IndexMap<Service, Millis>>,
     /// Asks for a report to control before its usual time.
     pub report_soon: Notify,
     phase: watch::Sender<Phase>,
@@ -114,6 +117,7 @@
             lines: RefCell::default(),
             target_lines: RefCell::default(),
             metrics: GatewayMetrics::new(),
+            searched: RefCell::default(),
             report_soon: Notify::new(),
             phase: watch::Sender::new(Phase::Serving),
         }
--- a/src/gateway/knowledge.rs
+++ b/src/gateway/knowledge.rs
@@ -21,6 +21,8 @@
     services: IndexMap<Service, ServiceView>,
     /// Primaries that a target's answer has disproved.
     disproved: IndexMap<Service, (InstanceId, Millis)>,
+    /// Primaries that this host has found by asking the targets, newer than the view.
+    found: IndexMap<Service, InstanceId>,
 }
 
 /// Targets of one service.
@@ -49,6 +51,7 @@
     /// announced themselves to it; the host's own report makes them complete.
     pub fn set_view(&mut self, view: FleetView) {
         self.services.clear();
+        self.found.clear();
         for target in &view.targets {
             let service = self.services.entry(target.service.clone()).or_default();
             service.targets.push(Rc::new(target.clone()));
@@ -83,9 +86,24 @@
         self.disproved.insert(service.clone(), (target.clone(), now));
     }
 
+    /// Notes that `target` has said that it leads. It counts until the next view.
+    pub fn find(&mut self, service: &Service, target: &InstanceId) {
+        self.found.insert(service.clone(), target.clone());
+        self.disproved.shift_remove(service);
+    }
+
+    fn known_primary(&self, service: &Service) -> Option<Rc<Announcement>> {
+        let view = self.services.get(service)?;
+        let found = self
+            .found
+            .get(service)
+            .and_then(|id| view.targets.iter().find(|target| target.id == *id).cloned());
+        found.or_else(|| view.primary.clone())
+    }
+
     /// Primary of `service`, unless it has just said that it does not lead.
     pub fn primary(&self, now: Millis, service: &Service) -> Option<Rc<Announcement>> {
-        let primary = self.services.get(service)?.primary.clone()?;
+        let primary = self.known_primary(service)?;
         let disproved = self
             .disproved
             .get(service)
--- a/src/gateway/operation.rs
+++ b/src/gateway/operation.rs
@@ -3,6 +3,8 @@
 
 use std::rc::Rc;
 
+use futures::future::join_all;
+
 use crate::{
     clock::Millis,
     fleet::messages::{Announcement, TargetRole},
@@ -22,6 +24,9 @@
 /// Pause before another look for a target, when none can be used.
 const LOOK_AGAIN: Millis = Millis(15);
 
+/// Shortest interval between two searches for a service's primary.
+const SEARCH_INTERVAL: Millis = Millis(150);
+
 /// Advice to callers that find no primary: about the time of a promotion.
 const RETRY_WITHOUT_TARGET: Millis = Millis(500);
 
@@ -135,7 +140,9 @@
                 if self.cx.now() >= self.wait_until() {
                     return Err(Obstacle::NotRun(RETRY_WITHOUT_TARGET, Reason::NoTarget));
                 }
-                tokio::time::sleep(LOOK_AGAIN.duration()).await;
+                if !self.search_primary().await {
+                    tokio::time::sleep(LOOK_AGAIN.duration()).await;
+                }
                 tried.clear();
                 continue;
             };
@@ -168,6 +175,35 @@
         }
     }
 
+    /// Asks all targets of the service which one leads. A host without contact to
+    /// control is not told of a new primary. Returns whether the targets were asked.
+    async fn search_primary(&self) -> bool {
+        let (cx, service) = (self.cx, &self.access.route.service);
+        let now = cx.now();
+        let last = cx.searched.borrow().get(service).copied();
+        let is_recent = last.is_some_and(|at| now.since(at) < SEARCH_INTERVAL);
+        if cx.lease.borrow().is_valid(now) || is_recent {
+            return false;
+        }
+        cx.searched.borrow_mut().insert(service.clone(), now);
+        let targets = cx.knowledge.borrow().service(service).map(|it| it.targets.clone());
+        let ask = |target: Rc<Announcement>| async move {
+            let mut lane = Lane::new(cx, target.clone(), false);
+            let until = self.wait_until().min(cx.now() + SEARCH_INTERVAL);
+            let job = self.job(&target.id, Work::Status, until);
+            let answer = self.run(&mut lane, &job).await.ok()?;
+            let status = T::Connection::status(&answer)?;
+            (status.role == TargetRole::Primary).then_some((status.term, target))
+        };
+        let asked = targets.unwrap_or_default().into_iter().map(ask);
+        let leading = join_all(asked).await.into_iter().flatten();
+        if let Some((term, target)) = leading.max_by_key(|(term, _)| *term) {
+            spdlog::info!("primary found by asking the targets", kv: {service = service.as_str(), primary = target.id.as_str(), term});
+            cx.knowledge.borrow_mut().find(service, &target.id);
+        }
+        true
+    }
+
     /// Asks the target whether it leads.
     async fn confirms_primary(&self, lane: &mut Lane<T>) -> Result<bool, Obstacle> {
         let job = self.job(&lane.target.id, Work::Status, self.wait_until());
--- a/tests/fleet_failover.rs
+++ b/tests/fleet_failover.rs
@@ -31,6 +31,8 @@
     /// Whether the platform carries out calls.
     carries_out: bool,
     failing: Option<Millis>,
+    /// Replicas that no host can reach.
+    unreachable: Vec<&'static str>,
     confirms_view: bool,
     acknowledged: Mark,
     sequence: u64,
@@ -60,6 +62,7 @@
             calls: Vec::new(),
             carries_out: true,
             failing: None,
+            unreachable: Vec::new(),
             confirms_view: true,
             acknowledged: mark,
             sequence: 0,
@@ -107,7 +110,7 @@
                     domain: "a".into(),
                     leaving: false,
                     usage: Vec::new(),
-                    targets: vec![TargetHealth { id: "p".into(), health }],
+                    targets: self.health(health),
                     acknowledged: vec![(service(), self.acknowledged)],
                     known: Vec::new(),
                 },
@@ -115,6 +118,13 @@
         }
     }
 
+    fn health(&self, of_primary: Health) -> Vec<TargetHealth> {
+        let failing =
+            |id: &&str| TargetHealth { id: (*id).into(), health: Health::Failing(Millis(2_000)) };
+        let primary = TargetHealth { id: "p".into(), health: of_primary };
+        self.unreachable.iter().map(failing).chain([primary]).collect()
+    }
+
     fn run(&mut self, ms: u64) {
         for _ in 0..ms / STEP {
             self.now += Millis(STEP);
@@ -348,3 +358,19 @@
     bench.unfinished.insert(service(), "r2".into());
     assert!(bench.failover.primary(&service(), &bench.unfinished).unwrap().1);
 }
+
+/// Guards against the promotion of a replica that control reaches and no entry host
+/// does (incident inc-a0a2).
+#[test]
+fn replica_that_no_host_reaches_is_not_promoted() {
+    let mut bench = Bench::new();
+    bench.failing = Some(Millis(800));
+    bench.unreachable = vec!["r2"];
+    bench.run(1_000);
+    assert_eq!(bench.promoted(), ["r1"]);
+    let mut bench = Bench::new();
+    bench.failing = Some(Millis(800));
+    bench.unreachable = vec!["r1", "r2"];
+    bench.run(3_000);
+    assert!(bench.calls.is_empty() && bench.paused.is_empty());
+}
