--- a/src/fleet/failover.rs
+++ b/src/fleet/failover.rs
@@ -13,37 +13,20 @@
 use crate::{
     clock::Millis,
     fleet::{
+        change::{
+            ASK_INTERVAL, Change, GIVE_UP_ON_SILENT, REPEAT_CALL, Step, is_failing, is_reachable,
+        },
         hosts::Hosts,
-        messages::{Announcement, TargetRole, ViewRevision},
+        messages::{TargetRole, ViewRevision},
         registry::Registry,
     },
     ids::{InstanceId, Mark, Service},
 };
 
-/// Time for which a target's failure must last before its primary is replaced.
-const FAILING_AT_LEAST: Millis = Millis(500);
-
-/// Silence of a target that hosts do not use, after which it counts as lost: more
-/// than two missed announcements of the longest usual interval.
-const SILENT_AT_LEAST: Millis = Millis(4_000);
-
-/// Part of the hosts that must report a failure while others get answers.
-const FAILING_PERCENT: usize = 30;
-
 /// Time that a leader listens before it judges targets: every target announces
 /// itself once, and every host reports.
 const LISTEN: Millis = Millis(1_800);
 
-/// Interval between questions to the targets during a change.
-const ASK_INTERVAL: Millis = Millis(100);
-
-/// Time after which a target that does not answer is left out of the comparison, if
-/// the hosts' reports prove that the candidate holds all that was acknowledged.
-const GIVE_UP_ON_SILENT: Millis = Millis(700);
-
-/// Time after which a promotion without effect is sent again.
-const REPEAT_CALL: Millis = Millis(1_500);
-
 /// Time after which a change without a result begins anew.
 const RESTART_AFTER: Millis = Millis(5_000);
 
@@ -154,32 +137,6 @@
     ended: Option<Millis>,
 }
 
-#[derive(Debug)]
-struct Change {
-    reason: Reason,
-    since: Millis,
-    /// View that tells hosts of the change.
-    view: Option<ViewRevision>,
-    asked: Option<Millis>,
-    statuses: IndexMap<InstanceId, TargetStatus>,
-    paused: IndexMap<InstanceId, Mark>,
-    candidate: Option<InstanceId>,
-    step: Step,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Step {
-    /// Statuses are collected and replicas are paused.
-    Choosing,
-    Logging,
-    /// Hosts still may rely on the old primary.
-    Revoking,
-    Calling {
-        sent: Millis,
-        token: u64,
-    },
-}
-
 /// Changes of all services.
 #[derive(Debug, Default)]
 pub struct Failover {
@@ -455,132 +412,3 @@
         out.push(Action::ViewChanged);
     }
 }
-
-impl Change {
-    fn new(now: Millis, reason: Reason) -> Self {
-        Self {
-            reason,
-            since: now,
-            view: None,
-            asked: None,
-            statuses: IndexMap::new(),
-            paused: IndexMap::new(),
-            candidate: None,
-            step: Step::Choosing,
-        }
-    }
-
-    fn called(&mut self, now: Millis, token: u64, outcome: CallOutcome) {
-        let Step::Calling { token: current, .. } = self.step else { return };
-        if token != current {
-            return;
-        }
-        match outcome {
-            // The next call follows at once, with a higher number.
-            CallOutcome::Refused => {
-                let sent = Millis(now.0.saturating_sub(REPEAT_CALL.0 - ASK_INTERVAL.0));
-                self.step = Step::Calling { sent, token };
-            }
-            CallOutcome::Accepted | CallOutcome::Unknown => {}
-        }
-    }
-
-    /// Whether a promotion was called.
-    fn was_called(&self) -> bool {
-        matches!(self.step, Step::Calling { .. })
-    }
-
-    /// Primary that still serves although a promotion may be under way or was
-    /// suspected to be needed: calling it again makes late calls void.
-    fn settled_by(&self) -> Option<InstanceId> {
-        if !matches!(self.reason, Reason::Unfinished | Reason::Disputed | Reason::Gone) {
-            return None;
-        }
-        let leads = |status: &&TargetStatus| status.role == TargetRole::Primary;
-        let serving = self.statuses.iter().filter(|(_, status)| leads(status));
-        serving.max_by_key(|(_, status)| status.term).map(|(id, _)| id.clone())
-    }
-
-    /// Replica that should become the primary: of those that have received most, the
-    /// first that is not leaving.
-    fn best(
-        &self,
-        cx: &Cx<'_>,
-        service: &Service,
-        primary: Option<&InstanceId>,
-    ) -> Option<InstanceId> {
-        let replicas = || others(cx, service, primary);
-        let waited = cx.now.since(self.since) >= GIVE_UP_ON_SILENT;
-        let all_known = replicas().all(|it| self.statuses.contains_key(&it.id));
-        if !all_known && !waited {
-            return None;
-        }
-        if let Some(candidate) = &self.candidate
-            && self.holds_most(candidate)
-            && cx.registry.get(candidate).is_some_and(|it| !it.draining)
-        {
-            return Some(candidate.clone());
-        }
-        let rank = |it: &&Announcement| {
-            let received = self.statuses.get(&it.id).map(|status| status.received);
-            (is_reachable(cx, &it.id), received, !it.draining)
-        };
-        let staying = replicas().filter(|it| !it.draining && self.statuses.contains_key(&it.id));
-        let best = staying.max_by_key(rank);
-        best.or_else(|| replicas().filter(|it| self.statuses.contains_key(&it.id)).max_by_key(rank))
-            .map(|it| it.id.clone())
-    }
-
-    fn holds_most(&self, candidate: &InstanceId) -> bool {
-        let Some(own) = self.statuses.get(candidate) else { return false };
-        self.paused.values().all(|received| own.received >= *received)
-    }
-
-    /// Whether the candidate holds everything that was or can be acknowledged.
-    fn is_safe(
-        &self,
-        cx: &Cx<'_>,
-        service: &Service,
-        candidate: &InstanceId,
-        primary: Option<&InstanceId>,
-    ) -> bool {
-        if !self.holds_most(candidate) {
-            return false;
-        }
-        let unpaused = others(cx, service, primary)
-            .filter(|it| it.id != *candidate && !self.paused.contains_key(&it.id));
-        let silent = unpaused.count();
-        if silent == 0 {
-            return true;
-        }
-        // A replica that does not answer may hold more. The hosts know what was
-        // acknowledged to callers.
-        let waited = cx.now.since(self.since) >= GIVE_UP_ON_SILENT;
-        let Some(own) = self.statuses.get(candidate) else { return false };
-        waited && cx.hosts.acknowledged(service).is_none_or(|newest| own.received >= newest)
-    }
-}
-
-/// Targets of the service other than the primary.
-fn others<'a>(
-    cx: &'a Cx<'_>,
-    service: &'a Service,
-    primary: Option<&'a InstanceId>,
-) -> impl Iterator<Item = &'a Announcement> {
-    cx.registry.of(service).filter(move |it| Some(&it.id) != primary)
-}
-
-/// Whether at least half of the hosts can use a target, as far as they have tried.
-fn is_reachable(cx: &Cx<'_>, id: &InstanceId) -> bool {
-    cx.hosts.opinions(cx.now, id).failing * 2 <= cx.hosts.len()
-}
-
-/// Whether a primary answers too few hosts.
-fn is_failing(cx: &Cx<'_>, id: &InstanceId) -> bool {
-    let opinions = cx.hosts.opinions(cx.now, id);
-    let total = opinions.answering + opinions.failing;
-    if total == 0 {
-        return cx.registry.silence(cx.now, id).is_some_and(|span| span >= SILENT_AT_LEAST);
-    }
-    opinions.failing * 100 >= total * FAILING_PERCENT && opinions.longest >= FAILING_AT_LEAST
-}
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 //! its log. Announcements of targets, leases of entry hosts and the division of
 //! rates are in the leader's memory and are learned again after a change of leader.
 
+pub mod change;
 pub mod config;
 pub mod control;
 pub mod document;
