Never run a statement of a lost transaction alone

Change: statements of transactions say so, and the owner refuses them without one; the caller is told that nothing is kept, or that the outcome of a commit is unknown.

--- a/src/gateway/executor.rs
+++ b/src/gateway/executor.rs
@@ -111,6 +111,11 @@
     let arrived = cx.now();
     let known = cx.knowledge.borrow().target(&job.target);
     let Some(target) = known else { return Err(Obstacle::Unreachable) };
+    // The transaction ended with the connection to this owner; on another connection
+    // its statement would run alone.
+    if held.is_none() && job.work.needs_transaction() {
+        return Err(Obstacle::Lost);
+    }
     // Work at a target that does not answer would fill its slots and then wait for
     // nothing.
     if held.is_none() && !cx.paths.borrow().is_usable(cx.now(), &target.id) {
@@ -259,14 +264,14 @@
         pooled.state.set_values(&job.values, &mut requests);
     }
     match &job.work {
-        Work::Statement { request, shape: Some(shape), after } => {
+        Work::Statement { request, shape: Some(shape), after, .. } => {
             let Statement::Execute { arguments, .. } = &request.statement else {
                 return Err(Obstacle::Lost);
             };
             let name = pooled.state.name_of(shape, &mut requests);
             requests.push(TargetRequest::Execute { request, name, arguments, after: *after });
         }
-        Work::Statement { request, shape: None, after } => {
+        Work::Statement { request, shape: None, after, .. } => {
             requests.push(TargetRequest::Forward { request, after: *after });
         }
         Work::Begin { read_only, after } => {
--- a/src/gateway/operation.rs
+++ b/src/gateway/operation.rs
@@ -91,7 +91,7 @@
     /// Work of a caller's statement.
     pub fn statement(prepared: Prepared<'_>, after: Option<Mark>) -> Work {
         let (request, shape) = (prepared.request.clone(), prepared.shape.cloned());
-        Work::Statement { request, shape, after }
+        Work::Statement { request, shape, after, in_transaction: false }
     }
 
     /// Position that makes a read fresh enough on any target.
--- a/src/gateway/transaction.rs
+++ b/src/gateway/transaction.rs
@@ -73,7 +73,8 @@
         let operation = Operation { cx, session, access: &self.access, arrived };
         let deadline = arrived + self.access.route.statement_timeout;
         let Some(placed) = &mut self.placed else { return operation.lost() };
-        let work = Operation::<T>::statement(prepared, None);
+        let (request, shape) = (prepared.request.clone(), prepared.shape.cloned());
+        let work = Work::Statement { request, shape, after: None, in_transaction: true };
         let job = operation.job(&placed.lane.target.id, work, deadline);
         match operation.run(&mut placed.lane, &job).await {
             Ok(answer) => {
@@ -155,7 +156,8 @@
         };
         let operation = Operation { cx, session, access: &self.access, arrived };
         let deadline = arrived + self.access.route.statement_timeout;
-        let work = Work::Statement { request: request.clone(), shape: None, after: None };
+        let request = request.clone();
+        let work = Work::Statement { request, shape: None, after: None, in_transaction: true };
         let job = operation.job(&placed.lane.target.id, work, deadline);
         let result = operation.run(&mut placed.lane, &job).await;
         let answer = result.unwrap_or_else(|_| operation.lost());
--- a/src/gateway/work.rs
+++ b/src/gateway/work.rs
@@ -17,6 +17,8 @@
         /// Prepared statement that an execution names.
         shape: Option<Shape>,
         after: Option<Mark>,
+        /// Statement belongs to the transaction that is open on its stream.
+        in_transaction: bool,
     },
     Begin {
         read_only: bool,
@@ -43,6 +45,13 @@
     pub work: Work,
 }
 
+impl Work {
+    /// Whether the work may run only on the connection of an open transaction.
+    pub fn needs_transaction(&self) -> bool {
+        matches!(self, Self::Statement { in_transaction: true, .. })
+    }
+}
+
 /// Why there is no answer of the target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Obstacle {
--- /dev/null
+++ b/tests/gateway_executor.rs
@@ -0,0 +1,106 @@
+//! Execution of work at the owner of a target.
+
+use std::{cell::Cell, rc::Rc};
+
+use eyre::Result;
+use indexmap::IndexMap;
+use pomelopin::{
+    clock::Millis,
+    fleet::{
+        config::FleetConfig,
+        failover::TargetStatus,
+        messages::{Announcement, FleetView, TargetRole, ViewRevision},
+    },
+    gateway::{
+        cx::{Cx, GatewaySettings},
+        executor::execute,
+        ports::{TargetConnection, TargetFailure, TargetRequest, Targets},
+        statement::{Answer, Request, Statement, TransactionState},
+        work::{Job, Obstacle, Work},
+    },
+    ids::{Mark, Workspace},
+};
+
+/// Targets that count the requests that reach them.
+#[derive(Clone, Default)]
+struct Counting(Rc<Cell<usize>>);
+
+struct Connection(Rc<Cell<usize>>);
+
+impl TargetConnection for Connection {
+    async fn send(&mut self, requests: &[TargetRequest<'_>]) -> Result<(), TargetFailure> {
+        self.0.set(self.0.get() + requests.len());
+        Ok(())
+    }
+
+    async fn receive(&mut self) -> Result<Answer, TargetFailure> {
+        Ok(Answer::own(TransactionState::Idle))
+    }
+
+    fn status(_: &Answer) -> Option<TargetStatus> {
+        None
+    }
+}
+
+impl Targets for Counting {
+    type Connection = Connection;
+
+    async fn open(
+        &self,
+        _: &Announcement,
+        _: Option<&Workspace>,
+    ) -> Result<(Connection, Option<Mark>), TargetFailure> {
+        Ok((Connection(self.0.clone()), None))
+    }
+
+    fn decode_config(&self, _: &[u8]) -> Result<FleetConfig> {
+        Ok(FleetConfig::default())
+    }
+}
+
+fn cx(targets: Counting) -> Cx<Counting> {
+    let cx = Cx::new(GatewaySettings::default(), targets);
+    cx.knowledge.borrow_mut().set_view(FleetView {
+        revision: ViewRevision { term: 1, number: 1 },
+        targets: vec![Announcement {
+            id: "t".into(),
+            service: "ledger".into(),
+            addr: "t:1".to_owned(),
+            domain: "a".into(),
+            draining: false,
+            role: TargetRole::Primary,
+            slots: 2,
+            born: 1,
+            sequence: 1,
+            cold: Millis(0),
+        }],
+        ..FleetView::default()
+    });
+    cx
+}
+
+fn write(in_transaction: bool) -> Job {
+    let request = Request { id: "1".into(), text: "WRITE a b".into(), statement: Statement::Write };
+    Job {
+        target: "t".into(),
+        workspace: None,
+        values: IndexMap::new(),
+        priority: 0,
+        wait: Millis(100),
+        limit: Millis(500),
+        work: Work::Statement { request, shape: None, after: None, in_transaction },
+    }
+}
+
+/// Guards against a statement that runs alone after its transaction was lost with the
+/// connection between two entry hosts (day slow-hosts on kcrc-pool, seed 64719032574).
+#[tokio::test]
+async fn statement_of_a_lost_transaction_does_not_run() {
+    let targets = Counting::default();
+    let cx = cx(targets.clone());
+    let result = execute(&cx, &mut None, &write(true)).await;
+    assert_eq!(result, Err(Obstacle::Lost));
+    assert_eq!(targets.0.get(), 0);
+    assert!(execute(&cx, &mut None, &write(false)).await.is_ok());
+    assert_eq!(targets.0.get(), 1);
+}
