Do not leave out a silent replica while the old primary acknowledges

Change: a silent replica is left out only if no host got an answer of the primary for 600 ms. The new test of the decision failed before.

--- a/src/fleet/change.rs
+++ b/src/fleet/change.rs
@@ -22,6 +22,10 @@
 /// Part of the hosts that must report a failure while others get answers.
 const FAILING_PERCENT: usize = 30;
 
+/// Time after which every host has reported what was acknowledged: one interval between
+/// reports and the way to the leader.
+const REPORTED_AFTER: Millis = Millis(600);
+
 /// Interval between questions to the targets during a change.
 pub(super) const ASK_INTERVAL: Millis = Millis(100);
 
@@ -161,7 +165,10 @@
         // acknowledged to callers.
         let waited = cx.now.since(self.since) >= GIVE_UP_ON_SILENT;
         let Some(own) = self.statuses.get(candidate) else { return false };
-        waited && cx.hosts.acknowledged(service).is_none_or(|newest| own.received >= newest)
+        let is_silent = primary.is_none_or(|id| acknowledges_nothing(cx, id));
+        waited
+            && is_silent
+            && cx.hosts.acknowledged(service).is_none_or(|newest| own.received >= newest)
     }
 }
 
@@ -179,6 +186,13 @@
     cx.hosts.opinions(cx.now, id).failing * 2 <= cx.hosts.len()
 }
 
+/// Whether no host has got an answer of the target for longer than the interval between
+/// reports, so that the hosts' reports hold all that it has acknowledged.
+fn acknowledges_nothing(cx: &Cx<'_>, id: &InstanceId) -> bool {
+    let opinions = cx.hosts.opinions(cx.now, id);
+    opinions.answering == 0 && opinions.shortest.is_none_or(|span| span >= REPORTED_AFTER)
+}
+
 /// Whether a primary answers too few hosts.
 pub(super) fn is_failing(cx: &Cx<'_>, id: &InstanceId) -> bool {
     let opinions = cx.hosts.opinions(cx.now, id);
--- a/src/fleet/hosts.rs
+++ b/src/fleet/hosts.rs
@@ -55,6 +55,8 @@
     pub failing: usize,
     /// Longest time for which a host got no answer.
     pub longest: Millis,
+    /// Shortest time for which a failing host got no answer.
+    pub shortest: Option<Millis>,
 }
 
 impl Host {
@@ -164,6 +166,8 @@
                 Health::Failing(span) => {
                     opinions.failing += 1;
                     opinions.longest = opinions.longest.max(*span);
+                    let shortest = opinions.shortest.map_or(*span, |least| least.min(*span));
+                    opinions.shortest = Some(shortest);
                 }
             }
         }
--- a/tests/fleet_failover.rs
+++ b/tests/fleet_failover.rs
@@ -31,6 +31,8 @@
     /// Whether the platform carries out calls.
     carries_out: bool,
     failing: Option<Millis>,
+    /// Host that gets answers of the primary although others do not.
+    answered_host: Option<&'static str>,
     /// Replicas that no host can reach.
     unreachable: Vec<&'static str>,
     confirms_view: bool,
@@ -62,6 +64,7 @@
             calls: Vec::new(),
             carries_out: true,
             failing: None,
+            answered_host: None,
             unreachable: Vec::new(),
             confirms_view: true,
             acknowledged: mark,
@@ -96,7 +99,8 @@
 
     fn report(&mut self) {
         for name in ["h1", "h2", "h3"] {
-            let health = self.failing.map_or(Health::Answering, Health::Failing);
+            let failing = self.failing.filter(|_| self.answered_host != Some(name));
+            let health = failing.map_or(Health::Answering, Health::Failing);
             let view = if self.confirms_view { self.view } else { 1 };
             self.hosts.note(
                 self.now,
@@ -374,3 +378,19 @@
     bench.run(3_000);
     assert!(bench.calls.is_empty() && bench.paused.is_empty());
 }
+
+/// Guards against a lost commit: while some host still gets acknowledgements of the old
+/// primary, a replica that does not answer may hold more than the reports tell (day
+/// cut-targets on scb-pomelopin, seed 773904579005).
+#[test]
+fn change_waits_for_a_silent_replica_while_the_primary_acknowledges() {
+    let mut bench = Bench::new();
+    bench.failing = Some(Millis(800));
+    bench.answered_host = Some("h1");
+    bench.targets["r2"] = None;
+    bench.run(3_000);
+    assert!(bench.calls.is_empty());
+    bench.targets["r2"] = Some((TargetRole::Replica, Mark::new(3, 100)));
+    bench.run(3_000);
+    assert_eq!(bench.calls.len(), 1);
+}
