Resume a candidate that was paused, and pause targets that join during a change

While the old primary is being replaced, all replicas but the candidate are paused. If the candidate changes to a paused replica, it stayed paused; a target that joined meanwhile was not, and acknowledged commits that the promoted target lacked. Change: a paused candidate is resumed and must answer before it is chosen; targets that join are paused until the call; the comparison is made again just before the call.

--- a/src/fleet/change.rs
+++ b/src/fleet/change.rs
@@ -144,6 +144,18 @@
         self.paused.values().all(|received| own.received >= *received)
     }
 
+    /// Whether the candidate may be promoted now: targets that have joined meanwhile may
+    /// have acknowledged commits that it lacks. A primary that stays needs no proof.
+    pub(super) fn may_call(
+        &self,
+        cx: &Cx<'_>,
+        service: &Service,
+        primary: Option<&InstanceId>,
+    ) -> bool {
+        let Some(candidate) = &self.candidate else { return false };
+        self.reason == Reason::Unfinished || self.is_safe(cx, service, candidate, primary)
+    }
+
     /// Whether the candidate holds everything that was or can be acknowledged.
     pub(super) fn is_safe(
         &self,
@@ -152,7 +164,7 @@
         candidate: &InstanceId,
         primary: Option<&InstanceId>,
     ) -> bool {
-        if !self.holds_most(candidate) {
+        if !self.holds_most(candidate) || self.paused.contains_key(candidate) {
             return false;
         }
         let unpaused = others(cx, service, primary)
--- a/src/fleet/failover.rs
+++ b/src/fleet/failover.rs
@@ -220,8 +220,14 @@
         let Some(change) = &mut state.change else { return out };
         match event {
             Event::Answered { target, order, status: Some(status) } => {
-                if matches!(order, Order::Pause(_)) {
-                    change.paused.insert(target.clone(), status.received);
+                match order {
+                    Order::Pause(_) => {
+                        change.paused.insert(target.clone(), status.received);
+                    }
+                    Order::Resume => {
+                        change.paused.shift_remove(&target);
+                    }
+                    Order::Status => {}
                 }
                 change.statuses.insert(target, status);
             }
@@ -283,8 +289,10 @@
             Step::Logging => {}
             Step::Revoking => {
                 let is_known = change.view.is_some_and(|view| cx.hosts.have_view(cx.now, view));
-                if is_known {
+                if is_known && change.may_call(cx, service, self.primary.as_ref()) {
                     self.call(cx, service, calls, out);
+                } else {
+                    self.ask(cx, service, out);
                 }
             }
             Step::Calling { sent, .. } => {
@@ -344,8 +352,11 @@
         for target in cx.registry.of(service) {
             let is_candidate = change.candidate.as_ref() == Some(&target.id);
             let is_primary = self.primary.as_ref() == Some(&target.id);
-            let pauses = change.candidate.is_some() && change.step == Step::Choosing;
-            let order = if pauses && !is_candidate && !is_primary {
+            let pauses = change.candidate.is_some() && !change.was_called();
+            // A paused candidate would lack what the primary goes on to acknowledge.
+            let order = if is_candidate && change.paused.contains_key(&target.id) {
+                Order::Resume
+            } else if pauses && !is_candidate && !is_primary {
                 Order::Pause(term + 1)
             } else {
                 Order::Status
--- a/tests/fleet_failover.rs
+++ b/tests/fleet_failover.rs
@@ -33,6 +33,8 @@
     failing: Option<Millis>,
     /// Host that gets answers of the primary although others do not.
     answered_host: Option<&'static str>,
+    /// Position that `r1` reaches just before it is paused.
+    r1_at_pause: Option<Mark>,
     /// Replicas that no host can reach.
     unreachable: Vec<&'static str>,
     confirms_view: bool,
@@ -65,6 +67,7 @@
             carries_out: true,
             failing: None,
             answered_host: None,
+            r1_at_pause: None,
             unreachable: Vec::new(),
             confirms_view: true,
             acknowledged: mark,
@@ -177,6 +180,9 @@
     }
 
     fn answer(&mut self, target: InstanceId, order: Order) {
+        if let ("r1", Order::Pause(_), Some(mark)) = (target.as_str(), order, self.r1_at_pause) {
+            self.targets["r1"] = Some((TargetRole::Replica, mark));
+        }
         let Some(Some((role, received))) = self.targets.get(target.as_str()).copied() else {
             self.event(Event::Answered { target, order, status: None });
             return;
@@ -195,6 +201,7 @@
 
     fn call(&mut self, target: &InstanceId, token: u64) {
         self.calls.push((target.to_string(), token));
+        assert!(!self.paused.contains(&target.to_string()), "a paused target is promoted");
         if self.carries_out {
             for state in self.targets.values_mut().flatten() {
                 state.0 = TargetRole::Replica;
@@ -394,3 +401,32 @@
     bench.run(3_000);
     assert_eq!(bench.calls.len(), 1);
 }
+
+/// Guards against the promotion of a replica that was paused while another one was the
+/// candidate: the primary went on to acknowledge commits that a target which had just
+/// joined received (kcrc-pool scale-1, 44 commits lost).
+#[test]
+fn candidate_that_was_paused_is_resumed_before_the_call() {
+    let mut bench = Bench::new();
+    bench.r1_at_pause = Some(Mark::new(3, 101));
+    bench.announce(true);
+    bench.run(2_000);
+    assert_eq!(bench.promoted(), ["r1"]);
+}
+
+/// Guards against a target that joins during a change and acknowledges commits that the
+/// candidate lacks: it is paused before the call.
+#[test]
+fn target_that_joins_during_a_change_is_paused() {
+    let mut bench = Bench::new();
+    bench.confirms_view = false;
+    bench.announce(true);
+    bench.run(300);
+    bench.targets.insert("r3", Some((TargetRole::Replica, Mark::new(3, 100))));
+    bench.announce(true);
+    bench.run(300);
+    assert!(bench.paused.contains(&"r3".to_owned()));
+    bench.confirms_view = true;
+    bench.run(500);
+    assert_eq!(bench.calls.len(), 1);
+}
