Hold messages for unsynced writes in one place, and remove dead code

Found in the read-through of the change. src/control/outputs.rs and src/fleet/group_io.rs each counted written and synced entries and kept the messages that wait for them; both now use control::held::HeldMessages. Removed: Freshness::newest, ErrorCode::promises_no_effect and a flag in gateway/peers.rs that nothing read. Two comments in gateway/pool.rs said something else than the code does.

--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -4,10 +4,7 @@
 //! host leads, the lease table and the promotions. It carries out the outputs of
 //! the node in order.
 
-use std::{
-    collections::{BTreeMap, VecDeque},
-    sync::Arc,
-};
+use std::{collections::BTreeMap, sync::Arc};
 
 use eyre::{Result, WrapErr};
 use tokio::sync::mpsc;
@@ -20,6 +17,7 @@
     },
     clock::{Clock, Millis, SystemClock},
     control::{
+        held::HeldMessages,
         leases::LeaseTable,
         node::{Input, Node, Proposal},
         operators::{Answer, Operators, Reply, Request},
@@ -33,7 +31,7 @@
         delta::History,
         model::{ClusterState, Command},
     },
-    wire::{control::ControlMessage, group::GroupMessage, operator::NotLeader},
+    wire::{control::ControlMessage, operator::NotLeader},
 };
 
 /// Changes kept for hosts that are a little behind; about a day of changes at the
@@ -73,12 +71,7 @@
     pub(super) clock: SystemClock,
     pub(super) node: Node,
     pub(super) disk: DiskQueue,
-    /// Number of writes given to the disk so far.
-    pub(super) written: u64,
-    /// Number of writes that are synced.
-    pub(super) synced: u64,
-    /// Messages that leave once the given number of writes is synced.
-    pub(super) waiting: VecDeque<(u64, String, GroupMessage)>,
+    pub(super) held: HeldMessages,
     pub(super) bus: Bus,
     pub(super) fencing: Fencing,
     pub(super) state: ClusterState,
@@ -120,9 +113,7 @@
             clock,
             node,
             disk,
-            written: 0,
-            synced: 0,
-            waiting: VecDeque::new(),
+            held: HeldMessages::default(),
             bus,
             fencing,
             state,
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -5,6 +5,7 @@
 pub mod election;
 pub mod follower;
 pub mod formation;
+pub mod held;
 pub mod leader;
 pub mod leases;
 pub mod log;
--- a/src/control/outputs.rs
+++ b/src/control/outputs.rs
@@ -33,7 +33,7 @@
         for output in self.node.step(self.clock.now(), input) {
             match output {
                 Output::Persist(write) => {
-                    self.written += 1;
+                    self.held.wrote();
                     writes.push(write);
                 }
                 output => self.execute(output)?,
@@ -45,10 +45,9 @@
     /// Follows `count` synced writes and sends the messages that waited for them.
     pub(super) fn confirm(&mut self, count: usize) -> Result<()> {
         for _ in 0..count {
-            self.synced += 1;
+            self.held.confirmed();
             self.step(Input::Persisted)?;
-            while self.waiting.front().is_some_and(|(writes, ..)| *writes <= self.synced) {
-                let Some((_, addr, message)) = self.waiting.pop_front() else { break };
+            while let Some((addr, message)) = self.held.pop_ready() {
                 self.send_group(&addr, message)?;
             }
         }
@@ -58,10 +57,8 @@
     fn execute(&mut self, output: Output) -> Result<()> {
         match output {
             Output::Persist(_) => {}
-            Output::Send { addr, message }
-                if message.body.needs_sync() && self.written > self.synced =>
-            {
-                self.waiting.push_back((self.written, addr, message));
+            Output::Send { addr, message } if self.held.must_wait(&message) => {
+                self.held.hold(addr, message);
             }
             Output::Send { addr, message } => self.send_group(&addr, message)?,
             Output::RestoreSnapshot { index, data } => {
--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -1,10 +1,7 @@
 //! Event loop of a control host: the replicated log, and as its leader the registry,
 //! the entry hosts and the changes of primaries.
 
-use std::{
-    collections::{HashMap, VecDeque},
-    sync::Arc,
-};
+use std::{collections::HashMap, sync::Arc};
 
 use bytes::Bytes;
 use eyre::{Result, WrapErr};
@@ -14,7 +11,10 @@
 use crate::{
     adapters::disk_queue::{Confirmations, DiskQueue},
     clock::{Clock, Millis, SystemClock},
-    control::node::{Input, Node, Proposal, Role},
+    control::{
+        held::HeldMessages,
+        node::{Input, Node, Proposal, Role},
+    },
     fleet::{
         config::FleetConfig,
         document::decode_config,
@@ -31,7 +31,7 @@
         state::{FleetCommand, FleetState},
     },
     ids::{HostId, InstanceId, Service},
-    wire::group::{GroupMessage, GroupTerm},
+    wire::group::GroupTerm,
 };
 
 /// Interval between ticks of the event loop.
@@ -112,9 +112,7 @@
     pub(super) node: Node,
     pub(super) name: String,
     pub(super) disk: DiskQueue,
-    pub(super) written: u64,
-    pub(super) synced: u64,
-    pub(super) unsynced: VecDeque<(u64, String, GroupMessage)>,
+    pub(super) held: HeldMessages,
     pub(super) links: Links,
     pub(super) heard: HashMap<String, Millis>,
     pub(super) state: FleetState,
@@ -153,9 +151,7 @@
             node,
             name,
             disk,
-            written: 0,
-            synced: 0,
-            unsynced: VecDeque::new(),
+            held: HeldMessages::default(),
             links: Links::default(),
             heard: HashMap::new(),
             state,
--- a/src/fleet/group_io.rs
+++ b/src/fleet/group_io.rs
@@ -27,7 +27,7 @@
         for output in self.node.step(self.clock.now(), input) {
             match output {
                 Output::Persist(write) => {
-                    self.written += 1;
+                    self.held.wrote();
                     writes.push(write);
                 }
                 output => self.execute(output)?,
@@ -39,10 +39,9 @@
     /// Follows `count` synced writes and sends the messages that waited for them.
     pub(super) fn confirm(&mut self, count: usize) -> Result<()> {
         for _ in 0..count {
-            self.synced += 1;
+            self.held.confirmed();
             self.step(Input::Persisted)?;
-            while self.unsynced.front().is_some_and(|(writes, ..)| *writes <= self.synced) {
-                let Some((_, addr, message)) = self.unsynced.pop_front() else { break };
+            while let Some((addr, message)) = self.held.pop_ready() {
                 self.links.send(&addr, encode(&Frame::Group(message)));
             }
         }
@@ -52,10 +51,8 @@
     fn execute(&mut self, output: Output) -> Result<()> {
         match output {
             Output::Persist(_) => {}
-            Output::Send { addr, message }
-                if message.body.needs_sync() && self.written > self.synced =>
-            {
-                self.unsynced.push_back((self.written, addr, message));
+            Output::Send { addr, message } if self.held.must_wait(&message) => {
+                self.held.hold(addr, message);
             }
             Output::Send { addr, message } => {
                 self.links.send(&addr, encode(&Frame::Group(message)));
--- a/src/gateway/freshness.rs
+++ b/src/gateway/freshness.rs
@@ -64,9 +64,4 @@
         let first = kept.partition_point(|it| it.sent < oldest);
         kept.get(first).map(|it| it.position)
     }
-
-    /// Newest position that was observed.
-    pub fn newest(&self, service: &Service) -> Option<Mark> {
-        self.services.get(service)?.back().map(|it| it.position)
-    }
 }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -135,7 +135,6 @@
         }
         Err(error) => Err(error),
     };
-    let connected = peer.avoided.get().is_none() && !outstanding.is_empty();
     peer.avoided.set(Some(Instant::now() + AVOID));
     messages.close();
     if let Err(error) = result {
@@ -150,9 +149,6 @@
             let _ = reply.send(Err(Obstacle::Unreachable));
         }
     }
-    if connected {
-        spdlog::debug!("connection to {addr} had outstanding calls");
-    }
 }
 
 async fn exchange(
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -162,9 +162,8 @@
         }
     }
 
-    /// Notes that the target refused a connection because it has too many. Callers
-    /// that wait are served by the connections that remain; idle ones are closed if
-    /// there are none, as other hosts may need them.
+    /// Notes that the target refused a connection because it has too many; none is opened
+    /// for a short time.
     pub fn refused(&mut self, now: Millis) {
         self.full_until = now + FULL_PAUSE;
     }
@@ -279,8 +278,8 @@
         }
         self.pooled = None;
         let limit = self.limit;
-        // Waiting callers count their wait from their own start, so zero only means
-        // that the queue's order is kept.
+        // Without a connection to hand on, no caller is preferred: the latest time makes
+        // the queue serve the oldest one.
         self.pools.with(&self.target.id, |pool| pool.release(Millis(u64::MAX), limit, None));
     }
 }
--- a/src/gateway/statement.rs
+++ b/src/gateway/statement.rs
@@ -50,8 +50,7 @@
     pub statement: Statement,
 }
 
-/// Why a statement failed. Those of [`ErrorCode::promises_no_effect`] tell the caller
-/// that nothing of its attempt is kept.
+/// Why a statement failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, Serialize, Deserialize)]
 pub enum ErrorCode {
     /// Not run for want of capacity or because of a limit.
@@ -85,21 +84,6 @@
     Other,
 }
 
-impl ErrorCode {
-    /// Whether the code says that nothing of the caller's attempt is kept.
-    pub fn promises_no_effect(self) -> bool {
-        matches!(
-            self,
-            Self::Busy
-                | Self::Aborted
-                | Self::Lagging
-                | Self::ReadOnly
-                | Self::Misrouted
-                | Self::TooMany
-        )
-    }
-}
-
 /// Error with its explanation.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Serialize, Deserialize)]
 #[display("{code}: {text}")]
