Tell entry hosts when the end of a promotion is committed

Cause: the view that follows a change of a primary is pushed before the end is in the log, so it still says that the primary is changing. The commit of the end marked no view stale; hosts asked the primary for its role before each plain read until some later view. FleetState::apply now returns what changed, and the end of a promotion makes the view stale. The beginning does not: hosts have been told of it when the change began. Test: end_of_a_promotion_is_told.

--- a/src/fleet/group_io.rs
+++ b/src/fleet/group_io.rs
@@ -13,7 +13,7 @@
         link::encode,
         messages::Frame,
         runtime::Ports,
-        state::FleetCommand,
+        state::{Applied, FleetCommand},
     },
     wire::group::GroupTerm,
 };
@@ -89,11 +89,17 @@
     fn apply(&mut self, index: u64, term: GroupTerm, bytes: &Bytes) -> Result<()> {
         let command: FleetCommand = postcard::from_bytes(bytes)
             .wrap_err_with(|| format!("cannot decode the command at index {index}"))?;
-        let before = self.state.config.version;
-        self.state.apply(&command);
-        if self.state.config.version != before {
-            self.config = decode_config(&self.ports, &self.state.config);
-            spdlog::info!("configuration in force", kv: {version = self.state.config.version, index});
+        match self.state.apply(&command) {
+            Applied::Nothing | Applied::PromotionBegan => {}
+            Applied::Configuration => {
+                self.config = decode_config(&self.ports, &self.state.config);
+                spdlog::info!("configuration in force", kv: {version = self.state.config.version, index});
+            }
+            Applied::PromotionEnded => {
+                if let Some(leading) = &mut self.leading {
+                    leading.view_stale = true;
+                }
+            }
         }
         let done = |it: &mut Waiting| it.index <= index;
         for waiting in self.waiting.extract_if(.., done).collect::<Vec<_>>() {
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -28,19 +28,34 @@
     pub promotions: IndexMap<Service, InstanceId>,
 }
 
+/// What a command has changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Applied {
+    Nothing,
+    Configuration,
+    PromotionBegan,
+    /// Hosts may trust the service's primary again.
+    PromotionEnded,
+}
+
 impl FleetState {
     /// Applies a committed command.
-    pub fn apply(&mut self, command: &FleetCommand) {
+    pub fn apply(&mut self, command: &FleetCommand) -> Applied {
         match command {
             FleetCommand::Configure(document) if document.version > self.config.version => {
                 self.config = document.clone();
+                Applied::Configuration
             }
-            FleetCommand::Configure(_) => {}
+            FleetCommand::Configure(_) => Applied::Nothing,
             FleetCommand::PromotionBegan { service, target } => {
                 self.promotions.insert(service.clone(), target.clone());
+                Applied::PromotionBegan
             }
             FleetCommand::PromotionEnded { service } => {
-                self.promotions.shift_remove(service);
+                match self.promotions.shift_remove(service) {
+                    Some(_) => Applied::PromotionEnded,
+                    None => Applied::Nothing,
+                }
             }
         }
     }
