Keep a control host running while its disk is full

The group commits by the majority of the other hosts, so the write can wait. Other failures still end the process. Tests: a_full_disk_delays_writes (new), a_full_disk_stops_all_writes (asserts the typed failures, as strict as before).

--- a/src/adapters/disk.rs
+++ b/src/adapters/disk.rs
@@ -9,9 +9,11 @@
 use std::{
     fs::{self, File, OpenOptions, TryLockError},
     io::{ErrorKind, Write as _},
+    os::unix::fs::MetadataExt,
     path::{Path, PathBuf},
 };
 
+use derive_more::Display;
 use eyre::{Result, WrapErr, bail, eyre};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
@@ -48,10 +50,22 @@
     log: File,
     /// Keeps other processes from using the folder.
     _lock: File,
+    /// Length of the log up to the last confirmed write.
+    confirmed_len: u64,
     /// A write failed, so what the log holds is not known.
     failed: bool,
 }
 
+/// Why a write failed.
+#[derive(Debug)]
+pub enum WriteFailure {
+    /// Disk takes no more bytes; [`Disk::recover`] makes another attempt possible, with
+    /// all but the first `stored` writes.
+    Full { stored: usize, error: eyre::Report },
+    /// What is stored is not known; the process must stop.
+    Fatal(eyre::Report),
+}
+
 /// What an open data folder held.
 #[derive(Debug)]
 pub struct Opened {
@@ -74,39 +88,72 @@
         let id = identity(folder, name, records.is_empty())?;
         let snapshot = read_snapshot(&folder.join(SNAPSHOT))?;
         let stored = replay(snapshot, records)?;
-        let disk = Disk { folder: folder.to_owned(), log, _lock: lock, failed: false };
+        let confirmed_len = log.metadata()?.len();
+        let folder = folder.to_owned();
+        let disk = Disk { folder, log, _lock: lock, confirmed_len, failed: false };
         Ok(Opened { disk, id, stored, removed_bytes })
     }
 
-    /// Stores `writes` and syncs them. After an error the process must stop.
-    pub fn write(&mut self, writes: &[Write]) -> Result<()> {
+    /// Stores `writes` and syncs them. After a failure nothing more is written before
+    /// [`Disk::recover`].
+    pub fn write(&mut self, writes: &[Write]) -> Result<(), WriteFailure> {
         if self.failed {
-            bail!("an earlier write to {} failed", self.folder.display());
+            let folder = self.folder.display();
+            return Err(WriteFailure::Fatal(eyre!("an earlier write to {folder} failed")));
         }
         self.failed = true;
-        let mut buf = Vec::new();
-        for write in writes {
-            match write {
-                Write::Snapshot(write) => {
-                    self.append(&buf)?;
-                    buf.clear();
-                    self.replace(write)?;
-                }
-                write => frame(&mut buf, &Record::Write(write.clone()))?,
+        let mut stored = 0;
+        for part in writes.chunk_by(|a, b| !is_snapshot(a) && !is_snapshot(b)) {
+            if let Err(error) = self.store(part) {
+                let is_full = error.downcast_ref::<DiskFull>().is_some();
+                return Err(if is_full {
+                    WriteFailure::Full { stored, error }
+                } else {
+                    WriteFailure::Fatal(error)
+                });
             }
+            stored += part.len();
+        }
+        self.failed = false;
+        Ok(())
+    }
+
+    /// Removes what a failed write has left in the log, so that it can be tried again.
+    pub fn recover(&mut self) -> Result<()> {
+        let path = self.folder.join(LOG);
+        // A snapshot may have replaced the log before the failure; the open file is then
+        // no longer the log.
+        let stored = fs::metadata(&path).map_err(|error| write_error(&path, &error))?;
+        if stored.ino() != self.log.metadata()?.ino() {
+            bail!("{} was replaced by a write that failed", path.display());
         }
-        self.append(&buf)?;
+        self.log.set_len(self.confirmed_len).map_err(|error| write_error(&path, &error))?;
+        self.log.sync_data().map_err(|error| write_error(&path, &error))?;
         self.failed = false;
         Ok(())
     }
 
+    /// Stores one snapshot, or other writes with one sync.
+    fn store(&mut self, writes: &[Write]) -> Result<()> {
+        if let [Write::Snapshot(write)] = writes {
+            return self.replace(write);
+        }
+        let mut buf = Vec::new();
+        for write in writes {
+            frame(&mut buf, &Record::Write(write.clone()))?;
+        }
+        self.append(&buf)
+    }
+
     fn append(&mut self, buf: &[u8]) -> Result<()> {
         if buf.is_empty() {
             return Ok(());
         }
         let path = self.folder.join(LOG);
         self.log.write_all(buf).map_err(|error| write_error(&path, &error))?;
-        self.log.sync_data().map_err(|error| write_error(&path, &error))
+        self.log.sync_data().map_err(|error| write_error(&path, &error))?;
+        self.confirmed_len += buf.len() as u64;
+        Ok(())
     }
 
     /// Stores the snapshot, then a log without the entries that it covers. A crash
@@ -123,10 +170,15 @@
         }
         replace_file(&self.folder, LOG, &buf)?;
         self.log = append_to(&self.folder.join(LOG))?;
+        self.confirmed_len = buf.len() as u64;
         Ok(())
     }
 }
 
+fn is_snapshot(write: &Write) -> bool {
+    matches!(write, Write::Snapshot(_))
+}
+
 fn lock(folder: &Path) -> Result<File> {
     let path = folder.join(LOCK);
     let file = OpenOptions::new().create(true).truncate(false).write(true).open(&path);
@@ -299,11 +351,17 @@
     write().map_err(|error| write_error(&path, &error))
 }
 
+/// Error of a disk that takes no more bytes.
+#[derive(Debug, Display)]
+struct DiskFull(String);
+
+impl std::error::Error for DiskFull {}
+
 fn write_error(path: &Path, error: &std::io::Error) -> eyre::Report {
     let shown = path.display();
     match error.kind() {
         ErrorKind::StorageFull | ErrorKind::QuotaExceeded => {
-            eyre!("the disk is full: cannot write {shown}: {error}")
+            DiskFull(format!("the disk is full: cannot write {shown}: {error}")).into()
         }
         _ => eyre!("cannot write {shown}: {error}"),
     }
--- a/src/adapters/disk_queue.rs
+++ b/src/adapters/disk_queue.rs
@@ -6,12 +6,20 @@
 use std::{
     sync::mpsc::{Receiver, Sender, channel},
     thread,
+    time::Duration,
 };
 
 use eyre::{Result, eyre};
 use tokio::sync::mpsc;
 
-use crate::{adapters::disk::Disk, control::storage::Write};
+use crate::{
+    adapters::disk::{Disk, WriteFailure},
+    control::storage::Write,
+};
+
+/// Pause before a write is tried again on a full disk. The group goes on without this
+/// host meanwhile.
+const FULL_PAUSE: Duration = Duration::from_millis(200);
 
 /// Writes that wait for the disk. The thread ends when the queue is dropped.
 #[derive(Debug)]
@@ -49,10 +57,35 @@
         while let Ok(more) = queue.try_recv() {
             writes.extend(more);
         }
-        let result = disk.write(&writes).map(|()| writes.len());
+        let result = write_when_possible(&mut disk, &writes).map(|()| writes.len());
         let failed = result.is_err();
         if confirm.send(result).is_err() || failed {
             return;
         }
     }
 }
+
+/// Writes as soon as the disk takes the bytes. A process that ended instead would be
+/// started again and again while the disk is full.
+fn write_when_possible(disk: &mut Disk, mut writes: &[Write]) -> Result<()> {
+    let mut attempts = 0_u32;
+    loop {
+        match disk.write(writes) {
+            Ok(()) if attempts == 0 => return Ok(()),
+            Ok(()) => {
+                spdlog::info!("the disk takes writes again", kv: {attempts});
+                return Ok(());
+            }
+            Err(WriteFailure::Fatal(error)) => return Err(error),
+            Err(WriteFailure::Full { stored, error }) => {
+                writes = &writes[stored..];
+                if attempts == 0 {
+                    spdlog::error!("a write waits: {error:#}");
+                }
+                attempts += 1;
+                thread::sleep(FULL_PAUSE);
+                disk.recover()?;
+            }
+        }
+    }
+}
--- a/tests/control_disk.rs
+++ b/tests/control_disk.rs
@@ -6,7 +6,10 @@
 
 use bytes::Bytes;
 use pomelopin::{
-    adapters::disk::{Disk, Opened},
+    adapters::{
+        disk::{Disk, Opened, WriteFailure},
+        disk_queue::DiskQueue,
+    },
     control::storage::{Snapshot, SnapshotWrite, Stored, Vote, Write},
     ids::ControlId,
     wire::group::{GroupTerm, LogEntry, LogMark, Members, Payload},
@@ -194,11 +197,45 @@
     let mut disk = open(folder.path()).disk;
     let path = folder.path().join("snapshot.new");
     std::os::unix::fs::symlink("/dev/full", &path).unwrap();
-    let failure = disk.write(&[snapshot(2)]).unwrap_err().to_string();
-    assert!(failure.contains("the disk is full"), "{failure}");
-    let later = disk.write(&[vote(1)]).unwrap_err().to_string();
-    assert!(later.contains("an earlier write"), "{later}");
+    match disk.write(&[snapshot(2)]).unwrap_err() {
+        WriteFailure::Full { error, .. } => assert!(error.to_string().contains("the disk is full")),
+        WriteFailure::Fatal(error) => panic!("{error}"),
+    }
+    match disk.write(&[vote(1)]).unwrap_err() {
+        WriteFailure::Fatal(error) => assert!(error.to_string().contains("an earlier write")),
+        WriteFailure::Full { error, .. } => panic!("{error}"),
+    }
     fs::remove_file(&path).unwrap();
     drop(disk);
     assert_eq!(open(folder.path()).stored, Stored::default());
 }
+
+/// Guards against a control host that ends when its disk is full, and against remains
+/// of the failed write: the same writes are stored once the disk has room.
+#[test]
+fn a_full_disk_delays_writes() {
+    let folder = TempDir::new().unwrap();
+    let mut disk = open(folder.path()).disk;
+    disk.write(&[vote(1)]).unwrap();
+    let draft = folder.path().join("log.new");
+    std::os::unix::fs::symlink("/dev/full", &draft).unwrap();
+    let (queue, mut confirmations) = DiskQueue::start(disk).unwrap();
+    let batch = vec![vote(4), Write::Entries(vec![entry(1)]), snapshot(2), vote(5)];
+    queue.push(batch.clone()).unwrap();
+    std::thread::sleep(std::time::Duration::from_millis(300));
+    assert!(confirmations.try_recv().is_err(), "a full disk confirms nothing");
+    // A host that is killed now finds each entry once.
+    let copy = TempDir::new().unwrap();
+    for file in ["identity", "log"] {
+        fs::copy(folder.path().join(file), copy.path().join(file)).unwrap();
+    }
+    assert_eq!(open(copy.path()).stored.entries, vec![entry(1)]);
+    fs::remove_file(&draft).unwrap();
+    let confirmed = confirmations.blocking_recv().unwrap().unwrap();
+    assert_eq!(confirmed, batch.len());
+    drop(queue);
+    while confirmations.blocking_recv().is_some() {}
+    let stored = open(folder.path()).stored;
+    assert_eq!(stored.vote.term, GroupTerm(5));
+    assert_eq!(stored.entries, vec![entry(9)]);
+}
