--- a/src/fleet/runtime.rs
+++ b/src/fleet/runtime.rs
@@ -61,6 +61,8 @@
 pub struct FleetControlSettings {
     /// Address for other hosts; it also names the host.
     pub bus_addr: SocketAddr,
+    /// Address to listen on for what is announced as `bus_addr`.
+    pub listen_addr: SocketAddr,
     /// Address for operators and targets.
     pub http_addr: String,
     /// Bus addresses of the hosts that form the group, or that a joining host asks.
@@ -157,10 +159,10 @@
     let metrics = ControlMetrics::new();
     let parts = Parts { name, clock, node, disk, state, ports, tasks, metrics: metrics.clone() };
     let control = Control::new(parts);
-    let bus_addr = settings.bus_addr;
+    let listen_addr = settings.listen_addr;
     let run = async move {
         tokio::select! {
-            result = listen(bus_addr, inbound_tx) => result,
+            result = listen(listen_addr, inbound_tx) => result,
             result = control.run(inbound, events, confirmations) => result,
         }
     };
