Keep the known targets in the log for the next leader

Change: targets and settled primaries are in the log (fleet::inventory); a new leader starts with them once all earlier entries are applied. A primary is stored when its promotion ends, so a new leader no longer believes an entry host whose view is older than the last promotion. Tests in tests/fleet_state.rs.

--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -87,6 +87,10 @@
     pub(super) view_outdated: bool,
     pub(super) view_sent: Millis,
     pub(super) failover_at: Millis,
+    /// Inventory of the log was taken over.
+    pub(super) informed: bool,
+    /// When the inventory was last compared with the log.
+    pub(super) stored_at: Millis,
 }
 
 /// What was last sent to an entry host.
@@ -354,6 +358,7 @@
             let data = postcard::to_stdvec(&self.state).wrap_err("cannot encode the state")?;
             self.step(Input::Compact { data: data.into() })?;
         }
+        self.take_over();
         self.push_view();
         Ok(())
     }
@@ -403,6 +408,8 @@
             view_outdated: false,
             view_sent: Millis(0),
             failover_at: now + FAILOVER_TICK,
+            informed: false,
+            stored_at: now,
         }
     }
 
--- a/src/fleet/leader.rs
+++ b/src/fleet/leader.rs
@@ -54,6 +54,7 @@
             self.act(actions);
         }
         self.push_configs(now);
+        self.store_inventory(now);
     }
 
     pub(super) fn failover_event(&mut self, service: &Service, event: failover::Event) {
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -1,8 +1,8 @@
 //! Control of a fleet of entry hosts whose members are discovered at run time.
 //!
-//! The control group keeps the configuration and the promotions that have begun in
-//! its log. Announcements of targets, leases of entry hosts and the division of
-//! rates are in the leader's memory and are learned again after a change of leader.
+//! The control group keeps the configuration, the promotions that have begun and the
+//! known targets in its log. Leases of entry hosts and the division of rates are in
+//! the leader's memory and are learned again after a change of leader.
 
 pub mod change;
 pub mod config;
@@ -11,6 +11,7 @@
 pub mod failover;
 pub mod group_io;
 pub mod hosts;
+pub mod inventory;
 pub mod leader;
 pub mod link;
 pub mod messages;
@@ -19,3 +20,4 @@
 pub mod runtime;
 pub mod shares;
 pub mod state;
+pub mod takeover;
--- a/src/fleet/registry.rs
+++ b/src/fleet/registry.rs
@@ -117,7 +117,7 @@
 }
 
 /// Whether two announcements say the same of what matters for routing.
-fn is_same(a: &Announcement, b: &Announcement) -> bool {
+pub(super) fn is_same(a: &Announcement, b: &Announcement) -> bool {
     let sequence = a.sequence;
     let cold = a.cold;
     Announcement { sequence, cold, ..b.clone() } == *a
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -1,11 +1,14 @@
-//! Replicated state of a fleet: the configuration in force and the promotions that
-//! have begun.
+//! Replicated state of a fleet: the configuration in force, the promotions that have
+//! begun, and the known targets.
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    fleet::messages::ConfigDocument,
+    fleet::{
+        inventory::{Inventory, InventoryChange},
+        messages::ConfigDocument,
+    },
     ids::{InstanceId, Service},
 };
 
@@ -18,6 +21,8 @@
     PromotionBegan { service: Service, target: InstanceId },
     /// No call is under way any more that could have an effect.
     PromotionEnded { service: Service },
+    /// Notes what the leader has learned of targets and primaries.
+    Inventory(InventoryChange),
 }
 
 /// State that every control host reaches by the same commands.
@@ -26,6 +31,8 @@
     pub config: ConfigDocument,
     /// Targets that promotions under way name.
     pub promotions: IndexMap<Service, InstanceId>,
+    /// What a new leader knows of targets and primaries.
+    pub inventory: Inventory,
 }
 
 /// What a command has changed.
@@ -52,10 +59,15 @@
                 Applied::PromotionBegan
             }
             FleetCommand::PromotionEnded { service } => {
-                match self.promotions.shift_remove(service) {
-                    Some(_) => Applied::PromotionEnded,
-                    None => Applied::Nothing,
-                }
+                let Some(target) = self.promotions.shift_remove(service) else {
+                    return Applied::Nothing;
+                };
+                self.inventory.primaries.insert(service.clone(), target);
+                Applied::PromotionEnded
+            }
+            FleetCommand::Inventory(change) => {
+                self.inventory.apply(change);
+                Applied::Nothing
             }
         }
     }
--- a/tests/fleet_state.rs
+++ b/tests/fleet_state.rs
@@ -1,12 +1,17 @@
-//! Replicated state of a fleet: what a command changes must reach the entry hosts.
+//! Replicated state of a fleet: what a command changes must reach the entry hosts, and
+//! the next leader.
+
+#![allow(clippy::unwrap_used, reason = "helper functions of tests")]
 
 use bytes::Bytes;
 use pomelopin::{
+    clock::Millis,
     fleet::{
-        messages::ConfigDocument,
+        messages::{Announcement, ConfigDocument, TargetRole},
+        registry::Registry,
         state::{Applied, FleetCommand, FleetState},
     },
-    ids::Service,
+    ids::{InstanceId, Service},
 };
 
 fn configure(version: u64) -> FleetCommand {
@@ -35,3 +40,69 @@
     assert_eq!(state.apply(&configure(2)), Applied::Nothing);
     assert_eq!(state.config.version, 3);
 }
+
+fn target(id: &str, sequence: u64) -> Announcement {
+    Announcement {
+        id: id.into(),
+        service: "ledger".into(),
+        addr: format!("{id}:1"),
+        domain: "a".into(),
+        draining: false,
+        role: TargetRole::Replica,
+        slots: 2,
+        born: 1,
+        sequence,
+        cold: Millis(0),
+    }
+}
+
+/// State after the leader has stored what `registry` knows, with `primary` as the
+/// primary.
+fn store(state: &mut FleetState, registry: &Registry, primary: &InstanceId) {
+    let service = Service::from("ledger");
+    let change = state.inventory.change_to(registry, [(&service, primary)].into_iter());
+    state.apply(&FleetCommand::Inventory(change.unwrap()));
+}
+
+/// Guards against entry hosts that wait for the announcement of each target after all
+/// processes were lost: the log holds the targets.
+#[test]
+fn log_holds_the_targets() {
+    let (mut state, mut registry) = (FleetState::default(), Registry::default());
+    let primary = InstanceId::from("p");
+    for id in ["p", "r1"] {
+        registry.note(Millis(0), &target(id, 1));
+    }
+    store(&mut state, &registry, &primary);
+    assert_eq!(state.inventory.targets.len(), 2);
+    registry.remove(&"r1".into());
+    store(&mut state, &registry, &primary);
+    assert_eq!(state.inventory.targets.keys().collect::<Vec<_>>(), [&primary]);
+}
+
+/// Guards against an entry in the log for each announcement.
+#[test]
+fn announcements_without_news_are_not_stored() {
+    let (mut state, mut registry) = (FleetState::default(), Registry::default());
+    let (service, primary) = (Service::from("ledger"), InstanceId::from("p"));
+    registry.note(Millis(0), &target("p", 1));
+    store(&mut state, &registry, &primary);
+    registry.note(Millis(0), &target("p", 2));
+    let change = state.inventory.change_to(&registry, [(&service, &primary)].into_iter());
+    assert_eq!(change, None);
+}
+
+/// Guards against a new leader that trusts a primary which an earlier leader has
+/// replaced: the end of the promotion alone names the new one.
+#[test]
+fn end_of_a_promotion_stores_the_primary() {
+    let (mut state, mut registry) = (FleetState::default(), Registry::default());
+    let service = Service::from("ledger");
+    registry.note(Millis(0), &target("p", 1));
+    store(&mut state, &registry, &"p".into());
+    let target = InstanceId::from("r1");
+    state.apply(&FleetCommand::PromotionBegan { service: service.clone(), target });
+    assert_eq!(state.inventory.primaries[&service], InstanceId::from("p"));
+    state.apply(&FleetCommand::PromotionEnded { service: service.clone() });
+    assert_eq!(state.inventory.primaries[&service], InstanceId::from("r1"));
+}
