Keep the entry hosts in the log for the next leader

Cause: with the targets in the log, the first view of a new leader has all targets and no hosts, so entry hosts took no owner and opened connections of their own. Change: entry hosts are in the inventory as well; a new leader counts them as owners until they report or have been silent for as long as reported ones. A host that knows no other hosts opens one connection per target.

--- a/src/fleet/hosts.rs
+++ b/src/fleet/hosts.rs
@@ -44,6 +44,9 @@
 #[derive(Debug)]
 pub struct Hosts {
     hosts: IndexMap<HostId, Host>,
+    /// Hosts that an earlier leader knew and that have not reported to this one.
+    expected: IndexMap<HostId, EntryHost>,
+    expected_until: Millis,
     /// When every lease of an earlier leader has ended.
     earlier_leases_end: Millis,
 }
@@ -80,7 +83,20 @@
 impl Hosts {
     /// Table of a leader that starts at `now`.
     pub fn new(now: Millis) -> Self {
-        Self { hosts: IndexMap::new(), earlier_leases_end: now + LEASE_SPAN }
+        Self {
+            hosts: IndexMap::new(),
+            expected: IndexMap::new(),
+            expected_until: now,
+            earlier_leases_end: now + LEASE_SPAN,
+        }
+    }
+
+    /// Counts hosts that an earlier leader knew as owners until they report or have
+    /// been silent for long: without them targets would change their owners, and
+    /// their connections, with each change of the leader.
+    pub fn expect<'a>(&mut self, now: Millis, hosts: impl Iterator<Item = &'a EntryHost>) {
+        self.expected = hosts.map(|host| (host.id.clone(), host.clone())).collect();
+        self.expected_until = now + FORGET_AFTER;
     }
 
     /// Notes a report and extends the host's lease; returns whether the
@@ -90,8 +106,12 @@
         if is_new {
             self.hosts.insert(report.host.clone(), Host::new(now, report));
         }
+        let was_expected = self.expected.shift_remove(&report.host);
+        let is_expected = was_expected.is_some_and(|host| {
+            !report.leaving && host.addr == report.bus_addr && host.domain == report.domain
+        });
         let host = &mut self.hosts[&report.host];
-        let changed = is_new || host.leaving != report.leaving;
+        let changed = (is_new && !is_expected) || host.leaving != report.leaving;
         host.leaving = report.leaving;
         host.heard = now;
         host.lease_until = now + LEASE_SPAN;
@@ -108,9 +128,12 @@
 
     /// Forgets hosts that have been silent for long; returns whether there were any.
     pub fn forget_silent(&mut self, now: Millis) -> bool {
-        let before = self.hosts.len();
+        let before = self.hosts.len() + self.expected.len();
         self.hosts.retain(|_, host| now.since(host.heard) < FORGET_AFTER);
-        before != self.hosts.len()
+        if now >= self.expected_until {
+            self.expected.clear();
+        }
+        before != self.hosts.len() + self.expected.len()
     }
 
     /// Host by name.
@@ -131,13 +154,12 @@
     /// Hosts that may own targets.
     pub fn owners(&self) -> Vec<EntryHost> {
         let staying = self.hosts.iter().filter(|(_, host)| !host.leaving);
-        staying
-            .map(|(id, host)| EntryHost {
-                id: id.clone(),
-                addr: host.addr.clone(),
-                domain: host.domain.clone(),
-            })
-            .collect()
+        let reported = staying.map(|(id, host)| EntryHost {
+            id: id.clone(),
+            addr: host.addr.clone(),
+            domain: host.domain.clone(),
+        });
+        reported.chain(self.expected.values().cloned()).collect()
     }
 
     /// Demand of each host.
--- a/src/fleet/takeover.rs
+++ b/src/fleet/takeover.rs
@@ -5,7 +5,7 @@
     clock::{Clock, Millis},
     fleet::{
         control::{Control, Leading},
-        inventory::{Inventory, InventoryChange},
+        inventory::{Inventory, InventoryChange, Known},
         runtime::Ports,
         state::{FleetCommand, FleetState},
     },
@@ -53,8 +53,9 @@
                 self.failover.claimed(service, primary);
             }
         }
+        self.hosts.expect(now, inventory.hosts.values());
         self.view_stale = true;
-        spdlog::info!("took over the targets of the log", kv: {targets = inventory.targets.len(), primaries = inventory.primaries.len()});
+        spdlog::info!("took over the inventory of the log", kv: {targets = inventory.targets.len(), primaries = inventory.primaries.len(), hosts = inventory.hosts.len()});
     }
 
     /// Primaries that are about to change are stored when their change has ended.
@@ -64,6 +65,8 @@
             let (primary, changing) = self.failover.primary(service, &state.promotions)?;
             primary.filter(|_| !changing).map(|primary| (service, primary))
         });
-        state.inventory.change_to(&self.registry, settled)
+        let hosts = self.hosts.owners();
+        let known = Known { registry: &self.registry, primaries: settled, hosts: &hosts };
+        state.inventory.change_to(known)
     }
 }
--- a/src/gateway/cx.rs
+++ b/src/gateway/cx.rs
@@ -162,9 +162,13 @@
         let all = service.map_or(1, |service| service.max_connections);
         let hosts = &knowledge.view.hosts;
         let owns = ranking(target, hosts).first().is_some_and(|it| it.id == self.settings.host);
-        let others = u32::try_from(hosts.len()).unwrap_or(u32::MAX).max(1);
         let for_owner = all * OWNER_PERCENT / 100;
-        let part = if owns { for_owner } else { (all - for_owner) / others };
+        let part = match u32::try_from(hosts.len()) {
+            _ if owns => for_owner,
+            // How many hosts share the rest is not known.
+            Ok(0) | Err(_) => 1,
+            Ok(others) => (all - for_owner) / others,
+        };
         part.max(1)
     }
 
--- a/tests/fleet_state.rs
+++ b/tests/fleet_state.rs
@@ -7,6 +7,7 @@
 use pomelopin::{
     clock::Millis,
     fleet::{
+        inventory::Known,
         messages::{Announcement, ConfigDocument, TargetRole},
         registry::Registry,
         state::{Applied, FleetCommand, FleetState},
@@ -60,7 +61,8 @@
 /// primary.
 fn store(state: &mut FleetState, registry: &Registry, primary: &InstanceId) {
     let service = Service::from("ledger");
-    let change = state.inventory.change_to(registry, [(&service, primary)].into_iter());
+    let primaries = [(&service, primary)].into_iter();
+    let change = state.inventory.change_to(Known { registry, primaries, hosts: &[] });
     state.apply(&FleetCommand::Inventory(change.unwrap()));
 }
 
@@ -88,7 +90,9 @@
     registry.note(Millis(0), &target("p", 1));
     store(&mut state, &registry, &primary);
     registry.note(Millis(0), &target("p", 2));
-    let change = state.inventory.change_to(&registry, [(&service, &primary)].into_iter());
+    let primaries = [(&service, &primary)].into_iter();
+    let known = Known { registry: &registry, primaries, hosts: &[] };
+    let change = state.inventory.change_to(known);
     assert_eq!(change, None);
 }
 
