Elect a leader early when all voters have just started

If every voter answers within 90 ms that it follows no leader, nobody relies on such a promise: a leader that an earlier process followed would be one of them. A process says so only 100 ms after its start, so its answer is younger than its last answer to any leader, and the vote names the process that is released. Ruled out: a shorter quiet time, which would shorten the leader's lease. PreVoteAnswer loses a field that said the same as its reason.

--- a/src/control/campaign.rs
+++ b/src/control/campaign.rs
@@ -1,9 +1,11 @@
 //! Elections: asking for votes and granting them.
 
+use std::collections::BTreeMap;
+
 use crate::{
     clock::Millis,
     control::{
-        election::Ballot,
+        election::{Ballot, Poll},
         node::{Node, Output, State},
         storage::Vote,
     },
@@ -11,24 +13,45 @@
     wire::group::{GroupBody, GroupTerm, LogMark, Refused},
 };
 
+/// Answer to the question whether an election would succeed.
+pub(super) struct PollAnswer {
+    pub(super) reason: Refused,
+    pub(super) round: u64,
+    /// Process that answers.
+    pub(super) process: u64,
+}
+
 impl Node {
     /// Asks whether an election would succeed. A host that cannot win, because it
     /// was cut off or lacks entries, so leaves the term of the group as it is.
     pub(super) fn start_pre_vote(&mut self, now: Millis) {
         self.timer.retry(now, &self.settings.timing);
         self.leader = None;
-        let ballot = Ballot::new(&self.settings.id);
-        let won = ballot.has_won(self.members());
-        self.state = State::PreCandidate(ballot);
-        if won {
-            self.start_vote(now);
-        } else {
+        self.poll_round += 1;
+        let round = self.poll_round;
+        self.state = State::PreCandidate(Poll::new(&self.settings.id, round, now));
+        if !self.start_vote_if_won(now) {
             let last = self.log.last();
-            self.ask(GroupTerm(self.vote.term.0 + 1), &GroupBody::PreVote { last });
+            let term = GroupTerm(self.vote.term.0 + 1);
+            self.ask(term, |_| GroupBody::PreVote { last, round });
         }
     }
 
-    pub(super) fn start_vote(&mut self, now: Millis) {
+    /// Starts the election if the poll says that it would succeed.
+    fn start_vote_if_won(&mut self, now: Millis) -> bool {
+        let State::PreCandidate(poll) = &self.state else { return false };
+        let members = self.history.current();
+        if !poll.would_win(members, self.timer.is_quiet(now)) {
+            return false;
+        }
+        let released = poll.released(members);
+        self.start_vote(now, &released);
+        true
+    }
+
+    /// Starts an election; `released` are the voters' processes that need not wait for
+    /// the promise of an earlier one.
+    pub(super) fn start_vote(&mut self, now: Millis, released: &BTreeMap<ControlId, u64>) {
         self.timer.retry(now, &self.settings.timing);
         let term = GroupTerm(self.vote.term.0 + 1);
         self.store_vote(Vote { term, voted_for: Some(self.settings.id.clone()) });
@@ -39,16 +62,17 @@
             self.become_leader(now);
         } else {
             let last = self.log.last();
-            self.ask(term, &GroupBody::Vote { last });
+            self.ask(term, |id| GroupBody::Vote { last, released: released.get(id).copied() });
         }
     }
 
-    fn ask(&mut self, term: GroupTerm, body: &GroupBody) {
+    fn ask(&mut self, term: GroupTerm, body: impl Fn(&ControlId) -> GroupBody) {
         let own = &self.settings.id;
         let others = self.members().0.iter().filter(|(id, _)| *id != own);
         let others: Vec<_> = others.map(|(id, m)| (id.clone(), self.bus_addr(m))).collect();
         for (id, addr) in others {
-            self.send(addr, Some(id), term, body.clone());
+            let body = body(&id);
+            self.send(addr, Some(id), term, body);
         }
     }
 
@@ -58,20 +82,35 @@
         from: ControlId,
         term: GroupTerm,
         last: LogMark,
+        round: u64,
     ) {
+        let timing = &self.settings.timing;
+        let is_leader = matches!(self.state, State::Leader(_));
         let reason = if !self.is_blank() && !self.members().0.contains_key(&from) {
             Refused::Removed
-        } else if self.follows_leader(now) || term < self.vote.term || last < self.log.last() {
+        } else if term < self.vote.term || last < self.log.last() {
+            Refused::Now
+        } else if !is_leader && self.timer.may_release(now, timing) {
+            Refused::Starting
+        } else if self.follows_leader(now) {
             Refused::Now
         } else {
             Refused::No
         };
-        let granted = reason == Refused::No;
-        self.answer_vote(from, GroupBody::PreVoteAnswer { granted, reason });
+        let process = self.settings.seed;
+        self.answer_vote(from, GroupBody::PreVoteAnswer { reason, round, process });
     }
 
-    pub(super) fn on_vote(&mut self, now: Millis, from: ControlId, term: GroupTerm, last: LogMark) {
-        if self.follows_leader(now) {
+    pub(super) fn on_vote(
+        &mut self,
+        now: Millis,
+        from: ControlId,
+        term: GroupTerm,
+        last: LogMark,
+        released: Option<u64>,
+    ) {
+        let is_released = released == Some(self.settings.seed) && self.timer.is_starting(now);
+        if self.follows_leader(now) && !is_released {
             return;
         }
         if term > self.vote.term {
@@ -86,24 +125,25 @@
         self.answer_vote(from, GroupBody::VoteAnswer { granted });
     }
 
-    pub(super) fn on_pre_vote_answer(
-        &mut self,
-        now: Millis,
-        from: ControlId,
-        granted: bool,
-        reason: Refused,
-    ) {
-        let State::PreCandidate(ballot) = &mut self.state else { return };
-        if granted {
-            ballot.grant(&from);
-            if ballot.has_won(self.history.current()) {
-                self.start_vote(now);
+    pub(super) fn on_pre_vote_answer(&mut self, now: Millis, from: ControlId, answer: PollAnswer) {
+        let State::PreCandidate(poll) = &mut self.state else { return };
+        let timing = &self.settings.timing;
+        let PollAnswer { reason, round, process } = answer;
+        match reason {
+            Refused::No => {
+                poll.grant(&from);
+                poll.note_free(now, timing, &from, round, None);
+            }
+            Refused::Starting => poll.note_free(now, timing, &from, round, Some(process)),
+            Refused::Now => {}
+            Refused::Removed => {
+                // A host that was removed while it was away joins an open group again.
+                self.was_member &= !self.settings.policy.open;
+                self.out.push(Output::Removed { by: from });
+                return;
             }
-        } else if reason == Refused::Removed {
-            // A host that was removed while it was away joins an open group again.
-            self.was_member &= !self.settings.policy.open;
-            self.out.push(Output::Removed { by: from });
         }
+        self.start_vote_if_won(now);
     }
 
     pub(super) fn on_vote_answer(
--- a/src/control/formation.rs
+++ b/src/control/formation.rs
@@ -1,5 +1,7 @@
 //! Formation of a group and introduction of hosts that are no voters yet.
 
+use std::collections::BTreeMap;
+
 use crate::{
     clock::Millis,
     control::{
@@ -62,7 +64,7 @@
         let own = (self.settings.id.clone(), self.settings.member.clone());
         self.history = MembersHistory::new(0, Members([own].into()));
         self.forming = true;
-        self.start_vote(now);
+        self.start_vote(now, &BTreeMap::new());
     }
 
     /// Address of a host; the settings come before the log, so that an address can
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -15,7 +15,8 @@
 use crate::{
     clock::Millis,
     control::{
-        election::{Ballot, ElectionTimer},
+        campaign::PollAnswer,
+        election::{Ballot, ElectionTimer, Poll},
         follower::Unanswered,
         leader::Leading,
         log::Log,
@@ -153,7 +154,7 @@
 
 pub(super) enum State {
     Follower,
-    PreCandidate(Ballot),
+    PreCandidate(Poll),
     Candidate(Ballot),
     Leader(Box<Leading>),
 }
@@ -180,6 +181,8 @@
     /// Entries that were not synced when they were answered.
     pub(super) unanswered: Option<Unanswered>,
     pub(super) hello_at: Millis,
+    /// Number of the last question whether an election would succeed.
+    pub(super) poll_round: u64,
     last_step: Millis,
     reported: RoleChange,
     pub(super) out: Vec<Output>,
@@ -215,6 +218,7 @@
             unsynced: VecDeque::new(),
             unanswered: None,
             hello_at: now,
+            poll_round: 0,
             last_step: now,
             reported: RoleChange::default(),
             out: Vec::new(),
@@ -302,8 +306,10 @@
                 }
                 self.on_hello(now, from, hello);
             }
-            GroupBody::PreVote { last } => self.on_pre_vote(now, from, term, last),
-            GroupBody::Vote { last } => self.on_vote(now, from, term, last),
+            GroupBody::PreVote { last, round } => self.on_pre_vote(now, from, term, last, round),
+            GroupBody::Vote { last, released } => {
+                self.on_vote(now, from, term, last, released);
+            }
             body => {
                 if term > self.vote.term {
                     self.become_follower(now, term, None);
@@ -315,8 +321,8 @@
 
     fn receive_in_term(&mut self, now: Millis, from: ControlId, term: GroupTerm, body: GroupBody) {
         match body {
-            GroupBody::PreVoteAnswer { granted, reason } => {
-                self.on_pre_vote_answer(now, from, granted, reason);
+            GroupBody::PreVoteAnswer { reason, round, process } => {
+                self.on_pre_vote_answer(now, from, PollAnswer { reason, round, process });
             }
             GroupBody::VoteAnswer { granted } => self.on_vote_answer(now, from, term, granted),
             GroupBody::Append(append) => self.on_append(now, from, term, append),
--- a/src/settings/timing.rs
+++ b/src/settings/timing.rs
@@ -18,6 +18,16 @@
     pub retry_min: Millis,
     /// Longest time before an undecided election is repeated.
     pub retry_max: Millis,
+    /// Time after the start of a process from which it asks for an early election and
+    /// releases others from waiting for promises of its earlier processes.
+    pub start_wait: Millis,
+    /// Longest time between question and answers of an early election. Shorter than
+    /// [`Self::start_wait`] by the drift.
+    pub start_poll: Millis,
+    /// Shortest time before a process that has just started asks again.
+    pub start_retry_min: Millis,
+    /// Longest time before a process that has just started asks again.
+    pub start_retry_max: Millis,
     /// Interval between introductions of a host that is no voter.
     pub hello: Millis,
     /// Gap between two ticks that counts as a freeze of the process.
@@ -37,6 +47,10 @@
             election_max: Millis(900),
             retry_min: Millis(150),
             retry_max: Millis(400),
+            start_wait: Millis(100),
+            start_poll: Millis(90),
+            start_retry_min: Millis(60),
+            start_retry_max: Millis(140),
             hello: Millis(200),
             freeze: Millis(250),
             replace: Millis(1_000),
--- a/src/wire/group.rs
+++ b/src/wire/group.rs
@@ -99,13 +99,20 @@
     /// Asks whether a vote would be granted, without raising terms.
     PreVote {
         last: LogMark,
+        /// Number of the question, returned with the answer.
+        round: u64,
     },
     PreVoteAnswer {
-        granted: bool,
         reason: Refused,
+        round: u64,
+        /// Number of the process that answers.
+        process: u64,
     },
     Vote {
         last: LogMark,
+        /// Process of the receiver that has answered with [`Refused::Starting`] in a
+        /// round in which no voter follows a leader.
+        released: Option<u64>,
     },
     VoteAnswer {
         granted: bool,
@@ -134,6 +141,9 @@
     Now,
     /// The sender is no member of the group any more.
     Removed,
+    /// The process has just started and has heard no leader. An earlier one may have
+    /// promised not to vote; the promise is void if no voter leads.
+    Starting,
 }
 
 /// Introduction of a control host.
--- a/tests/control_node.rs
+++ b/tests/control_node.rs
@@ -56,16 +56,22 @@
     Input::Message(GroupMessage { from, to: Some(ControlId::from("a")), term, body })
 }
 
-/// Ticks until the election timeout and hands in the votes of `b`.
+/// Host `b` asks for a vote; `released` is the process of `a` that it releases from the
+/// promise of an earlier one.
+fn vote_request(term: u64, last: LogMark, released: Option<u64>) -> Input {
+    from("b", term, GroupBody::Vote { last, released })
+}
+
+/// Ticks until the host may count on a majority and hands in the votes of `b`.
 fn elect(node: &mut Node) -> Millis {
     let mut now = Millis(0);
-    while node.role().role == Role::Follower {
+    while node.role().role == Role::Follower || now <= GroupTiming::default().election_min {
         now += Millis(25);
         node.step(now, Input::Tick);
     }
     let term = node.role().term.0;
-    let reason = Refused::No;
-    node.step(now, from("b", term, GroupBody::PreVoteAnswer { granted: true, reason }));
+    let answer = GroupBody::PreVoteAnswer { reason: Refused::No, round: 0, process: 2 };
+    node.step(now, from("b", term, answer));
     node.step(now, from("b", term + 1, GroupBody::VoteAnswer { granted: true }));
     assert_eq!(node.role().role, Role::Leader);
     sync(node, now, 2);
@@ -126,7 +132,7 @@
     let mut node = node(Vote::default(), &[1]);
     let now = Millis(600);
     node.step(now, Input::Tick);
-    let outputs = node.step(now, from("b", 5, GroupBody::Vote { last: mark(1, 2) }));
+    let outputs = node.step(now, vote_request(5, mark(1, 2), None));
     assert_eq!(granted(&outputs), Some(true));
     assert!(sent(&outputs).iter().all(|body| body.needs_sync()));
     let writes = outputs.iter().filter(|it| matches!(it, Output::Persist(_))).count();
@@ -171,7 +177,7 @@
 /// while a leader may rely on this host.
 #[test]
 fn votes_are_refused() {
-    let ask = |term, last| from("b", term, GroupBody::Vote { last });
+    let ask = |term, last| vote_request(term, last, None);
     let voted = Vote { term: GroupTerm(5), voted_for: Some(ControlId::from("c")) };
     let cases = [
         ("already voted", voted, ask(5, mark(1, 2)), Some(false)),
@@ -277,3 +283,89 @@
         assert_eq!(introductions.may_form(Millis(age), own, &group), wanted, "{what}");
     }
 }
+
+/// Number of the process in [`node`].
+const PROCESS: u64 = 1;
+
+/// Round of the question that a host that has just started asks first.
+fn first_round(node: &mut Node) -> (Millis, u64) {
+    let mut now = Millis(0);
+    loop {
+        now += Millis(25);
+        let outputs = node.step(now, Input::Tick);
+        let asked = sent(&outputs).into_iter().find_map(|body| match body {
+            GroupBody::PreVote { round, .. } => Some(round),
+            _ => None,
+        });
+        if let Some(round) = asked {
+            return (now, round);
+        }
+    }
+}
+
+fn starting(round: u64, process: u64) -> GroupBody {
+    GroupBody::PreVoteAnswer { reason: Refused::Starting, round, process }
+}
+
+/// Guards against the wait for promises that nobody relies on: if no voter follows a
+/// leader, a host that has just started asks for votes at once.
+#[test]
+fn all_voters_that_have_just_started_elect_early() {
+    let mut node = node(Vote::default(), &[1]);
+    let (now, round) = first_round(&mut node);
+    assert!(now < GroupTiming::default().election_min, "asked at {now}");
+    node.step(now, from("b", 0, starting(round, 7)));
+    assert_eq!(node.role().term, GroupTerm(0), "one voter has not answered");
+    let outputs = node.step(now, from("c", 0, starting(round, 8)));
+    let released: Vec<_> = sent(&outputs)
+        .into_iter()
+        .filter_map(|body| match body {
+            GroupBody::Vote { released, .. } => released,
+            _ => None,
+        })
+        .collect();
+    assert_eq!(released, [7, 8]);
+}
+
+/// Guards against an early election while a leader may rely on an earlier process:
+/// answers of another round or late ones say nothing of now, and a majority of
+/// grants does not outweigh the own promise.
+#[test]
+fn early_election_needs_all_voters_at_the_same_time() {
+    let late = GroupTiming::default().start_poll + Millis(1);
+    let grant = |round| GroupBody::PreVoteAnswer { reason: Refused::No, round, process: 8 };
+    let refuse = |round| GroupBody::PreVoteAnswer { reason: Refused::Now, round, process: 8 };
+    type Answers<'a> = &'a dyn Fn(u64) -> [GroupBody; 2];
+    let cases: [(&str, Millis, Answers<'_>); 4] = [
+        ("other round", Millis(0), &|round| [starting(round + 1, 7), starting(round, 8)]),
+        ("late", late, &|round| [starting(round, 7), starting(round, 8)]),
+        ("majority", Millis(0), &|round| [grant(round), refuse(round)]),
+        ("one follows a leader", Millis(0), &|round| [starting(round, 7), refuse(round)]),
+    ];
+    for (what, delay, answers) in cases {
+        let mut node = node(Vote::default(), &[1]);
+        let (now, round) = first_round(&mut node);
+        for (sender, body) in ["b", "c"].into_iter().zip(answers(round)) {
+            node.step(now + delay, from(sender, 0, body));
+        }
+        assert_eq!(node.role().term, GroupTerm(0), "{what}");
+    }
+}
+
+/// Guards against a vote that breaks the promise of an earlier process to a leader.
+#[test]
+fn only_the_process_that_was_asked_is_released() {
+    let now = Millis(200);
+    let last = mark(1, 2);
+    let cases = [(None, None), (Some(PROCESS + 1), None), (Some(PROCESS), Some(true))];
+    for (released, wanted) in cases {
+        let mut node = node(Vote::default(), &[1]);
+        let outputs = node.step(now, vote_request(5, last, released));
+        assert_eq!(granted(&outputs), wanted, "released {released:?}");
+    }
+    let mut node = node(Vote::default(), &[1]);
+    let append = Append { previous: last, entries: Vec::new(), commit: 0, sent_at: now };
+    node.step(now, from("c", 4, GroupBody::Append(append)));
+    let outputs = node.step(now, vote_request(5, last, Some(PROCESS)));
+    assert_eq!(granted(&outputs), None, "a leader was heard");
+}
