Take another way to a target that its owner cannot reach

Change: a host that cannot reach a target is left out for a second and the next one in the target's order is asked, at most three ways for one piece of work; a host that serves others for a target counts as its owner; a lost owner is connected again in the background. The order of hosts is kept with the view instead of being computed for each statement. Tests: gateway_owners.

--- a/src/gateway/control_link.rs
+++ b/src/gateway/control_link.rs
@@ -259,6 +259,7 @@
         cx.pools.retain(exists);
         cx.health.borrow_mut().retain(exists);
         cx.paths.borrow_mut().retain(exists);
+        cx.owners.borrow_mut().retain(exists);
         cx.knowledge.borrow_mut().set_view(view);
         cx.trim_pools();
     }
--- a/src/gateway/cx.rs
+++ b/src/gateway/cx.rs
@@ -20,7 +20,7 @@
         knowledge::Knowledge,
         lease::TrustLease,
         metrics::GatewayMetrics,
-        owners::ranking,
+        owners::{Owners, connection_part},
         peers::Peers,
         pool::Pools,
         ports::Targets,
@@ -29,10 +29,6 @@
     ids::{FailureDomain, HostId, InstanceId, Mark, Service},
 };
 
-/// Percentage of a target's connections that its owner may use. The others remain for
-/// hosts that cannot reach the owner, and for control.
-const OWNER_PERCENT: u32 = 75;
-
 /// Settings of an entry host.
 #[derive(Debug, Clone)]
 pub struct GatewaySettings {
@@ -80,6 +76,7 @@
     pub health: RefCell<TargetsHealth>,
     /// How targets answer over connections of this host.
     pub paths: RefCell<TargetsHealth>,
+    pub owners: RefCell<Owners>,
     pub quota: RefCell<Quota>,
     pub pools: Rc<Pools<T::Connection>>,
     pub gates: Gates,
@@ -108,6 +105,7 @@
             freshness: RefCell::default(),
             health: RefCell::default(),
             paths: RefCell::default(),
+            owners: RefCell::default(),
             quota: RefCell::default(),
             pools: Rc::new(Pools::default()),
             gates: Gates::default(),
@@ -157,19 +155,14 @@
 
     /// Connections to `target` that this host may have.
     pub fn connection_limit(&self, target: &Announcement) -> u32 {
-        let knowledge = self.knowledge.borrow();
+        let now = self.now();
+        let mut knowledge = self.knowledge.borrow_mut();
         let service = knowledge.config.services.get(&target.service);
         let all = service.map_or(1, |service| service.max_connections);
-        let hosts = &knowledge.view.hosts;
-        let owns = ranking(target, hosts).first().is_some_and(|it| it.id == self.settings.host);
-        let for_owner = all * OWNER_PERCENT / 100;
-        let part = match u32::try_from(hosts.len()) {
-            _ if owns => for_owner,
-            // How many hosts share the rest is not known.
-            Ok(0) | Err(_) => 1,
-            Ok(others) => (all - for_owner) / others,
-        };
-        part.max(1)
+        let ranked = knowledge.ranked(target);
+        let is_first = ranked.first().is_some_and(|host| host.id == self.settings.host);
+        let owns = is_first || self.owners.borrow().serves(now, &target.id);
+        connection_part(all, ranked.len(), owns)
     }
 
     /// Closes idle connections that belong to other hosts now.
--- a/src/gateway/knowledge.rs
+++ b/src/gateway/knowledge.rs
@@ -8,8 +8,9 @@
     clock::Millis,
     fleet::{
         config::FleetConfig,
-        messages::{Announcement, FleetView, TargetRole, ViewRevision},
+        messages::{Announcement, EntryHost, FleetView, TargetRole, ViewRevision},
     },
+    gateway::owners::ranking,
     ids::{InstanceId, Service},
 };
 
@@ -23,6 +24,8 @@
     disproved: IndexMap<Service, (InstanceId, Millis)>,
     /// Primaries that this host has found by asking the targets, newer than the view.
     found: IndexMap<Service, InstanceId>,
+    /// Hosts by target in the order in which they own it, computed when first needed.
+    ranked: IndexMap<InstanceId, Rc<[EntryHost]>>,
 }
 
 /// Targets of one service.
@@ -52,6 +55,7 @@
     pub fn set_view(&mut self, view: FleetView) {
         self.services.clear();
         self.found.clear();
+        self.ranked.clear();
         for target in &view.targets {
             let service = self.services.entry(target.service.clone()).or_default();
             service.targets.push(Rc::new(target.clone()));
@@ -65,6 +69,17 @@
         self.view = view;
     }
 
+    /// Hosts in the order in which they own `target`.
+    pub fn ranked(&mut self, target: &Announcement) -> Rc<[EntryHost]> {
+        if let Some(ranked) = self.ranked.get(&target.id) {
+            return ranked.clone();
+        }
+        let ranked: Rc<[EntryHost]> =
+            ranking(target, &self.view.hosts).into_iter().cloned().collect();
+        self.ranked.insert(target.id.clone(), ranked.clone());
+        ranked
+    }
+
     /// Revision of the view.
     pub fn revision(&self) -> ViewRevision {
         self.view.revision
--- a/src/gateway/lane.rs
+++ b/src/gateway/lane.rs
@@ -4,22 +4,29 @@
 use std::rc::Rc;
 
 use crate::{
-    fleet::messages::Announcement,
+    clock::Millis,
+    fleet::messages::{Announcement, EntryHost},
     gateway::{
         cx::Cx,
         executor::execute,
         owner::rollback_job,
-        owners::ranking,
+        owners::OwnerChoice,
         pool::Checkout,
         ports::Targets,
         statement::Answer,
         work::{Job, Obstacle, Work},
     },
+    ids::HostId,
 };
 
+/// Ways that are tried for one piece of work; each may cost the time of a connection
+/// attempt.
+const MOST_WAYS: usize = 3;
+
 /// Way to one target; it holds what a transaction needs.
 pub struct Lane<T: Targets> {
     pub target: Rc<Announcement>,
+    keeps: bool,
     via: Via<T::Connection>,
 }
 
@@ -27,7 +34,7 @@
     /// Connections of this host.
     Own(Option<Checkout<C>>),
     Owner {
-        addr: String,
+        host: EntryHost,
         stream: u64,
     },
 }
@@ -35,28 +42,45 @@
 impl<T: Targets> Lane<T> {
     /// Way to `target`; `keeps` if a transaction may stay open on it.
     pub fn new(cx: &Cx<T>, target: Rc<Announcement>, keeps: bool) -> Self {
-        let via = match owner_addr(cx, &target) {
-            Some(addr) => Via::Owner { addr, stream: if keeps { cx.peers.number() } else { 0 } },
-            None => Via::Own(None),
-        };
-        Self { target, via }
+        let via = choose(cx, &target, keeps, &[]);
+        Self { target, keeps, via }
     }
 
-    /// Executes work. Work that could not be sent to the owner is executed here.
+    /// Executes work. Work that nobody has sent to the target takes another way.
     pub async fn run(&mut self, cx: &Cx<T>, job: &Job) -> Result<Answer, Obstacle> {
-        match &mut self.via {
-            Via::Own(held) => execute(cx, held, job).await,
-            Via::Owner { addr, stream } => {
-                let result = cx.peers.call(addr, *stream, job).await;
-                let begins = matches!(job.work, Work::Begin { .. } | Work::Status);
-                let may_move = begins || *stream == 0;
-                if result != Err(Obstacle::Unreachable) || !may_move {
-                    return result;
-                }
-                let mut held = None;
-                let result = execute(cx, &mut held, job).await;
-                self.via = Via::Own(held);
-                result
+        let began = cx.now();
+        let mut tried: Vec<HostId> = Vec::new();
+        let mut job = job.clone();
+        let limit = job.limit;
+        loop {
+            let result = match &mut self.via {
+                Via::Own(held) => execute(cx, held, &job).await,
+                Via::Owner { host, stream } => cx.peers.call(&host.addr, *stream, &job).await,
+            };
+            let begins = matches!(job.work, Work::Begin { .. } | Work::Status);
+            let may_move = begins || !self.keeps;
+            if result != Err(Obstacle::Unreachable) || !may_move {
+                return result;
+            }
+            tried.push(self.note_failure(cx));
+            job.limit = limit.since(cx.now().since(began));
+            if tried.len() == MOST_WAYS || job.limit == Millis(0) {
+                return result;
+            }
+            self.via = choose(cx, &self.target, self.keeps, &tried);
+            if matches!(self.via, Via::Own(_)) && tried.contains(&cx.settings.host) {
+                return result;
+            }
+        }
+    }
+
+    /// Notes that the present way does not lead to the target; returns its host.
+    fn note_failure(&self, cx: &Cx<T>) -> HostId {
+        match &self.via {
+            Via::Own(_) => cx.settings.host.clone(),
+            Via::Owner { host, .. } => {
+                cx.owners.borrow_mut().block(cx.now(), &self.target.id, &host.id);
+                host.id.clone()
             }
         }
     }
@@ -69,20 +93,33 @@
                 let _ = execute(cx, &mut held, &rollback_job(self.target.id.clone())).await;
             }
             Via::Own(None) => {}
-            Via::Owner { addr, stream } => {
+            Via::Owner { host, stream } => {
                 if stream != 0 {
-                    cx.peers.end(&addr, stream);
+                    cx.peers.end(&host.addr, stream);
                 }
             }
         }
     }
 }
 
-/// Address of the owner to use; `None` if it is this host.
-fn owner_addr<T: Targets>(cx: &Cx<T>, target: &Announcement) -> Option<String> {
-    let knowledge = cx.knowledge.borrow();
-    let ranked = ranking(target, &knowledge.view.hosts);
-    let usable = |addr: &str| cx.peers.is_usable(addr);
-    let first = ranked.into_iter().find(|it| it.id == cx.settings.host || usable(&it.addr))?;
-    (first.id != cx.settings.host).then(|| first.addr.clone())
+/// Way to use next; hosts in `tried` are left out.
+fn choose<T: Targets>(
+    cx: &Cx<T>,
+    target: &Announcement,
+    keeps: bool,
+    tried: &[HostId],
+) -> Via<T::Connection> {
+    let now = cx.now();
+    let ranked = cx.knowledge.borrow_mut().ranked(target);
+    let reaches = cx.paths.borrow().is_usable(now, &target.id);
+    let owners = cx.owners.borrow();
+    let (own, target) = (&cx.settings.host, &target.id);
+    let choice = OwnerChoice { now, target, own, reaches, owners: &owners, tried };
+    match choice.choose(&ranked, |host| cx.peers.is_usable(&host.addr)) {
+        Some(host) => {
+            let stream = if keeps { cx.peers.number() } else { 0 };
+            Via::Owner { host: host.clone(), stream }
+        }
+        None => Via::Own(None),
+    }
 }
--- a/src/gateway/owner.rs
+++ b/src/gateway/owner.rs
@@ -79,6 +79,7 @@
         } else {
             self.streams.entry(stream).or_default().clone()
         };
+        cx.owners.borrow_mut().serve(cx.now(), &job.target);
         let (cx, answers) = (cx.clone(), self.answers.clone());
         tokio::task::spawn_local(async move {
             let mut held = held.lock().await;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -1,8 +1,9 @@
 //! Calls to the owners of targets at other entry hosts.
 //!
 //! One connection leads to each owner. While answers are outstanding, silence is
-//! probed; an owner that does not answer the probe is not used for a while, and what
-//! was outstanding counts as lost.
+//! probed; an owner that does not answer the probe is not used, and what was outstanding
+//! counts as lost. A connection is opened anew in the background, so that no work waits
+//! for an attempt that fails.
 
 use std::{
     cell::{Cell, RefCell},
@@ -40,8 +41,11 @@
 /// it.
 const LOST_AFTER: Duration = Duration::from_millis(350);
 
-/// Time for which a lost owner is not used.
-const AVOID: Duration = Duration::from_millis(700);
+/// Pause before the next attempt to reach a lost owner.
+const RETRY_PAUSE: Duration = Duration::from_millis(400);
+
+/// Time without work for a lost owner after which no more attempts are made.
+const FORGET_AFTER: Duration = Duration::from_secs(5);
 
 /// Frames that wait for a connection.
 const QUEUED_FRAMES: usize = 256;
@@ -59,8 +63,10 @@
 #[derive(Debug)]
 struct Peer {
     queue: mpsc::Sender<Message>,
-    /// Time until which the owner is not used.
-    avoided: Cell<Option<Instant>>,
+    /// Whether the owner should be used.
+    usable: Cell<bool>,
+    /// When somebody last wanted to use the owner.
+    wanted: Cell<Instant>,
 }
 
 #[derive(Debug)]
@@ -78,9 +84,10 @@
 
     /// Whether the owner at `addr` should be used.
     pub fn is_usable(&self, addr: &str) -> bool {
-        let links = self.links.borrow();
-        let avoided = links.get(addr).and_then(|peer| peer.avoided.get());
-        avoided.is_none_or(|until| Instant::now() >= until)
+        self.links.borrow().get(addr).is_none_or(|peer| {
+            peer.wanted.set(Instant::now());
+            peer.usable.get() || peer.queue.is_closed()
+        })
     }
 
     /// Has the owner at `addr` execute `job`.
@@ -89,6 +96,9 @@
         let frame = encode(&Frame::Call { number, stream, job: job.clone() });
         let (reply, outcome) = oneshot::channel();
         let peer = self.peer(addr);
+        if !peer.usable.get() {
+            return Err(Obstacle::Unreachable);
+        }
         if peer.queue.try_send(Message::Call { number, frame, reply }).is_err() {
             self.links.borrow_mut().remove(addr);
             return Err(Obstacle::Unreachable);
@@ -115,33 +125,50 @@
         if let Some(peer) = links.get(addr).filter(|peer| !peer.queue.is_closed()) {
             return peer.clone();
         }
-        let avoided = links.get(addr).and_then(|peer| peer.avoided.get());
         let (queue, messages) = mpsc::channel(QUEUED_FRAMES);
-        let peer = Rc::new(Peer { queue, avoided: Cell::new(avoided) });
+        let (usable, wanted) = (Cell::new(true), Cell::new(Instant::now()));
+        let peer = Rc::new(Peer { queue, usable, wanted });
         tokio::task::spawn_local(run(addr.to_owned(), peer.clone(), messages));
         links.insert(addr.to_owned(), peer.clone());
         peer
     }
 }
 
-/// Keeps one connection until it fails.
+/// Keeps a connection, and opens it anew after a failure as long as it is wanted.
 async fn run(addr: String, peer: Rc<Peer>, mut messages: mpsc::Receiver<Message>) {
     let mut outstanding = HashMap::new();
-    let result = match connect(&addr).await {
-        Ok(stream) => {
-            peer.avoided.set(None);
-            let (reader, writer) = split(stream);
-            exchange(reader, writer, &mut messages, &mut outstanding).await
+    loop {
+        let result = match connect(&addr).await {
+            Ok(stream) => {
+                if !peer.usable.replace(true) {
+                    spdlog::info!("owner is reachable again", kv: {addr = addr.as_str()});
+                }
+                let (reader, writer) = split(stream);
+                exchange(reader, writer, &mut messages, &mut outstanding).await
+            }
+            Err(error) => Err(error),
+        };
+        let was_usable = peer.usable.replace(false);
+        if let Err(error) = &result
+            && was_usable
+        {
+            spdlog::info!("owner is not reachable", kv: {addr = addr.as_str(), outstanding = outstanding.len(), error = format!("{error:#}").as_str()});
+        }
+        fail_all(&mut messages, &mut outstanding);
+        tokio::time::sleep(RETRY_PAUSE).await;
+        if result.is_ok() || peer.wanted.get().elapsed() >= FORGET_AFTER {
+            messages.close();
+            fail_all(&mut messages, &mut outstanding);
+            return;
         }
-        Err(error) => Err(error),
-    };
-    peer.avoided.set(Some(Instant::now() + AVOID));
-    messages.close();
-    if let Err(error) = result {
-        spdlog::info!("owner is not reachable", kv: {addr = addr.as_str(), outstanding = outstanding.len(), error = format!("{error:#}").as_str()});
     }
+}
+
+/// Answers all work of a connection that has failed.
+fn fail_all(messages: &mut mpsc::Receiver<Message>, outstanding: &mut HashMap<u64, Reply>) {
     for (_, reply) in outstanding.drain() {
-        let _: Result<(), _> = Reply::send(reply, Err(Obstacle::Lost));
+        // The caller may have given up.
+        let _ = reply.send(Err(Obstacle::Lost));
     }
     // What is still queued was never sent.
     while let Ok(message) = messages.try_recv() {
