Register metrics in one place and mark released checkouts by an Option

fleet::metrics and gateway::metrics had the same closures and the same encoding; both use adapters::metric_set now. Checkout used u32::MAX as a mark. Behaviour unchanged.

--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -9,6 +9,7 @@
 pub mod fencing;
 pub mod http;
 pub mod log;
+pub mod metric_set;
 pub mod metrics;
 pub mod operator_http;
 pub mod peer;
--- a/src/fleet/metrics.rs
+++ b/src/fleet/metrics.rs
@@ -2,12 +2,9 @@
 
 use std::sync::Arc;
 
-use parking_lot::Mutex;
-use prometheus_client::{
-    encoding::text,
-    metrics::{counter::Counter, gauge::Gauge},
-    registry::Registry,
-};
+use prometheus_client::metrics::{counter::Counter, gauge::Gauge};
+
+use crate::adapters::metric_set::MetricSet;
 
 /// Prefix of all names.
 const PREFIX: &str = "pomelopin_control";
@@ -28,7 +25,7 @@
 
 /// Counters and gauges; shared with the listener that exposes them.
 pub struct ControlMetrics {
-    registry: Mutex<Registry>,
+    set: MetricSet,
     leads: Gauge,
     serving: Gauge,
     term: Gauge,
@@ -46,12 +43,8 @@
 impl ControlMetrics {
     /// Metrics of a host that starts.
     pub fn new() -> Arc<Self> {
-        let mut registry = Registry::with_prefix(PREFIX);
-        let mut gauge = |name, help| {
-            let gauge = Gauge::default();
-            registry.register(name, help, gauge.clone());
-            gauge
-        };
+        let set = MetricSet::new(PREFIX);
+        let gauge = |name, help| set.gauge(name, help);
         let leads = gauge("leads", "1 while the host leads the group");
         let serving = gauge("serving", "1 while a majority confirms the leader");
         let term = gauge("term", "Term of the group");
@@ -61,17 +54,13 @@
         let hosts = gauge("hosts", "Entry hosts that report to this leader");
         let targets = gauge("targets", "Targets that this leader knows");
         let changing = gauge("changing_services", "Services whose primary is changing");
-        let mut counter = |name, help| {
-            let counter = Counter::default();
-            registry.register(name, help, counter.clone());
-            counter
-        };
+        let counter = |name, help| set.counter(name, help);
         let promotions = counter("promotions", "Calls that promote a target");
         let announcements = counter("announcements", "Announcements of targets");
         let stale_announcements =
             counter("stale_announcements", "Announcements that were older than what was known");
         Arc::new(Self {
-            registry: Mutex::new(registry),
+            set,
             leads,
             serving,
             term,
@@ -103,10 +92,6 @@
 
     /// All metrics as text.
     pub fn encode(&self) -> String {
-        let mut buf = String::new();
-        if let Err(error) = text::encode(&mut buf, &self.registry.lock()) {
-            spdlog::error!("cannot encode the metrics: {error}");
-        }
-        buf
+        self.set.encode()
     }
 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -2,14 +2,14 @@
 
 use std::sync::Arc;
 
-use parking_lot::Mutex;
 use prometheus_client::{
-    encoding::{EncodeLabelSet, text},
+    encoding::EncodeLabelSet,
     metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
-    registry::{Registry, Unit},
+    registry::Unit,
 };
 
 use crate::{
+    adapters::metric_set::MetricSet,
     clock::Millis,
     fleet::config::Consistency,
     gateway::{cx::Cx, ports::Targets, statement::Answer},
@@ -42,7 +42,7 @@
 
 /// Counters and gauges; shared with the listener that exposes them.
 pub struct GatewayMetrics {
-    registry: Mutex<Registry>,
+    set: MetricSet,
     requests: Family<RequestLabels, Counter>,
     latency: Latencies,
     sessions: Gauge,
@@ -61,12 +61,8 @@
 impl GatewayMetrics {
     /// Metrics of a host that starts.
     pub fn new() -> Arc<Self> {
-        let mut registry = Registry::with_prefix(PREFIX);
-        let mut gauge = |name, help| {
-            let gauge = Gauge::default();
-            registry.register(name, help, gauge.clone());
-            gauge
-        };
+        let set = MetricSet::new(PREFIX);
+        let gauge = |name, help| set.gauge(name, help);
         let sessions = gauge("sessions", "Open sessions of callers");
         let connections = gauge("connections", "Connections to targets");
         let waiting = gauge("waiting", "Statements that wait for a slot of a target");
@@ -78,13 +74,12 @@
         let ready = gauge("ready", "1 while the host asks for new sessions");
         let limited = gauge("limited_workspaces", "Workspaces whose rate is divided");
         let failing = gauge("failing_targets", "Targets that do not answer");
-        let requests = Family::default();
-        registry.register("requests", "Requests by route and outcome", requests.clone());
+        let requests = set.add("requests", "Requests by route and outcome");
         let latency = Latencies::new_with_constructor(|| Histogram::new(LATENCY_BOUNDS));
         let help = "Time from a request to its answer";
-        registry.register_with_unit("request_latency", help, Unit::Seconds, latency.clone());
+        set.add_with_unit("request_latency", help, Unit::Seconds, latency.clone());
         Arc::new(Self {
-            registry: Mutex::new(registry),
+            set,
             requests,
             latency,
             sessions,
@@ -140,11 +135,7 @@
 
     /// All metrics as text.
     pub fn encode(&self) -> String {
-        let mut buf = String::new();
-        if let Err(error) = text::encode(&mut buf, &self.registry.lock()) {
-            spdlog::error!("cannot encode the metrics: {error}");
-        }
-        buf
+        self.set.encode()
     }
 }
 
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -226,7 +226,8 @@
     pooled: Option<Pooled<C>>,
     pub target: Rc<Announcement>,
     pools: Rc<Pools<C>>,
-    limit: u32,
+    /// Connections that this host may have; `None` once the checkout was released.
+    limit: Option<u32>,
     resting: bool,
 }
 
@@ -238,7 +239,7 @@
         pools: Rc<Pools<C>>,
         limit: u32,
     ) -> Self {
-        Self { pooled, target, pools, limit, resting: false }
+        Self { pooled, target, pools, limit: Some(limit), resting: false }
     }
 
     /// Adds the connection that a permit was for.
@@ -263,21 +264,17 @@
     pub fn release(mut self, now: Millis) {
         self.rest(false);
         let pooled = self.pooled.take();
-        let limit = self.limit;
-        self.pools.with(&self.target.id, |pool| pool.release(now, limit, pooled));
-        // Dropping the empty checkout must not release it again.
-        self.limit = u32::MAX;
+        if let Some(limit) = self.limit.take() {
+            self.pools.with(&self.target.id, |pool| pool.release(now, limit, pooled));
+        }
     }
 }
 
 impl<C> Drop for Checkout<C> {
     fn drop(&mut self) {
         self.rest(false);
-        if self.limit == u32::MAX {
-            return;
-        }
+        let Some(limit) = self.limit else { return };
         self.pooled = None;
-        let limit = self.limit;
         // Without a connection to hand on, no caller is preferred: the latest time makes
         // the queue serve the oldest one.
         self.pools.with(&self.target.id, |pool| pool.release(Millis(u64::MAX), limit, None));
