Count the silence of targets in announcements

Cause, found by reading: a leader waited 1.8 s for the first announcements and took a primary that no host uses for lost after 4 s of silence. Both fit targets that announce themselves every 1.2 s; on a deployment with heartbeatMs=5000 a primary between two announcements would be replaced. The spans now follow from the interval in the settings: 1.5, 4 and 16 announcements. At 1.2 s they are 1.8 s as before, 4.8 s instead of 4 s and 19.2 s instead of 20 s. Test: silence_is_counted_in_announcements.

--- a/src/fleet/change.rs
+++ b/src/fleet/change.rs
@@ -15,9 +15,8 @@
 /// Time for which a target's failure must last before its primary is replaced.
 const FAILING_AT_LEAST: Millis = Millis(500);
 
-/// Silence of a target that hosts do not use, after which it counts as lost: more
-/// than two missed announcements of the longest usual interval.
-const SILENT_AT_LEAST: Millis = Millis(4_000);
+/// Announcements that a target which hosts do not use may miss before it counts as lost.
+const SILENT_INTERVALS: u64 = 4;
 
 /// Part of the hosts that must report a failure while others get answers.
 const FAILING_PERCENT: usize = 30;
@@ -210,7 +209,8 @@
     let opinions = cx.hosts.opinions(cx.now, id);
     let total = opinions.answering + opinions.failing;
     if total == 0 {
-        return cx.registry.silence(cx.now, id).is_some_and(|span| span >= SILENT_AT_LEAST);
+        let silent_at_least = Millis(cx.registry.interval().0 * SILENT_INTERVALS);
+        return cx.registry.silence(cx.now, id).is_some_and(|span| span > silent_at_least);
     }
     opinions.failing * 100 >= total * FAILING_PERCENT && opinions.longest >= FAILING_AT_LEAST
 }
--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -130,6 +130,8 @@
     pub(super) ports: P,
     pub(super) tasks: Tasks,
     pub(super) metrics: Arc<ControlMetrics>,
+    /// Usual interval between a target's announcements.
+    announce_interval: Millis,
 }
 
 /// Parts that a [`Control`] joins.
@@ -143,12 +145,14 @@
     pub ports: P,
     pub tasks: Tasks,
     pub metrics: Arc<ControlMetrics>,
+    pub announce_interval: Millis,
 }
 
 impl<P: Ports> Control<P> {
     /// Joins the parts; `state` is what the stored snapshot holds.
     pub fn new(parts: Parts<P>) -> Self {
-        let Parts { name, clock, node, disk, state, ports, tasks, metrics } = parts;
+        let Parts { name, clock, node, disk, state, ports, tasks, metrics, announce_interval } =
+            parts;
         let config = decode_config(&ports, &state.config);
         Self {
             clock,
@@ -169,6 +173,7 @@
             ports,
             tasks,
             metrics,
+            announce_interval,
         }
     }
 
@@ -365,8 +370,8 @@
 
     pub(super) fn change_role(&mut self, role: Role, term: u64) {
         if role == Role::Leader {
-            let now = self.clock.now();
-            self.leading.get_or_insert_with(|| Leading::new(now, term));
+            let (now, interval) = (self.clock.now(), self.announce_interval);
+            self.leading.get_or_insert_with(|| Leading::new(now, term, interval));
         } else if self.leading.take().is_some() {
             self.proposals.clear();
             for (_, reply) in self.proposed.drain() {
@@ -387,18 +392,19 @@
             for connection in leading.connections.values() {
                 self.answers.remove(&connection.id);
             }
-            *leading = Leading::new(self.clock.now(), leading.view.revision.term);
+            let term = leading.view.revision.term;
+            *leading = Leading::new(self.clock.now(), term, self.announce_interval);
             leading.view.revision.number = self.clock.now().0;
         }
     }
 }
 
 impl Leading {
-    fn new(now: Millis, term: u64) -> Self {
+    fn new(now: Millis, term: u64, announce_interval: Millis) -> Self {
         let revision = ViewRevision { term, number: 0 };
         Self {
             since: now,
-            registry: Registry::default(),
+            registry: Registry::new(announce_interval),
             hosts: Hosts::new(now),
             failover: Failover::default(),
             rates: Rates::default(),
--- a/src/fleet/failover.rs
+++ b/src/fleet/failover.rs
@@ -23,9 +23,9 @@
     ids::{InstanceId, Mark, Service},
 };
 
-/// Time that a leader listens before it judges targets: every target announces
-/// itself once, and every host reports.
-const LISTEN: Millis = Millis(1_800);
+/// Percentage of the interval between announcements for which a leader listens before
+/// it judges targets: every target announces itself once, and every host reports.
+const LISTEN_PERCENT: u64 = 150;
 
 /// Time after which a change without a result begins anew.
 const RESTART_AFTER: Millis = Millis(5_000);
@@ -252,7 +252,8 @@
         if self.disputed && !unfinished.contains_key(service) {
             return Some(Reason::Disputed);
         }
-        if cx.now.since(cx.since) < LISTEN || cx.registry.of(service).count() < 2 {
+        let listen = Millis(cx.registry.interval().0 * LISTEN_PERCENT / 100);
+        if cx.now.since(cx.since) < listen || cx.registry.of(service).count() < 2 {
             return None;
         }
         if self.ended.is_some_and(|at| cx.now.since(at) < PAUSE_BETWEEN) {
--- a/src/fleet/registry.rs
+++ b/src/fleet/registry.rs
@@ -12,13 +12,18 @@
     ids::{InstanceId, Service},
 };
 
-/// Silence after which a target is forgotten. Targets announce themselves about every
-/// second, and some go on for seconds while their announcements are lost.
-const FORGET_AFTER: Millis = Millis(20_000);
+/// Usual interval between a target's announcements, if the settings name none.
+pub const ANNOUNCE_INTERVAL: Millis = Millis(1_200);
+
+/// Announcements that a target may miss before it is forgotten; some go on for seconds
+/// while their announcements are lost.
+const FORGET_AFTER: u64 = 16;
 
 /// Targets that were announced or have left.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Registry {
+    /// Usual interval between a target's announcements.
+    interval: Millis,
     targets: IndexMap<InstanceId, Known>,
     /// Start times of processes that have left, so that a late announcement does not
     /// bring them back.
@@ -41,7 +46,23 @@
     Changed,
 }
 
+impl Default for Registry {
+    fn default() -> Self {
+        Self::new(ANNOUNCE_INTERVAL)
+    }
+}
+
 impl Registry {
+    /// Empty registry of targets that announce themselves every `interval`.
+    pub fn new(interval: Millis) -> Self {
+        Self { interval, targets: IndexMap::new(), left: IndexMap::new() }
+    }
+
+    /// Usual interval between a target's announcements.
+    pub fn interval(&self) -> Millis {
+        self.interval
+    }
+
     /// Notes an announcement that arrived at `now`.
     pub fn note(&mut self, now: Millis, announcement: &Announcement) -> Noted {
         if self.is_stale(announcement) {
@@ -91,7 +112,7 @@
     /// Forgets targets that have been silent for long; returns whether there were any.
     pub fn forget_silent(&mut self, now: Millis) -> bool {
         let before = self.targets.len();
-        self.targets.retain(|_, known| now.since(known.heard) < FORGET_AFTER);
+        self.targets.retain(|_, known| now.since(known.heard).0 < self.interval.0 * FORGET_AFTER);
         before != self.targets.len()
     }
 
--- a/src/fleet/runtime.rs
+++ b/src/fleet/runtime.rs
@@ -73,6 +73,8 @@
     pub timing: GroupTiming,
     /// Name of the host in calls to the platform.
     pub holder: String,
+    /// Usual interval between a target's announcements.
+    pub announce_interval: Millis,
 }
 
 /// Handle for calls to the event loop.
@@ -157,7 +159,17 @@
     let tasks = Tasks { events: events_tx.clone() };
     let name = settings.holder.clone();
     let metrics = ControlMetrics::new();
-    let parts = Parts { name, clock, node, disk, state, ports, tasks, metrics: metrics.clone() };
+    let parts = Parts {
+        name,
+        clock,
+        node,
+        disk,
+        state,
+        ports,
+        tasks,
+        metrics: metrics.clone(),
+        announce_interval: settings.announce_interval,
+    };
     let control = Control::new(parts);
     let listen_addr = settings.listen_addr;
     let run = async move {
--- a/tests/fleet_failover.rs
+++ b/tests/fleet_failover.rs
@@ -430,3 +430,27 @@
     bench.run(500);
     assert_eq!(bench.calls.len(), 1);
 }
+
+/// Guards against the replacement of a primary that is merely between two announcements,
+/// on a deployment whose targets announce themselves every five seconds.
+#[test]
+fn silence_is_counted_in_announcements() {
+    let mut bench = Bench::new();
+    bench.registry = Registry::new(Millis(5_000));
+    bench.announce(false);
+    bench.hosts = Hosts::new(Millis(0));
+    let until = bench.now + Millis(14_000);
+    while bench.now < until {
+        bench.now += Millis(STEP);
+        let cx = Cx {
+            now: bench.now,
+            term: bench.term,
+            since: Millis(0),
+            registry: &bench.registry,
+            hosts: &bench.hosts,
+            view: ViewRevision { term: bench.term, number: bench.view },
+        };
+        let actions = bench.failover.tick(&cx, [service()].into_iter(), &bench.unfinished);
+        assert_eq!(actions, [], "{} ms after the announcement", bench.now.0 - 10_000);
+    }
+}
