Leave connections to control while a primary changes

Change: such a host has half of what the owner leaves, and the owner leaves four more to control while the primary of the service changes.

--- a/src/gateway/cx.rs
+++ b/src/gateway/cx.rs
@@ -20,7 +20,7 @@
         knowledge::Knowledge,
         lease::TrustLease,
         metrics::GatewayMetrics,
-        owners::{Owners, connection_part},
+        owners::{Owners, Part, connection_part},
         peers::Peers,
         pool::Pools,
         ports::Targets,
@@ -160,9 +160,15 @@
         let service = knowledge.config.services.get(&target.service);
         let all = service.map_or(1, |service| service.max_connections);
         let ranked = knowledge.ranked(target);
-        let is_first = ranked.first().is_some_and(|host| host.id == self.settings.host);
-        let owns = is_first || self.owners.borrow().serves(now, &target.id);
-        connection_part(all, ranked.len(), owns)
+        let changing = knowledge.service(&target.service).is_some_and(|service| service.changing);
+        let part = if ranked.first().is_some_and(|host| host.id == self.settings.host) {
+            Part::Owner
+        } else if self.owners.borrow().serves(now, &target.id) {
+            Part::Deputy
+        } else {
+            Part::Other
+        };
+        connection_part(all, ranked.len(), part, changing)
     }
 
     /// Closes idle connections that belong to other hosts now.
--- a/src/gateway/owners.rs
+++ b/src/gateway/owners.rs
@@ -28,6 +28,10 @@
 /// hosts that cannot reach the owner, and for control.
 const OWNER_PERCENT: u32 = 75;
 
+/// Connections of control to one target while it changes the primary: an order every
+/// 100 ms, each for at most 400 ms.
+const ORDERS: u32 = 4;
+
 /// Hosts in the order in which they own `target`.
 pub fn ranking<'a>(target: &Announcement, hosts: &'a [EntryHost]) -> Vec<&'a EntryHost> {
     let mut ranked: Vec<&EntryHost> = hosts.iter().collect();
@@ -38,16 +42,32 @@
     ranked
 }
 
+/// Part that a host plays for a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Part {
+    /// First in the order of hosts.
+    Owner,
+    /// Other hosts use it because they cannot use the owner.
+    Deputy,
+    Other,
+}
+
 /// Connections that a host may have, of `all` that a target accepts from `hosts` hosts.
-pub fn connection_part(all: u32, hosts: usize, owns: bool) -> u32 {
+/// While the primary of the target's service changes, the owner leaves some to control,
+/// whose orders would be refused otherwise.
+pub fn connection_part(all: u32, hosts: usize, part: Part, changing: bool) -> u32 {
     let for_owner = all * OWNER_PERCENT / 100;
-    let part = match u32::try_from(hosts) {
-        _ if owns => for_owner,
-        // How many hosts share the rest is not known.
-        Ok(0) | Err(_) => 1,
-        Ok(others) => (all - for_owner) / others,
+    let rest = all - for_owner;
+    let allowed = match part {
+        Part::Owner if changing => for_owner.saturating_sub(ORDERS),
+        Part::Owner => for_owner,
+        Part::Deputy => rest / 2,
+        // Without hosts it is not known how many share the rest.
+        Part::Other => {
+            u32::try_from(hosts).ok().and_then(|hosts| rest.checked_div(hosts)).unwrap_or(1)
+        }
     };
-    part.max(1)
+    allowed.max(1)
 }
 
 /// Experience with owners.
