Take over the inventory before the first report counts

A report that arrives together with the answer that makes a new leader serve was handled before the inventory was taken over, so that the older view of a host could name the primary.

--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -263,13 +263,17 @@
                 self.heard.insert(name.to_owned(), self.clock.now());
                 self.step(Input::Message(message))?;
             }
-            Frame::Report(report) => self.report(id, &report),
+            Frame::Report(report) => {
+                self.take_over();
+                self.report(id, &report);
+            }
             _ => spdlog::debug!("ignoring an unexpected frame"),
         }
         Ok(())
     }
 
     fn handle(&mut self, event: Event) {
+        self.take_over();
         match event {
             Event::Call { call, reply } => self.call(call, reply),
             Event::Failover { service, event } => self.failover_event(&service, event),
--- a/src/fleet/takeover.rs
+++ b/src/fleet/takeover.rs
@@ -16,7 +16,8 @@
 const STORE_INTERVAL: Millis = Millis(500);
 
 impl<P: Ports> Control<P> {
-    /// Takes over the inventory as soon as all entries of earlier leaders are applied.
+    /// Takes over the inventory as soon as all entries of earlier leaders are applied, and
+    /// before a report or an announcement counts: a host may have an older view.
     pub(super) fn take_over(&mut self) {
         let now = self.clock.now();
         if !self.node.is_serving(now) {
