Keep a leader that was elected early from voting for another host

A request for a vote that was sent before the early election releases the process that now leads. It gave up the lead, which is safe and needless. Found in the read-through. Test: leader_that_was_elected_early_keeps_the_lead.

--- a/src/control/campaign.rs
+++ b/src/control/campaign.rs
@@ -109,7 +109,9 @@
         last: LogMark,
         released: Option<u64>,
     ) {
-        let is_released = released == Some(self.settings.seed) && self.timer.is_starting(now);
+        let is_leader = matches!(self.state, State::Leader(_));
+        let is_released =
+            !is_leader && released == Some(self.settings.seed) && self.timer.is_starting(now);
         if self.follows_leader(now) && !is_released {
             return;
         }
--- a/tests/control_node.rs
+++ b/tests/control_node.rs
@@ -369,3 +369,20 @@
     let outputs = node.step(now, vote_request(5, last, Some(PROCESS)));
     assert_eq!(granted(&outputs), None, "a leader was heard");
 }
+
+/// Guards against a leader that gives up its lead for a request that was on its way since
+/// before it was elected early.
+#[test]
+fn leader_that_was_elected_early_keeps_the_lead() {
+    let mut node = node(Vote::default(), &[1]);
+    let (now, round) = first_round(&mut node);
+    node.step(now, from("b", 0, starting(round, 7)));
+    node.step(now, from("c", 0, starting(round, 8)));
+    node.step(now, from("b", 1, GroupBody::VoteAnswer { granted: true }));
+    sync(&mut node, now, 2);
+    node.step(now, from("b", 1, matched(now, node.last().index)));
+    assert!(node.is_serving(now));
+    let outputs = node.step(now, vote_request(2, mark(1, 3), Some(PROCESS)));
+    assert_eq!(granted(&outputs), None);
+    assert!(node.is_serving(now));
+}
