--- a/tests/control_start.rs
+++ b/tests/control_start.rs
@@ -69,3 +69,22 @@
         group.commit(1);
     }
 }
+
+/// Guards against an early election while a leader that is cut off still serves: all
+/// other hosts have just started and know nothing of their promises.
+#[test]
+fn early_election_needs_the_earlier_leader() {
+    for seed in 0..40 {
+        let mut group = Group::formed(if seed % 2 == 0 { 3 } else { 5 }, seed);
+        group.commit(1);
+        let leader = group.leader().expect("a leader");
+        let others = group.followers();
+        group.cut.insert(leader);
+        for name in &others {
+            group.kill(name);
+            group.start(name);
+        }
+        group.run(1_500);
+        assert!(group.leader().is_some_and(|name| others.contains(&name)), "seed {seed}");
+    }
+}
