Repeat unanswered calls for the same candidate

Tests, all failing before: unanswered_calls_are_repeated_for_the_same_candidate, lost_candidate_is_replaced, unfinished_promotion_does_not_keep_a_draining_primary. The stand-in of the platform in these tests refuses calls for a target that does not run.

--- a/src/fleet/change.rs
+++ b/src/fleet/change.rs
@@ -46,6 +46,10 @@
     pub(super) statuses: IndexMap<InstanceId, TargetStatus>,
     pub(super) paused: IndexMap<InstanceId, Mark>,
     pub(super) candidate: Option<InstanceId>,
+    /// The candidate leads already; a call makes late calls for others void.
+    pub(super) stays: bool,
+    /// When the change began or the candidate last answered.
+    pub(super) heard: Millis,
     pub(super) step: Step,
 }
 
@@ -73,6 +77,8 @@
             statuses: IndexMap::new(),
             paused: IndexMap::new(),
             candidate: None,
+            stays: false,
+            heard: now,
             step: Step::Choosing,
         }
     }
@@ -83,12 +89,13 @@
             return;
         }
         match outcome {
-            // The next call follows at once, with a higher number.
-            CallOutcome::Refused => {
+            // The next call follows at once, with a higher number. One that got no answer
+            // may be carried out late, and is void then.
+            CallOutcome::Refused | CallOutcome::Unknown => {
                 let sent = Millis(now.0.saturating_sub(REPEAT_CALL.0 - ASK_INTERVAL.0));
                 self.step = Step::Calling { sent, token };
             }
-            CallOutcome::Accepted | CallOutcome::Unknown => {}
+            CallOutcome::Accepted => {}
         }
     }
 
@@ -98,14 +105,18 @@
     }
 
     /// Primary that still serves although a promotion may be under way or was
-    /// suspected to be needed: calling it again makes late calls void.
-    pub(super) fn settled_by(&self) -> Option<InstanceId> {
+    /// suspected to be needed: calling it again makes late calls void. One that leaves is
+    /// replaced instead.
+    pub(super) fn settled_by(&self, cx: &Cx<'_>, service: &Service) -> Option<InstanceId> {
         if !matches!(self.reason, Reason::Unfinished | Reason::Disputed | Reason::Gone) {
             return None;
         }
         let leads = |status: &&TargetStatus| status.role == TargetRole::Primary;
         let serving = self.statuses.iter().filter(|(_, status)| leads(status));
-        serving.max_by_key(|(_, status)| status.term).map(|(id, _)| id.clone())
+        let (id, _) = serving.max_by_key(|(_, status)| status.term)?;
+        let leaves = cx.registry.get(id).is_some_and(|it| it.draining);
+        let has_other = cx.registry.of(service).any(|it| !it.draining);
+        (!leaves || !has_other).then(|| id.clone())
     }
 
     /// Replica that should become the primary: of those that have received most, the
@@ -152,7 +163,7 @@
         primary: Option<&InstanceId>,
     ) -> bool {
         let Some(candidate) = &self.candidate else { return false };
-        self.reason == Reason::Unfinished || self.is_safe(cx, service, candidate, primary)
+        self.stays || self.is_safe(cx, service, candidate, primary)
     }
 
     /// Whether the candidate holds everything that was or can be acknowledged.
--- a/src/fleet/failover.rs
+++ b/src/fleet/failover.rs
@@ -229,6 +229,9 @@
                     }
                     Order::Status => {}
                 }
+                if change.candidate.as_ref() == Some(&target) {
+                    change.heard = cx.now;
+                }
                 change.statuses.insert(target, status);
             }
             Event::Answered { status: None, .. } => {}
@@ -314,8 +317,9 @@
         let primary = self.primary.clone();
         self.ask(cx, service, out);
         let Some(change) = &mut self.change else { return };
-        if let Some(current) = change.settled_by() {
+        if let Some(current) = change.settled_by(cx, service) {
             change.candidate = Some(current.clone());
+            change.stays = true;
             if change.reason != Reason::Unfinished {
                 self.finish(cx, service, out);
                 return;
@@ -401,11 +405,15 @@
     }
 
     /// Begins anew when nothing was decided for long, for example because the
-    /// candidate was lost as well. Paused replicas are resumed if no call is under
-    /// way.
+    /// candidate was lost as well. Calls for a candidate that answers are repeated
+    /// instead. Paused replicas are resumed if no call is under way.
     fn restart_if_stuck(&mut self, cx: &Cx<'_>, service: &Service, out: &mut Vec<Action>) {
         let Some(change) = &self.change else { return };
-        if cx.now.since(change.since) < RESTART_AFTER {
+        let called = change.was_called();
+        let waits_since = if called { change.heard } else { change.since };
+        let is_gone = |id: &InstanceId| cx.registry.get(id).is_none();
+        let is_lost = called && change.candidate.as_ref().is_some_and(is_gone);
+        if cx.now.since(waits_since) < RESTART_AFTER && !is_lost {
             return;
         }
         spdlog::warn!("change of a primary begins again", kv: {service = service.as_str(), step = format!("{:?}", change.step).as_str()});
@@ -415,12 +423,13 @@
                 out.push(Action::Ask { service, target, order: Order::Resume });
             }
         }
-        let called = matches!(change.step, Step::Calling { .. });
-        self.change = None;
+        let stuck = self.change.take().filter(|_| called);
         self.ended = Some(cx.now);
-        if called {
-            self.change = Some(Change::new(cx.now, Reason::Unfinished));
-        }
+        // Replicas that were paused for the call still are.
+        self.change = stuck.map(|stuck| Change {
+            paused: stuck.paused,
+            ..Change::new(cx.now, Reason::Unfinished)
+        });
         out.push(Action::ViewChanged);
     }
 }
--- a/tests/fleet_failover.rs
+++ b/tests/fleet_failover.rs
@@ -202,6 +202,10 @@
     fn call(&mut self, target: &InstanceId, token: u64) {
         self.calls.push((target.to_string(), token));
         assert!(!self.paused.contains(&target.to_string()), "a paused target is promoted");
+        if self.targets.get(target.as_str()).is_none_or(Option::is_none) {
+            self.event(Event::Called { token, outcome: CallOutcome::Refused });
+            return;
+        }
         if self.carries_out {
             for state in self.targets.values_mut().flatten() {
                 state.0 = TargetRole::Replica;
@@ -454,3 +458,49 @@
         assert_eq!(actions, [], "{} ms after the announcement", bench.now.0 - 10_000);
     }
 }
+
+/// Guards against a change that takes itself back: calls got no answer for five seconds,
+/// the last one was carried out, and the leader called for the draining primary again
+/// (kcrc-pool, late-promotions.toml --vary --seed 526224999460).
+#[test]
+fn unanswered_calls_are_repeated_for_the_same_candidate() {
+    let mut bench = Bench::new();
+    bench.carries_out = false;
+    bench.announce(true);
+    bench.run(9_000);
+    assert!(bench.calls.len() >= 8, "{} calls in 9 s", bench.calls.len());
+    assert!(!bench.promoted().contains(&"p"), "{:?}", bench.promoted());
+    bench.carries_out = true;
+    bench.run(3_000);
+    let primary = bench.failover.primary(&service(), &bench.unfinished).unwrap();
+    assert!(primary.0.is_some_and(|id| id.as_str() != "p") && !primary.1, "{primary:?}");
+}
+
+/// Guards against a change that waits for ever for a candidate that was lost.
+#[test]
+fn lost_candidate_is_replaced() {
+    let mut bench = Bench::new();
+    bench.carries_out = false;
+    bench.announce(true);
+    bench.run(1_000);
+    let lost = bench.calls[0].0.clone();
+    bench.targets[lost.as_str()] = None;
+    bench.registry.remove(&lost.as_str().into());
+    bench.run(1_000);
+    bench.carries_out = true;
+    bench.run(8_000);
+    let primary = bench.failover.primary(&service(), &bench.unfinished).unwrap();
+    assert!(primary.0.is_some_and(|id| id.as_str() != lost) && !primary.1, "{primary:?}");
+}
+
+/// Guards against a new leader that keeps a draining primary in order to settle the
+/// promotion of an earlier one.
+#[test]
+fn unfinished_promotion_does_not_keep_a_draining_primary() {
+    let mut bench = Bench::new();
+    bench.announce(true);
+    bench.unfinished.insert(service(), "r2".into());
+    bench.run(2_000);
+    assert!(!bench.calls.is_empty() && !bench.promoted().contains(&"p"), "{:?}", bench.calls);
+    assert!(bench.unfinished.is_empty());
+}
