--- a/tests/backend/mod.rs
+++ b/tests/backend/mod.rs
@@ -40,6 +40,8 @@
     pub refuse: bool,
     /// Statements that begin so, and new connections, get no answer.
     pub hang: Option<&'static str>,
+    /// A statement that began with `hang` has arrived.
+    pub hung: bool,
     /// Authentication request and the password message that it must get.
     pub password: Option<(Vec<u8>, String)>,
     pub connections: usize,
@@ -77,6 +79,7 @@
             break_at: None,
             refuse: false,
             hang: None,
+            hung: false,
             password: None,
             connections: 0,
             open: 0,
@@ -191,6 +194,9 @@
         let hangs = || {
             self.state.lock().hang.is_some_and(|prefix| sql.starts_with(prefix) || sql.is_empty())
         };
+        if !sql.is_empty() && hangs() {
+            self.state.lock().hung = true;
+        }
         while hangs() {
             sleep(Duration::from_millis(5)).await;
         }
--- a/tests/owner.rs
+++ b/tests/owner.rs
@@ -253,7 +253,9 @@
         fixture.backend.state.lock().hang = Some(prefix);
         fixture.view.groups[0].promotion = Some(Promotion { term: Term(2), preferred: None });
         let promote = async {
-            sleep(Duration::from_millis(50)).await;
+            while !fixture.backend.state.lock().hung {
+                sleep(Duration::from_millis(5)).await;
+            }
             fixture.update();
         };
         let write = timeout(Duration::from_millis(600), fixture.write("k", "d"));
