Copy a job only for another way, and name two checks once

Found in the read-through of the change. Lane::run copied every job, with the session's values, before the first attempt; now only when another way is tried. Poll computed "all voters are free" in two places, and failover and change each asked whether another target of the service stays: Poll::all_free and change::has_staying serve both. In the second the target that is asked about leaves, so leaving it out of the count changes nothing.

--- a/src/control/election.rs
+++ b/src/control/election.rs
@@ -140,13 +140,16 @@
     /// Whether an election would succeed. A candidate that must be quiet itself needs
     /// all voters: a leader that any earlier process followed would be among them.
     pub fn would_win(&self, members: &Members, is_quiet: bool) -> bool {
-        let all_free = members.0.keys().all(|id| self.free.contains_key(id));
-        all_free || (!is_quiet && self.ballot.has_won(members))
+        self.all_free(members) || (!is_quiet && self.ballot.has_won(members))
+    }
+
+    fn all_free(&self, members: &Members) -> bool {
+        members.0.keys().all(|id| self.free.contains_key(id))
     }
 
     /// Processes that are to be released; empty unless all voters are free.
     pub fn released(&self, members: &Members) -> BTreeMap<ControlId, u64> {
-        if !members.0.keys().all(|id| self.free.contains_key(id)) {
+        if !self.all_free(members) {
             return BTreeMap::new();
         }
         self.free.iter().filter_map(|(id, process)| Some((id.clone(), (*process)?))).collect()
--- a/src/fleet/change.rs
+++ b/src/fleet/change.rs
@@ -115,8 +115,7 @@
         let serving = self.statuses.iter().filter(|(_, status)| leads(status));
         let (id, _) = serving.max_by_key(|(_, status)| status.term)?;
         let leaves = cx.registry.get(id).is_some_and(|it| it.draining);
-        let has_other = cx.registry.of(service).any(|it| !it.draining);
-        (!leaves || !has_other).then(|| id.clone())
+        (!leaves || !has_staying(cx, service)).then(|| id.clone())
     }
 
     /// Replica that should become the primary: of those that have received most, the
@@ -203,6 +202,11 @@
     cx.registry.of(service).filter(move |it| Some(&it.id) != primary)
 }
 
+/// Whether a target of the service is not about to leave.
+pub(super) fn has_staying(cx: &Cx<'_>, service: &Service) -> bool {
+    cx.registry.of(service).any(|it| !it.draining)
+}
+
 /// Whether at least half of the hosts can use a target, as far as they have tried.
 pub(super) fn is_reachable(cx: &Cx<'_>, id: &InstanceId) -> bool {
     cx.hosts.opinions(cx.now, id).failing * 2 <= cx.hosts.len()
--- a/src/fleet/failover.rs
+++ b/src/fleet/failover.rs
@@ -14,7 +14,8 @@
     clock::Millis,
     fleet::{
         change::{
-            ASK_INTERVAL, Change, GIVE_UP_ON_SILENT, REPEAT_CALL, Step, is_failing, is_reachable,
+            ASK_INTERVAL, Change, GIVE_UP_ON_SILENT, REPEAT_CALL, Step, has_staying, is_failing,
+            is_reachable,
         },
         hosts::Hosts,
         messages::{TargetRole, ViewRevision},
@@ -271,8 +272,7 @@
             return Some(Reason::Gone);
         }
         if primary.draining {
-            let has_other = cx.registry.of(service).any(|it| !it.draining && it.id != primary.id);
-            return has_other.then_some(Reason::Draining);
+            return has_staying(cx, service).then_some(Reason::Draining);
         }
         // Another target that hosts cannot reach either would serve no better.
         let has_better = cx
--- a/src/gateway/lane.rs
+++ b/src/gateway/lane.rs
@@ -1,7 +1,7 @@
 //! Way from a session to a target: through the target's owner, or over connections of
 //! this host if no owner can be used.
 
-use std::rc::Rc;
+use std::{borrow::Cow, rc::Rc};
 
 use crate::{
     clock::Millis,
@@ -50,8 +50,8 @@
     pub async fn run(&mut self, cx: &Cx<T>, job: &Job) -> Result<Answer, Obstacle> {
         let began = cx.now();
         let mut tried: Vec<HostId> = Vec::new();
-        let mut job = job.clone();
         let limit = job.limit;
+        let mut job = Cow::Borrowed(job);
         loop {
             let result = match &mut self.via {
                 Via::Own(held) => execute(cx, held, &job).await,
@@ -63,10 +63,11 @@
                 return result;
             }
             tried.push(self.note_failure(cx));
-            job.limit = limit.since(cx.now().since(began));
-            if tried.len() == MOST_WAYS || job.limit == Millis(0) {
+            let left = limit.since(cx.now().since(began));
+            if tried.len() == MOST_WAYS || left == Millis(0) {
                 return result;
             }
+            job.to_mut().limit = left;
             self.via = choose(cx, &self.target, self.keeps, &tried);
             if matches!(self.via, Via::Own(_)) && tried.contains(&cx.settings.host) {
                 return result;
