Drive the control group's node in one place

Writes go to the disk before the other outputs of a step are carried out instead of after them; messages that depend on a write are held as before.

--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -6,7 +6,7 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use eyre::{Result, WrapErr};
+use eyre::Result;
 use tokio::sync::mpsc;
 
 use crate::{
@@ -17,9 +17,9 @@
     },
     clock::{Clock, Millis, SystemClock},
     control::{
-        held::HeldMessages,
+        driver::Driver,
         leases::LeaseTable,
-        node::{Input, Node, Proposal},
+        node::{Input, Node},
         operators::{Answer, Operators, Reply, Request},
         promotions::Promotions,
         report::Report,
@@ -69,18 +69,13 @@
 pub struct Core {
     pub(super) settings: Arc<ControlSettings>,
     pub(super) clock: SystemClock,
-    pub(super) node: Node,
-    pub(super) disk: DiskQueue,
-    pub(super) held: HeldMessages,
+    pub(super) group: Driver,
     pub(super) bus: Bus,
     pub(super) fencing: Fencing,
     pub(super) state: ClusterState,
     pub(super) history: History,
     pub(super) leading: Option<Leading>,
     pub(super) operators: Operators,
-    /// Commands to propose after the current batch, with one sync for all.
-    pub(super) proposals: Vec<Proposal>,
-    tickets: u64,
     /// Committed changes that have not been sent to the hosts.
     pub(super) unsent: bool,
     /// Time before which no updates are pushed.
@@ -111,17 +106,13 @@
         Self {
             settings,
             clock,
-            node,
-            disk,
-            held: HeldMessages::default(),
+            group: Driver::new(node, clock, disk),
             bus,
             fencing,
             state,
             history: History::new(HISTORY_CHANGES),
             leading: None,
             operators: Operators::default(),
-            proposals: Vec::new(),
-            tickets: 0,
             unsent: false,
             push_after: Millis(0),
             removed_at: None,
@@ -163,7 +154,7 @@
         self.step(Input::Tick)?;
         self.reconnect();
         let now = self.clock.now();
-        if !self.node.is_serving(now) {
+        if !self.group.node.is_serving(now) {
             return Ok(());
         }
         let Some(leading) = &mut self.leading else { return Ok(()) };
@@ -195,7 +186,7 @@
         match event {
             Event::Operator { request, reply } => self.answer_operator(now, request, reply),
             Event::Promotion { service, event } => {
-                if !self.node.is_serving(now) {
+                if !self.group.node.is_serving(now) {
                     return;
                 }
                 let Some(leading) = &mut self.leading else { return };
@@ -207,9 +198,8 @@
 
     /// Proposes what the batch brought, sends committed changes and reports.
     fn finish_batch(&mut self) -> Result<()> {
-        while !self.proposals.is_empty() {
-            let proposals = std::mem::take(&mut self.proposals);
-            self.step(Input::Propose(proposals))?;
+        while let Some(input) = self.group.take_proposals() {
+            self.step(input)?;
         }
         let now = self.clock.now();
         if self.unsent && now >= self.push_after {
@@ -221,16 +211,15 @@
                 self.operators.check(self.clock.now(), &leading.leases);
             }
         }
-        if self.node.entries_since_snapshot() >= SNAPSHOT_ENTRIES {
-            let data = postcard::to_stdvec(&self.state).wrap_err("cannot encode the state")?;
-            self.step(Input::Compact { data: data.into() })?;
+        if let Some(input) = self.group.compaction(SNAPSHOT_ENTRIES, &self.state)? {
+            self.step(input)?;
         }
-        self.report.update(self.clock.now(), &self.node, &self.state, self.leading.as_ref());
+        self.report.update(self.clock.now(), &self.group.node, &self.state, self.leading.as_ref());
         Ok(())
     }
 
     fn answer_operator(&mut self, now: Millis, request: Request, reply: Reply) {
-        if !self.node.is_serving(now) {
+        if !self.group.node.is_serving(now) {
             let _ = reply.send(self.refusal());
             return;
         }
@@ -250,10 +239,10 @@
 
     /// Names the leader, unless this host leads without a majority.
     fn refusal(&self) -> Answer {
-        let leader = self.node.role().leader;
-        let member = leader.as_ref().and_then(|id| self.node.members().0.get(id));
+        let leader = self.group.node.role().leader;
+        let member = leader.as_ref().and_then(|id| self.group.node.members().0.get(id));
         match member {
-            Some(_) if leader.as_ref() == Some(self.node.id()) => {
+            Some(_) if leader.as_ref() == Some(self.group.node.id()) => {
                 Answer::unavailable("this host leads without a majority")
             }
             member => Answer::NotLeader(NotLeader {
@@ -270,14 +259,7 @@
     }
 
     pub(super) fn propose(&mut self, command: &Command) -> u64 {
-        self.tickets += 1;
-        match postcard::to_stdvec(command) {
-            Ok(bytes) => {
-                self.proposals.push(Proposal { ticket: self.tickets, bytes: bytes.into() });
-            }
-            Err(error) => spdlog::error!("cannot encode a command: {error}"),
-        }
-        self.tickets
+        self.group.propose(command)
     }
 
     /// Opens connections to silent control hosts anew.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod campaign;
 pub mod core;
+pub mod driver;
 pub mod election;
 pub mod follower;
 pub mod formation;
--- a/src/control/outputs.rs
+++ b/src/control/outputs.rs
@@ -7,6 +7,7 @@
     clock::{Clock, Millis},
     control::{
         core::{Core, HISTORY_CHANGES, Leading},
+        driver::decode_state,
         leases::LeaseTable,
         node::{Input, Output, Role, RoleChange},
         promotions::Promotions,
@@ -16,7 +17,7 @@
     settings::promotion::PromotionSettings,
     state::{
         delta::History,
-        model::{Change, ClusterState, Command},
+        model::{Change, Command},
     },
     wire::{
         control::ControlMessage,
@@ -29,26 +30,17 @@
 
 impl Core {
     pub(super) fn step(&mut self, input: Input) -> Result<()> {
-        let mut writes = Vec::new();
-        for output in self.node.step(self.clock.now(), input) {
-            match output {
-                Output::Persist(write) => {
-                    self.held.wrote();
-                    writes.push(write);
-                }
-                output => self.execute(output)?,
-            }
+        for output in self.group.step(input)? {
+            self.execute(output)?;
         }
-        if writes.is_empty() { Ok(()) } else { self.disk.push(writes) }
+        Ok(())
     }
 
     /// Follows `count` synced writes and sends the messages that waited for them.
     pub(super) fn confirm(&mut self, count: usize) -> Result<()> {
         for _ in 0..count {
-            self.held.confirmed();
-            self.step(Input::Persisted)?;
-            while let Some((addr, message)) = self.held.pop_ready() {
-                self.send_group(&addr, message)?;
+            for output in self.group.confirm()? {
+                self.execute(output)?;
             }
         }
         Ok(())
@@ -56,10 +48,8 @@
 
     fn execute(&mut self, output: Output) -> Result<()> {
         match output {
+            // The driver has given it to the disk.
             Output::Persist(_) => {}
-            Output::Send { addr, message } if self.held.must_wait(&message) => {
-                self.held.hold(addr, message);
-            }
             Output::Send { addr, message } => self.send_group(&addr, message)?,
             Output::RestoreSnapshot { index, data } => {
                 self.state = decode_state(&data)?;
@@ -130,7 +120,7 @@
             });
         } else if self.leading.take().is_some() {
             self.operators.abandon();
-            self.proposals.clear();
+            self.group.clear_proposals();
         }
     }
 
@@ -159,8 +149,3 @@
         }
     }
 }
-
-/// State from a snapshot.
-pub fn decode_state(data: &[u8]) -> Result<ClusterState> {
-    postcard::from_bytes(data).wrap_err("cannot decode the state in the snapshot")
-}
--- a/src/control/renewals.rs
+++ b/src/control/renewals.rs
@@ -12,11 +12,12 @@
     pub(super) fn renew(&mut self, renew: &Renew) {
         let now = self.clock.now();
         let addr = &renew.host.bus_addr;
-        if !self.node.is_serving(now) {
-            let role = self.node.role();
-            let leader = role.leader.filter(|leader| leader != self.node.id());
+        if !self.group.node.is_serving(now) {
+            let role = self.group.node.role();
+            let leader = role.leader.filter(|leader| leader != self.group.node.id());
             // Entry hosts know control hosts by their configured names.
-            let member = leader.and_then(|leader| self.node.members().0.get(&leader).cloned());
+            let member =
+                leader.and_then(|leader| self.group.node.members().0.get(&leader).cloned());
             let leader = member.map(|member| ControlId::from(member.name));
             self.send_answer(addr, RenewAnswer::NotLeader { leader });
             return;
@@ -81,7 +82,7 @@
     /// Sends committed changes at once. The answers repeat the echo of the last
     /// renewal, so they do not extend a lease.
     pub(super) fn push_updates(&mut self) {
-        if !self.node.is_serving(self.clock.now()) {
+        if !self.group.node.is_serving(self.clock.now()) {
             return;
         }
         let Some(leading) = &mut self.leading else { return };
--- a/src/control/runtime.rs
+++ b/src/control/runtime.rs
@@ -24,8 +24,8 @@
     clock::{Clock, SystemClock},
     control::{
         core::{Core, Event, Parts},
+        driver::decode_state,
         node::{GroupPolicy, Node, NodeSettings},
-        outputs::decode_state,
         report::Report,
     },
     ids::Incarnation,
--- a/src/control/status.rs
+++ b/src/control/status.rs
@@ -31,7 +31,7 @@
     }
 
     fn status(&self, now: Millis) -> StatusResponse {
-        let leader = self.node.role().leader;
+        let leader = self.group.node.role().leader;
         status(&self.state.view, &self.acknowledged(), leader, self.control_status(now))
     }
 
@@ -44,8 +44,8 @@
     }
 
     fn control_status(&self, now: Millis) -> Vec<ControlStatus> {
-        let heard = self.node.heard();
-        let members = &self.node.members().0;
+        let heard = self.group.node.heard();
+        let members = &self.group.node.members().0;
         let learners = heard.iter().filter(|(id, _)| !members.contains_key(*id));
         let learners = learners.map(|(id, at)| ControlStatus {
             id: id.clone(),
--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -4,7 +4,7 @@
 use std::{collections::HashMap, sync::Arc};
 
 use bytes::Bytes;
-use eyre::{Result, WrapErr};
+use eyre::Result;
 use indexmap::IndexMap;
 use tokio::sync::{mpsc, oneshot};
 
@@ -12,8 +12,8 @@
     adapters::disk_queue::{Confirmations, DiskQueue},
     clock::{Clock, Millis, SystemClock},
     control::{
-        held::HeldMessages,
-        node::{Input, Node, Proposal, Role},
+        driver::Driver,
+        node::{Input, Node, Role},
     },
     fleet::{
         config::FleetConfig,
@@ -113,18 +113,14 @@
 /// State of a control host.
 pub struct Control<P> {
     pub(super) clock: SystemClock,
-    pub(super) node: Node,
+    pub(super) group: Driver,
     pub(super) name: String,
-    pub(super) disk: DiskQueue,
-    pub(super) held: HeldMessages,
     pub(super) links: Links,
     pub(super) heard: HashMap<String, Millis>,
     pub(super) state: FleetState,
     pub(super) config: FleetConfig,
     pub(super) answers: HashMap<ConnectionId, mpsc::Sender<Bytes>>,
     pub(super) leading: Option<Leading>,
-    proposals: Vec<Proposal>,
-    tickets: u64,
     pub(super) proposed: HashMap<u64, oneshot::Sender<Answer>>,
     pub(super) waiting: Vec<Waiting>,
     pub(super) ports: P,
@@ -156,18 +152,14 @@
         let config = decode_config(&ports, &state.config);
         Self {
             clock,
-            node,
+            group: Driver::new(node, clock, disk),
             name,
-            disk,
-            held: HeldMessages::default(),
             links: Links::default(),
             heard: HashMap::new(),
             state,
             config,
             answers: HashMap::new(),
             leading: None,
-            proposals: Vec::new(),
-            tickets: 0,
             proposed: HashMap::new(),
             waiting: Vec::new(),
             ports,
@@ -210,7 +202,7 @@
     fn tick(&mut self) -> Result<()> {
         self.step(Input::Tick)?;
         self.reconnect();
-        if self.node.is_serving(self.clock.now()) {
+        if self.group.node.is_serving(self.clock.now()) {
             self.lead();
         }
         self.update_metrics();
@@ -218,7 +210,7 @@
     }
 
     fn update_metrics(&self) {
-        let role = self.node.role();
+        let role = self.group.node.role();
         let leading = self.leading.as_ref();
         let changes = |leading: &Leading| {
             let services = leading.failover.services().map(|(service, _)| service);
@@ -232,10 +224,10 @@
         };
         self.metrics.update(ControlState {
             leads: role.role == Role::Leader,
-            serving: self.node.is_serving(self.clock.now()),
+            serving: self.group.node.is_serving(self.clock.now()),
             term: role.term.0,
-            commit: self.node.commit(),
-            voters: self.node.members().0.len(),
+            commit: self.group.node.commit(),
+            voters: self.group.node.members().0.len(),
             config_version: self.state.config.version,
             hosts: leading.map_or(0, |leading| leading.hosts.len()),
             targets: leading.map_or(0, |leading| leading.registry.all().count()),
@@ -282,7 +274,7 @@
 
     fn call(&mut self, call: Call, reply: oneshot::Sender<Answer>) {
         let now = self.clock.now();
-        if !self.node.is_serving(now) || self.leading.is_none() {
+        if !self.group.node.is_serving(now) || self.leading.is_none() {
             // The caller may have gone.
             let _ = reply.send(self.refusal());
             return;
@@ -341,31 +333,21 @@
 
     /// Names the leader if another host leads.
     fn refusal(&self) -> Answer {
-        let leader = self.node.role().leader.filter(|leader| leader != self.node.id());
-        let member = leader.and_then(|id| self.node.members().0.get(&id).cloned());
+        let leader = self.group.node.role().leader.filter(|leader| leader != self.group.node.id());
+        let member = leader.and_then(|id| self.group.node.members().0.get(&id).cloned());
         member.map_or(Answer::Unavailable, |member| Answer::Leader(member.http_addr))
     }
 
     pub(super) fn propose(&mut self, command: &FleetCommand) -> u64 {
-        self.tickets += 1;
-        match postcard::to_stdvec(command) {
-            Ok(bytes) => {
-                let bytes = bytes.into();
-                self.proposals.push(Proposal { ticket: self.tickets, bytes });
-            }
-            Err(error) => spdlog::error!("cannot encode a command: {error}"),
-        }
-        self.tickets
+        self.group.propose(command)
     }
 
     fn finish_batch(&mut self) -> Result<()> {
-        while !self.proposals.is_empty() {
-            let proposals = std::mem::take(&mut self.proposals);
-            self.step(Input::Propose(proposals))?;
+        while let Some(input) = self.group.take_proposals() {
+            self.step(input)?;
         }
-        if self.node.entries_since_snapshot() >= SNAPSHOT_ENTRIES {
-            let data = postcard::to_stdvec(&self.state).wrap_err("cannot encode the state")?;
-            self.step(Input::Compact { data: data.into() })?;
+        if let Some(input) = self.group.compaction(SNAPSHOT_ENTRIES, &self.state)? {
+            self.step(input)?;
         }
         self.take_over();
         self.push_view();
@@ -377,7 +359,7 @@
             let (now, interval) = (self.clock.now(), self.announce_interval);
             self.leading.get_or_insert_with(|| Leading::new(now, term, interval));
         } else if self.leading.take().is_some() {
-            self.proposals.clear();
+            self.group.clear_proposals();
             for (_, reply) in self.proposed.drain() {
                 let _ = reply.send(Answer::Unavailable);
             }
--- a/src/fleet/document.rs
+++ b/src/fleet/document.rs
@@ -6,9 +6,7 @@
 use eyre::{Result, WrapErr};
 use flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder};
 
-use crate::fleet::{
-    config::FleetConfig, messages::ConfigDocument, runtime::Ports, state::FleetState,
-};
+use crate::fleet::{config::FleetConfig, messages::ConfigDocument, runtime::Ports};
 
 /// Largest document after decompression, in bytes.
 const MAX_DOCUMENT_BYTES: u64 = 16 * 1024 * 1024;
@@ -28,11 +26,6 @@
     Ok(bytes)
 }
 
-/// State from a snapshot.
-pub fn decode_state(data: &[u8]) -> Result<FleetState> {
-    postcard::from_bytes(data).wrap_err("cannot decode the state in the snapshot")
-}
-
 /// Configuration of a document in the log. It was checked before it was logged, so a
 /// failure means that the log was written by another version of the program.
 pub fn decode_config<P: Ports>(ports: &P, document: &ConfigDocument) -> FleetConfig {
--- a/src/fleet/group_io.rs
+++ b/src/fleet/group_io.rs
@@ -5,10 +5,13 @@
 
 use crate::{
     clock::{Clock, Millis},
-    control::node::{Input, Output},
+    control::{
+        driver::decode_state,
+        node::{Input, Output},
+    },
     fleet::{
         control::{Answer, Control, Waiting},
-        document::{decode_config, decode_state},
+        document::decode_config,
         failover,
         link::encode,
         messages::Frame,
@@ -23,26 +26,17 @@
 
 impl<P: Ports> Control<P> {
     pub(super) fn step(&mut self, input: Input) -> Result<()> {
-        let mut writes = Vec::new();
-        for output in self.node.step(self.clock.now(), input) {
-            match output {
-                Output::Persist(write) => {
-                    self.held.wrote();
-                    writes.push(write);
-                }
-                output => self.execute(output)?,
-            }
+        for output in self.group.step(input)? {
+            self.execute(output)?;
         }
-        if writes.is_empty() { Ok(()) } else { self.disk.push(writes) }
+        Ok(())
     }
 
     /// Follows `count` synced writes and sends the messages that waited for them.
     pub(super) fn confirm(&mut self, count: usize) -> Result<()> {
         for _ in 0..count {
-            self.held.confirmed();
-            self.step(Input::Persisted)?;
-            while let Some((addr, message)) = self.held.pop_ready() {
-                self.links.send(&addr, encode(&Frame::Group(message)));
+            for output in self.group.confirm()? {
+                self.execute(output)?;
             }
         }
         Ok(())
@@ -50,10 +44,8 @@
 
     fn execute(&mut self, output: Output) -> Result<()> {
         match output {
+            // The driver has given it to the disk.
             Output::Persist(_) => {}
-            Output::Send { addr, message } if self.held.must_wait(&message) => {
-                self.held.hold(addr, message);
-            }
             Output::Send { addr, message } => {
                 self.links.send(&addr, encode(&Frame::Group(message)));
             }
@@ -116,8 +108,8 @@
     /// Opens connections to silent control hosts anew.
     pub(super) fn reconnect(&mut self) {
         let now = self.clock.now();
-        let own = self.node.id().clone();
-        for (id, member) in &self.node.members().0 {
+        let own = self.group.node.id().clone();
+        for (id, member) in &self.group.node.members().0 {
             let heard = self.heard.entry(member.name.clone()).or_insert(now);
             if *id != own && now.since(*heard) > PEER_SILENCE {
                 self.links.reset(&member.bus_addr);
--- a/src/fleet/leader.rs
+++ b/src/fleet/leader.rs
@@ -102,7 +102,7 @@
     /// Handles the report of an entry host.
     pub(super) fn report(&mut self, id: ConnectionId, report: &HostReport) {
         let now = self.clock.now();
-        if !self.node.is_serving(now) || self.leading.is_none() {
+        if !self.group.node.is_serving(now) || self.leading.is_none() {
             self.redirect(id);
             return;
         }
@@ -138,8 +138,8 @@
     }
 
     fn redirect(&self, id: ConnectionId) {
-        let members = &self.node.members().0;
-        let leader = self.node.role().leader.filter(|leader| leader != self.node.id());
+        let members = &self.group.node.members().0;
+        let leader = self.group.node.role().leader.filter(|leader| leader != self.group.node.id());
         let leader = leader.and_then(|id| members.get(&id)).map(|member| member.bus_addr.clone());
         let members = members.values().map(|member| member.bus_addr.clone()).collect();
         self.send(id, &Frame::NotLeader(Redirect { leader, members }));
@@ -214,9 +214,9 @@
     /// Computes the view anew if something changed, and sends it to all hosts.
     pub(super) fn push_view(&mut self) {
         let now = self.clock.now();
-        let serving = self.node.is_serving(now);
+        let serving = self.group.node.is_serving(now);
         let control =
-            self.node.members().0.values().map(|member| member.bus_addr.clone()).collect();
+            self.group.node.members().0.values().map(|member| member.bus_addr.clone()).collect();
         let Some(leading) = &mut self.leading else { return };
         let is_due = leading.view_outdated && now.since(leading.view_sent) >= VIEW_INTERVAL;
         if !serving || !(leading.view_stale || is_due) {
--- a/src/fleet/runtime.rs
+++ b/src/fleet/runtime.rs
@@ -11,11 +11,13 @@
         disk_queue::DiskQueue,
     },
     clock::{Clock, Millis, SystemClock},
-    control::node::{GroupPolicy, Node, NodeSettings},
+    control::{
+        driver::decode_state,
+        node::{GroupPolicy, Node, NodeSettings},
+    },
     fleet::{
         config::FleetConfig,
         control::{Answer, Call, Control, Event, Parts},
-        document::decode_state,
         failover::{self, CallOutcome, Order, TargetStatus},
         link::listen,
         messages::Announcement,
--- a/src/fleet/takeover.rs
+++ b/src/fleet/takeover.rs
@@ -20,7 +20,7 @@
     /// before a report or an announcement counts: a host may have an older view.
     pub(super) fn take_over(&mut self) {
         let now = self.clock.now();
-        if !self.node.is_serving(now) {
+        if !self.group.node.is_serving(now) {
             return;
         }
         if let Some(leading) = &mut self.leading
