Log and count what the rate limits allow and decide

An engineer could not tell for a workspace and second what each host was allowed, from which leader, how old that was, and what it admitted and refused.

No decision changes.

--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -93,6 +93,7 @@
     pub(super) inventory_restored: bool,
     /// When the inventory was last compared with the log.
     pub(super) inventory_compared_at: Millis,
+    pub(super) limits_logged_at: Millis,
 }
 
 /// Connection of an entry host, with what was last sent on it.
@@ -424,6 +425,7 @@
             next_failover_at: now + FAILOVER_INTERVAL,
             inventory_restored: false,
             inventory_compared_at: now,
+            limits_logged_at: now,
         }
     }
 
--- a/src/fleet/leader.rs
+++ b/src/fleet/leader.rs
@@ -34,6 +34,9 @@
 /// has reported more than once.
 const SHARES_DELAY: Millis = Millis(1_500);
 
+/// Interval between log lines on a workspace that uses much of its limit.
+const LIMIT_LOG_INTERVAL: Millis = Millis(1_000);
+
 /// Minimum interval between two configurations sent to one host.
 const MIN_CONFIG_INTERVAL: Millis = Millis(200);
 
@@ -54,10 +57,23 @@
             leader.failover = failover;
             self.execute_actions(actions);
         }
+        self.log_limits(now);
         self.push_configs(now);
         self.store_inventory(now);
     }
 
+    fn log_limits(&mut self, now: Millis) {
+        let Some(leader) = &mut self.leader_state else { return };
+        if now.since(leader.limits_logged_at) < LIMIT_LOG_INTERVAL {
+            return;
+        }
+        leader.limits_logged_at = now;
+        let term = leader.view.revision.term;
+        for state in leader.rate_allocator.strained(&self.config.workspaces) {
+            spdlog::info!("workspace limit divided", kv: {workspace = state.workspace.as_str(), limited = state.limited, demand = state.demand, allowance = state.allowance, tokens = state.tokens, hosts = leader.hosts.len(), term});
+        }
+    }
+
     pub(super) fn handle_failover_event(&mut self, service: &Service, event: failover::Event) {
         let now = self.clock.now();
         let Some(leader) = &mut self.leader_state else { return };
--- a/src/fleet/rate_allocator.rs
+++ b/src/fleet/rate_allocator.rs
@@ -94,6 +94,19 @@
     limited: bool,
 }
 
+/// State of a workspace's limit at the leader.
+#[derive(Debug, Clone, PartialEq)]
+pub struct LimitState {
+    pub workspace: Workspace,
+    /// Tokens in the bucket; below zero if more was admitted than allowed.
+    pub tokens: f32,
+    /// Demand that hosts in contact reported, in operations per second.
+    pub demand: f32,
+    /// Operations per second that the hosts in contact may use together.
+    pub allowance: f32,
+    pub limited: bool,
+}
+
 /// Token buckets of all workspaces.
 #[derive(Debug, Default)]
 pub struct RateAllocator {
@@ -177,6 +190,24 @@
             .collect()
     }
 
+    /// Workspaces that are limited or whose bucket is less than half full.
+    pub fn strained<'a>(
+        &'a self,
+        workspaces: &'a IndexMap<Workspace, FleetWorkspace>,
+    ) -> impl Iterator<Item = LimitState> + 'a {
+        let is_strained = |(workspace, bucket): &(&Workspace, &Bucket)| {
+            let burst = workspaces.get(*workspace).map_or(0.0, |limits| limits.burst as f32);
+            bucket.limited || bucket.tokens < burst / 2.0
+        };
+        self.buckets.iter().filter(is_strained).map(|(workspace, bucket)| LimitState {
+            workspace: workspace.clone(),
+            tokens: bucket.tokens,
+            demand: bucket.demand,
+            allowance: bucket.allowance,
+            limited: bucket.limited,
+        })
+    }
+
     /// Fraction of each workspace's demand that comes from the host with `demand`. The host
     /// applies them to the limits while it has no contact with the leader.
     pub fn demand_fractions(&self, demand: &Demand) -> Vec<(Workspace, f32)> {
--- a/src/gateway/control_link.rs
+++ b/src/gateway/control_link.rs
@@ -257,6 +257,7 @@
             cx.rate_limiter.borrow_mut().set_demand_fractions(fractions);
         }
         if update.lease > Millis(0) {
+            cx.rate_limiter.borrow_mut().confirm(update.echo);
             cx.lease.borrow_mut().extend(update.echo, update.lease);
         }
         Ok(is_new_leader)
--- a/src/gateway/cx.rs
+++ b/src/gateway/cx.rs
@@ -89,6 +89,8 @@
     pub request_log: RefCell<LogLimiter>,
     /// Limits the log lines on targets that do not answer.
     pub target_log: RefCell<LogLimiter>,
+    /// Limits the log lines on the use of rate limits.
+    pub limit_log: RefCell<LogLimiter>,
     pub metrics: Arc<GatewayMetrics>,
     /// When the primary of a service was last searched for among its targets.
     pub last_discovery: RefCell<IndexMap<Service, Millis>>,
@@ -118,6 +120,7 @@
             sessions: Cell::new(0),
             request_log: RefCell::default(),
             target_log: RefCell::default(),
+            limit_log: RefCell::default(),
             metrics: GatewayMetrics::new(),
             last_discovery: RefCell::default(),
             early_report: Notify::new(),
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -12,7 +12,8 @@
     adapters::metric_set::MetricSet,
     clock::Millis,
     fleet::config::Consistency,
-    gateway::{cx::Cx, ports::Targets, statement::Answer},
+    gateway::{cx::Cx, ports::Targets, rate_limit::LimitUse, statement::Answer},
+    ids::Workspace,
 };
 
 /// Prefix of all metric names.
@@ -38,6 +39,12 @@
     route: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct LimitLabels {
+    workspace: String,
+    decision: &'static str,
+}
+
 type LatencyHistogram = Family<RouteLabel, Histogram, fn() -> Histogram>;
 
 /// Metrics, shared with the HTTP listener that exposes them.
@@ -45,6 +52,7 @@
     set: MetricSet,
     requests: Family<RequestLabels, Counter>,
     latency: LatencyHistogram,
+    limit_decisions: Family<LimitLabels, Counter>,
     sessions: Gauge,
     connections: Gauge,
     waiting: Gauge,
@@ -76,11 +84,14 @@
         let requests = set.add("requests", "Requests by route and outcome");
         let latency = LatencyHistogram::new_with_constructor(|| Histogram::new(LATENCY_BUCKETS_S));
         let help = "Time from a request to its answer";
+        let limit_decisions =
+            set.add("limit_decisions", "Operations by workspace and decision of its rate limit");
         set.add_with_unit("request_latency", help, Unit::Seconds, latency.clone());
         Arc::new(Self {
             set,
             requests,
             latency,
+            limit_decisions,
             sessions,
             connections,
             waiting,
@@ -111,6 +122,21 @@
         self.latency.get_or_create(&RouteLabel { route }).observe(took.0 as f64 / SECOND_MS);
     }
 
+    /// Counts decisions of the rate limits.
+    pub fn record_limits(&self, uses: &[(Workspace, LimitUse)]) {
+        for (workspace, used) in uses {
+            let decisions = [
+                ("admitted", used.admitted),
+                ("refused", used.refused),
+                ("refunded", used.refunded),
+            ];
+            for (decision, count) in decisions.into_iter().filter(|(_, count)| *count > 0) {
+                let labels = LimitLabels { workspace: workspace.to_string(), decision };
+                self.limit_decisions.get_or_create(&labels).inc_by(u64::from(count));
+            }
+        }
+    }
+
     /// Updates the gauges from the state of the host.
     pub fn update<T: Targets>(&self, cx: &Cx<T>) {
         let now = cx.now();
--- a/src/gateway/rate_limit.rs
+++ b/src/gateway/rate_limit.rs
@@ -5,6 +5,7 @@
 //! contact to the leader, a workspace gets the fraction of its rate that corresponds to the
 //! fraction of its demand at this host.
 
+use derive_more::Display;
 use indexmap::IndexMap;
 
 use crate::{
@@ -42,6 +43,52 @@
     /// Offered and admitted operations since the last report.
     usage: IndexMap<Workspace, (u32, u32)>,
     report_due: bool,
+    /// When the leader's shares were last received.
+    received_at: Millis,
+    /// Decisions since the last summary.
+    uses: IndexMap<Workspace, LimitUse>,
+}
+
+/// Where the limit of a workspace at this host comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum LimitSource {
+    /// Full limit of the workspace.
+    #[display("full")]
+    Full,
+    /// Share that the leader assigned.
+    #[display("share")]
+    Share,
+    /// Fraction of the limit that applies without contact to the leader.
+    #[display("no_contact")]
+    NoContact,
+}
+
+/// Limit of a workspace at this host.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Limit {
+    pub source: LimitSource,
+    /// Operations per second.
+    pub rate: f32,
+    /// Operations.
+    pub burst: f32,
+}
+
+/// Decisions about a workspace's operations.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LimitUse {
+    pub admitted: u32,
+    pub refused: u32,
+    /// Admitted operations that no target ran.
+    pub refunded: u32,
+}
+
+impl LimitUse {
+    /// Adds the decisions of another interval.
+    pub fn add(&mut self, other: &Self) {
+        self.admitted += other.admitted;
+        self.refused += other.refused;
+        self.refunded += other.refunded;
+    }
 }
 
 #[derive(Debug)]
@@ -68,6 +115,16 @@
         self.demand_fractions = fractions.into_iter().collect();
     }
 
+    /// Records that the leader confirmed the current shares.
+    pub fn confirm(&mut self, now: Millis) {
+        self.received_at = now;
+    }
+
+    /// Time since the leader confirmed the current shares.
+    pub fn age(&self, now: Millis) -> Millis {
+        now.since(self.received_at)
+    }
+
     /// Counts an operation and takes a token for it, or returns the time until the next
     /// token. `in_contact` is whether a limit set by the leader would have reached this
     /// host.
@@ -78,7 +135,8 @@
         limits: &FleetWorkspace,
         in_contact: bool,
     ) -> Result<(), Millis> {
-        let (rate, burst) = self.effective_limits(workspace, limits, in_contact);
+        let Limit { rate, burst, .. } = self.limit(workspace, limits, in_contact);
+        let used = self.uses.entry(workspace.clone()).or_default();
         let usage = self.usage.entry(workspace.clone()).or_default();
         usage.0 += 1;
         let new = || Bucket { tokens: burst, updated_at: now };
@@ -87,33 +145,31 @@
         bucket.tokens = (bucket.tokens + refill).min(burst.max(1.0));
         bucket.updated_at = now;
         if bucket.tokens < 1.0 {
+            used.refused += 1;
             let missing_ms = (1.0 - bucket.tokens) * SECOND_MS / rate.max(0.1);
             return Err(Millis(missing_ms as u64 + 1).min(MAX_RETRY_AFTER));
         }
         bucket.tokens -= 1.0;
         usage.1 += 1;
+        used.admitted += 1;
         self.report_due |=
             usage.1 as f32 >= (limits.rate as f32 * EARLY_REPORT_FRACTION).max(EARLY_REPORT_MIN);
         Ok(())
     }
 
-    /// Rate per second and burst that apply to the workspace.
-    fn effective_limits(
-        &self,
-        workspace: &Workspace,
-        limits: &FleetWorkspace,
-        in_contact: bool,
-    ) -> (f32, f32) {
+    /// Limit that applies to the workspace.
+    pub fn limit(&self, workspace: &Workspace, limits: &FleetWorkspace, in_contact: bool) -> Limit {
         // Out of contact, shares do not apply: the leader could not lift them.
         if in_contact && let Some(share) = self.limited.get(workspace) {
-            return (share.rate, share.burst);
+            return Limit { source: LimitSource::Share, rate: share.rate, burst: share.burst };
         }
         let (rate, burst) = (limits.rate as f32, limits.burst as f32);
         if in_contact {
-            return (rate, burst);
+            return Limit { source: LimitSource::Full, rate, burst };
         }
         let fraction = self.demand_fractions.get(workspace).copied().unwrap_or_default();
-        (rate * fraction, (burst * fraction).max(MIN_BURST))
+        let burst = (burst * fraction).max(MIN_BURST);
+        Limit { source: LimitSource::NoContact, rate: rate * fraction, burst }
     }
 
     /// Returns the token of an operation that no target has run. Callers retry such
@@ -123,6 +179,7 @@
         if let Some(bucket) = self.buckets.get_mut(workspace) {
             bucket.tokens += 1.0;
         }
+        self.uses.entry(workspace.clone()).or_default().refunded += 1;
         if let Some((offered, admitted)) = self.usage.get_mut(workspace) {
             *offered = offered.saturating_sub(1);
             *admitted = admitted.saturating_sub(1);
@@ -147,4 +204,9 @@
             .map(|(workspace, (offered, admitted))| Usage { workspace, offered, admitted })
             .collect()
     }
+
+    /// Returns and resets the decisions since the last call.
+    pub fn take_uses(&mut self) -> Vec<(Workspace, LimitUse)> {
+        self.uses.drain(..).collect()
+    }
 }
