Move the integer token bucket into a file of its own

The limits of the PostgreSQL path and those of the fleet need the same bucket: capacity, refill and tokens that are held back, in micro-tokens. limits/bucket.rs keeps its interface and the reasoning about the age of tokens.

--- a/src/limits/bucket.rs
+++ b/src/limits/bucket.rs
@@ -17,10 +17,11 @@
 //! A workspace therefore gets its full rate if `burst >= 1 + rate * max_token_age`,
 //! about 1 + 2.4 % of its rate with the shortest lifetime of 20 ms.
 
-use crate::{clock::Millis, settings::limits::LimitSettings};
-
-/// Micro-tokens per token, the fixed-point scale of the bucket.
-const TOKEN_SCALE: u64 = 1_000_000;
+use crate::{
+    clock::Millis,
+    limits::token_bucket::{BucketShape, TOKEN_SCALE, TokenBucket},
+    settings::limits::LimitSettings,
+};
 
 const MS_PER_SECOND: u64 = 1_000;
 
@@ -37,10 +38,7 @@
     pub ttl: Millis,
     /// Maximum time from a grant to the use of its tokens.
     pub max_token_age: Millis,
-    /// Capacity in micro-tokens.
-    depth: u64,
-    /// Refill rate in micro-tokens per millisecond.
-    refill: u64,
+    shape: BucketShape,
 }
 
 impl BucketParams {
@@ -59,28 +57,26 @@
             _ if remaining >= TOKEN_SCALE => (remaining, full_refill),
             _ => (TOKEN_SCALE, full_refill * burst * TOKEN_SCALE / (TOKEN_SCALE + outstanding)),
         };
-        Self { ttl, max_token_age: Millis(max_token_age), depth, refill }
+        Self { ttl, max_token_age: Millis(max_token_age), shape: BucketShape { depth, refill } }
     }
 
     /// Whether a workspace with these limits can use its full rate.
     pub fn allows_full_rate(&self, rate: u32) -> bool {
-        self.refill == u64::from(rate) * (TOKEN_SCALE / MS_PER_SECOND)
+        self.shape.refill == u64::from(rate) * (TOKEN_SCALE / MS_PER_SECOND)
     }
 }
 
-/// Token bucket in integer micro-tokens.
+/// Token bucket with the parameters of a workspace.
 #[derive(Debug, Clone)]
 pub struct Bucket {
     params: BucketParams,
-    /// Level in micro-tokens.
-    tokens: u64,
-    refilled_at: Millis,
+    tokens: TokenBucket,
 }
 
 impl Bucket {
     /// Empty bucket that refills from `start` on.
     pub fn empty(start: Millis, params: BucketParams) -> Self {
-        Self { params, tokens: 0, refilled_at: start }
+        Self { params, tokens: TokenBucket::empty(start, params.shape) }
     }
 
     /// Current parameters.
@@ -90,17 +86,13 @@
 
     /// Changes the parameters; tokens above the new depth are discarded.
     pub fn set_params(&mut self, now: Millis, params: BucketParams) {
-        if params != self.params {
-            self.refill(now);
-            self.params = params;
-            self.tokens = self.tokens.min(params.depth);
-        }
+        self.params = params;
+        self.tokens.set_shape(now, params.shape);
     }
 
     /// Whole tokens that can be granted now.
     pub fn available(&mut self, now: Millis) -> u64 {
-        self.refill(now);
-        self.tokens / TOKEN_SCALE
+        self.tokens.available(now)
     }
 
     /// Whole tokens that may be granted in advance for expected requests.
@@ -108,33 +100,20 @@
     /// Keeps the larger of two reserves for bursts: half of the depth, and the depth
     /// less the refill of two grant lifetimes, the most that unused tokens may waste.
     pub fn surplus(&mut self, now: Millis) -> u64 {
-        self.refill(now);
-        let max_wasted = 2 * self.params.refill * self.params.ttl.0;
-        let reserve = self.params.depth.saturating_sub(max_wasted).max(self.params.depth / 2);
-        self.tokens.saturating_sub(reserve) / TOKEN_SCALE
+        self.tokens.refill(now);
+        let BucketShape { depth, refill } = self.params.shape;
+        let max_wasted = 2 * refill * self.params.ttl.0;
+        let reserve = depth.saturating_sub(max_wasted).max(depth / 2);
+        self.tokens.level().saturating_sub(reserve) / TOKEN_SCALE
     }
 
     /// Takes up to `wanted` whole tokens; returns the number taken.
     pub fn take(&mut self, now: Millis, wanted: u64) -> u64 {
-        let taken = wanted.min(self.available(now));
-        self.tokens -= taken * TOKEN_SCALE;
-        taken
+        self.tokens.take(now, wanted)
     }
 
     /// Time until the bucket has refilled to `wanted` tokens; `None` if it never refills.
     pub fn time_until(&mut self, now: Millis, wanted: u64) -> Option<Millis> {
-        self.refill(now);
-        let missing = (wanted * TOKEN_SCALE).saturating_sub(self.tokens);
-        match (missing, self.params.refill) {
-            (0, _) => Some(Millis(0)),
-            (_, 0) => None,
-            (missing, refill) => Some(Millis(missing.div_ceil(refill))),
-        }
-    }
-
-    fn refill(&mut self, now: Millis) {
-        let gained = now.since(self.refilled_at).0.saturating_mul(self.params.refill);
-        self.tokens = self.tokens.saturating_add(gained).min(self.params.depth);
-        self.refilled_at = self.refilled_at.max(now);
+        self.tokens.time_until(now, wanted)
     }
 }
--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -10,3 +10,4 @@
 pub mod bucket;
 pub mod forecast;
 pub mod limiter;
+pub mod token_bucket;
