--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -21,15 +21,14 @@
         failover::{self, Failover},
         hosts::Hosts,
         link::{ConnectionId, Inbound, Links},
-        messages::{
-            Announcement, ConfigDocument, FleetView, Frame, Share, TargetRole, ViewRevision,
-        },
+        messages::{Announcement, ConfigDocument, FleetView, Frame, TargetRole, ViewRevision},
         metrics::{ControlMetrics, ControlState},
         rate_allocator::RateAllocator,
         registry::{AnnouncementEffect, Registry},
         runtime::{Ports, Tasks},
         state::{FleetCommand, FleetState},
     },
+    gateway::log_limit::LogLimiter,
     ids::{HostId, InstanceId, Service},
     wire::group::GroupTerm,
 };
@@ -103,8 +102,6 @@
     pub(super) view_revision: ViewRevision,
     /// Version of the configuration last sent, and when.
     pub(super) config_sent: (u64, Millis),
-    pub(super) shares: Vec<Share>,
-    pub(super) fractions_sent_at: Millis,
     /// `sent_at` of the host's newest report.
     pub(super) echo: Millis,
 }
@@ -135,6 +132,8 @@
     pub(super) ports: P,
     pub(super) tasks: Tasks,
     pub(super) metrics: Arc<ControlMetrics>,
+    /// Limits the log lines on changed allocations.
+    pub(super) allocation_log: LogLimiter,
     /// Expected interval between a target's announcements.
     announce_interval: Millis,
 }
@@ -183,6 +182,7 @@
             ports,
             tasks,
             metrics,
+            allocation_log: LogLimiter::default(),
             announce_interval,
         }
     }
@@ -366,10 +366,11 @@
     }
 
     fn finish_batch(&mut self) -> Result<()> {
+        self.advance_limits();
         while let Some(input) = self.group.take_proposals() {
             self.step(input)?;
         }
-        if let Some(input) = self.group.compaction(SNAPSHOT_ENTRIES, &self.state)? {
+        if let Some(input) = self.group.compaction(SNAPSHOT_ENTRIES, &self.state.snapshot())? {
             self.step(input)?;
         }
         self.restore_inventory();
@@ -416,7 +417,7 @@
             registry: Registry::new(announce_interval),
             hosts: Hosts::new(now),
             failover: Failover::default(),
-            rate_allocator: RateAllocator::default(),
+            rate_allocator: RateAllocator::new(now, term, rand::random()),
             connections: IndexMap::new(),
             view: FleetView { revision, ..FleetView::default() },
             view_push_urgent: true,
--- a/src/fleet/group_io.rs
+++ b/src/fleet/group_io.rs
@@ -5,10 +5,7 @@
 
 use crate::{
     clock::{Clock, Millis},
-    control::{
-        driver::decode_state,
-        node::{Input, Output},
-    },
+    control::node::{Input, Output},
     fleet::{
         control::{ControlLoop, ControlResponse, PendingCommit},
         document::decode_config,
@@ -16,7 +13,7 @@
         link::encode,
         messages::Frame,
         runtime::Ports,
-        state::{Applied, FleetCommand},
+        state::{Applied, FleetCommand, FleetState, LogEntry},
     },
     wire::group::GroupTerm,
 };
@@ -50,7 +47,7 @@
                 self.links.send(&addr, encode(&Frame::Group(message)));
             }
             Output::RestoreSnapshot { index, data } => {
-                self.state = decode_state(&data)?;
+                self.state = FleetState::decode(&data)?;
                 self.config = decode_config(&self.ports, &self.state.config);
                 spdlog::info!("snapshot restored", kv: {index, version = self.state.config.version});
             }
@@ -79,8 +76,11 @@
     }
 
     fn apply(&mut self, index: u64, term: GroupTerm, bytes: &Bytes) -> Result<()> {
-        let command: FleetCommand = postcard::from_bytes(bytes)
+        let LogEntry { command, allocations } = LogEntry::decode(bytes)
             .wrap_err_with(|| format!("cannot decode the command at index {index}"))?;
+        if let Some(batch) = allocations {
+            self.apply_allocations(index, &batch);
+        }
         match self.state.apply(&command) {
             Applied::Nothing | Applied::PromotionBegan => {}
             Applied::Configuration => {
--- a/src/fleet/hosts.rs
+++ b/src/fleet/hosts.rs
@@ -1,13 +1,10 @@
-//! Leader's table of entry hosts: leases, target health reports and demand.
+//! Leader's table of entry hosts: leases and target health reports.
 
 use indexmap::IndexMap;
 
 use crate::{
     clock::Millis,
-    fleet::{
-        messages::{EntryHost, Health, HostReport, ViewRevision},
-        rate_allocator::Demand,
-    },
+    fleet::messages::{EntryHost, Health, HostReport, ViewRevision},
     ids::{FailureDomain, HostId, Incarnation, InstanceId, Mark, Service},
 };
 
@@ -29,7 +26,6 @@
 pub struct Host {
     pub incarnation: Incarnation,
     pub config_version: u64,
-    pub demand: Demand,
     addr: String,
     domain: FailureDomain,
     leaving: bool,
@@ -69,7 +65,6 @@
         Self {
             incarnation: report.incarnation,
             config_version: 0,
-            demand: Demand::default(),
             addr: report.bus_addr.clone(),
             domain: report.domain.clone(),
             leaving: report.leaving,
@@ -119,7 +114,6 @@
         host.lease_until = now + LEASE_EXPIRY;
         host.view_revision = report.view_revision;
         host.config_version = report.config_version;
-        host.demand.record(now, &report.usage);
         host.health = report.targets.iter().map(|it| (it.id.clone(), it.health)).collect();
         for (service, mark) in &report.acknowledged {
             let newest = host.acknowledged.entry(service.clone()).or_default();
@@ -164,11 +158,6 @@
         reported.chain(self.expected.values().cloned()).collect()
     }
 
-    /// Demand of each host.
-    pub fn demands(&self) -> impl Iterator<Item = (&HostId, &Demand)> + Clone {
-        self.hosts.iter().map(|(id, host)| (id, &host.demand))
-    }
-
     /// Whether every host whose lease may be valid has the view `revision` or a later one.
     pub fn all_have_view(&self, now: Millis, revision: ViewRevision) -> bool {
         now >= self.previous_leases_end
--- a/src/fleet/leader.rs
+++ b/src/fleet/leader.rs
@@ -20,9 +20,6 @@
     ids::{HostId, InstanceId, Service},
 };
 
-/// Interval at which a host is sent its demand fractions.
-const DEMAND_FRACTIONS_INTERVAL: Millis = Millis(5_000);
-
 /// Minimum interval between views without an urgent change. Otherwise, when all hosts start
 /// together, each one would cause a view for all others.
 const MIN_VIEW_INTERVAL: Millis = Millis(400);
@@ -30,13 +27,6 @@
 /// Time after which a configuration is sent again to a host that has not confirmed it.
 const CONFIG_RETRY_INTERVAL: Millis = Millis(1_000);
 
-/// Time for which a new leader sends no shares: it knows the demand only after every host
-/// has reported more than once.
-const SHARES_DELAY: Millis = Millis(1_500);
-
-/// Interval between log lines on a workspace that uses much of its limit.
-const LIMIT_LOG_INTERVAL: Millis = Millis(1_000);
-
 /// Minimum interval between two configurations sent to one host.
 const MIN_CONFIG_INTERVAL: Millis = Millis(200);
 
@@ -57,23 +47,10 @@
             leader.failover = failover;
             self.execute_actions(actions);
         }
-        self.log_limits(now);
         self.push_configs(now);
         self.store_inventory(now);
     }
 
-    fn log_limits(&mut self, now: Millis) {
-        let Some(leader) = &mut self.leader_state else { return };
-        if now.since(leader.limits_logged_at) < LIMIT_LOG_INTERVAL {
-            return;
-        }
-        leader.limits_logged_at = now;
-        let term = leader.view.revision.term;
-        for state in leader.rate_allocator.strained(&self.config.workspaces) {
-            spdlog::info!("workspace limit divided", kv: {workspace = state.workspace.as_str(), limited = state.limited, demand = state.demand, allowance = state.allowance, tokens = state.tokens, hosts = leader.hosts.len(), term});
-        }
-    }
-
     pub(super) fn handle_failover_event(&mut self, service: &Service, event: failover::Event) {
         let now = self.clock.now();
         let Some(leader) = &mut self.leader_state else { return };
@@ -125,12 +102,11 @@
             self.redirect(id);
             return;
         }
+        self.record_limits(now, report);
         let Some(leader) = &mut self.leader_state else { return };
         let previous_incarnation = leader.hosts.get(&report.host).map(|host| host.incarnation);
         let changed = leader.hosts.record(now, report);
         let is_new = previous_incarnation != Some(report.incarnation);
-        leader.rate_allocator.record(&report.usage);
-        leader.rate_allocator.update(now, &self.config.workspaces, leader.hosts.demands());
         for announcement in &report.known_targets {
             leader.view_push_pending |=
                 leader.registry.record_if_unknown(now, announcement) == AnnouncementEffect::Changed;
@@ -154,6 +130,7 @@
         connection.echo = report.sent_at;
         connection.view_revision = report.view_revision;
         self.push_view();
+        self.advance_limits();
         self.send_update(now, &report.host, true);
     }
 
@@ -170,9 +147,9 @@
         queue.try_send(encode(frame)).is_ok()
     }
 
-    /// Sends a host the configuration and view that it lacks. A reply to a report is always
-    /// sent, and includes the shares if they changed.
-    fn send_update(&mut self, now: Millis, host: &HostId, is_reply: bool) {
+    /// Sends a host the configuration, the view and the allocations that it lacks. A reply to
+    /// a report is always sent.
+    pub(super) fn send_update(&mut self, now: Millis, host: &HostId, is_reply: bool) {
         let Some(leader) = &mut self.leader_state else { return };
         let Some(connection) = leader.connections.get_mut(host) else { return };
         let host_version = leader.hosts.get(host).map_or(0, |host| host.config_version);
@@ -183,6 +160,7 @@
             view: None,
             shares: None,
             demand_fractions: None,
+            limits: None,
         };
         let in_force = self.state.config.version;
         let (sent, sent_at) = connection.config_sent;
@@ -195,22 +173,11 @@
             connection.view_revision = leader.view.revision;
             update.view = Some(leader.view.clone());
         }
-        if is_reply && now.since(leader.since) >= SHARES_DELAY {
-            let demand = leader.hosts.get(host).map(|host| &host.demand);
-            let workspaces = &self.config.workspaces;
-            let shares = demand.map(|demand| leader.rate_allocator.shares(demand, workspaces));
-            if let Some(shares) = shares.filter(|shares| *shares != connection.shares) {
-                connection.shares.clone_from(&shares);
-                update.shares = Some(shares);
-            }
-            if now.since(connection.fractions_sent_at) >= DEMAND_FRACTIONS_INTERVAL {
-                connection.fractions_sent_at = now;
-                update.demand_fractions =
-                    demand.map(|demand| leader.rate_allocator.demand_fractions(demand));
-            }
-        }
         let id = connection.id;
-        if !is_reply && update.config.is_none() && update.view.is_none() {
+        self.add_limits(now, host, &mut update);
+        let has_allocations = update.limits.as_ref().is_some_and(|it| it.allocations.is_some())
+            || update.shares.is_some();
+        if !is_reply && !has_allocations && update.config.is_none() && update.view.is_none() {
             return;
         }
         if !self.send(id, &Frame::Update(update))
@@ -293,8 +260,6 @@
             id,
             view_revision: ViewRevision::default(),
             config_sent: (0, Millis(0)),
-            shares: Vec::new(),
-            fractions_sent_at: Millis(0),
             echo: Millis(0),
         }
     }
--- a/src/fleet/link.rs
+++ b/src/fleet/link.rs
@@ -22,7 +22,7 @@
 };
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
-use crate::fleet::messages::Frame;
+use crate::fleet::messages::{Frame, HostReport, HostUpdate};
 
 /// Time to establish a connection; allows several round trips between distant failure
 /// domains.
@@ -66,7 +66,7 @@
 }
 
 fn try_encode(frame: &Frame) -> Result<Vec<u8>> {
-    let plain = postcard::to_extend(frame, vec![PLAIN])?;
+    let plain = append_extension(frame, postcard::to_extend(frame, vec![PLAIN])?)?;
     if plain.len() < COMPRESS_FROM_BYTES {
         return Ok(plain);
     }
@@ -76,21 +76,47 @@
     Ok(if deflated.len() < plain.len() { deflated } else { plain })
 }
 
+/// Appends the fields of `frame` that older builds do not know and ignore.
+fn append_extension(frame: &Frame, buf: Vec<u8>) -> postcard::Result<Vec<u8>> {
+    match frame {
+        Frame::Report(HostReport { limits: Some(limits), .. }) => postcard::to_extend(limits, buf),
+        Frame::Update(HostUpdate { limits: Some(limits), .. }) => postcard::to_extend(limits, buf),
+        Frame::Ping { tokens: Some(req) } => postcard::to_extend(req, buf),
+        Frame::Pong { tokens: Some(grant) } => postcard::to_extend(grant, buf),
+        _ => Ok(buf),
+    }
+}
+
 /// Decodes a frame.
 pub fn decode(bytes: &[u8]) -> Result<Frame> {
     let frame = match bytes.split_first() {
-        Some((&PLAIN, plain)) => postcard::from_bytes(plain),
+        Some((&PLAIN, plain)) => decode_plain(plain),
         Some((&DEFLATED, deflated)) => {
             let mut plain = Vec::new();
             let limit = MAX_FRAME_BYTES as u64;
             DeflateDecoder::new(deflated).take(limit).read_to_end(&mut plain)?;
-            postcard::from_bytes(&plain)
+            decode_plain(&plain)
         }
         _ => bail!("unknown frame encoding"),
     };
     frame.wrap_err("cannot decode a frame")
 }
 
+fn decode_plain(plain: &[u8]) -> postcard::Result<Frame> {
+    let (mut frame, extension) = postcard::take_from_bytes(plain)?;
+    if extension.is_empty() {
+        return Ok(frame);
+    }
+    match &mut frame {
+        Frame::Report(report) => report.limits = Some(postcard::from_bytes(extension)?),
+        Frame::Update(update) => update.limits = Some(postcard::from_bytes(extension)?),
+        Frame::Ping { tokens } => *tokens = Some(postcard::from_bytes(extension)?),
+        Frame::Pong { tokens } => *tokens = Some(postcard::from_bytes(extension)?),
+        _ => {}
+    }
+    Ok(frame)
+}
+
 /// Opens a connection to `addr`.
 pub async fn connect(addr: &str) -> Result<TcpStream> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await??;
--- a/src/fleet/messages.rs
+++ b/src/fleet/messages.rs
@@ -1,10 +1,15 @@
 //! Messages between the hosts of a fleet, encoded with postcard in length-prefixed frames.
+//!
+//! Fields that are skipped by serde are extensions: [`link`](crate::fleet::link) appends
+//! them to the frame. Builds that do not know an extension ignore it, and its field is
+//! `None` in frames of such a build.
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 use crate::{
     clock::Millis,
+    fleet::allocation::Fraction,
     gateway::{
         job::{Job, JobError},
         statement::Answer,
@@ -36,8 +41,14 @@
     EndStream {
         stream: u64,
     },
-    Ping,
-    Pong,
+    Ping {
+        #[serde(skip)]
+        tokens: Option<TokenRequest>,
+    },
+    Pong {
+        #[serde(skip)]
+        tokens: Option<TokenGrant>,
+    },
 }
 
 /// Bus addresses of the leader, if the sender knows it, and of all control hosts.
@@ -69,6 +80,26 @@
     /// Targets that the host knows; sent to a new leader, which may have received no
     /// announcements yet.
     pub known_targets: Vec<Announcement>,
+    /// Allocations that the host applies; `None` if its build knows no allocations.
+    #[serde(skip)]
+    pub limits: Option<LimitReport>,
+}
+
+/// Entry host's state of its allocations.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitReport {
+    /// Newest allocations that the host has applied completely.
+    pub revision: AllocationRevision,
+    /// Tokens that the host gave up when it applied them.
+    pub released: Vec<(Workspace, u32)>,
+}
+
+/// Revision of the allocations of one host.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct AllocationRevision {
+    /// Term of the leader.
+    pub term: u64,
+    pub number: u64,
 }
 
 /// Operations of a workspace on one host.
@@ -112,11 +143,51 @@
     pub lease: Millis,
     pub config: Option<ConfigDocument>,
     pub view: Option<FleetView>,
-    /// Shares of all limited workspaces, if they changed; the other workspaces are not
-    /// limited.
+    /// For hosts whose build knows no allocations: shares of all workspaces, if they
+    /// changed.
     pub shares: Option<Vec<Share>>,
-    /// Fractions of the workspaces' total demands that come from this host.
+    /// For hosts whose build knows no allocations: fractions of the limits that they may use
+    /// without contact.
     pub demand_fractions: Option<Vec<(Workspace, f32)>>,
+    /// `None` from a leader whose build knows no allocations.
+    #[serde(skip)]
+    pub limits: Option<LimitUpdate>,
+}
+
+/// Leader's update of a host's allocations.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitUpdate {
+    /// Revision that the host should have; the lease of older ones is not extended.
+    pub revision: AllocationRevision,
+    /// Allocations of this host, if they changed; it may use nothing of other workspaces.
+    pub allocations: Option<Vec<Allocation>>,
+}
+
+/// Part of a workspace's limit that a host may use.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Allocation {
+    pub workspace: Workspace,
+    pub fraction: Fraction,
+    /// Tokens that other hosts have given up for this one; they count once per revision.
+    pub tokens: u32,
+}
+
+/// Request of an entry host for tokens that another one holds.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TokenRequest {
+    pub request_id: u64,
+    pub workspace: Workspace,
+    pub wanted: u32,
+}
+
+/// Answer to a [`TokenRequest`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TokenGrant {
+    pub request_id: u64,
+    /// Tokens that the requesting host may use until they expire.
+    pub tokens: u32,
+    /// Time until a further token is expected, if the request was not met.
+    pub retry_after: Millis,
 }
 
 /// Operator's configuration document as it was sent, compressed with DEFLATE.
--- a/src/fleet/metrics.rs
+++ b/src/fleet/metrics.rs
@@ -38,6 +38,7 @@
     pub promotions: Counter,
     pub announcements: Counter,
     pub stale_announcements: Counter,
+    pub allocation_batches: Counter,
 }
 
 impl ControlMetrics {
@@ -58,6 +59,8 @@
         let announcements = counter("announcements", "Announcements of targets");
         let stale_announcements =
             counter("stale_announcements", "Announcements that were older than what was known");
+        let allocation_batches =
+            counter("allocation_batches", "Applied batches of rate limit allocations");
         Arc::new(Self {
             set,
             is_leader,
@@ -72,6 +75,7 @@
             promotions,
             announcements,
             stale_announcements,
+            allocation_batches,
         })
     }
 
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -1,11 +1,13 @@
 //! Control plane of a fleet whose entry hosts and targets are discovered at run time.
 //!
-//! The control group replicates the configuration, unfinished promotions and the inventory
-//! of targets and hosts in its log. The leases of entry hosts and their shares of the rate
-//! limits are kept only in the leader's memory, and are rebuilt after a leader change.
+//! The control group replicates the configuration, unfinished promotions, the inventory of
+//! targets and hosts, and the allocations of the rate limits in its log. The leases of entry
+//! hosts are kept only in the leader's memory, and are rebuilt after a leader change.
 
+pub mod allocation;
 pub mod config;
 pub mod control;
+pub mod demand;
 pub mod document;
 pub mod failover;
 pub mod group_io;
@@ -13,11 +15,13 @@
 pub mod inventory;
 pub mod inventory_sync;
 pub mod leader;
+pub mod limits;
 pub mod link;
 pub mod messages;
 pub mod metrics;
 pub mod primary_change;
 pub mod rate_allocator;
+pub mod rate_plan;
 pub mod registry;
 pub mod runtime;
 pub mod state;
--- a/src/fleet/rate_allocator.rs
+++ b/src/fleet/rate_allocator.rs
@@ -1,234 +1,473 @@
-//! Divides the workspaces' rate limits among the entry hosts.
+//! Leader's side of the rate limits: plans the allocations, moves them between hosts, and
+//! knows what each host may still use.
 //!
-//! Hosts admit operations and report them; the leader subtracts them from a token bucket per
-//! workspace. While the bucket and the rate cover the demand, hosts admit every operation:
-//! fixed shares of the rate would be too small for hosts with few callers of a workspace,
-//! which would refuse operations within the rate. Once they do not cover it, each host
-//! gets a share of the allowance in proportion to its demand. Operations that were admitted
-//! before the hosts learned of a limit leave the bucket below zero, which reduces the shares
-//! until it has recovered.
+//! [`Allocations`] says why the hosts never use more than the limit if two rules are kept.
+//! Here, a host is only ever sent what is committed, and a smaller fraction is proposed
+//! only for hosts that
+//!
+//! - have confirmed allocations without the difference, which this leader sent them, or
+//! - have been silent for longer than their lease.
+//!
+//! A leader starts with an empty batch. Once that is applied, no batch of an earlier leader
+//! can follow, and the leader may send allocations. It does not know what hosts were sent
+//! before, but that is at most what is committed.
 
 use indexmap::IndexMap;
 
 use crate::{
     clock::Millis,
     fleet::{
+        allocation::{AllocationBatch, AllocationChange, Allocations, BatchId, Fraction},
         config::FleetWorkspace,
-        messages::{Share, Usage},
+        demand::Demand,
+        messages::{Allocation, AllocationRevision, EntryHost, LimitReport, LimitUpdate, Usage},
+        rate_plan::{HostNeed, Planned, lenders, plan},
     },
-    ids::{HostId, Workspace},
+    ids::{HostId, Incarnation, Workspace},
 };
 
-/// Weight of the newest sample in the moving average of the demand.
-const SMOOTHING_FACTOR: f32 = 0.35;
+/// Time for which a host may use its allocations after it sent a report that the leader
+/// answered. Longer than any outage of control that callers should not notice.
+pub const ALLOCATION_LEASE: Millis = Millis(60_000);
+
+/// Time from the receipt of a host's last report until its lease has surely ended: the
+/// lease, 10 % for clock drift, and rounding.
+const LEASE_EXPIRY: Millis = Millis(66_010);
 
-/// Fraction of the rate that is divided equally among the hosts regardless of demand.
-const IDLE_FRACTION: f32 = 0.15;
+/// Silence after which a host gets nothing in new plans; what it has stays reserved for it.
+const SILENCE: Millis = Millis(1_500);
 
-/// Minimum time between two reports from which a demand is computed.
-const MIN_SAMPLE_INTERVAL: Millis = Millis(100);
+/// Time from a host's first report until its demand is known.
+const DEMAND_DELAY: Millis = Millis(4_000);
 
-/// Minimum interval between two computations of the total demands and the limits.
-const UPDATE_INTERVAL: Millis = Millis(150);
+/// Interval between two plans.
+const PLAN_INTERVAL: Millis = Millis(500);
 
-/// Time in seconds over which the tokens of a bucket are granted, or a deficit is recovered.
-const BUCKET_SPREAD_S: f32 = 1.0;
+/// Smallest raise of an allocation that is worth a log entry and a message.
+const MIN_RAISE: Fraction = Fraction(2_000);
 
-/// Fraction of the allowance above which a demand is limited.
-const LIMIT_THRESHOLD: f32 = 0.9;
+/// Shortest interval between two plans, after a host has joined or returned.
+const MIN_PLAN_INTERVAL: Millis = Millis(50);
 
-/// Capacity of a host's own bucket, in seconds of its share of the rate.
-const HOST_BURST_S: f32 = 0.4;
+/// Time after which unconfirmed allocations are sent again.
+const RESEND_INTERVAL: Millis = Millis(1_000);
 
-const SECOND_MS: f32 = 1_000.0;
+/// Revisions that one leader uses at most in a millisecond: after a reset, its numbers go on
+/// above the earlier ones.
+const REVISIONS_PER_MS: u64 = 1_000;
 
-/// Smoothed demand of one host, in operations per second.
-#[derive(Debug, Default)]
-pub struct Demand {
-    per_second: IndexMap<Workspace, f32>,
-    reported_at: Option<Millis>,
-    /// Operations not yet averaged, as their reports followed each other too closely.
-    pending: IndexMap<Workspace, u32>,
+/// Time without the commit of a proposed batch after which the allocator starts anew.
+const COMMIT_TIMEOUT: Millis = Millis(3_000);
+
+/// Inputs of a plan.
+pub struct PlanCx<'a> {
+    pub now: Millis,
+    pub allocations: &'a Allocations,
+    pub workspaces: &'a IndexMap<Workspace, FleetWorkspace>,
+    /// Hosts in the view, from which the lenders are chosen.
+    pub hosts: &'a [EntryHost],
 }
 
-impl Demand {
-    /// Adds the operations since the last report.
-    pub fn record(&mut self, now: Millis, usage: &[Usage]) {
-        for used in usage {
-            *self.pending.entry(used.workspace.clone()).or_default() += used.offered;
-        }
-        let span = self.reported_at.map(|at| now.since(at));
-        if span.is_some_and(|span| span < MIN_SAMPLE_INTERVAL) {
-            return;
-        }
-        self.reported_at = Some(now);
-        let Some(span) = span else {
-            self.pending.clear();
-            return;
-        };
-        let pending = std::mem::take(&mut self.pending);
-        for workspace in pending.keys() {
-            self.per_second.entry(workspace.clone()).or_default();
-        }
-        for (workspace, smoothed) in &mut self.per_second {
-            let count = pending.get(workspace).copied().unwrap_or_default();
-            let current = count as f32 * SECOND_MS / span.0 as f32;
-            *smoothed += SMOOTHING_FACTOR * (current - *smoothed);
-        }
-    }
+/// Allocations of the workspaces to one host.
+type Table = IndexMap<Workspace, Fraction>;
+
+/// Tokens by workspace.
+type Credits = IndexMap<Workspace, u32>;
 
-    fn of(&self, workspace: &Workspace) -> f32 {
-        self.per_second.get(workspace).copied().unwrap_or_default()
+#[derive(Debug)]
+struct Host {
+    incarnation: Incarnation,
+    first_heard_at: Millis,
+    heard_at: Millis,
+    demand: Demand,
+    /// Whether the host's build knows allocations.
+    knows_allocations: bool,
+    /// Whether the last plan included the host.
+    is_planned: bool,
+    /// Parts in the last plan, without what the host gets as a lender.
+    parts: Table,
+    targets: Table,
+    sent: Option<Sent>,
+}
+
+/// Allocations that were last sent to a host.
+#[derive(Debug)]
+struct Sent {
+    revision: AllocationRevision,
+    at: Millis,
+    table: Table,
+    /// Tokens that the host gets with the allocations.
+    tokens: Credits,
+    confirmed: bool,
+}
+
+impl Sent {
+    fn allocations(&self) -> Vec<Allocation> {
+        let allocation = |(workspace, fraction): (&Workspace, &Fraction)| Allocation {
+            workspace: workspace.clone(),
+            fraction: *fraction,
+            tokens: self.tokens.get(workspace).copied().unwrap_or_default(),
+        };
+        self.table.iter().map(allocation).collect()
     }
 }
 
-/// Token bucket of one workspace.
+/// State of the allocations at the leader.
 #[derive(Debug)]
-struct Bucket {
-    tokens: f32,
-    refilled_at: Millis,
-    /// Demand of all hosts, in operations per second.
-    demand: f32,
-    /// Rate that all hosts together may use, in operations per second.
-    allowance: f32,
-    limited: bool,
+pub struct RateAllocator {
+    since: Millis,
+    /// Batch that was proposed and is not applied yet.
+    pending: Option<(BatchId, Millis)>,
+    last_batch: BatchId,
+    last_revision: AllocationRevision,
+    /// Whether the first batch is applied.
+    is_active: bool,
+    hosts: IndexMap<HostId, Host>,
+    planned_at: Option<Millis>,
+    /// Tokens that hosts gave up with a part of their allocation. They go to the hosts that
+    /// get this part.
+    released: IndexMap<Workspace, u32>,
+    /// A host must be included in a plan soon.
+    plan_is_urgent: bool,
+    /// Batches may have to be proposed.
+    has_changes: bool,
+    /// Hosts may have to be sent allocations.
+    has_updates: bool,
 }
 
-/// State of a workspace's limit at the leader.
+/// State of a workspace's limit, for the log.
 #[derive(Debug, Clone, PartialEq)]
 pub struct LimitState {
     pub workspace: Workspace,
-    /// Tokens in the bucket; below zero if more was admitted than allowed.
-    pub tokens: f32,
-    /// Demand that hosts in contact reported, in operations per second.
-    pub demand: f32,
-    /// Operations per second that the hosts in contact may use together.
-    pub allowance: f32,
-    pub limited: bool,
-}
-
-/// Token buckets of all workspaces.
-#[derive(Debug, Default)]
-pub struct RateAllocator {
-    buckets: IndexMap<Workspace, Bucket>,
-    updated_at: Millis,
-    host_count: usize,
+    /// Operations per second that the hosts in contact were asked for.
+    pub demand: f64,
+    /// Fraction that the hosts in contact have.
+    pub in_contact: Fraction,
+    /// Fraction that silent hosts may still use.
+    pub silent: Fraction,
+    pub free: Fraction,
 }
 
 impl RateAllocator {
-    /// Subtracts admitted operations.
-    pub fn record(&mut self, usage: &[Usage]) {
-        for used in usage {
-            if let Some(bucket) = self.buckets.get_mut(&used.workspace) {
-                bucket.tokens -= used.admitted as f32;
-            }
+    /// Allocator of a leader with a `term` since `now`. `leader` is a random number.
+    pub fn new(now: Millis, term: u64, leader: u64) -> Self {
+        Self {
+            since: now,
+            pending: None,
+            last_batch: BatchId { leader, number: 0 },
+            last_revision: AllocationRevision { term, number: now.0 * REVISIONS_PER_MS },
+            is_active: false,
+            hosts: IndexMap::new(),
+            planned_at: None,
+            released: IndexMap::new(),
+            plan_is_urgent: false,
+            has_changes: false,
+            has_updates: false,
         }
     }
 
-    /// Refills the buckets and determines which workspaces are limited, unless this was done
-    /// within the minimum interval; returns whether that changed for any workspace.
-    pub fn update<'a>(
+    /// Records the report of a host.
+    pub fn record(
         &mut self,
         now: Millis,
-        workspaces: &IndexMap<Workspace, FleetWorkspace>,
-        hosts: impl Iterator<Item = (&'a HostId, &'a Demand)>,
-    ) -> bool {
-        if now.since(self.updated_at) < UPDATE_INTERVAL && !self.buckets.is_empty() {
-            return false;
-        }
-        self.updated_at = now;
-        self.buckets.retain(|workspace, _| workspaces.contains_key(workspace));
-        for (workspace, limits) in workspaces {
-            let burst = limits.burst as f32;
-            let new = || Bucket {
-                tokens: burst,
-                refilled_at: now,
-                demand: 0.0,
-                allowance: 0.0,
-                limited: false,
-            };
-            let bucket = self.buckets.entry(workspace.clone()).or_insert_with(new);
-            let refill = limits.rate as f32 * now.since(bucket.refilled_at).0 as f32 / SECOND_MS;
-            bucket.tokens = (bucket.tokens + refill).min(burst);
-            bucket.refilled_at = now;
-            bucket.demand = 0.0;
-        }
-        self.host_count = 0;
-        for (_, demand) in hosts {
-            self.host_count += 1;
-            for (workspace, per_second) in &demand.per_second {
-                if let Some(bucket) = self.buckets.get_mut(workspace) {
-                    bucket.demand += per_second;
+        id: &HostId,
+        incarnation: Incarnation,
+        usage: &[Usage],
+        report: Option<&LimitReport>,
+    ) {
+        let known = self.hosts.get(id).is_some_and(|host| host.incarnation == incarnation);
+        if !known {
+            self.hosts.insert(id.clone(), Host::new(now, incarnation));
+        }
+        let host = &mut self.hosts[id];
+        host.heard_at = now;
+        host.knows_allocations = report.is_some();
+        host.demand.record(now, usage);
+        self.plan_is_urgent |= !host.is_planned;
+        if let (Some(sent), Some(report)) = (&mut host.sent, report)
+            && !sent.confirmed
+            && report.revision == sent.revision
+        {
+            sent.confirmed = true;
+            for (workspace, tokens) in &report.released {
+                *self.released.entry(workspace.clone()).or_default() += tokens;
+            }
+            self.has_changes = true;
+            self.has_updates = true;
+        }
+    }
+
+    /// Records that a batch was applied.
+    pub fn record_applied(&mut self, batch: BatchId) {
+        if self.pending.is_some_and(|(pending, _)| pending == batch) {
+            self.pending = None;
+            self.is_active = true;
+            self.has_changes = true;
+            self.has_updates = true;
+        }
+    }
+
+    /// Plans anew if that is due; returns a batch to propose.
+    pub fn advance(&mut self, cx: &PlanCx) -> Option<AllocationBatch> {
+        if let Some((_, proposed_at)) = self.pending {
+            if cx.now.since(proposed_at) < COMMIT_TIMEOUT {
+                return None;
+            }
+            self.is_active = false;
+        }
+        if !self.is_active {
+            return Some(self.batch(cx.now, Vec::new()));
+        }
+        let interval = if self.plan_is_urgent { MIN_PLAN_INTERVAL } else { PLAN_INTERVAL };
+        if self.planned_at.is_none_or(|at| cx.now.since(at) >= interval) {
+            self.plan(cx);
+        }
+        if !std::mem::take(&mut self.has_changes) {
+            return None;
+        }
+        let changes = self.changes(cx);
+        (!changes.is_empty()).then(|| self.batch(cx.now, changes))
+    }
+
+    fn batch(&mut self, now: Millis, changes: Vec<AllocationChange>) -> AllocationBatch {
+        self.last_batch.number += 1;
+        self.pending = Some((self.last_batch, now));
+        AllocationBatch { proposer: self.last_batch, changes }
+    }
+
+    /// Sets the targets of all hosts in contact.
+    fn plan(&mut self, cx: &PlanCx) {
+        self.planned_at = Some(cx.now);
+        self.plan_is_urgent = false;
+        self.has_changes = true;
+        self.has_updates = true;
+        for host in self.hosts.values_mut() {
+            host.is_planned = host.is_live(cx.now);
+            host.targets.clear();
+        }
+        for (workspace, limits) in cx.workspaces {
+            let lenders = lenders(workspace, cx.hosts);
+            let is_lender = |id: &HostId| lenders.iter().any(|lender| lender.id == *id);
+            let live = self.hosts.iter().filter(|(_, host)| host.is_live(cx.now));
+            let needs: Vec<HostNeed> = live
+                .map(|(id, host)| HostNeed {
+                    host: id,
+                    demand: host.demand.of(workspace),
+                    current: cx.allocations.of(workspace, id),
+                    last_part: host.parts.get(workspace).copied(),
+                    is_lender: is_lender(id),
+                    is_new: cx.now.since(host.first_heard_at) < DEMAND_DELAY,
+                })
+                .collect();
+            let plans = plan(limits, self.available(cx, workspace), &needs);
+            let ids: Vec<HostId> = needs.iter().map(|it| it.host.clone()).collect();
+            for (id, planned) in ids.iter().zip(plans) {
+                self.hosts[id].set_planned(workspace, planned);
+            }
+        }
+    }
+
+    /// Part of a workspace's limit that the hosts in contact may have.
+    fn available(&self, cx: &PlanCx, workspace: &Workspace) -> Fraction {
+        let silent = cx.allocations.of_workspace(workspace).filter(|(id, _)| !self.is_live(cx, id));
+        Fraction::WHOLE.saturating_sub(silent.map(|(_, fraction)| fraction).sum())
+    }
+
+    fn is_live(&self, cx: &PlanCx, id: &HostId) -> bool {
+        self.hosts.get(id).is_some_and(|host| host.is_live(cx.now))
+    }
+
+    /// Changes that may be proposed now: first what becomes free, then who gets it.
+    fn changes(&self, cx: &PlanCx) -> Vec<AllocationChange> {
+        let mut changes = Vec::new();
+        for workspace in cx.allocations.workspaces() {
+            for (id, current) in cx.allocations.of_workspace(workspace) {
+                let kept = self.kept(cx, workspace, id, current);
+                if kept < current {
+                    changes.push(change(workspace, id, kept));
                 }
             }
         }
-        let mut changed = false;
-        for (workspace, bucket) in &mut self.buckets {
-            let rate = workspaces.get(workspace).map_or(0.0, |limits| limits.rate as f32);
-            bucket.allowance = (rate + bucket.tokens / BUCKET_SPREAD_S).max(0.0);
-            let limited = bucket.demand > bucket.allowance * LIMIT_THRESHOLD;
-            changed |= limited != bucket.limited;
-            bucket.limited = limited;
+        for workspace in cx.workspaces.keys() {
+            let freed: Fraction = changes
+                .iter()
+                .filter(|it| it.workspace == *workspace)
+                .map(|it| cx.allocations.of(workspace, &it.host).saturating_sub(it.fraction))
+                .sum();
+            let mut free = cx.allocations.free(workspace) + freed;
+            for (id, host) in &self.hosts {
+                let current = cx.allocations.of(workspace, id);
+                let raise = host.target(workspace).saturating_sub(current).min(free);
+                if raise >= MIN_RAISE && host.is_live(cx.now) {
+                    free = free.saturating_sub(raise);
+                    changes.push(change(workspace, id, current + raise));
+                }
+            }
         }
-        changed
+        changes
     }
 
-    /// Limits of the host with `demand`, for the limited workspaces.
-    pub fn shares(
-        &self,
-        demand: &Demand,
+    /// What a host with the allocation `current` must keep: the larger of its target and
+    /// what it may still use.
+    fn kept(&self, cx: &PlanCx, workspace: &Workspace, id: &HostId, current: Fraction) -> Fraction {
+        let Some(host) = self.hosts.get(id) else {
+            let is_expired = cx.now.since(self.since) >= LEASE_EXPIRY;
+            return if is_expired { Fraction::NONE } else { current };
+        };
+        if cx.now.since(host.heard_at) >= LEASE_EXPIRY {
+            return Fraction::NONE;
+        }
+        if !host.is_live(cx.now) {
+            return current;
+        }
+        let target = host.target(workspace);
+        match &host.sent {
+            Some(sent) if sent.confirmed => {
+                sent.table.get(workspace).copied().unwrap_or_default().max(target).min(current)
+            }
+            _ => current,
+        }
+    }
+
+    /// Update of a host's allocations.
+    pub fn update(
+        &mut self,
+        now: Millis,
+        id: &HostId,
+        allocations: &Allocations,
         workspaces: &IndexMap<Workspace, FleetWorkspace>,
-    ) -> Vec<Share> {
-        let limited = self.buckets.iter().filter(|(_, bucket)| bucket.limited);
-        limited
-            .map(|(workspace, bucket)| {
-                let rate = workspaces.get(workspace).map_or(0.0, |limits| limits.rate as f32);
-                let fraction = self.share_fraction(demand, workspace, bucket, rate);
-                let rate = bucket.allowance * fraction;
-                Share { workspace: workspace.clone(), rate, burst: rate * HOST_BURST_S }
-            })
-            .collect()
-    }
-
-    /// Workspaces that are limited or whose bucket is less than half full.
-    pub fn strained<'a>(
-        &'a self,
-        workspaces: &'a IndexMap<Workspace, FleetWorkspace>,
-    ) -> impl Iterator<Item = LimitState> + 'a {
-        let is_strained = |(workspace, bucket): &(&Workspace, &Bucket)| {
-            let burst = workspaces.get(*workspace).map_or(0.0, |limits| limits.burst as f32);
-            bucket.limited || bucket.tokens < burst / 2.0
+    ) -> LimitUpdate {
+        let Some(host) = self.hosts.get_mut(id) else { return LimitUpdate::default() };
+        let may_change = self.is_active && self.pending.is_none() && host.is_planned;
+        let is_first = host.sent.is_none();
+        let is_confirmed = host.sent.as_ref().is_some_and(|sent| sent.confirmed);
+        if may_change && (is_first || is_confirmed) {
+            let table = host.table(id, allocations);
+            if host.sent.as_ref().is_none_or(|sent| sent.table != table) {
+                self.last_revision.number += 1;
+                let revision = self.last_revision;
+                let previous = host.sent.take().map(|sent| sent.table);
+                let tokens = previous.map_or_else(Credits::default, |previous| {
+                    take_released(&mut self.released, &previous, &table, workspaces)
+                });
+                let confirmed = !host.knows_allocations;
+                let sent = Sent { revision, at: now, table, tokens, confirmed };
+                let allocations = Some(sent.allocations());
+                host.sent = Some(sent);
+                return LimitUpdate { revision, allocations };
+            }
+        }
+        let Some(sent) = &mut host.sent else { return LimitUpdate::default() };
+        let is_overdue = !sent.confirmed && now.since(sent.at) >= RESEND_INTERVAL;
+        let allocations = is_overdue.then(|| {
+            sent.at = now;
+            sent.allocations()
+        });
+        LimitUpdate { revision: sent.revision, allocations }
+    }
+
+    /// Whether a host's build knows allocations.
+    pub fn knows_allocations(&self, id: &HostId) -> bool {
+        self.hosts.get(id).is_some_and(|host| host.knows_allocations)
+    }
+
+    /// Hosts whose allocations have changed since they were last sent.
+    pub fn outdated(&mut self, allocations: &Allocations) -> Vec<HostId> {
+        if !self.is_active || self.pending.is_some() || !std::mem::take(&mut self.has_updates) {
+            return Vec::new();
+        }
+        let is_outdated = |(id, host): &(&HostId, &Host)| {
+            let sent = host.sent.as_ref();
+            host.is_planned
+                && sent
+                    .is_none_or(|sent| sent.confirmed && sent.table != host.table(id, allocations))
         };
-        self.buckets.iter().filter(is_strained).map(|(workspace, bucket)| LimitState {
-            workspace: workspace.clone(),
-            tokens: bucket.tokens,
-            demand: bucket.demand,
-            allowance: bucket.allowance,
-            limited: bucket.limited,
+        self.hosts.iter().filter(is_outdated).map(|(id, _)| id.clone()).collect()
+    }
+
+    /// State of the workspaces' limits.
+    pub fn states<'a>(&'a self, cx: &'a PlanCx<'a>) -> impl Iterator<Item = LimitState> + 'a {
+        cx.workspaces.keys().map(|workspace| {
+            let live = self.hosts.values().filter(|host| host.is_live(cx.now));
+            let available = self.available(cx, workspace);
+            let free = cx.allocations.free(workspace);
+            LimitState {
+                workspace: workspace.clone(),
+                demand: live.map(|host| host.demand.of(workspace)).sum(),
+                in_contact: available.saturating_sub(free),
+                silent: Fraction::WHOLE.saturating_sub(available),
+                free,
+            }
         })
     }
+}
 
-    /// Fraction of each workspace's demand that comes from the host with `demand`. The host
-    /// applies them to the limits while it has no contact with the leader.
-    pub fn demand_fractions(&self, demand: &Demand) -> Vec<(Workspace, f32)> {
-        let with_fraction = |(workspace, bucket): (&Workspace, &Bucket)| {
-            let fraction = demand.of(workspace) / bucket.demand.max(f32::MIN_POSITIVE);
-            (fraction > 0.0).then(|| (workspace.clone(), fraction.min(1.0)))
-        };
-        self.buckets.iter().filter_map(with_fraction).collect()
-    }
-
-    /// Fraction of a workspace's allowance for the host with `demand`.
-    fn share_fraction(
-        &self,
-        demand: &Demand,
-        workspace: &Workspace,
-        bucket: &Bucket,
-        rate: f32,
-    ) -> f32 {
-        let hosts = self.host_count.max(1) as f32;
-        let idle = rate * IDLE_FRACTION / hosts;
-        let total = bucket.demand + idle * hosts;
-        if total > 0.0 { (demand.of(workspace) + idle) / total } else { 1.0 / hosts }
+impl Host {
+    fn new(now: Millis, incarnation: Incarnation) -> Self {
+        Self {
+            incarnation,
+            first_heard_at: now,
+            heard_at: now,
+            demand: Demand::default(),
+            knows_allocations: false,
+            is_planned: false,
+            parts: Table::new(),
+            targets: Table::new(),
+            sent: None,
+        }
+    }
+
+    fn is_live(&self, now: Millis) -> bool {
+        now.since(self.heard_at) < SILENCE
     }
+
+    fn target(&self, workspace: &Workspace) -> Fraction {
+        self.targets.get(workspace).copied().unwrap_or_default()
+    }
+
+    fn set_planned(&mut self, workspace: &Workspace, planned: Planned) {
+        if planned.total > Fraction::NONE {
+            self.targets.insert(workspace.clone(), planned.total);
+        }
+        if planned.part > Fraction::NONE {
+            self.parts.insert(workspace.clone(), planned.part);
+        } else {
+            self.parts.shift_remove(workspace);
+        }
+    }
+
+    /// Allocations to send: what is committed, but no more than the target.
+    fn table(&self, id: &HostId, allocations: &Allocations) -> Table {
+        let limited = allocations.of_host(id).map(|(workspace, committed)| {
+            (workspace.clone(), committed.min(self.target(workspace)))
+        });
+        limited.filter(|(_, fraction)| *fraction > Fraction::NONE).collect()
+    }
+}
+
+/// Takes as many released tokens as fit into what `table` adds to `previous`.
+fn take_released(
+    released: &mut Credits,
+    previous: &Table,
+    table: &Table,
+    workspaces: &IndexMap<Workspace, FleetWorkspace>,
+) -> Credits {
+    let mut taken = Credits::new();
+    for (workspace, fraction) in table {
+        let Some(available) = released.get_mut(workspace) else { continue };
+        let before = previous.get(workspace).copied().unwrap_or_default();
+        let limits = workspaces.get(workspace).cloned().unwrap_or_default();
+        let room = fraction.saturating_sub(before).bucket(&limits).whole_tokens();
+        let tokens = (*available).min(u32::try_from(room).unwrap_or(u32::MAX));
+        *available -= tokens;
+        if tokens > 0 {
+            taken.insert(workspace.clone(), tokens);
+        }
+    }
+    released.retain(|_, tokens| *tokens > 0);
+    taken
+}
+
+fn change(workspace: &Workspace, host: &HostId, fraction: Fraction) -> AllocationChange {
+    AllocationChange { workspace: workspace.clone(), host: host.clone(), fraction }
 }
--- a/src/fleet/runtime.rs
+++ b/src/fleet/runtime.rs
@@ -11,10 +11,7 @@
         disk_queue::DiskQueue,
     },
     clock::{Clock, Millis, SystemClock},
-    control::{
-        driver::decode_state,
-        node::{GroupPolicy, Node, NodeSettings},
-    },
+    control::node::{GroupPolicy, Node, NodeSettings},
     fleet::{
         config::FleetConfig,
         control::{Components, ControlLoop, ControlRequest, ControlResponse, Event},
@@ -152,7 +149,7 @@
         spdlog::warn!("removed {removed_bytes} bytes of an incomplete write from the log");
     }
     let state = match &stored.snapshot {
-        Some(snapshot) => decode_state(&snapshot.data)?,
+        Some(snapshot) => FleetState::decode(&snapshot.data)?,
         None => FleetState::default(),
     };
     spdlog::info!("data folder opened", kv: {id = id.as_str(), entries = stored.entries.len(), version = state.config.version});
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -1,11 +1,16 @@
-//! Replicated state machine of a fleet: the configuration in force, unfinished promotions
-//! and the inventory.
+//! Replicated state machine of a fleet: the configuration in force, unfinished promotions,
+//! the inventory and the allocations of the rate limits.
+//!
+//! Allocations follow the older parts of a snapshot, and a batch of them follows an empty
+//! command in its log entry. Builds that know no allocations read the part before them.
 
+use eyre::{Result, WrapErr};
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
 use crate::{
     fleet::{
+        allocation::{AllocationBatch, Allocations},
         inventory::{Inventory, InventoryDelta},
         messages::ConfigDocument,
     },
@@ -32,6 +37,32 @@
     /// Targets of unfinished promotions.
     pub promotions: IndexMap<Service, InstanceId>,
     pub inventory: Inventory,
+    #[serde(skip)]
+    pub allocations: Allocations,
+}
+
+/// Log entry.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LogEntry {
+    pub command: FleetCommand,
+    pub allocations: Option<AllocationBatch>,
+}
+
+impl LogEntry {
+    /// Decodes an entry of this build or of one that knows no allocations.
+    pub fn decode(bytes: &[u8]) -> Result<Self> {
+        let (command, rest) = postcard::take_from_bytes(bytes)?;
+        let allocations = match rest {
+            [] => None,
+            rest => Some(postcard::from_bytes(rest)?),
+        };
+        Ok(Self { command, allocations })
+    }
+}
+
+/// Log entry that holds only a batch of allocations, in encodable form.
+pub fn allocation_entry(batch: &AllocationBatch) -> (FleetCommand, &AllocationBatch) {
+    (FleetCommand::Inventory(InventoryDelta::default()), batch)
 }
 
 /// Effect of a command.
@@ -46,6 +77,22 @@
 }
 
 impl FleetState {
+    /// State in encodable form, for a snapshot.
+    pub fn snapshot(&self) -> (&Self, &Allocations) {
+        (self, &self.allocations)
+    }
+
+    /// Decodes a snapshot of this build or of one that knows no allocations.
+    pub fn decode(data: &[u8]) -> Result<Self> {
+        let (state, rest): (Self, _) =
+            postcard::take_from_bytes(data).wrap_err("cannot decode the state in the snapshot")?;
+        let allocations = match rest {
+            [] => Allocations::default(),
+            rest => postcard::from_bytes(rest).wrap_err("cannot decode the allocations")?,
+        };
+        Ok(Self { allocations, ..state })
+    }
+
     /// Applies a committed command.
     pub fn apply(&mut self, command: &FleetCommand) -> Applied {
         match command {
--- a/src/gateway/control_link.rs
+++ b/src/gateway/control_link.rs
@@ -15,7 +15,10 @@
     fleet::{
         document::decompress,
         link::{FrameReader, FrameWriter, connect, decode, encode, split_framed},
-        messages::{Frame, Health, HostReport, HostUpdate, Redirect, TargetHealth, ViewRevision},
+        messages::{
+            AllocationRevision, Frame, Health, HostReport, HostUpdate, LimitUpdate, Redirect,
+            TargetHealth, ViewRevision,
+        },
     },
     gateway::{
         cx::{Cx, Phase},
@@ -28,9 +31,6 @@
 /// Interval between reports; three of them fit into a lease.
 const REPORT_INTERVAL: Duration = Duration::from_millis(400);
 
-/// Shortest interval between early reports.
-const EARLY_REPORT_INTERVAL: Duration = Duration::from_millis(100);
-
 /// Silence of the leader after which the host reconnects. Below the remaining time of a
 /// lease, so that a dead connection does not make it expire.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(900);
@@ -120,6 +120,14 @@
     }
 }
 
+/// Versions of what the host has received from control.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Versions {
+    view: ViewRevision,
+    config: u64,
+    allocations: AllocationRevision,
+}
+
 struct ControlLink<T: Targets> {
     cx: Rc<Cx<T>>,
     control_hosts: Rc<RefCell<ControlHosts>>,
@@ -139,7 +147,6 @@
         let mut is_first = true;
         let mut confirmed = self.versions();
         let mut phases = self.cx.subscribe_phase();
-        let mut last_early_report = Instant::now();
         loop {
             tokio::select! {
                 _ = reports.tick() => {
@@ -154,9 +161,10 @@
                     match frame? {
                         Frame::Update(update) => {
                             let is_new_leader = self.apply(update)?;
-                            // A new view or configuration is confirmed at once.
-                            if self.versions() != confirmed || is_new_leader {
-                                confirmed = self.versions();
+                            // A new view, configuration or allocation is confirmed at once.
+                            let versions = self.versions();
+                            if versions != confirmed || is_new_leader {
+                                confirmed = versions;
                                 self.report(&mut writer, is_new_leader).await?;
                             }
                         }
@@ -167,28 +175,23 @@
                         _ => bail!("unexpected frame"),
                     }
                 }
-                () = self.cx.early_report.notified(),
-                    if last_early_report.elapsed() >= EARLY_REPORT_INTERVAL =>
-                {
-                    last_early_report = Instant::now();
-                    self.report(&mut writer, false).await?;
-                }
                 // A stop is reported at once, so that other hosts take over the targets early.
                 Ok(()) = phases.changed() => self.report(&mut writer, false).await?,
             }
         }
     }
 
-    /// Versions of the view and the configuration.
-    fn versions(&self) -> (ViewRevision, u64) {
+    fn versions(&self) -> Versions {
         let topology = self.cx.topology.borrow();
-        (topology.revision(), topology.config.version)
+        let allocations = self.cx.rate_limiter.borrow().allocation_age(self.cx.now()).0;
+        Versions { view: topology.revision(), config: topology.config.version, allocations }
     }
 
     async fn report(&self, writer: &mut FrameWriter, full: bool) -> Result<()> {
         let cx = &self.cx;
         let report = {
             let topology = cx.topology.borrow();
+            let mut rate_limiter = cx.rate_limiter.borrow_mut();
             HostReport {
                 host: cx.settings.host.clone(),
                 incarnation: self.incarnation,
@@ -198,10 +201,11 @@
                 bus_addr: cx.settings.bus_addr.clone(),
                 domain: cx.settings.domain.clone(),
                 leaving: cx.phase() > Phase::Serving,
-                usage: cx.rate_limiter.borrow_mut().take_usage(),
+                usage: rate_limiter.take_usage(),
                 targets: self.health(&topology),
                 acknowledged: self.acknowledged(full),
                 known_targets: if full { topology.known_targets() } else { Vec::new() },
+                limits: Some(rate_limiter.report(cx.now())),
             }
         };
         writer.send(encode(&Frame::Report(report))).await?;
@@ -237,6 +241,8 @@
         if let Some(document) = update.config {
             let config = cx.targets.decode_config(&decompress(&document)?)?;
             if cx.topology.borrow_mut().set_config(config) {
+                let config = cx.topology.borrow().config.clone();
+                cx.rate_limiter.borrow_mut().set_workspaces(cx.now(), &config.workspaces);
                 spdlog::info!("configuration applied", kv: {version = document.version});
             }
         }
@@ -250,19 +256,27 @@
                 self.apply_view(view);
             }
         }
-        if let Some(shares) = update.shares {
-            cx.rate_limiter.borrow_mut().set_shares(shares);
-        }
-        if let Some(fractions) = update.demand_fractions {
-            cx.rate_limiter.borrow_mut().set_demand_fractions(fractions);
-        }
+        self.apply_limits(update.echo, update.limits);
         if update.lease > Millis(0) {
-            cx.rate_limiter.borrow_mut().confirm(update.echo);
             cx.lease.borrow_mut().extend(update.echo, update.lease);
         }
         Ok(is_new_leader)
     }
 
+    fn apply_limits(&self, echo: Millis, update: Option<LimitUpdate>) {
+        let cx = &self.cx;
+        let mut rate_limiter = cx.rate_limiter.borrow_mut();
+        let Some(update) = update else {
+            let hosts = cx.topology.borrow().view.hosts.len();
+            rate_limiter.share_equally(cx.now(), echo, hosts);
+            return;
+        };
+        if let Some(allocations) = &update.allocations {
+            spdlog::info!("rate limit allocations received", kv: {term = update.revision.term, number = update.revision.number, workspaces = allocations.len()});
+        }
+        rate_limiter.apply(cx.now(), echo, update);
+    }
+
     fn apply_view(&self, view: crate::fleet::messages::FleetView) {
         let cx = &self.cx;
         spdlog::info!("fleet view applied", kv: {term = view.revision.term, number = view.revision.number, targets = view.targets.len(), hosts = view.hosts.len(), changing = view.primaries.iter().filter(|it| it.changing).count()});
--- a/src/gateway/cx.rs
+++ b/src/gateway/cx.rs
@@ -7,7 +7,7 @@
 };
 
 use indexmap::IndexMap;
-use tokio::sync::{Notify, watch};
+use tokio::sync::watch;
 
 use crate::{
     clock::{Clock, Millis, SystemClock},
@@ -94,8 +94,6 @@
     pub metrics: Arc<GatewayMetrics>,
     /// When the primary of a service was last searched for among its targets.
     pub last_discovery: RefCell<IndexMap<Service, Millis>>,
-    /// Requests a report to control ahead of the regular interval.
-    pub early_report: Notify,
     phase: watch::Sender<Phase>,
 }
 
@@ -123,7 +121,6 @@
             limit_log: RefCell::default(),
             metrics: GatewayMetrics::new(),
             last_discovery: RefCell::default(),
-            early_report: Notify::new(),
             phase: watch::Sender::new(Phase::Serving),
         }
     }
--- a/src/gateway/limit_log.rs
+++ b/src/gateway/limit_log.rs
@@ -10,12 +10,7 @@
 
 use crate::{
     clock::Millis,
-    gateway::{
-        cx::Cx,
-        log_limit::LogDecision,
-        ports::Targets,
-        rate_limit::{LimitUse, RateLimiter},
-    },
+    gateway::{cx::Cx, log_limit::LogDecision, ports::Targets, rate_limit::LimitUse},
     ids::Workspace,
 };
 
@@ -72,20 +67,24 @@
     let LogDecision::Write { suppressed } = cx.limit_log.borrow_mut().check(now) else { return };
     let topology = cx.topology.borrow();
     let Some(limits) = topology.config.workspaces.get(workspace) else { return };
-    let in_contact = cx.lease.borrow().is_valid(now);
-    let rate_limiter: &RateLimiter = &cx.rate_limiter.borrow();
-    let limit = rate_limiter.limit(workspace, limits, in_contact);
+    let rate_limiter = cx.rate_limiter.borrow();
+    let fraction = rate_limiter.fraction(now, workspace);
+    let (revision, age) = rate_limiter.allocation_age(now);
     spdlog::info!("workspace limit used", kv: {
         workspace = workspace.as_str(),
         span_s = intervals,
-        source = limit.source.to_string().as_str(),
-        rate = limit.rate,
-        burst = limit.burst,
+        fraction = fraction.0,
+        rate = f64::from(limits.rate) * fraction.as_f64(),
+        burst = f64::from(limits.burst) * fraction.as_f64(),
         admitted = used.admitted,
+        borrowed = used.borrowed,
+        lent = used.lent,
         refused = used.refused,
+        no_lender = used.no_lender,
         refunded = used.refunded,
-        age_ms = rate_limiter.age(now).0,
-        term = topology.revision().term,
+        age_ms = age.0,
+        term = revision.term,
+        number = revision.number,
         config = topology.config.version,
         left_out = suppressed
     });
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -79,7 +79,7 @@
         let hosts = gauge("hosts", "Entry hosts that own targets");
         let leased = gauge("leased", "1 while the host relies on what it knows of primaries");
         let ready = gauge("ready", "1 while the host asks for new sessions");
-        let limited = gauge("limited_workspaces", "Workspaces whose rate is divided");
+        let limited = gauge("limited_workspaces", "Workspaces of which the host has an allocation");
         let failing = gauge("failing_targets", "Targets that do not answer");
         let requests = set.add("requests", "Requests by route and outcome");
         let latency = LatencyHistogram::new_with_constructor(|| Histogram::new(LATENCY_BUCKETS_S));
@@ -127,6 +127,8 @@
         for (workspace, used) in uses {
             let decisions = [
                 ("admitted", used.admitted),
+                ("borrowed", used.borrowed),
+                ("lent", used.lent),
                 ("refused", used.refused),
                 ("refunded", used.refunded),
             ];
@@ -155,7 +157,7 @@
         set(&self.hosts, topology.view.hosts.len());
         set(&self.leased, u64::from(cx.lease.borrow().is_valid(now)));
         set(&self.ready, u64::from(cx.is_ready()));
-        set(&self.limited, cx.rate_limiter.borrow().limited());
+        set(&self.limited, cx.rate_limiter.borrow().allocated());
         set(&self.failing, cx.health.borrow().failing(now));
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 pub mod pool;
 pub mod ports;
 pub mod prepare;
+pub mod rate_admission;
 pub mod rate_limit;
 pub mod read_selection;
 pub mod runtime;
--- a/src/gateway/operation.rs
+++ b/src/gateway/operation.rs
@@ -64,6 +64,19 @@
     pub confirmed_at: Option<Millis>,
 }
 
+/// Answer to an operation, and whether a target may have run it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Outcome {
+    pub answer: Answer,
+    pub may_have_run: bool,
+}
+
+impl Outcome {
+    fn not_run(answer: Answer) -> Self {
+        Self { answer, may_have_run: false }
+    }
+}
+
 impl<T: Targets> Operation<'_, T> {
     fn deadline(&self) -> Millis {
         self.arrived + self.auth.route.statement_timeout
@@ -245,13 +258,17 @@
     }
 
     /// Runs a read outside of transactions.
-    pub async fn read(&self, resolved: ResolvedRequest<'_>) -> Answer {
+    pub async fn read(&self, resolved: ResolvedRequest<'_>) -> Outcome {
         let mut tried = Vec::new();
-        let mut last = None;
+        let mut last: Option<Answer> = None;
+        let mut may_have_run = false;
         while self.cx.now() < self.deadline() {
             let mut selected = match self.select_target(AccessMode::Read, false, &mut tried).await {
                 Ok(selected) => selected,
-                Err(error) => return last.unwrap_or_else(|| self.error_answer(&error)),
+                Err(error) => {
+                    let answer = last.unwrap_or_else(|| self.error_answer(&error));
+                    return Outcome { answer, may_have_run };
+                }
             };
             let id = selected.client.target.id.clone();
             let kind = Self::statement(resolved, selected.after);
@@ -263,17 +280,20 @@
                         Some(ErrorCode::Lagging | ErrorCode::Busy | ErrorCode::NoStatement) => {
                             last = Some(Answer { state: TransactionState::Idle, ..answer });
                         }
-                        _ => return answer,
+                        _ => return Outcome { answer, may_have_run: true },
                     }
                 }
                 Err(error @ JobError::Rejected(..)) if !tried.is_empty() => {
-                    return self.error_answer(&error);
+                    return Outcome { answer: self.error_answer(&error), may_have_run };
+                }
+                Err(error) => {
+                    may_have_run |= error == JobError::Lost;
+                    last = Some(self.error_answer(&error));
                 }
-                Err(error) => last = Some(self.error_answer(&error)),
             }
             tried.push(id);
         }
-        last.unwrap_or_else(|| self.unanswered())
+        Outcome { answer: last.unwrap_or_else(|| self.unanswered()), may_have_run }
     }
 
     fn read_attempt_deadline(&self) -> Millis {
@@ -282,13 +302,13 @@
     }
 
     /// Runs a write outside of transactions.
-    pub async fn write(&self, resolved: ResolvedRequest<'_>) -> Answer {
+    pub async fn write(&self, resolved: ResolvedRequest<'_>) -> Outcome {
         let mut tried = Vec::new();
         loop {
             let mut selected = match self.select_target(AccessMode::Write, false, &mut tried).await
             {
                 Ok(selected) => selected,
-                Err(error) => return self.error_answer(&error),
+                Err(error) => return Outcome::not_run(self.error_answer(&error)),
             };
             let sent = self.cx.now();
             let target = selected.client.target.clone();
@@ -299,14 +319,17 @@
                     tokio::time::sleep(RESELECT_DELAY.duration()).await;
                     continue;
                 }
-                Err(error) => return self.error_answer(&error),
+                Err(error) => {
+                    let answer = self.error_answer(&error);
+                    return Outcome { answer, may_have_run: error == JobError::Lost };
+                }
             };
             match answer.code() {
                 None => {
                     if let Some(position) = answer.position {
                         self.cx.freshness.borrow_mut().observe(&target.service, sent, position);
                     }
-                    return answer;
+                    return Outcome { answer, may_have_run: true };
                 }
                 Some(code @ (ErrorCode::ReadOnly | ErrorCode::Busy | ErrorCode::NoStatement)) => {
                     if code == ErrorCode::ReadOnly {
@@ -318,14 +341,12 @@
                         );
                     }
                     if self.cx.now() >= self.wait_deadline() {
-                        return self.error_answer(&JobError::Rejected(
-                            RETRY_AFTER_BUSY,
-                            RejectReason::Busy,
-                        ));
+                        let busy = JobError::Rejected(RETRY_AFTER_BUSY, RejectReason::Busy);
+                        return Outcome::not_run(self.error_answer(&busy));
                     }
                     tokio::time::sleep(RESELECT_DELAY.duration()).await;
                 }
-                Some(_) => return answer,
+                Some(_) => return Outcome { answer, may_have_run: true },
             }
         }
     }
--- a/src/gateway/peer_client.rs
+++ b/src/gateway/peer_client.rs
@@ -23,12 +23,13 @@
 use crate::{
     fleet::{
         link::{FrameReader, FrameWriter, connect, decode, encode, split_framed},
-        messages::Frame,
+        messages::{Frame, TokenGrant, TokenRequest},
     },
     gateway::{
         job::{Job, JobError},
         statement::Answer,
     },
+    ids::Workspace,
 };
 
 /// Interval between checks of a host's silence.
@@ -50,7 +51,28 @@
 /// Frames that may wait for a connection.
 const MAX_QUEUED_FRAMES: usize = 256;
 
-type Reply = oneshot::Sender<Result<Answer, JobError>>;
+/// Channel for the answer to a call.
+#[derive(Debug)]
+enum Reply {
+    Job(oneshot::Sender<Result<Answer, JobError>>),
+    Tokens(oneshot::Sender<TokenGrant>),
+}
+
+impl Reply {
+    fn is_closed(&self) -> bool {
+        match self {
+            Self::Job(reply) => reply.is_closed(),
+            Self::Tokens(reply) => reply.is_closed(),
+        }
+    }
+
+    /// Reports that the call has failed. The receiver is gone if the call timed out.
+    fn fail(self, error: JobError) {
+        if let Self::Job(reply) = self {
+            let _ = reply.send(Err(error));
+        }
+    }
+}
 
 /// Connections to other entry hosts by address.
 #[derive(Debug, Default)]
@@ -95,12 +117,7 @@
         let request_id = self.next_id();
         let frame = encode(&Frame::Request { request_id, stream, job: job.clone() });
         let (reply, outcome) = oneshot::channel();
-        let peer = self.peer(addr);
-        if !peer.usable.get() {
-            return Err(JobError::Unreachable);
-        }
-        if peer.queue.try_send(Message::Request { request_id, frame, reply }).is_err() {
-            self.peers.borrow_mut().remove(addr);
+        if !self.send(addr, Message::Request { request_id, frame, reply: Reply::Job(reply) }) {
             return Err(JobError::Unreachable);
         }
         // The other host applies the same timeout; the margin allows for the round trip.
@@ -111,6 +128,32 @@
         }
     }
 
+    /// Borrows a token of `workspace` from the host at `addr`; `None` if it does not answer.
+    /// The request is part of a ping, which all builds answer.
+    pub async fn borrow_token(&self, addr: &str, workspace: &Workspace) -> Option<TokenGrant> {
+        let request_id = self.next_id();
+        let req = TokenRequest { request_id, workspace: workspace.clone(), wanted: 1 };
+        let frame = encode(&Frame::Ping { tokens: Some(req) });
+        let (reply, outcome) = oneshot::channel();
+        if !self.send(addr, Message::Request { request_id, frame, reply: Reply::Tokens(reply) }) {
+            return None;
+        }
+        outcome.await.ok()
+    }
+
+    /// Queues a call; returns whether the host may be reached.
+    fn send(&self, addr: &str, message: Message) -> bool {
+        let peer = self.peer(addr);
+        if !peer.usable.get() {
+            return false;
+        }
+        let is_queued = peer.queue.try_send(message).is_ok();
+        if !is_queued {
+            self.peers.borrow_mut().remove(addr);
+        }
+        is_queued
+    }
+
     /// Ends `stream` at the host at `addr`, which rolls back its open transaction.
     pub fn end(&self, addr: &str, stream: u64) {
         let peer = self.peer(addr);
@@ -167,17 +210,34 @@
 /// Fails all calls on a lost connection.
 fn fail_all(messages: &mut mpsc::Receiver<Message>, outstanding: &mut HashMap<u64, Reply>) {
     for (_, reply) in outstanding.drain() {
-        // The receiver is gone if the call timed out.
-        let _ = reply.send(Err(JobError::Lost));
+        reply.fail(JobError::Lost);
     }
     // Queued calls were never sent.
     while let Ok(message) = messages.try_recv() {
         if let Message::Request { reply, .. } = message {
-            let _ = reply.send(Err(JobError::Unreachable));
+            reply.fail(JobError::Unreachable);
         }
     }
 }
 
+/// Passes an answer to the call that waits for it. The receiver is gone if the call timed
+/// out.
+fn deliver(frame: Frame, outstanding: &mut HashMap<u64, Reply>) {
+    match frame {
+        Frame::Response { request_id, result } => {
+            if let Some(Reply::Job(reply)) = outstanding.remove(&request_id) {
+                let _ = reply.send(result);
+            }
+        }
+        Frame::Pong { tokens: Some(grant) } => {
+            if let Some(Reply::Tokens(reply)) = outstanding.remove(&grant.request_id) {
+                let _ = reply.send(grant);
+            }
+        }
+        _ => {}
+    }
+}
+
 async fn exchange(
     mut reader: FrameReader,
     mut writer: FrameWriter,
@@ -202,12 +262,7 @@
             read = reader.next() => {
                 let Some(bytes) = read else { bail!("connection closed") };
                 last_received = Instant::now();
-                if let Frame::Response { request_id, result } = decode(&bytes?)?
-                    && let Some(reply) = outstanding.remove(&request_id)
-                {
-                    // The receiver is gone if the call timed out.
-                    let _ = reply.send(result);
-                }
+                deliver(decode(&bytes?)?, outstanding);
             }
             _ = checks.tick(), if !outstanding.is_empty() => {
                 outstanding.retain(|_, reply| !reply.is_closed());
@@ -216,7 +271,7 @@
                     bail!("no answer for {} ms", silence.as_millis());
                 }
                 if silence >= PING_AFTER {
-                    writer.send(encode(&Frame::Ping)).await?;
+                    writer.send(encode(&Frame::Ping { tokens: None })).await?;
                 }
             }
         }
--- a/src/gateway/peer_server.rs
+++ b/src/gateway/peer_server.rs
@@ -63,7 +63,11 @@
                     tokio::task::spawn_local(roll_back(cx.clone(), held));
                 }
             }
-            Frame::Ping => send(&self.outgoing, &Frame::Pong),
+            Frame::Ping { tokens: None } => send(&self.outgoing, &Frame::Pong { tokens: None }),
+            Frame::Ping { tokens: Some(req) } => {
+                let grant = cx.rate_limiter.borrow_mut().lend(cx.now(), &req);
+                send(&self.outgoing, &Frame::Pong { tokens: Some(grant) });
+            }
             _ => spdlog::debug!("ignoring unexpected frame from entry host"),
         }
     }
--- a/src/gateway/rate_limit.rs
+++ b/src/gateway/rate_limit.rs
@@ -1,212 +1,435 @@
-//! Rate limits of the workspaces at one entry host, enforced with token buckets.
+//! Rate limits of the workspaces at one entry host.
 //!
-//! A workspace that the control leader limits gets the share of its rate that the leader
-//! assigns to this host. Any other workspace may use its full rate and burst. Without
-//! contact to the leader, a workspace gets the fraction of its rate that corresponds to the
-//! fraction of its demand at this host.
+//! The control leader allocates fractions of each workspace's limit to the hosts. A host
+//! keeps a bucket of its fraction; each operation takes a token. A host without a token
+//! borrows one from a lender of the workspace, which takes it from its own bucket.
+//!
+//! Tokens of operations that may still be refunded and tokens that are lent count into the
+//! capacity of the bucket, so that refunds and late uses add nothing to the bound that
+//! [`Allocations`](crate::fleet::allocation) states.
+
+use std::collections::VecDeque;
 
-use derive_more::Display;
 use indexmap::IndexMap;
 
 use crate::{
     clock::Millis,
     fleet::{
+        allocation::Fraction,
         config::FleetWorkspace,
-        messages::{Share, Usage},
+        messages::{
+            Allocation, AllocationRevision, LimitReport, LimitUpdate, TokenGrant, TokenRequest,
+            Usage,
+        },
+        rate_allocator::ALLOCATION_LEASE,
     },
     ids::Workspace,
+    limits::token_bucket::{BucketShape, TOKEN_SCALE, TokenBucket},
 };
 
-/// Milliseconds per second.
-const SECOND_MS: f32 = 1_000.0;
-
-/// Longest retry delay reported to a caller.
-const MAX_RETRY_AFTER: Millis = Millis(1_000);
-
-/// Smallest burst without contact to the leader, in operations: a host with few callers
-/// would otherwise refuse two operations that happen to coincide.
-const MIN_BURST: f32 = 2.0;
+/// Time for which a borrowed token may be used after it was requested.
+pub const LOAN_TTL: Millis = Millis(60);
 
-/// Fraction of a second's rate that triggers an early report once it is admitted.
-const EARLY_REPORT_FRACTION: f32 = 0.1;
+/// Time from a loan until it can surely not be used any more: its lifetime, 10 % for clock
+/// drift, and rounding.
+const LOAN_EXPIRY: Millis = Millis(68);
 
-/// Smallest number of admitted operations that triggers an early report.
-const EARLY_REPORT_MIN: f32 = 4.0;
+/// Time for which an equal share applies that is not based on an allocation.
+const EQUAL_SHARE_LEASE: Millis = Millis(2_000);
 
-/// Token buckets and limits of the workspaces.
-#[derive(Debug, Default)]
-pub struct RateLimiter {
-    buckets: IndexMap<Workspace, Bucket>,
-    limited: IndexMap<Workspace, Share>,
-    /// Fraction of each workspace's demand that arrives at this host.
-    demand_fractions: IndexMap<Workspace, f32>,
-    /// Offered and admitted operations since the last report.
-    usage: IndexMap<Workspace, (u32, u32)>,
-    report_due: bool,
-    /// When the leader's shares were last received.
-    received_at: Millis,
-    /// Decisions since the last summary.
-    uses: IndexMap<Workspace, LimitUse>,
-}
+const SECOND: Millis = Millis(1_000);
 
-/// Where the limit of a workspace at this host comes from.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
-pub enum LimitSource {
-    /// Full limit of the workspace.
-    #[display("full")]
-    Full,
-    /// Share that the leader assigned.
-    #[display("share")]
-    Share,
-    /// Fraction of the limit that applies without contact to the leader.
-    #[display("no_contact")]
-    NoContact,
-}
+/// Longest retry delay reported to a caller.
+const MAX_RETRY_AFTER: Millis = Millis(1_000);
 
-/// Limit of a workspace at this host.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Limit {
-    pub source: LimitSource,
-    /// Operations per second.
-    pub rate: f32,
-    /// Operations.
-    pub burst: f32,
-}
+/// Shortest retry delay reported to a caller.
+const MIN_RETRY_AFTER: Millis = Millis(50);
 
 /// Decisions about a workspace's operations.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct LimitUse {
+    /// Operations admitted with this host's own tokens.
     pub admitted: u32,
+    /// Operations admitted with borrowed tokens.
+    pub borrowed: u32,
     pub refused: u32,
+    /// Refused operations for which no lender answered.
+    pub no_lender: u32,
     /// Admitted operations that no target ran.
     pub refunded: u32,
+    /// Tokens lent to other hosts.
+    pub lent: u32,
 }
 
 impl LimitUse {
     /// Adds the decisions of another interval.
     pub fn add(&mut self, other: &Self) {
         self.admitted += other.admitted;
+        self.borrowed += other.borrowed;
         self.refused += other.refused;
+        self.no_lender += other.no_lender;
         self.refunded += other.refunded;
+        self.lent += other.lent;
     }
 }
 
-#[derive(Debug)]
-struct Bucket {
-    tokens: f32,
-    updated_at: Millis,
+/// Allocations of this host.
+#[derive(Debug, Default)]
+struct Allocations {
+    revision: AllocationRevision,
+    fractions: IndexMap<Workspace, Fraction>,
+    /// Fraction of every workspace, from a leader that knows no allocations.
+    equal_share: Option<Fraction>,
+    expires_at: Millis,
+    /// When the leader last confirmed them.
+    confirmed_at: Millis,
+    /// Tokens given up for the current allocations that are not reported yet.
+    released: Vec<(Workspace, u32)>,
 }
 
-impl RateLimiter {
-    /// Replaces the shares of the workspaces that the leader limits; all others are not
-    /// limited. When a limit begins, the bucket keeps at most the share's burst: with many
-    /// hosts, full buckets would add up to more than the workspace's burst.
-    pub fn set_shares(&mut self, shares: Vec<Share>) {
-        for share in shares.iter().filter(|it| !self.limited.contains_key(&it.workspace)) {
-            if let Some(bucket) = self.buckets.get_mut(&share.workspace) {
-                bucket.tokens = bucket.tokens.min(share.burst);
-            }
+/// Count over the current and the previous second.
+#[derive(Debug, Clone, Copy, Default)]
+struct RecentCount {
+    second: u64,
+    current: u32,
+    previous: u32,
+}
+
+impl RecentCount {
+    fn record(&mut self, now: Millis, count: u32) {
+        let second = now.0 / SECOND.0;
+        if second != self.second {
+            self.previous = if second == self.second + 1 { self.current } else { 0 };
+            (self.second, self.current) = (second, 0);
         }
-        self.limited = shares.into_iter().map(|it| (it.workspace.clone(), it)).collect();
+        self.current += count;
     }
 
-    /// Replaces the fractions of the workspaces' demands that arrive at this host.
-    pub fn set_demand_fractions(&mut self, fractions: Vec<(Workspace, f32)>) {
-        self.demand_fractions = fractions.into_iter().collect();
+    fn recent(self) -> u64 {
+        u64::from(self.current.max(self.previous))
     }
+}
+
+/// State of one workspace.
+#[derive(Debug)]
+struct Limit {
+    bucket: TokenBucket,
+    /// Admitted operations that may still be refunded.
+    refundable: u32,
+    /// Loans that may still be used: when they expire, and their tokens.
+    lent: VecDeque<(Millis, u32)>,
+    /// Requests for loans that were not met.
+    unmet: RecentCount,
+    /// Until when lenders have no tokens.
+    exhausted_until: Millis,
+    usage: Usage,
+    used: LimitUse,
+}
 
-    /// Records that the leader confirmed the current shares.
-    pub fn confirm(&mut self, now: Millis) {
-        self.received_at = now;
+/// Rate limits of all workspaces.
+#[derive(Debug, Default)]
+pub struct RateLimiter {
+    allocation: Allocations,
+    limits: IndexMap<Workspace, Limit>,
+    /// Limits in the configuration.
+    workspaces: IndexMap<Workspace, FleetWorkspace>,
+}
+
+impl RateLimiter {
+    /// Applies the limits of a new configuration.
+    pub fn set_workspaces(
+        &mut self,
+        now: Millis,
+        workspaces: &IndexMap<Workspace, FleetWorkspace>,
+    ) {
+        self.workspaces.clone_from(workspaces);
+        self.reshape(now);
+        self.limits.retain(|workspace, _| workspaces.contains_key(workspace));
     }
 
-    /// Time since the leader confirmed the current shares.
-    pub fn age(&self, now: Millis) -> Millis {
-        now.since(self.received_at)
+    /// Applies an update of the leader that answers a report sent at `echo`. Updates of
+    /// earlier leaders and older ones of the same leader are ignored.
+    pub fn apply(&mut self, now: Millis, echo: Millis, update: LimitUpdate) {
+        if update.revision < self.allocation.revision {
+            return;
+        }
+        if update.revision > self.allocation.revision {
+            let Some(allocations) = update.allocations else { return };
+            self.replace(now, echo, update.revision, allocations);
+        } else if update.revision != AllocationRevision::default() {
+            self.reshape(now);
+            self.extend(now, echo, ALLOCATION_LEASE);
+        }
     }
 
-    /// Counts an operation and takes a token for it, or returns the time until the next
-    /// token. `in_contact` is whether a limit set by the leader would have reached this
-    /// host.
-    pub fn admit(
+    fn replace(
         &mut self,
         now: Millis,
-        workspace: &Workspace,
-        limits: &FleetWorkspace,
-        in_contact: bool,
-    ) -> Result<(), Millis> {
-        let Limit { rate, burst, .. } = self.limit(workspace, limits, in_contact);
-        let used = self.uses.entry(workspace.clone()).or_default();
-        let usage = self.usage.entry(workspace.clone()).or_default();
-        usage.0 += 1;
-        let new = || Bucket { tokens: burst, updated_at: now };
-        let bucket = self.buckets.entry(workspace.clone()).or_insert_with(new);
-        let refill = rate * now.since(bucket.updated_at).0 as f32 / SECOND_MS;
-        bucket.tokens = (bucket.tokens + refill).min(burst.max(1.0));
-        bucket.updated_at = now;
-        if bucket.tokens < 1.0 {
-            used.refused += 1;
-            let missing_ms = (1.0 - bucket.tokens) * SECOND_MS / rate.max(0.1);
-            return Err(Millis(missing_ms as u64 + 1).min(MAX_RETRY_AFTER));
+        echo: Millis,
+        revision: AllocationRevision,
+        allocations: Vec<Allocation>,
+    ) {
+        self.reshape(now);
+        let held = |limit: &Limit| limit.bucket.level() / TOKEN_SCALE;
+        let before: Vec<u64> = self.limits.values().map(held).collect();
+        self.allocation.revision = revision;
+        self.allocation.equal_share = None;
+        self.allocation.fractions =
+            allocations.iter().map(|it| (it.workspace.clone(), it.fraction)).collect();
+        self.extend(now, echo, ALLOCATION_LEASE);
+        let released = self.limits.iter().zip(before).map(|((workspace, limit), before)| {
+            let released = before.saturating_sub(held(limit));
+            (workspace.clone(), u32::try_from(released).unwrap_or_default())
+        });
+        self.allocation.released = released.filter(|(_, tokens)| *tokens > 0).collect();
+        for Allocation { workspace, tokens, .. } in &allocations {
+            self.limit(now, workspace).bucket.put(now, u64::from(*tokens));
         }
-        bucket.tokens -= 1.0;
-        usage.1 += 1;
-        used.admitted += 1;
-        self.report_due |=
-            usage.1 as f32 >= (limits.rate as f32 * EARLY_REPORT_FRACTION).max(EARLY_REPORT_MIN);
-        Ok(())
-    }
-
-    /// Limit that applies to the workspace.
-    pub fn limit(&self, workspace: &Workspace, limits: &FleetWorkspace, in_contact: bool) -> Limit {
-        // Out of contact, shares do not apply: the leader could not lift them.
-        if in_contact && let Some(share) = self.limited.get(workspace) {
-            return Limit { source: LimitSource::Share, rate: share.rate, burst: share.burst };
+    }
+
+    /// Applies an equal share of all limits among `hosts` hosts, because the leader knows no
+    /// allocations.
+    pub fn share_equally(&mut self, now: Millis, echo: Millis, hosts: usize) {
+        self.reshape(now);
+        let share = Fraction::from_f64(1.0 / hosts.max(1) as f64);
+        self.allocation = Allocations { equal_share: Some(share), ..Allocations::default() };
+        self.extend(now, echo, EQUAL_SHARE_LEASE);
+    }
+
+    /// Extends the lease to `lease` after `echo`, when the answered report was sent.
+    fn extend(&mut self, now: Millis, echo: Millis, lease: Millis) {
+        self.allocation.confirmed_at = echo;
+        self.allocation.expires_at = self.allocation.expires_at.max(echo + lease);
+        self.reshape(now);
+    }
+
+    /// Report on the allocations. They are applied completely once no loans exceed them.
+    pub fn report(&mut self, now: Millis) -> LimitReport {
+        self.reshape(now);
+        let fits = |limit: &Limit| limit.lent_tokens() <= limit.bucket.shape().whole_tokens();
+        if !self.limits.values().all(fits) {
+            return LimitReport::default();
         }
-        let (rate, burst) = (limits.rate as f32, limits.burst as f32);
-        if in_contact {
-            return Limit { source: LimitSource::Full, rate, burst };
+        let released = std::mem::take(&mut self.allocation.released);
+        LimitReport { revision: self.allocation.revision, released }
+    }
+
+    /// Fraction of a workspace's limit that this host may use.
+    pub fn fraction(&self, now: Millis, workspace: &Workspace) -> Fraction {
+        if now >= self.allocation.expires_at {
+            return Fraction::NONE;
         }
-        let fraction = self.demand_fractions.get(workspace).copied().unwrap_or_default();
-        let burst = (burst * fraction).max(MIN_BURST);
-        Limit { source: LimitSource::NoContact, rate: rate * fraction, burst }
+        let allocated = self.allocation.fractions.get(workspace).copied();
+        allocated.or(self.allocation.equal_share).unwrap_or_default()
     }
 
-    /// Returns the token of an operation that no target has run. Callers retry such
-    /// operations; if each attempt counted, retries would use up the rate while a service
-    /// is unavailable.
-    pub fn refund(&mut self, workspace: &Workspace) {
-        if let Some(bucket) = self.buckets.get_mut(workspace) {
-            bucket.tokens += 1.0;
+    /// Revision of the allocations, and the time since the leader confirmed them.
+    pub fn allocation_age(&self, now: Millis) -> (AllocationRevision, Millis) {
+        (self.allocation.revision, now.since(self.allocation.confirmed_at))
+    }
+
+    /// Counts an operation of a caller.
+    pub fn record_offered(&mut self, now: Millis, workspace: &Workspace) {
+        self.limit(now, workspace).usage.offered += 1;
+    }
+
+    /// Admits an operation with a token of this host.
+    pub fn admit(&mut self, now: Millis, workspace: &Workspace) -> bool {
+        let limit = self.limit(now, workspace);
+        if limit.bucket.take(now, 1) == 0 {
+            return false;
         }
-        self.uses.entry(workspace.clone()).or_default().refunded += 1;
-        if let Some((offered, admitted)) = self.usage.get_mut(workspace) {
-            *offered = offered.saturating_sub(1);
-            *admitted = admitted.saturating_sub(1);
+        limit.refundable += 1;
+        limit.reserve(now);
+        limit.usage.admitted += 1;
+        limit.used.admitted += 1;
+        true
+    }
+
+    /// Admits an operation with a token that was borrowed with a request sent at
+    /// `requested_at`.
+    pub fn admit_borrowed(
+        &mut self,
+        now: Millis,
+        workspace: &Workspace,
+        requested_at: Millis,
+    ) -> bool {
+        if now.since(requested_at) >= LOAN_TTL {
+            return false;
+        }
+        let limit = self.limit(now, workspace);
+        limit.usage.admitted += 1;
+        limit.used.borrowed += 1;
+        true
+    }
+
+    /// Lends tokens to another host.
+    pub fn lend(&mut self, now: Millis, req: &TokenRequest) -> TokenGrant {
+        let limit = self.limit(now, &req.workspace);
+        let taken = limit.bucket.take(now, u64::from(req.wanted));
+        let tokens = u32::try_from(taken).unwrap_or(req.wanted);
+        if tokens > 0 {
+            limit.lent.push_back((now + LOAN_EXPIRY, tokens));
+            limit.reserve(now);
+            limit.used.lent += tokens;
         }
+        limit.unmet.record(now, req.wanted - tokens);
+        let waiting = limit.unmet.recent();
+        let per_token = TOKEN_SCALE / limit.bucket.shape().refill.max(1);
+        let retry_after = self.retry_after(now, &req.workspace) + Millis(per_token * waiting);
+        let retry_after = retry_after.min(MAX_RETRY_AFTER);
+        TokenGrant { request_id: req.request_id, tokens, retry_after }
+    }
+
+    /// Until when it is useless to ask the lenders for tokens.
+    pub fn exhausted_until(&mut self, now: Millis, workspace: &Workspace) -> Millis {
+        self.limit(now, workspace).exhausted_until
+    }
+
+    /// Records that lenders expect no token before `retry_after` has passed.
+    pub fn record_exhausted(&mut self, now: Millis, workspace: &Workspace, retry_after: Millis) {
+        let limit = self.limit(now, workspace);
+        limit.exhausted_until = limit.exhausted_until.max(now + retry_after);
+    }
+
+    /// Counts a refused operation.
+    pub fn record_refused(&mut self, now: Millis, workspace: &Workspace) {
+        self.limit(now, workspace).used.refused += 1;
     }
 
-    /// Number of workspaces that the leader limits.
-    pub fn limited(&self) -> usize {
-        self.limited.len()
+    /// Counts an operation for which no lender answered.
+    pub fn record_no_lender(&mut self, now: Millis, workspace: &Workspace) {
+        self.limit(now, workspace).used.no_lender += 1;
     }
 
-    /// Whether enough operations were admitted since the last report for an early one.
-    pub fn is_report_due(&self) -> bool {
-        self.report_due
+    /// Time until this host's next token, if there will be one.
+    pub fn time_until_token(&mut self, now: Millis, workspace: &Workspace) -> Option<Millis> {
+        let bucket = &mut self.limit(now, workspace).bucket;
+        (bucket.shape().whole_tokens() > 0).then(|| bucket.time_until(now, 1)).flatten()
+    }
+
+    /// Time after which an operation may be tried again.
+    pub fn retry_after(&mut self, now: Millis, workspace: &Workspace) -> Millis {
+        let next = self.time_until_token(now, workspace).unwrap_or(MAX_RETRY_AFTER);
+        next.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
+    }
+
+    /// Ends the time in which an operation that was admitted with a token of this host may
+    /// be refunded. Returns the token if no target ran the operation: callers retry such
+    /// operations, and their retries would use up the rate while a service is unavailable.
+    pub fn settle(&mut self, now: Millis, workspace: &Workspace, ran: bool) {
+        let limit = self.limit(now, workspace);
+        // A smaller allocation has taken the token already.
+        let is_refundable = limit.refundable > 0;
+        limit.refundable = limit.refundable.saturating_sub(1);
+        limit.reserve(now);
+        if ran {
+            return;
+        }
+        limit.record_refund();
+        if is_refundable {
+            limit.bucket.put(now, 1);
+        }
     }
 
     /// Returns and resets the operations since the last call.
     pub fn take_usage(&mut self) -> Vec<Usage> {
-        self.report_due = false;
-        let usage = self.usage.drain(..);
-        usage
-            .map(|(workspace, (offered, admitted))| Usage { workspace, offered, admitted })
-            .collect()
+        let used = self.limits.values_mut().filter(|limit| limit.usage.offered > 0);
+        used.map(|limit| {
+            let empty = Usage { offered: 0, admitted: 0, ..limit.usage.clone() };
+            std::mem::replace(&mut limit.usage, empty)
+        })
+        .collect()
     }
 
     /// Returns and resets the decisions since the last call.
     pub fn take_uses(&mut self) -> Vec<(Workspace, LimitUse)> {
-        self.uses.drain(..).collect()
+        let used = self.limits.iter_mut().filter(|(_, it)| it.used != LimitUse::default());
+        used.map(|(workspace, limit)| (workspace.clone(), std::mem::take(&mut limit.used)))
+            .collect()
+    }
+
+    /// Counts an operation with a borrowed token that no target ran. The token has been
+    /// taken from the lender for good.
+    pub fn record_unused_loan(&mut self, now: Millis, workspace: &Workspace) {
+        self.limit(now, workspace).record_refund();
+    }
+
+    /// Number of workspaces of which this host has an allocation.
+    pub fn allocated(&self) -> usize {
+        self.allocation.fractions.len()
+    }
+
+    fn limit(&mut self, now: Millis, workspace: &Workspace) -> &mut Limit {
+        if !self.limits.contains_key(workspace) {
+            let start = now.max(LOAN_EXPIRY);
+            self.limits.insert(workspace.clone(), Limit::new(start, workspace.clone()));
+        }
+        let shape = self.shape(now, workspace);
+        let expires_at = self.allocation.expires_at;
+        let limit = &mut self.limits[workspace];
+        limit.set_shape(now, shape, expires_at);
+        limit
+    }
+
+    fn shape(&self, now: Millis, workspace: &Workspace) -> BucketShape {
+        let limits = self.workspaces.get(workspace).cloned().unwrap_or_default();
+        self.fraction(now, workspace).bucket(&limits)
+    }
+
+    /// Refills all buckets under the shapes that applied until now, and sets the current
+    /// ones.
+    fn reshape(&mut self, now: Millis) {
+        let expires_at = self.allocation.expires_at;
+        for index in 0..self.limits.len() {
+            let Some((workspace, _)) = self.limits.get_index(index) else { continue };
+            let shape = self.shape(now, &workspace.clone());
+            if let Some((_, limit)) = self.limits.get_index_mut(index) {
+                limit.set_shape(now, shape, expires_at);
+            }
+        }
+    }
+}
+
+impl Limit {
+    /// `start` is when the bucket begins to refill: loans of an earlier process of this host
+    /// have expired by then.
+    fn new(start: Millis, workspace: Workspace) -> Self {
+        Self {
+            bucket: TokenBucket::empty(start, BucketShape::default()),
+            refundable: 0,
+            lent: VecDeque::new(),
+            unmet: RecentCount::default(),
+            exhausted_until: Millis(0),
+            usage: Usage { workspace, offered: 0, admitted: 0 },
+            used: LimitUse::default(),
+        }
+    }
+
+    /// Refills the bucket, no further than the end of the lease, and changes its shape.
+    fn set_shape(&mut self, now: Millis, shape: BucketShape, expires_at: Millis) {
+        while self.lent.front().is_some_and(|(expires_at, _)| *expires_at <= now) {
+            self.lent.pop_front();
+        }
+        self.bucket.refill(now.min(expires_at));
+        self.bucket.set_shape(now, shape);
+        let unlent = shape.whole_tokens().saturating_sub(self.lent_tokens());
+        self.refundable = self.refundable.min(u32::try_from(unlent).unwrap_or(u32::MAX));
+        self.reserve(now);
+    }
+
+    /// Keeps capacity free for what is lent or may be refunded.
+    fn reserve(&mut self, now: Millis) {
+        self.bucket.set_reserved(now, self.lent_tokens() + u64::from(self.refundable));
+    }
+
+    fn lent_tokens(&self) -> u64 {
+        self.lent.iter().map(|(_, tokens)| u64::from(*tokens)).sum()
+    }
+
+    fn record_refund(&mut self) {
+        self.used.refunded += 1;
+        self.usage.offered = self.usage.offered.saturating_sub(1);
+        self.usage.admitted = self.usage.admitted.saturating_sub(1);
     }
 }
--- a/src/gateway/runtime.rs
+++ b/src/gateway/runtime.rs
@@ -13,11 +13,11 @@
         operation::Operation,
         ports::{Caller, CallerMessage, Targets},
         prepare::ResolvedRequest,
+        rate_admission,
         session::Session,
         statement::{Answer, ErrorCode, Request, Statement, StatementError, TransactionState},
         transaction::{Transaction, apply_session_statement},
     },
-    ids::Workspace,
 };
 
 /// Delays of the steps of a graceful stop, from its start.
@@ -214,14 +214,10 @@
                 Answer::local(TransactionState::Idle)
             }
             Statement::Read | Statement::Write | Statement::Execute { .. } => {
-                let failed_before = transaction.state() == TransactionState::Failed;
                 let answer = match ResolvedRequest::new(&self.session, request) {
                     Some(resolved) => transaction.run(&self.cx, &self.session, resolved).await,
                     None => unknown_statement(transaction.state()),
                 };
-                if !failed_before && transaction.failed_to_begin() {
-                    self.refund(transaction.workspace());
-                }
                 self.transaction = Some(transaction);
                 answer
             }
@@ -246,60 +242,47 @@
             Ok(auth) => auth,
             Err(error) => return Answer::error(error.code, error.text, idle),
         };
-        if let Some(workspace) = &auth.workspace
-            && let Err(retry_after) = self.admit(arrived, workspace)
-        {
-            let text = format!("rate of the workspace is exceeded; retry after {retry_after}");
-            return Answer::error(ErrorCode::Busy, text, idle);
-        }
+        let admission = match &auth.workspace {
+            Some(workspace) => match rate_admission::admit(&self.cx, workspace).await {
+                Ok(admission) => Some(admission),
+                Err(retry_after) => {
+                    let text =
+                        format!("rate of the workspace is exceeded; retry after {retry_after}");
+                    return Answer::error(ErrorCode::Busy, text, idle);
+                }
+            },
+            None => None,
+        };
         if let Statement::Begin { read_only } = request.statement {
-            self.transaction = Some(Transaction::new(read_only, auth, arrived));
+            self.transaction = Some(Transaction::new(read_only, auth, arrived, admission));
             return Answer::local(TransactionState::Open);
         }
         let Some(resolved) = ResolvedRequest::new(&self.session, request) else {
             return unknown_statement(idle);
         };
         let operation = Operation { cx: &self.cx, session: &self.session, auth: &auth, arrived };
-        if !resolved.writes() {
-            let answer = operation.read(resolved).await;
-            if answer.code() == Some(ErrorCode::Busy) {
-                self.refund(auth.workspace.as_ref());
-            }
-            return answer;
+        let outcome = if resolved.writes() {
+            operation.write(resolved).await
+        } else {
+            operation.read(resolved).await
+        };
+        if let Some(admission) = admission
+            && !outcome.may_have_run
+        {
+            admission.refund();
         }
-        let answer = operation.write(resolved).await;
-        if let (Ok(_), Some(position)) = (&answer.result, answer.position) {
+        let answer = outcome.answer;
+        if resolved.writes()
+            && let (Ok(_), Some(position)) = (&answer.result, answer.position)
+        {
             let service = &auth.route.service;
             self.session.record_commit(service, position);
             self.cx.record_commit(service, position);
         }
-        if answer.code() == Some(ErrorCode::Busy) {
-            self.refund(auth.workspace.as_ref());
-        }
         answer
     }
 }
 
-impl<T: Targets> SessionHandler<T> {
-    fn refund(&self, workspace: Option<&Workspace>) {
-        if let Some(workspace) = workspace {
-            self.cx.rate_limiter.borrow_mut().refund(workspace);
-        }
-    }
-
-    fn admit(&self, now: Millis, workspace: &Workspace) -> Result<(), Millis> {
-        let topology = self.cx.topology.borrow();
-        let Some(limits) = topology.config.workspaces.get(workspace) else { return Ok(()) };
-        let in_contact = self.cx.lease.borrow().is_valid(now);
-        let mut rate_limiter = self.cx.rate_limiter.borrow_mut();
-        let admitted = rate_limiter.admit(now, workspace, limits, in_contact);
-        if rate_limiter.is_report_due() {
-            self.cx.early_report.notify_one();
-        }
-        admitted
-    }
-}
-
 fn unknown_statement(state: TransactionState) -> Answer {
     Answer::error(ErrorCode::NoStatement, "no such prepared statement", state)
 }
--- a/src/gateway/transaction.rs
+++ b/src/gateway/transaction.rs
@@ -12,10 +12,10 @@
         operation::{AccessMode, Operation, SelectedTarget},
         ports::Targets,
         prepare::ResolvedRequest,
+        rate_admission::Admission,
         session::{Authorization, Session},
         statement::{Answer, ErrorCode, LOCAL_SIGNATURE, Request, Statement, TransactionState},
     },
-    ids::Workspace,
 };
 
 /// Retry delay reported to callers when no target began the transaction.
@@ -32,20 +32,18 @@
     selected: Option<SelectedTarget<T>>,
     wrote: bool,
     failed: bool,
-    began_at_target: bool,
+    /// Token of the workspace, until a target begins the transaction.
+    admission: Option<Admission<T>>,
 }
 
 impl<T: Targets> Transaction<T> {
-    pub fn new(read_only: bool, auth: Authorization, arrived: Millis) -> Self {
-        Self {
-            read_only,
-            auth,
-            arrived,
-            selected: None,
-            wrote: false,
-            failed: false,
-            began_at_target: false,
-        }
+    pub fn new(
+        read_only: bool,
+        auth: Authorization,
+        arrived: Millis,
+        admission: Option<Admission<T>>,
+    ) -> Self {
+        Self { read_only, auth, arrived, selected: None, wrote: false, failed: false, admission }
     }
 
     pub fn holds_connection(&self) -> bool {
@@ -71,6 +69,7 @@
         let arrived = cx.now();
         if let Err(answer) = self.begin(cx, session, arrived).await {
             self.failed = true;
+            self.refund();
             return Answer { state: TransactionState::Failed, ..answer };
         }
         self.wrote |= resolved.writes();
@@ -125,7 +124,7 @@
             match operation.run(&mut selected.client, &job).await {
                 Ok(answer) if answer.result.is_ok() => {
                     self.selected = Some(selected);
-                    self.began_at_target = true;
+                    self.admission = None;
                     return Ok(());
                 }
                 Ok(answer) => {
@@ -193,13 +192,11 @@
         self.failed = true;
     }
 
-    /// Whether the transaction failed before any target began it.
-    pub fn failed_to_begin(&self) -> bool {
-        self.failed && !self.began_at_target
-    }
-
-    pub fn workspace(&self) -> Option<&Workspace> {
-        self.auth.workspace.as_ref()
+    /// Gives the workspace's token back if no target has begun the transaction.
+    fn refund(&mut self) {
+        if let Some(admission) = self.admission.take() {
+            admission.refund();
+        }
     }
 
     /// Time at which the caller began the transaction.
--- a/tests/fleet_failover.rs
+++ b/tests/fleet_failover.rs
@@ -121,6 +121,7 @@
                     targets: self.health(health),
                     acknowledged: vec![(service(), self.acknowledged)],
                     known_targets: Vec::new(),
+                    limits: None,
                 },
             );
         }
--- a/tests/fleet_hosts.rs
+++ b/tests/fleet_hosts.rs
@@ -27,6 +27,7 @@
         targets: Vec::new(),
         acknowledged: Vec::new(),
         known_targets: Vec::new(),
+        limits: None,
     }
 }
 
--- /dev/null
+++ b/tests/fleet_limits/main.rs
@@ -0,0 +1,5 @@
+//! Limits of a workspace over all entry hosts of a fleet.
+
+mod bound;
+mod price;
+mod simulation;
--- a/tests/gateway_rates.rs
+++ b/tests/gateway_rates.rs
@@ -12,9 +12,13 @@
 use pomelopin::{
     clock::Millis,
     fleet::{
+        allocation::Fraction,
         config::{Consistency, FleetConfig, FleetRoute, FleetWorkspace},
         failover::TargetStatus,
-        messages::{Announcement, FleetView, Primary, TargetRole, ViewRevision},
+        messages::{
+            Allocation, AllocationRevision, Announcement, FleetView, LimitUpdate, Primary,
+            TargetRole, ViewRevision,
+        },
     },
     gateway::{
         cx::{Cx, GatewaySettings},
@@ -163,6 +167,13 @@
         api_keys: IndexMap::from([(Arc::from("key"), "w".into())]),
         ..FleetConfig::default()
     };
+    let allocation = Allocation { workspace: "w".into(), fraction: Fraction::WHOLE, tokens: burst };
+    let update = LimitUpdate {
+        revision: AllocationRevision { term: 1, number: 1 },
+        allocations: Some(vec![allocation]),
+    };
+    cx.rate_limiter.borrow_mut().set_workspaces(cx.now(), &config.workspaces);
+    cx.rate_limiter.borrow_mut().apply(cx.now(), cx.now(), update);
     cx.topology.borrow_mut().set_config(config);
     cx.topology.borrow_mut().set_view(FleetView {
         revision: ViewRevision { term: 1, number: 1 },
