Take a token for each attempt of a read that may have run

What callers saw: nothing refused, but the targets ran up to 19 reads for 2 tokens of a workspace, and 3 for 1 when a lost attempt was followed by a refusal.

Cause: a read whose answer is lost is tried again on another target, and the first attempt may have run. All attempts counted as one operation, and a refusal at the end refunded even that one.

Change: each attempt after one that may have run takes another token; without one, the answer of the last attempt stands.

--- a/src/gateway/operation.rs
+++ b/src/gateway/operation.rs
@@ -12,6 +12,7 @@
         job::{Job, JobError, JobKind, RejectReason},
         ports::{TargetConnection, Targets},
         prepare::ResolvedRequest,
+        rate_admission,
         read_selection::ReadSelection,
         session::{Authorization, Session},
         statement::{Answer, ErrorCode, TransactionState},
@@ -257,11 +258,13 @@
         result
     }
 
-    /// Runs a read outside of transactions.
+    /// Runs a read outside of transactions. Each attempt after one that may have run takes
+    /// another token of the workspace.
     pub async fn read(&self, resolved: ResolvedRequest<'_>) -> Outcome {
         let mut tried = Vec::new();
         let mut last: Option<Answer> = None;
         let mut may_have_run = false;
+        let mut is_charged = true;
         while self.cx.now() < self.deadline() {
             let mut selected = match self.select_target(AccessMode::Read, false, &mut tried).await {
                 Ok(selected) => selected,
@@ -270,6 +273,10 @@
                     return Outcome { answer, may_have_run };
                 }
             };
+            if !is_charged && !self.charge_again().await {
+                break;
+            }
+            is_charged = true;
             let id = selected.client.target.id.clone();
             let kind = Self::statement(resolved, selected.after);
             let job = self.job(&id, kind, self.read_attempt_deadline());
@@ -287,6 +294,7 @@
                     return Outcome { answer: self.error_answer(&error), may_have_run };
                 }
                 Err(error) => {
+                    is_charged = error != JobError::Lost;
                     may_have_run |= error == JobError::Lost;
                     last = Some(self.error_answer(&error));
                 }
@@ -296,6 +304,14 @@
         Outcome { answer: last.unwrap_or_else(|| self.unanswered()), may_have_run }
     }
 
+    /// Takes a token for a further attempt; returns whether there was one.
+    async fn charge_again(&self) -> bool {
+        match &self.auth.workspace {
+            Some(workspace) => rate_admission::charge(self.cx, workspace).await,
+            None => true,
+        }
+    }
+
     fn read_attempt_deadline(&self) -> Millis {
         let span = self.auth.route.statement_timeout.0 * READ_ATTEMPT_PERCENT / 100;
         self.deadline().min(self.cx.now() + Millis(span))
--- a/src/gateway/rate_admission.rs
+++ b/src/gateway/rate_admission.rs
@@ -61,6 +61,16 @@
     Ok(Admission { cx, workspace, is_borrowed, may_have_run: true })
 }
 
+/// Takes a token for a further attempt of an admitted operation; returns whether there was
+/// one.
+pub async fn charge<T: Targets>(cx: &Cx<T>, workspace: &Workspace) -> bool {
+    let taken = take_token(cx, workspace).await;
+    if taken == Ok(false) {
+        cx.rate_limiter.borrow_mut().settle(cx.now(), workspace, true);
+    }
+    taken.is_ok()
+}
+
 /// Takes a token; returns whether it was borrowed.
 async fn take_token<T: Targets>(cx: &Cx<T>, workspace: &Workspace) -> Result<bool, Millis> {
     let now = cx.now();
