--- /dev/null
+++ b/tests/fleet_messages.rs
@@ -0,0 +1,172 @@
+//! Messages, log entries and snapshots beside builds that know no allocations of the rate
+//! limits: each build must read what the other one writes.
+
+#![allow(clippy::unwrap_used, reason = "helper functions of tests")]
+
+use pomelopin::{
+    clock::Millis,
+    fleet::{
+        allocation::{AllocationBatch, AllocationChange, BatchId, Fraction},
+        inventory::InventoryDelta,
+        link::{decode, encode},
+        messages::{
+            Allocation, AllocationRevision, Frame, HostReport, HostUpdate, LimitReport,
+            LimitUpdate, TokenGrant, TokenRequest, ViewRevision,
+        },
+        state::{Applied, FleetCommand, FleetState, LogEntry, allocation_entry},
+    },
+    ids::Incarnation,
+};
+
+const REVISION: AllocationRevision = AllocationRevision { term: 3, number: 7 };
+
+fn report(limits: Option<LimitReport>) -> HostReport {
+    HostReport {
+        host: "h1".into(),
+        incarnation: Incarnation(1),
+        sent_at: Millis(5),
+        config_version: 2,
+        view_revision: ViewRevision { term: 3, number: 4 },
+        bus_addr: "h1:1".into(),
+        domain: "a".into(),
+        leaving: false,
+        usage: Vec::new(),
+        targets: Vec::new(),
+        acknowledged: Vec::new(),
+        known_targets: Vec::new(),
+        limits,
+    }
+}
+
+fn update(limits: Option<LimitUpdate>) -> HostUpdate {
+    HostUpdate {
+        echo: Millis(5),
+        lease: Millis(1_500),
+        config: None,
+        view: None,
+        shares: None,
+        demand_fractions: None,
+        limits,
+    }
+}
+
+/// Frame as a build reads it that knows no extensions.
+fn decode_without_extensions(frame: &Frame) -> Frame {
+    let bytes = encode(frame);
+    assert_eq!(bytes[0], 0, "not compressed");
+    postcard::from_bytes(&bytes[1..]).unwrap()
+}
+
+fn allocation(fraction: u32) -> Allocation {
+    Allocation { workspace: "w".into(), fraction: Fraction(fraction), tokens: 2 }
+}
+
+/// Guards against limits that are lost on the way to a host of this build.
+#[test]
+fn limits_reach_the_other_side() {
+    let limits = LimitReport { revision: REVISION, released: vec![("w".into(), 4)] };
+    match decode(&encode(&Frame::Report(report(Some(limits.clone()))))).unwrap() {
+        Frame::Report(report) => assert_eq!(report.limits, Some(limits)),
+        frame => panic!("{frame:?}"),
+    }
+    let limits = LimitUpdate { revision: REVISION, allocations: Some(vec![allocation(5)]) };
+    match decode(&encode(&Frame::Update(update(Some(limits.clone()))))).unwrap() {
+        Frame::Update(update) => assert_eq!(update.limits, Some(limits)),
+        frame => panic!("{frame:?}"),
+    }
+    let req = TokenRequest { request_id: 1, workspace: "w".into(), wanted: 1 };
+    match decode(&encode(&Frame::Ping { tokens: Some(req.clone()) })).unwrap() {
+        Frame::Ping { tokens } => assert_eq!(tokens, Some(req)),
+        frame => panic!("{frame:?}"),
+    }
+    let grant = TokenGrant { request_id: 1, tokens: 1, retry_after: Millis(0) };
+    match decode(&encode(&Frame::Pong { tokens: Some(grant.clone()) })).unwrap() {
+        Frame::Pong { tokens } => assert_eq!(tokens, Some(grant)),
+        frame => panic!("{frame:?}"),
+    }
+}
+
+/// Guards against limits that are lost when the frame is compressed.
+#[test]
+fn limits_in_compressed_frames_reach_the_other_side() {
+    let limits = LimitUpdate { revision: REVISION, allocations: Some(vec![allocation(9); 200]) };
+    let bytes = encode(&Frame::Update(update(Some(limits.clone()))));
+    assert_eq!(bytes[0], 1, "compressed");
+    match decode(&bytes).unwrap() {
+        Frame::Update(update) => assert_eq!(update.limits, Some(limits)),
+        frame => panic!("{frame:?}"),
+    }
+}
+
+/// Guards against frames that older builds reject, because they hold fields that those do
+/// not know.
+#[test]
+fn older_builds_read_frames_with_limits() {
+    let limits = LimitReport { revision: REVISION, released: Vec::new() };
+    match decode_without_extensions(&Frame::Report(report(Some(limits)))) {
+        Frame::Report(report) => assert_eq!((&*report.bus_addr, report.limits), ("h1:1", None)),
+        frame => panic!("{frame:?}"),
+    }
+    let limits = LimitUpdate { revision: REVISION, allocations: Some(vec![allocation(5)]) };
+    match decode_without_extensions(&Frame::Update(update(Some(limits)))) {
+        Frame::Update(update) => assert_eq!((update.echo, update.limits), (Millis(5), None)),
+        frame => panic!("{frame:?}"),
+    }
+    let req = TokenRequest { request_id: 1, workspace: "w".into(), wanted: 1 };
+    let ping = decode_without_extensions(&Frame::Ping { tokens: Some(req) });
+    assert!(matches!(ping, Frame::Ping { tokens: None }));
+}
+
+/// Guards against frames of older builds that this one rejects or encodes differently.
+#[test]
+fn frames_of_older_builds_are_read() {
+    for (frame, bytes) in
+        [(Frame::Ping { tokens: None }, [0, 7]), (Frame::Pong { tokens: None }, [0, 8])]
+    {
+        assert_eq!(*encode(&frame), bytes);
+    }
+    assert!(matches!(decode(&[0, 7]).unwrap(), Frame::Ping { tokens: None }));
+    let bytes = encode(&Frame::Report(report(None)));
+    assert!(matches!(decode(&bytes).unwrap(), Frame::Report(HostReport { limits: None, .. })));
+}
+
+fn batch() -> AllocationBatch {
+    let change =
+        AllocationChange { workspace: "w".into(), host: "h1".into(), fraction: Fraction(400_000) };
+    AllocationBatch { proposer: BatchId { leader: 1, number: 2 }, changes: vec![change] }
+}
+
+/// Guards against log entries that older builds reject or that change their inventory, and
+/// against batches that are lost.
+#[test]
+fn older_builds_ignore_allocations_in_the_log() {
+    let bytes = postcard::to_allocvec(&allocation_entry(&batch())).unwrap();
+    let entry = LogEntry::decode(&bytes).unwrap();
+    assert_eq!(entry.allocations, Some(batch()));
+    let command: FleetCommand = postcard::from_bytes(&bytes).unwrap();
+    let mut state = FleetState::default();
+    assert_eq!(state.apply(&command), Applied::Nothing);
+    assert_eq!(state, FleetState::default());
+}
+
+/// Guards against log entries of older builds that this one rejects.
+#[test]
+fn log_entries_of_older_builds_are_read() {
+    let command = FleetCommand::Inventory(InventoryDelta::default());
+    let bytes = postcard::to_allocvec(&command).unwrap();
+    assert_eq!(LogEntry::decode(&bytes).unwrap(), LogEntry { command, allocations: None });
+}
+
+/// Guards against allocations that a restored control host does not know, and against
+/// snapshots that one of the builds cannot restore.
+#[test]
+fn snapshots_keep_the_allocations_and_older_builds_read_them() {
+    let mut state = FleetState::default();
+    state.allocations.apply(&batch());
+    let bytes = postcard::to_allocvec(&state.snapshot()).unwrap();
+    assert_eq!(FleetState::decode(&bytes).unwrap(), state);
+    let known_to_older: FleetState = postcard::from_bytes(&bytes).unwrap();
+    assert_eq!(known_to_older, FleetState::default());
+    let older = postcard::to_allocvec(&known_to_older).unwrap();
+    assert_eq!(FleetState::decode(&older).unwrap(), FleetState::default());
+}
