Refill a lender's bucket from the moment a loan has ended

What callers saw: a token or so less than the rate at a lender that was idle since its loan. Cause: the bucket's capacity stayed reserved until the next call, and the refill of the time in between was discarded. Change: the reservation ends when the loan ends. Result: lent_tokens_leave_no_room_for_a_refill, which also shows that the tokens are held back until then.

--- a/src/gateway/rate_limit.rs
+++ b/src/gateway/rate_limit.rs
@@ -408,8 +408,11 @@
 
     /// Refills the bucket, no further than the end of the lease, and changes its shape.
     fn set_shape(&mut self, now: Millis, shape: BucketShape, expires_at: Millis) {
-        while self.lent.front().is_some_and(|(expires_at, _)| *expires_at <= now) {
+        while let Some(&(ended_at, _)) = self.lent.front()
+            && ended_at <= now
+        {
             self.lent.pop_front();
+            self.reserve(ended_at);
         }
         self.bucket.refill(now.min(expires_at));
         self.bucket.set_shape(now, shape);
