Borrow tokens from hosts that control has lost

Cause: five of seven hosts had lost control. They kept their allocations, two of them all of it, but the leader had removed them from the view, from which hosts choose the lenders. Evidence: "workspace limit used" with fraction=0 and no_lender=105 a second at the two hosts in contact, and fraction=500000 with age_ms=4600 at two others.

Change: hosts remember who has left the view for as long as an allocation may be used, and ask them after the lenders of the view.

--- a/src/fleet/rate_plan.rs
+++ b/src/fleet/rate_plan.rs
@@ -59,9 +59,12 @@
 }
 
 /// Hosts that lend tokens of `workspace`, in the order in which they are asked.
-pub fn lenders<'a>(workspace: &Workspace, hosts: &'a [EntryHost]) -> Vec<&'a EntryHost> {
+pub fn lenders<'a>(
+    workspace: &Workspace,
+    hosts: impl IntoIterator<Item = &'a EntryHost>,
+) -> Vec<&'a EntryHost> {
     let item = format!("limit\0{workspace}");
-    let mut ranked: Vec<&EntryHost> = hosts.iter().collect();
+    let mut ranked: Vec<&EntryHost> = hosts.into_iter().collect();
     ranked.sort_by_cached_key(|host| Reverse((score(&item, &host.id), &host.id)));
     ranked.truncate(LENDERS);
     ranked
--- a/src/gateway/control_link.rs
+++ b/src/gateway/control_link.rs
@@ -285,6 +285,7 @@
         cx.health.borrow_mut().retain(exists);
         cx.direct_health.borrow_mut().retain(exists);
         cx.owners.borrow_mut().retain(exists);
+        cx.lenders.borrow_mut().set_hosts(cx.now(), &view.hosts);
         cx.topology.borrow_mut().set_view(view);
         cx.trim_pools();
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 pub mod health;
 pub mod job;
 pub mod lease;
+pub mod lenders;
 pub mod limit_log;
 pub mod log_limit;
 pub mod metrics;
--- a/src/gateway/rate_admission.rs
+++ b/src/gateway/rate_admission.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     clock::Millis,
-    fleet::{messages::TokenGrant, rate_plan::lenders},
+    fleet::messages::TokenGrant,
     gateway::{cx::Cx, ports::Targets},
     ids::Workspace,
 };
@@ -126,9 +126,8 @@
 
 /// Addresses of the other hosts that lend tokens of `workspace`.
 fn lender_addrs<T: Targets>(cx: &Cx<T>, workspace: &Workspace) -> Vec<String> {
-    let topology = cx.topology.borrow();
-    let lenders = lenders(workspace, &topology.view.hosts);
-    let others = lenders.into_iter().filter(|host| host.id != cx.settings.host);
+    let lenders = cx.lenders.borrow();
+    let others = lenders.of(cx.now(), workspace).filter(|host| host.id != cx.settings.host);
     others.map(|host| host.addr.clone()).filter(|addr| cx.peers.is_usable(addr)).collect()
 }
 
