Let allocations follow known demand at once after a restart

Cause: the demand of a host counted as unknown for 4 s, and its allocation stayed as it was, although hundreds of operations had been reported in the first second.

Change: demand is known from 8 operations on. What others need goes before what hosts with unknown demand keep.

--- a/src/fleet/rate_allocator.rs
+++ b/src/fleet/rate_allocator.rs
@@ -37,9 +37,12 @@
 /// Silence after which a host gets nothing in new plans; what it has stays reserved for it.
 const SILENCE: Millis = Millis(1_500);
 
-/// Time from a host's first report until its demand is known.
+/// Time from a host's first report until its demand is known in any case.
 const DEMAND_DELAY: Millis = Millis(4_000);
 
+/// Operations since a host's first report from which its demand is known.
+const KNOWN_OPERATIONS: f64 = 8.0;
+
 /// Interval between two plans.
 const PLAN_INTERVAL: Millis = Millis(500);
 
@@ -56,6 +59,8 @@
 /// above the earlier ones.
 const REVISIONS_PER_MS: u64 = 1_000;
 
+const MS_PER_SECOND: f64 = 1_000.0;
+
 /// Time without the commit of a proposed batch after which the allocator starts anew.
 const COMMIT_TIMEOUT: Millis = Millis(3_000);
 
@@ -256,7 +261,7 @@
                     current: cx.allocations.of(workspace, id),
                     last_part: host.parts.get(workspace).copied(),
                     is_lender: is_lender(id),
-                    is_new: cx.now.since(host.first_heard_at) < DEMAND_DELAY,
+                    is_new: host.is_new(cx.now, workspace),
                 })
                 .collect();
             let plans = plan(limits, self.available(cx, workspace), &needs);
@@ -421,6 +426,13 @@
         now.since(self.heard_at) < SILENCE
     }
 
+    /// Whether the host's demand for operations of `workspace` is not known yet.
+    fn is_new(&self, now: Millis, workspace: &Workspace) -> bool {
+        let age = now.since(self.first_heard_at);
+        let operations = self.demand.of(workspace) * age.0 as f64 / MS_PER_SECOND;
+        age < DEMAND_DELAY && operations < KNOWN_OPERATIONS
+    }
+
     fn target(&self, workspace: &Workspace) -> Fraction {
         self.targets.get(workspace).copied().unwrap_or_default()
     }
--- a/src/fleet/rate_plan.rs
+++ b/src/fleet/rate_plan.rs
@@ -45,7 +45,7 @@
     /// Part in the last plan, without what the host gets as a lender.
     pub last_part: Option<Fraction>,
     pub is_lender: bool,
-    /// The demand is not known yet: the host keeps what it has.
+    /// The demand is not known yet: the host keeps what it has unless others need it.
     pub is_new: bool,
 }
 
@@ -77,11 +77,12 @@
     let lender_count = hosts.iter().filter(|it| it.is_lender).count();
     let for_lenders = LENDERS_FRACTION.max(LENDER_TOKENS * token * lender_count as f64);
     let for_lenders = if lender_count == 0 { 0.0 } else { for_lenders.min(available) };
-    let mut parts: Vec<f64> = hosts.iter().map(|it| wanted_part(limits, it)).collect();
-    let sum: f64 = parts.iter().sum();
-    let scale = if sum > 0.0 { ((available - for_lenders) / sum).min(1.0) } else { 1.0 };
-    for (part, host) in parts.iter_mut().zip(hosts) {
-        *part *= scale;
+    let mut parts: Vec<f64> = hosts.iter().map(|it| needed_part(limits, it)).collect();
+    scale_down(&mut parts, available - for_lenders);
+    let mut kept: Vec<f64> = hosts.iter().map(kept_part).collect();
+    scale_down(&mut kept, available - for_lenders - parts.iter().sum::<f64>());
+    for ((part, kept), host) in parts.iter_mut().zip(kept).zip(hosts) {
+        *part += kept;
         if *part < MIN_PART_TOKENS * token && !host.is_new {
             *part = 0.0;
         }
@@ -95,9 +96,9 @@
 }
 
 /// Part that a host would get if the limit sufficed for all.
-fn wanted_part(limits: &FleetWorkspace, host: &HostNeed) -> f64 {
+fn needed_part(limits: &FleetWorkspace, host: &HostNeed) -> f64 {
     if host.is_new {
-        return if host.is_lender { 0.0 } else { host.current.as_f64() };
+        return 0.0;
     }
     let need = host.demand / f64::from(limits.rate.max(1));
     let last = host.last_part.map(Fraction::as_f64);
@@ -105,6 +106,19 @@
     last.filter(keeps).unwrap_or(HEADROOM * need)
 }
 
+/// Part that a host keeps until its demand is known.
+fn kept_part(host: &HostNeed) -> f64 {
+    if host.is_new && !host.is_lender { host.current.as_f64() } else { 0.0 }
+}
+
+/// Scales `parts` down so that their sum is at most `available`.
+fn scale_down(parts: &mut [f64], available: f64) {
+    let (sum, available) = (parts.iter().sum::<f64>(), available.max(0.0));
+    if sum > available {
+        parts.iter_mut().for_each(|part| *part *= available / sum);
+    }
+}
+
 /// Allocation for a host that should get `total`: the current one if it differs little.
 fn tolerate(total: f64, host: &HostNeed, token: f64) -> Fraction {
     let current = host.current.as_f64();
--- a/tests/fleet_limits/price.rs
+++ b/tests/fleet_limits/price.rs
@@ -7,9 +7,9 @@
     fleet::{
         allocation::Fraction,
         config::FleetWorkspace,
-        messages::{Allocation, AllocationRevision, LimitUpdate},
+        messages::{Allocation, AllocationRevision, LimitUpdate, TokenRequest},
     },
-    gateway::rate_limit::RateLimiter,
+    gateway::rate_limit::{LOAN_TTL, RateLimiter},
 };
 
 use crate::simulation::{Fleet, Limits, workspace};
@@ -22,6 +22,9 @@
 /// Largest share of the operations within the rate that may be refused without control.
 const MAX_REFUSED_WITHOUT_CONTROL: f64 = 0.05;
 
+/// The same after a restart of all hosts: one second of eight.
+const MAX_REFUSED_AFTER_RESTART: f64 = 0.125;
+
 /// Few hosts with large and small workspaces, and many hosts with few callers each.
 const FLEETS: [(usize, u32); 6] = [(7, 119), (7, 23), (83, 64), (60, 176), (60, 24), (60, 14)];
 
@@ -78,6 +81,28 @@
     });
 }
 
+/// Guards against hosts that borrow from nobody once control has removed the silent lenders
+/// from the view: these keep their tokens, and lend them.
+#[test]
+fn hosts_that_control_has_lost_still_lend() {
+    for nth in [2, 3] {
+        check_refusals(MAX_REFUSED_WITHOUT_CONTROL, |fleet| {
+            fleet.cut(nth);
+            fleet.run(12_000);
+        });
+    }
+}
+
+/// Guards against callers that meet at hosts with little allocation after a restart, while
+/// the others keep what they had before it.
+#[test]
+fn allocations_follow_the_callers_after_a_restart_of_all_hosts() {
+    check_refusals(MAX_REFUSED_AFTER_RESTART, |fleet| {
+        fleet.restart(1);
+        fleet.run(8_000);
+    });
+}
+
 /// Guards against a limited workspace that gets much less than its rate.
 #[test]
 fn limited_workspace_gets_its_rate() {
@@ -132,6 +157,16 @@
     assert!(!admit(&mut limiter, 5_000));
 }
 
+/// Guards against lent tokens that come on top of a full bucket.
+#[test]
+fn lent_tokens_leave_no_room_for_a_refill() {
+    let mut limiter = limiter(1_000, 10);
+    let req = TokenRequest { request_id: 1, workspace: workspace(), wanted: 10 };
+    assert_eq!(limiter.lend(Millis(100), &req).tokens, 10);
+    assert!(!limiter.admit(Millis(100) + LOAN_TTL, &workspace()), "the loan may still be used");
+    assert!(limiter.admit(Millis(300), &workspace()));
+}
+
 /// Guards against allocations that outlast their lease, and against refusals before its end.
 #[test]
 fn allocations_end_with_their_lease() {
--- a/tests/fleet_limits/simulation.rs
+++ b/tests/fleet_limits/simulation.rs
@@ -13,9 +13,8 @@
             Usage,
         },
         rate_allocator::{PlanCx, RateAllocator},
-        rate_plan::lenders,
     },
-    gateway::rate_limit::RateLimiter,
+    gateway::{lenders::Lenders, rate_limit::RateLimiter},
     ids::{HostId, Incarnation, Workspace},
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -126,6 +125,8 @@
     hosts: IndexMap<HostId, Host>,
     allocations: Allocations,
     leader: Option<Leader>,
+    /// Lenders according to the last view.
+    lenders: Lenders,
     leaders: u64,
     election_ends_at: u64,
     messages: Vec<(u64, Message)>,
@@ -195,6 +196,7 @@
             hosts: IndexMap::new(),
             allocations: Allocations::default(),
             leader: Some(Leader::new(0, 1, std::iter::empty())),
+            lenders: Lenders::default(),
             leaders: 1,
             election_ends_at: 0,
             messages: Vec::new(),
@@ -391,12 +393,8 @@
 
     /// Other hosts that lend tokens, according to the view.
     fn lenders(&self, id: &HostId) -> Vec<HostId> {
-        let view: Vec<EntryHost> = match &self.leader {
-            Some(leader) if !leader.view.is_empty() => leader.view.clone(),
-            _ => self.hosts.keys().map(entry_host).collect(),
-        };
-        let lenders = lenders(&workspace(), &view);
-        lenders.iter().map(|host| host.id.clone()).filter(|lender| lender != id).collect()
+        let lenders = self.lenders.of(Millis(self.now), &workspace());
+        lenders.map(|host| host.id.clone()).filter(|lender| lender != id).collect()
     }
 
     /// Asks the next lender, or refuses the operation if there is none left.
@@ -570,6 +568,7 @@
         }
         leader.heard_at.retain(|_, at| now - *at < HOST_TIMEOUT_MS);
         leader.view = leader.heard_at.keys().map(entry_host).collect();
+        self.lenders.set_hosts(Millis(now), &leader.view);
         let workspaces = self.limits.workspaces();
         let cx = PlanCx {
             now: Millis(now),
