--- a/tests/fleet_allocations.rs
+++ b/tests/fleet_allocations.rs
@@ -94,7 +94,7 @@
     /// Runs for `seconds`; `hosts` report, and confirm all that they are sent.
     fn run(&mut self, seconds: u64, hosts: &[(&str, u32)]) {
         for _ in 0..seconds * 4 {
-            self.now = self.now + Millis(250);
+            self.now += Millis(250);
             for (id, offered) in hosts {
                 let update = self.update(id);
                 self.report(id, FIRST_PROCESS, &update, *offered);
@@ -159,7 +159,7 @@
     let before = leader.of("h1");
     let stale = leader.update("h1");
     for _ in 0..40 {
-        leader.now = leader.now + Millis(250);
+        leader.now += Millis(250);
         // The host reports, but still applies what it was sent before.
         leader.report("h1", FIRST_PROCESS, &stale, 0);
         let _ = leader.update("h1");
@@ -184,7 +184,7 @@
     leader.run(10, &[("h1", 40), ("h2", 2), ("h3", 2)]);
     let committed = leader.of("h1");
     leader.report("h1", Incarnation(2), &LimitUpdate::default(), 0);
-    leader.now = leader.now + Millis(600);
+    leader.now += Millis(600);
     leader.advance();
     let sent: Fraction =
         leader.update("h1").allocations.iter().flatten().map(|it| it.fraction).sum();
