Give a host's and a workspace's limits files of their own

The allocator forgets hosts that have been silent for longer than a lease; it kept them for as long as it led.

--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 //! targets and hosts, and the allocations of the rate limits in its log. The leases of entry
 //! hosts are kept only in the leader's memory, and are rebuilt after a leader change.
 
+mod allocated_host;
 pub mod allocation;
 pub mod config;
 pub mod control;
--- a/src/fleet/rate_allocator.rs
+++ b/src/fleet/rate_allocator.rs
@@ -17,11 +17,11 @@
 use crate::{
     clock::Millis,
     fleet::{
+        allocated_host::{Credits, Host, Sent, Table},
         allocation::{AllocationBatch, AllocationChange, Allocations, BatchId, Fraction},
         config::FleetWorkspace,
-        demand::Demand,
-        messages::{Allocation, AllocationRevision, EntryHost, LimitReport, LimitUpdate, Usage},
-        rate_plan::{HostNeed, Planned, lenders, plan},
+        messages::{AllocationRevision, EntryHost, LimitReport, LimitUpdate, Usage},
+        rate_plan::{HostNeed, lenders, plan},
     },
     ids::{HostId, Incarnation, Workspace},
 };
@@ -34,15 +34,6 @@
 /// lease, 10 % for clock drift, and rounding.
 const LEASE_EXPIRY: Millis = Millis(66_010);
 
-/// Silence after which a host gets nothing in new plans; what it has stays reserved for it.
-const SILENCE: Millis = Millis(1_500);
-
-/// Time from a host's first report until its demand is known in any case.
-const DEMAND_DELAY: Millis = Millis(4_000);
-
-/// Operations since a host's first report from which its demand is known.
-const KNOWN_OPERATIONS: f64 = 8.0;
-
 /// Interval between two plans.
 const PLAN_INTERVAL: Millis = Millis(500);
 
@@ -59,8 +50,6 @@
 /// above the earlier ones.
 const REVISIONS_PER_MS: u64 = 1_000;
 
-const MS_PER_SECOND: f64 = 1_000.0;
-
 /// Time without the commit of a proposed batch after which the allocator starts anew.
 const COMMIT_TIMEOUT: Millis = Millis(3_000);
 
@@ -73,50 +62,6 @@
     pub hosts: &'a [EntryHost],
 }
 
-/// Allocations of the workspaces to one host.
-type Table = IndexMap<Workspace, Fraction>;
-
-/// Tokens by workspace.
-type Credits = IndexMap<Workspace, u32>;
-
-#[derive(Debug)]
-struct Host {
-    incarnation: Incarnation,
-    first_heard_at: Millis,
-    heard_at: Millis,
-    demand: Demand,
-    /// Whether the host's build knows allocations.
-    knows_allocations: bool,
-    /// Whether the last plan included the host.
-    is_planned: bool,
-    /// Parts in the last plan, without what the host gets as a lender.
-    parts: Table,
-    targets: Table,
-    sent: Option<Sent>,
-}
-
-/// Allocations that were last sent to a host.
-#[derive(Debug)]
-struct Sent {
-    revision: AllocationRevision,
-    at: Millis,
-    table: Table,
-    /// Tokens that the host gets with the allocations.
-    tokens: Credits,
-    confirmed: bool,
-}
-
-impl Sent {
-    fn allocations(&self) -> Vec<Allocation> {
-        let allocation = |(workspace, fraction): (&Workspace, &Fraction)| Allocation {
-            workspace: workspace.clone(),
-            fraction: *fraction,
-            tokens: self.tokens.get(workspace).copied().unwrap_or_default(),
-        };
-        self.table.iter().map(allocation).collect()
-    }
-}
-
 /// State of the allocations at the leader.
 #[derive(Debug)]
 pub struct RateAllocator {
@@ -246,6 +191,7 @@
         self.plan_is_urgent = false;
         self.has_changes = true;
         self.has_updates = true;
+        self.hosts.retain(|_, host| cx.now.since(host.heard_at) < LEASE_EXPIRY);
         for host in self.hosts.values_mut() {
             host.is_planned = host.is_live(cx.now);
             host.targets.clear();
@@ -407,56 +353,6 @@
     }
 }
 
-impl Host {
-    fn new(now: Millis, incarnation: Incarnation) -> Self {
-        Self {
-            incarnation,
-            first_heard_at: now,
-            heard_at: now,
-            demand: Demand::default(),
-            knows_allocations: false,
-            is_planned: false,
-            parts: Table::new(),
-            targets: Table::new(),
-            sent: None,
-        }
-    }
-
-    fn is_live(&self, now: Millis) -> bool {
-        now.since(self.heard_at) < SILENCE
-    }
-
-    /// Whether the host's demand for operations of `workspace` is not known yet.
-    fn is_new(&self, now: Millis, workspace: &Workspace) -> bool {
-        let age = now.since(self.first_heard_at);
-        let operations = self.demand.of(workspace) * age.0 as f64 / MS_PER_SECOND;
-        age < DEMAND_DELAY && operations < KNOWN_OPERATIONS
-    }
-
-    fn target(&self, workspace: &Workspace) -> Fraction {
-        self.targets.get(workspace).copied().unwrap_or_default()
-    }
-
-    fn set_planned(&mut self, workspace: &Workspace, planned: Planned) {
-        if planned.total > Fraction::NONE {
-            self.targets.insert(workspace.clone(), planned.total);
-        }
-        if planned.part > Fraction::NONE {
-            self.parts.insert(workspace.clone(), planned.part);
-        } else {
-            self.parts.shift_remove(workspace);
-        }
-    }
-
-    /// Allocations to send: what is committed, but no more than the target.
-    fn table(&self, id: &HostId, allocations: &Allocations) -> Table {
-        let limited = allocations.of_host(id).map(|(workspace, committed)| {
-            (workspace.clone(), committed.min(self.target(workspace)))
-        });
-        limited.filter(|(_, fraction)| *fraction > Fraction::NONE).collect()
-    }
-}
-
 /// Takes as many released tokens as fit into what `table` adds to `previous`.
 fn take_released(
     released: &mut Credits,
--- a/src/gateway/limit_log.rs
+++ b/src/gateway/limit_log.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     clock::Millis,
-    gateway::{cx::Cx, log_limit::LogDecision, ports::Targets, rate_limit::LimitUse},
+    gateway::{cx::Cx, log_limit::LogDecision, ports::Targets, workspace_limit::LimitUse},
     ids::Workspace,
 };
 
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -12,7 +12,7 @@
     adapters::metric_set::MetricSet,
     clock::Millis,
     fleet::config::Consistency,
-    gateway::{cx::Cx, ports::Targets, rate_limit::LimitUse, statement::Answer},
+    gateway::{cx::Cx, ports::Targets, statement::Answer, workspace_limit::LimitUse},
     ids::Workspace,
 };
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -34,3 +34,4 @@
 pub mod topology;
 pub mod transaction;
 pub mod wait_queue;
+pub mod workspace_limit;
--- a/tests/gateway_limit_log.rs
+++ b/tests/gateway_limit_log.rs
@@ -1,7 +1,7 @@
 //! Volume of the log lines on rate limits.
 
 use pomelopin::{
-    gateway::{limit_log::LimitLog, rate_limit::LimitUse},
+    gateway::{limit_log::LimitLog, workspace_limit::LimitUse},
     ids::Workspace,
 };
 
