Average the demand over time, not over reports

Cause: a report that confirms new allocations follows the last one by about 100 ms. One operation in it counted as 10 per second with the weight of a whole sample. Hosts with 2 operations a second so got a tenth of the limit, others none, and each change caused the next report.

Evidence: "workspace limit used" with fractions of 111497, 91828 and 55859 at hosts that admitted 2 to 3 a second, beside 20 hosts with none.

Change: samples have weights in proportion to their length.

--- a/src/fleet/demand.rs
+++ b/src/fleet/demand.rs
@@ -4,13 +4,17 @@
 
 use crate::{clock::Millis, fleet::messages::Usage, ids::Workspace};
 
-/// Weight of the newest sample in the moving average, if it holds many operations.
-const LARGE_SAMPLE_WEIGHT: f64 = 0.4;
+/// Weight of a sample of [`SAMPLE_S`] in the moving average, if the demand is large. Other
+/// samples have weights in proportion to their length.
+const LARGE_DEMAND_WEIGHT: f64 = 0.4;
 
-/// Weight of other samples. Lower, as the number of operations in them is mostly chance.
-const SMALL_SAMPLE_WEIGHT: f64 = 0.1;
+/// The same for other demands. Lower, as the number of operations is mostly chance.
+const SMALL_DEMAND_WEIGHT: f64 = 0.1;
 
-/// Number of operations from which a sample is large.
+/// Length of a usual sample, in seconds.
+const SAMPLE_S: f64 = 0.4;
+
+/// Operations in a usual sample from which the demand is large.
 const LARGE_SAMPLE: f64 = 8.0;
 
 /// Minimum time between two reports from which a demand is computed.
@@ -26,8 +30,8 @@
 pub struct Demand {
     per_second: IndexMap<Workspace, f64>,
     reported_at: Option<Millis>,
-    /// Samples so far; the first ones have equal weights.
-    samples: u32,
+    /// Length of all samples in seconds; the average of the first ones is weighted by length.
+    sampled_s: f64,
     /// Operations not yet averaged, as their reports followed each other too closely.
     pending: IndexMap<Workspace, u32>,
 }
@@ -51,13 +55,13 @@
         for workspace in pending.keys() {
             self.per_second.entry(workspace.clone()).or_default();
         }
-        self.samples += 1;
         let seconds = span.0 as f64 / SECOND_MS;
+        self.sampled_s += seconds;
         for (workspace, smoothed) in &mut self.per_second {
             let count = f64::from(pending.get(workspace).copied().unwrap_or_default());
-            let is_large = count.max(*smoothed * seconds) >= LARGE_SAMPLE;
-            let weight = if is_large { LARGE_SAMPLE_WEIGHT } else { SMALL_SAMPLE_WEIGHT };
-            let weight = weight.max(1.0 / f64::from(self.samples));
+            let is_large = count.max(*smoothed * SAMPLE_S) >= LARGE_SAMPLE;
+            let weight = if is_large { LARGE_DEMAND_WEIGHT } else { SMALL_DEMAND_WEIGHT };
+            let weight = (weight * seconds / SAMPLE_S).max(seconds / self.sampled_s).min(1.0);
             *smoothed += weight * (count / seconds - *smoothed);
         }
         self.per_second.retain(|_, per_second| *per_second >= MIN_DEMAND);
--- a/tests/fleet_allocations.rs
+++ b/tests/fleet_allocations.rs
@@ -7,6 +7,7 @@
     fleet::{
         allocation::{AllocationBatch, AllocationChange, Allocations, BatchId, Fraction},
         config::FleetWorkspace,
+        demand::Demand,
         messages::{EntryHost, LimitReport, LimitUpdate, Usage},
         rate_allocator::{PlanCx, RateAllocator},
     },
@@ -190,3 +191,17 @@
         leader.update("h1").allocations.iter().flatten().map(|it| it.fraction).sum();
     assert!(sent <= committed, "{sent} of {committed}");
 }
+
+/// Guards against demands that follow chance: a report soon after another one, which holds
+/// one operation, counted as much as the longer ones around it.
+#[test]
+fn demand_is_averaged_over_time() {
+    let mut demand = Demand::default();
+    let used = |offered| [Usage { workspace: workspace(), offered, admitted: offered }];
+    demand.record(Millis(0), &[]);
+    demand.record(Millis(100), &used(1));
+    demand.record(Millis(500), &used(0));
+    demand.record(Millis(900), &used(0));
+    let per_second = demand.of(&workspace());
+    assert!((1.0..1.3).contains(&per_second), "{per_second} instead of 1 in 0.9 s");
+}
--- a/tests/fleet_limits/price.rs
+++ b/tests/fleet_limits/price.rs
@@ -116,6 +116,27 @@
     }
 }
 
+/// Guards against allocations that follow chance: with two operations per second and host,
+/// they moved so often that most of the rate was always on its way.
+#[test]
+fn limited_workspace_gets_its_rate_at_many_hosts() {
+    for seed in 0..SEEDS {
+        let limits = Limits { rate: 180, burst: 180 };
+        let mut fleet = Fleet::new(seed, 83, limits, USUAL_LOAD);
+        fleet.settle();
+        fleet.set_load(2.0);
+        fleet.run(500);
+        fleet.change_leader();
+        fleet.run(2_500);
+        fleet.set_load(1.5);
+        fleet.run(1_000);
+        fleet.forget();
+        fleet.run(5_000);
+        let admitted = fleet.admitted.len();
+        assert!(admitted >= 765, "seed {seed}: {admitted} of 900 admitted");
+    }
+}
+
 /// Limiter of a host with the whole limit and a full bucket.
 fn limiter(rate: u32, burst: u32) -> RateLimiter {
     let mut limiter = RateLimiter::default();
