--- a/src/gateway/runtime.rs
+++ b/src/gateway/runtime.rs
@@ -150,8 +150,10 @@
         let route = topology.config.routes.get(self.session.database.as_str());
         let service = route.map_or("none", |route| route.service.as_str());
         let primary = route.and_then(|route| topology.primary(now, &route.service));
+        let workspace = self.session.workspace(&topology.config);
         spdlog::info!("request failed", kv: {
             id = request.id.as_str(),
+            workspace = workspace.map_or("none", |it| it.as_str()),
             database = self.session.database.as_str(),
             service,
             code = error.code.to_string().as_str(),
--- a/src/gateway/session.rs
+++ b/src/gateway/session.rs
@@ -37,12 +37,17 @@
         Self { database: startup.database, key: startup.key, ..Self::default() }
     }
 
+    /// Workspace of the session's API key.
+    pub fn workspace<'a>(&self, config: &'a FleetConfig) -> Option<&'a Workspace> {
+        self.key.as_deref().and_then(|key| config.api_keys.get(key))
+    }
+
     /// Looks up the route by the database name and the workspace by the API key.
     pub fn authorize(&self, config: &FleetConfig) -> Result<Authorization, StatementError> {
         let Some(route) = config.routes.get(self.database.as_str()) else {
             return Err(StatementError::new(ErrorCode::NoDatabase, "no such database"));
         };
-        let workspace = self.key.as_deref().and_then(|key| config.api_keys.get(key)).cloned();
+        let workspace = self.workspace(config).cloned();
         if workspace.is_none() && !route.allow_anonymous {
             return Err(StatementError::new(ErrorCode::NoAuth, "unknown key"));
         }
