Review case 2: writes reach a leaving primary after the drain time

The use of a primary that leaves ends only with the promotion of another instance. While the platform does not answer, the entry hosts go on sending it writes, until it exits under them.

The case fails on purpose and nothing is fixed here.

--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -1,14 +1,18 @@
 //! The cases: what each disrupts, and when.
 
-use std::{path::Path, time::Duration};
+use std::{path::Path, sync::atomic::Ordering, time::Duration};
 
-use crate::{Platform, Run};
+use crate::{KEY, PRIMARY_DATABASE, Platform, Run, SECOND_KEY, client::Session, instance::WORK_MS};
+
+/// `configApplyMs`.
+const CONFIG_APPLY_MS: u64 = 3_000;
 
 /// Runs a case; returns whether its rule was broken, or `None` if the case could not run.
 pub fn run(case: &str, folder: &Path) -> Option<bool> {
     match case {
         "lost-commits" => lost_commits(folder),
         "drain" => drain(folder),
+        "withdrawn-key" => withdrawn_key(folder),
         _ => None,
     }
 }
@@ -59,26 +63,63 @@
     run.finish("LOST", &["promotion", "primary change", "no target holds"])
 }
 
-/// The primary is to be replaced while the platform answers nothing for 10 s.
+/// The primary is to be replaced while the platform answers nothing for 10 s. It serves for
+/// `drainMs` and a second, deregisters and exits.
 fn drain(folder: &Path) -> Option<bool> {
+    WORK_MS.store(25, Ordering::Relaxed);
     let run = Run::start(folder, 3, 3)?;
-    run.start_writers(1, Duration::from_millis(100));
+    run.start_writers(3, Duration::from_millis(20));
     run.sleep(3_000);
     let world = &run.shared.world;
     let primary = world.lock().primary;
     if run.trouble {
         run.say("the platform is down");
-        if let Ok(mut platform) = run.shared.platform.lock() {
-            *platform = Platform::Down;
-        }
+        run.set_platform(Platform::Down);
     }
     run.say("the primary leaves");
     world.change(|state| state.instances[primary].draining = true);
-    run.sleep(10_000);
+    run.sleep(8_000);
+    run.leave(primary);
+    run.sleep(2_000);
     run.say("the platform is up");
-    if let Ok(mut platform) = run.shared.platform.lock() {
-        *platform = Platform::Up;
-    }
+    run.set_platform(Platform::Up);
     run.sleep(4_000);
     run.finish("DRAIN", &["promotion", "primary change"])
 }
+
+/// A key is taken away while a client that holds it has begun a transaction and rests.
+fn withdrawn_key(folder: &Path) -> Option<bool> {
+    let mut run = Run::start(folder, 3, 3)?;
+    run.start_writers(1, Duration::from_millis(100));
+    run.sleep(2_000);
+    let addr = run.fleet.front_addrs()[0];
+    let mut session = Session::open(addr, PRIMARY_DATABASE, SECOND_KEY).ok()?;
+    let begin = run.ask(&mut session, "BEGIN")?;
+    begin.is_done().then_some(())?;
+    let keys: &[&str] = if run.trouble { &[KEY] } else { &[KEY, SECOND_KEY] };
+    run.configure_keys(2, keys)?;
+    let acknowledged_at = run.shared.record.now_ms();
+    run.sleep(CONFIG_APPLY_MS + 3_000);
+    let other = Session::open(addr, PRIMARY_DATABASE, SECOND_KEY);
+    run.say(&format!("a new session with the key: {:?}", other.map(|_| "READY").map_err(|it| it)));
+    let sent_at = run.shared.record.now_ms();
+    let mut ran = Vec::new();
+    for text in ["READ warm", "WRITE late data", "COMMIT"] {
+        let answer = run.ask(&mut session, text)?;
+        if answer.is_done() {
+            ran.push(text);
+        }
+    }
+    if run.trouble && !ran.is_empty() {
+        let text = format!(
+            "CONFIG: {ran:?} run with a dropped key, sent {} ms after the ack, bound {CONFIG_APPLY_MS} ms",
+            sent_at - acknowledged_at
+        );
+        world_broken(&run, text);
+    }
+    run.finish("CONFIG", &["configuration applied", "transaction"])
+}
+
+fn world_broken(run: &Run, text: String) {
+    run.shared.world.lock().broken.push(text);
+}
--- a/review/standins/client.rs
+++ b/review/standins/client.rs
@@ -128,12 +128,14 @@
             Some(answer) => {
                 let error = answer.error.clone().unwrap_or_default();
                 shared.record.add(&format!("client gets {error} for {id}"));
-                if answer.is_promise() {
-                    shared.world.lock().promised.push(id);
-                }
+                let mut state = shared.world.lock();
+                let list =
+                    if answer.is_promise() { &mut state.promised } else { &mut state.unclear };
+                list.push(id);
             }
             None => {
                 shared.record.add(&format!("client's connection ended without an answer to {id}"));
+                shared.world.lock().unclear.push(id);
                 session = None;
             }
         }
--- a/review/standins/instance.rs
+++ b/review/standins/instance.rs
@@ -13,8 +13,8 @@
 
 use crate::{Shared, SERVICE, http};
 
-/// Time that a read, a write or a commit takes.
-const WORK: Duration = Duration::from_millis(4);
+/// Time in ms that a read, a write or a commit takes.
+pub static WORK_MS: AtomicU64 = AtomicU64::new(4);
 
 /// Interval between check-ins (`heartbeatMs`).
 pub const HEARTBEAT: Duration = Duration::from_millis(1_200);
@@ -142,6 +142,10 @@
     stream.write_all(text.as_bytes())
 }
 
+fn work() {
+    thread::sleep(Duration::from_millis(WORK_MS.load(Ordering::Relaxed)));
+}
+
 fn signature() -> String {
     format!("7.{:x}", SIGNATURES.fetch_add(1, Ordering::Relaxed) + 0x10_0000)
 }
@@ -209,7 +213,7 @@
                 return Some("DONE -\r\n".to_owned());
             }
             ["READ", item] => {
-                thread::sleep(WORK);
+                work();
                 let row = shared.world.lock().read(index, item).unwrap_or_else(|| "none".into());
                 return Some(format!("ROW {row}\r\nDONE {}\r\n", signature()));
             }
@@ -244,12 +248,12 @@
                 transaction.failed = true;
                 return Some(format!("ERR READONLY {own}\r\n"));
             }
-            thread::sleep(WORK);
+            work();
             transaction.writes.push((item.to_owned(), data.to_owned()));
             return Some(format!("DONE {}\r\n", signature()));
         }
         let Some(lead) = lead else { return Some(format!("ERR READONLY {own}\r\n")) };
-        thread::sleep(WORK);
+        work();
         let write = (item.to_owned(), data.to_owned());
         self.shared.world.commit(self.index, lead, id, &[write])?;
         self.shared.record.add(&format!("{own} committed {id}"));
@@ -260,7 +264,7 @@
         let Some(transaction) = self.transaction.take() else {
             return Some("ERR MALFORMED no transaction\r\n".to_owned());
         };
-        thread::sleep(WORK);
+        work();
         if !transaction.writes.is_empty() {
             let lead = transaction.lead?;
             if self.lead() != Some(lead) {
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -36,6 +36,7 @@
 pub const OWN_DATABASE: &str = "fiti832";
 pub const TENANT: &str = "nypu920";
 pub const KEY: &str = "u6wsjnbanfqasnmgkcuy";
+pub const SECOND_KEY: &str = "j8pjbvk9m68k7b2ex5wa";
 
 /// Time that the platform takes for a promotion.
 const PROMOTE: Duration = Duration::from_millis(600);
@@ -145,19 +146,24 @@
             instance::start(&shared, index);
         }
         let mut run = Self { shared, fleet, trouble };
-        run.configure(1, 800)?;
+        run.configure(1)?;
         run.wait_until_serving(Duration::from_secs(20))?;
         Some(run)
     }
 
     /// Sends a version of the config until it is acknowledged.
-    pub fn configure(&mut self, version: u64, timeout_ms: u64) -> Option<()> {
+    pub fn configure(&mut self, version: u64) -> Option<()> {
+        self.configure_keys(version, &[KEY, SECOND_KEY])
+    }
+
+    /// Sends a version of the config in which the tenant has `keys` until it is acknowledged.
+    pub fn configure_keys(&mut self, version: u64, keys: &[&str]) -> Option<()> {
         let started = Instant::now();
-        let body = config(version, timeout_ms);
+        let body = config(version, keys);
         while started.elapsed() < Duration::from_secs(15) {
             let answer = http::call_any(&self.shared.control_addrs, "PUT", "/api/config", &body);
             if answer.is_some_and(|it| it.status == 200) {
-                self.shared.record.say(&format!("config {version} is acknowledged"));
+                self.say(&format!("config {version} with the keys {keys:?} is acknowledged"));
                 return Some(());
             }
             thread::sleep(Duration::from_millis(200));
@@ -165,6 +171,35 @@
         None
     }
 
+    /// Sends a request of a client and records its answer.
+    pub fn ask(&self, session: &mut client::Session, text: &str) -> Option<client::Answer> {
+        let id = client::new_id();
+        self.shared.sent(&id);
+        self.say(&format!("client sends {id} {text}"));
+        let answer = session.query(&id, text);
+        self.say(&format!("client gets {answer:?}"));
+        answer
+    }
+
+    pub fn set_platform(&self, platform: Platform) {
+        if let Ok(mut current) = self.shared.platform.lock() {
+            *current = platform;
+        }
+    }
+
+    /// Deregisters an instance, which exits.
+    pub fn leave(&self, index: usize) {
+        let id = self.shared.world.lock().instances[index].id.clone();
+        let path = format!("/api/instances/{id}");
+        let answer = http::call_any(&self.shared.control_addrs, "DELETE", &path, "");
+        let status = answer.map(|it| it.status);
+        self.say(&format!("{id} deregisters, answer {status:?}, and exits"));
+        self.shared.world.change(|state| {
+            state.crash(index);
+            state.instances[index].gone = true;
+        });
+    }
+
     fn wait_until_serving(&mut self, limit: Duration) -> Option<()> {
         let started = Instant::now();
         for addr in self.fleet.front_addrs() {
@@ -213,10 +248,12 @@
         self.fleet.quote_logs(&self.shared.record, log_words);
         let state = self.shared.world.lock();
         let (acknowledged, promised) = (state.acknowledged.len(), state.promised.len());
+        let unclear = state.unclear.len();
         let broken: Vec<String> =
             state.broken.iter().filter(|it| it.starts_with(rule)).cloned().collect();
         drop(state);
         self.say(&format!("writes acknowledged {acknowledged}, refused with a promise {promised}"));
+        self.say(&format!("writes without a clear answer {unclear}"));
         self.say(&format!("{rule}: {} breaks", broken.len()));
         for text in broken.iter().take(5) {
             self.say(text);
@@ -227,14 +264,15 @@
 }
 
 /// Complete config.
-pub fn config(version: u64, timeout_ms: u64) -> String {
+pub fn config(version: u64, keys: &[&str]) -> String {
+    let keys = keys.join("\",\"");
     let route = |name: &str, host: &str, kind: &str, extra: &str| {
         format!(
-            r#"{{"name":"{name}","host":"{host}","pathPrefix":"/","type":"{kind}","timeoutMs":{timeout_ms},"targetLatencyMs":200,"priority":1,"service":"{SERVICE}","maxAttempts":2,{extra}"allowAnonymous":false}}"#
+            r#"{{"name":"{name}","host":"{host}","pathPrefix":"/","type":"{kind}","timeoutMs":800,"targetLatencyMs":200,"priority":1,"service":"{SERVICE}","maxAttempts":2,{extra}"allowAnonymous":false}}"#
         )
     };
     format!(
-        r#"{{"version":{version},"routes":[{},{},{}],"services":[{{"name":"{SERVICE}","healthCheckPath":"/health","maxConnections":28,"protocol":"h1","tls":false,"syncReplicas":1}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000,"txIdleMs":3000}},"tenants":[{{"name":"{TENANT}","apiKeys":["{KEY}"],"priority":1,"ratePerS":1000,"burstLimit":1000}}]}}"#,
+        r#"{{"version":{version},"routes":[{},{},{}],"services":[{{"name":"{SERVICE}","healthCheckPath":"/health","maxConnections":28,"protocol":"h1","tls":false,"syncReplicas":1}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000,"txIdleMs":3000}},"tenants":[{{"name":"{TENANT}","apiKeys":["{keys}"],"priority":1,"ratePerS":1000,"burstLimit":1000}}]}}"#,
         route("r-1", PRIMARY_DATABASE, "primary", ""),
         route("r-2", BOUNDED_DATABASE, "bounded_staleness", r#""maxStalenessMs":1500,"#),
         route("r-3", OWN_DATABASE, "read_your_writes", r#""maxStalenessMs":2500,"#),
--- a/review/standins/world.rs
+++ b/review/standins/world.rs
@@ -62,6 +62,8 @@
     pub acknowledged: Vec<String>,
     /// Ids of the writes that were answered with a promise that nothing is kept.
     pub promised: Vec<String>,
+    /// Ids of the writes that got `UNKNOWN`, `TIMEOUT`, another error or no answer.
+    pub unclear: Vec<String>,
     /// Broken rules.
     pub broken: Vec<String>,
 }
@@ -101,6 +103,7 @@
             fence: 0,
             acknowledged: Vec::new(),
             promised: Vec::new(),
+            unclear: Vec::new(),
             broken: Vec::new(),
         };
         Self { state: Mutex::new(state), changed: Condvar::new() }
