--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -2,7 +2,7 @@
 
 use std::{path::Path, sync::atomic::Ordering, time::Duration};
 
-use crate::{KEY, PRIMARY_DATABASE, Platform, Run, SECOND_KEY, client::Session, instance::WORK_MS};
+use crate::{KEY, PRIMARY_DATABASE, Platform, Run, SECOND_KEY, client::{Session, new_id}, instance::WORK_MS};
 
 /// `configApplyMs`.
 const CONFIG_APPLY_MS: u64 = 3_000;
@@ -12,6 +12,8 @@
     match case {
         "lost-commits" => lost_commits(folder),
         "drain" => drain(folder),
+        "smuggled" => smuggled(folder),
+        "stale" => stale(folder),
         "withdrawn-key" => withdrawn_key(folder),
         _ => None,
     }
@@ -123,3 +125,60 @@
 fn world_broken(run: &Run, text: String) {
     run.shared.world.lock().broken.push(text);
 }
+
+/// A client sends one request whose data holds a line feed and the text of another request.
+fn smuggled(folder: &Path) -> Option<bool> {
+    let run = Run::start(folder, 3, 3)?;
+    run.start_writers(1, Duration::from_millis(100));
+    run.sleep(2_000);
+    for (number, addr) in run.fleet.front_addrs().into_iter().enumerate() {
+        let (id, inner) = (new_id(), format!("feed{number:012x}"));
+        let between = if run.trouble { "\n" } else { " " };
+        let text = format!("WRITE a1 xkqp{between}QUERY {inner} WRITE b2 wnzd");
+        run.shared.sent(&id);
+        run.say(&format!("client sends {id} as one request: {text:?}"));
+        let mut session = Session::open(addr, PRIMARY_DATABASE, KEY).ok()?;
+        session.send(&format!("QUERY {id} {text}\r\n"))?;
+        for _ in 0..2 {
+            run.say(&format!("client gets {:?}", session.receive()));
+        }
+        run.sleep(500);
+    }
+    let state = run.shared.world.lock();
+    let log = &state.instances[state.primary].log;
+    for entry in log.iter().filter(|entry| entry.id.starts_with("feed") || entry.item == "a1") {
+        run.say(&format!("log holds {} {} {:?}", entry.id, entry.item, entry.data));
+    }
+    drop(state);
+    run.finish("UNASKED", &["request failed"])
+}
+
+/// The links of the instances lose packets. The primary crashes and is back with its log after
+/// a second, before another instance takes over.
+fn stale(folder: &Path) -> Option<bool> {
+    let run = Run::start(folder, 3, 5)?;
+    run.start_writers(2, Duration::from_millis(20));
+    run.start_readers(2, Duration::from_millis(10));
+    run.sleep(2_000);
+    let world = &run.shared.world;
+    for round in 1..=12 {
+        run.say(&format!("round {round}"));
+        let primary = world.lock().primary;
+        if run.trouble {
+            world.change(|state| {
+                state.instances.iter_mut().for_each(|it| it.lossy = true);
+                state.crash(primary);
+            });
+            run.say("the links of the instances lose packets; the primary crashes");
+        }
+        run.sleep(1_000);
+        if run.trouble {
+            world.change(|state| state.restart(primary));
+            run.say("the primary is back with its log");
+        }
+        run.sleep(2_000);
+        world.change(|state| state.instances.iter_mut().for_each(|it| it.lossy = false));
+        run.sleep(3_000);
+    }
+    run.finish("STALE", &["primary change", "promotion", "fleet view applied"])
+}
--- a/review/standins/client.rs
+++ b/review/standins/client.rs
@@ -123,7 +123,7 @@
         match &answer {
             Some(answer) if answer.is_done() => {
                 shared.record.add(&format!("client gets success for {id}"));
-                shared.world.lock().acknowledged.push(id);
+                shared.world.lock().acknowledge(id);
             }
             Some(answer) => {
                 let error = answer.error.clone().unwrap_or_default();
@@ -141,3 +141,25 @@
         }
     }
 }
+
+/// Reads single items through the entry host `addr` on the `primary` route until the run stops.
+pub fn read_until_stopped(shared: &Shared, addr: SocketAddr, pause: Duration) {
+    let mut session = None;
+    while !shared.is_stopping() {
+        std::thread::sleep(pause);
+        if session.is_none() {
+            session = Session::open(addr, crate::PRIMARY_DATABASE, crate::KEY).ok();
+        }
+        let Some(open) = &mut session else { continue };
+        let id = new_id();
+        shared.sent(&id);
+        shared.record.add(&format!("client sends {id} READ to {addr}"));
+        match open.query(&id, "READ item16") {
+            Some(answer) => {
+                let error = answer.error.unwrap_or_else(|| "success".to_owned());
+                shared.record.add(&format!("client gets {error} for {id}"));
+            }
+            None => session = None,
+        }
+    }
+}
--- a/review/standins/instance.rs
+++ b/review/standins/instance.rs
@@ -19,6 +19,9 @@
 /// Interval between check-ins (`heartbeatMs`).
 pub const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
+/// Least time until a lost packet is sent again.
+const RETRANSMISSION: Duration = Duration::from_millis(200);
+
 static SIGNATURES: AtomicU64 = AtomicU64::new(1);
 
 /// Serves and announces an instance until the program ends.
@@ -118,6 +121,9 @@
             return;
         };
         let Some(answer) = connection.run(id, text) else { return };
+        if shared.world.lock().instances[index].lossy && is_lost() {
+            thread::sleep(RETRANSMISSION);
+        }
         let state = match &connection.transaction {
             None => "I",
             Some(transaction) if transaction.failed => "E",
@@ -130,18 +136,28 @@
     }
 }
 
+/// Reads a message, which ends with CR LF. A line feed alone is part of the last field.
 fn read_line(reader: &mut impl BufRead) -> Option<String> {
-    let mut line = String::new();
-    if reader.read_line(&mut line).ok()? == 0 {
-        return None;
+    let mut line = Vec::new();
+    while !line.ends_with(b"\r\n") {
+        if reader.read_until(b'\n', &mut line).ok()? == 0 {
+            return None;
+        }
     }
-    line.strip_suffix("\r\n").map(str::to_owned)
+    line.truncate(line.len() - 2);
+    String::from_utf8(line).ok()
 }
 
 fn send(mut stream: &TcpStream, text: &str) -> std::io::Result<()> {
     stream.write_all(text.as_bytes())
 }
 
+/// Whether the next answer is lost on its way, three times in ten.
+fn is_lost() -> bool {
+    let number = SIGNATURES.fetch_add(1, Ordering::Relaxed).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    (number >> 33) % 10 < 3
+}
+
 fn work() {
     thread::sleep(Duration::from_millis(WORK_MS.load(Ordering::Relaxed)));
 }
@@ -155,6 +171,7 @@
     fn run(&mut self, id: &str, text: &str) -> Option<String> {
         let (shared, index) = (self.shared, self.index);
         let own = shared.world.lock().instances[index].id.clone();
+        let asked = text;
         let mut text = text;
         if let Some(rest) = text.strip_prefix("AFTER ") {
             let (position, rest) = rest.split_once(' ')?;
@@ -165,7 +182,9 @@
         }
         let words: Vec<&str> = text.splitn(3, ' ').collect();
         if matches!(words[0], "READ" | "WRITE" | "BEGIN" | "COMMIT" | "EXEC") {
-            shared.record.add(&format!("{own} gets {id} {text} for {}", self.tenant));
+            let bound = if asked == text { "" } else { " after a position" };
+            let role = if self.lead().is_some() { "primary" } else { "replica" };
+            shared.record.add(&format!("{own} ({role}) gets {id} {text:?}{bound} for {}", self.tenant));
             shared.arrived(index, id, words[0], self.transaction.is_some());
         }
         if self.transaction.as_ref().is_some_and(|it| it.failed) && words[0] != "ROLLBACK" {
@@ -214,6 +233,7 @@
             }
             ["READ", item] => {
                 work();
+                shared.check_read(index, id);
                 let row = shared.world.lock().read(index, item).unwrap_or_else(|| "none".into());
                 return Some(format!("ROW {row}\r\nDONE {}\r\n", signature()));
             }
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -14,7 +14,7 @@
 mod world;
 
 use std::{
-    collections::HashSet,
+    collections::HashMap,
     net::{SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::ExitCode,
@@ -60,7 +60,7 @@
     pub platform: Mutex<Platform>,
     stopping: AtomicBool,
     /// Ids that clients sent.
-    sent: Mutex<HashSet<String>>,
+    sent: Mutex<HashMap<String, Instant>>,
     /// When the check-in `draining` of an instance was acknowledged, in ms.
     draining_since: Mutex<[Option<u64>; world::INSTANCES]>,
 }
@@ -77,7 +77,7 @@
     /// Records the id of a request that a client is about to send.
     pub fn sent(&self, id: &str) {
         if let Ok(mut sent) = self.sent.lock() {
-            sent.insert(id.to_owned());
+            sent.insert(id.to_owned(), Instant::now());
         }
     }
 
@@ -87,6 +87,26 @@
         }
     }
 
+    /// Checks a read on the `primary` route that runs at an instance.
+    pub fn check_read(&self, index: usize, id: &str) {
+        let sent_at = self.sent.lock().ok().and_then(|sent| sent.get(id).copied());
+        let Some(sent_at) = sent_at else { return };
+        let mut state = self.world.lock();
+        let missing = state.missing(index, sent_at);
+        if missing.is_empty() {
+            return;
+        }
+        let text = format!(
+            "STALE: READ {id} runs on {} ({}), which lacks {} writes acknowledged before the read was sent, as {}",
+            state.instances[index].id,
+            state.status(index),
+            missing.len(),
+            missing[0]
+        );
+        self.record.add(&text);
+        state.broken.push(text);
+    }
+
     /// Checks a request that arrives at an instance. Single statements and the first of a
     /// transaction count for DRAIN.
     pub fn arrived(&self, index: usize, id: &str, word: &str, in_transaction: bool) {
@@ -104,7 +124,7 @@
             self.record.add(&text);
             self.world.lock().broken.push(text);
         }
-        let is_sent = id == "-" || self.sent.lock().is_ok_and(|sent| sent.contains(id));
+        let is_sent = id == "-" || self.sent.lock().is_ok_and(|sent| sent.contains_key(id));
         if !is_sent {
             let text = format!("UNASKED: an instance gets {word} {id}, which no client sent");
             self.record.add(&text);
@@ -233,6 +253,16 @@
         }
     }
 
+    /// Starts clients that read on the `primary` route, `count` at each entry host.
+    pub fn start_readers(&self, count: usize, pause: Duration) {
+        for addr in self.fleet.front_addrs() {
+            for _ in 0..count {
+                let shared = self.shared.clone();
+                thread::spawn(move || client::read_until_stopped(&shared, addr, pause));
+            }
+        }
+    }
+
     pub fn sleep(&self, ms: u64) {
         thread::sleep(Duration::from_millis(ms));
     }
@@ -315,6 +345,7 @@
             return;
         };
         state.fence = token;
+        state.candidate = index;
         index
     };
     http::respond(stream, 200);
--- a/review/standins/world.rs
+++ b/review/standins/world.rs
@@ -36,6 +36,8 @@
     pub deaf: bool,
     /// Partitioned from the control hosts, not from the entry hosts.
     pub cut_from_control: bool,
+    /// Packets of its answers are lost: three in ten answers come one retransmission later.
+    pub lossy: bool,
     /// Says that it leaves.
     pub draining: bool,
     /// Has left for good.
@@ -56,10 +58,14 @@
     pub instances: Vec<Instance>,
     pub primary: usize,
     pub term: u64,
+    /// Instance that the last accepted promotion names.
+    pub candidate: usize,
     /// Highest generation number that a promotion carried.
     pub fence: u64,
     /// Ids of the writes whose success a client has received.
     pub acknowledged: Vec<String>,
+    /// When each of them was acknowledged.
+    pub acknowledged_at: Vec<Instant>,
     /// Ids of the writes that were answered with a promise that nothing is kept.
     pub promised: Vec<String>,
     /// Ids of the writes that got `UNKNOWN`, `TIMEOUT`, another error or no answer.
@@ -85,6 +91,7 @@
             up: true,
             deaf: false,
             cut_from_control: false,
+            lossy: false,
             draining: false,
             gone: false,
             lead_term: (index == 0).then_some(1),
@@ -100,8 +107,10 @@
             instances: addrs.iter().enumerate().map(instance).collect(),
             primary: 0,
             term: 1,
+            candidate: 0,
             fence: 0,
             acknowledged: Vec::new(),
+            acknowledged_at: Vec::new(),
             promised: Vec::new(),
             unclear: Vec::new(),
             broken: Vec::new(),
@@ -260,6 +269,23 @@
         log.iter().rev().find(|entry| entry.item == item).map(|entry| entry.data.clone())
     }
 
+    /// Records the success of a write.
+    pub fn acknowledge(&mut self, id: String) {
+        self.acknowledged.push(id);
+        self.acknowledged_at.push(Instant::now());
+    }
+
+    /// Acknowledged writes that the instance does not serve, of those acknowledged before
+    /// `before`. Looks at the newest ones only.
+    pub fn missing(&self, index: usize, before: Instant) -> Vec<String> {
+        let end = self.acknowledged_at.partition_point(|at| *at < before);
+        let log = &self.instances[index].log[..self.applied(index)];
+        let newest = &log[log.len().saturating_sub(2_000)..];
+        let held = |id: &String| newest.iter().any(|entry| entry.id == *id);
+        let recent = &self.acknowledged[end.saturating_sub(50)..end];
+        recent.iter().filter(|id| !held(id)).cloned().collect()
+    }
+
     /// Ends the process of an instance: its connections close, its log stays.
     pub fn crash(&mut self, index: usize) {
         let instance = &mut self.instances[index];
