Review case 5: primary reads go to a replaced primary

A search for the primary that ends after the view with the new primary was applied overrides that view. The entry host then reads from the replaced primary, without a position, until the next view.

The case fails on purpose and nothing is fixed here.

--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -2,7 +2,7 @@
 
 use std::{path::Path, sync::atomic::Ordering, time::Duration};
 
-use crate::{KEY, PRIMARY_DATABASE, Platform, Run, SECOND_KEY, client::{Session, new_id}, instance::WORK_MS};
+use crate::{KEY, PRIMARY_DATABASE, PROMOTE_MS, Platform, Run, SECOND_KEY, client::{Session, new_id}, instance::WORK_MS};
 
 /// `configApplyMs`.
 const CONFIG_APPLY_MS: u64 = 3_000;
@@ -153,32 +153,39 @@
     run.finish("UNASKED", &["request failed"])
 }
 
-/// The links of the instances lose packets. The primary crashes and is back with its log after
-/// a second, before another instance takes over.
+/// The primary crashes and is back with its log after a second, before another instance takes
+/// over. The links of the instances lose packets meanwhile. Once in 3 s, until the rule breaks.
 fn stale(folder: &Path) -> Option<bool> {
+    PROMOTE_MS.store(1_000, Ordering::Relaxed);
     let run = Run::start(folder, 3, 5)?;
-    run.start_writers(2, Duration::from_millis(20));
-    run.start_readers(2, Duration::from_millis(10));
+    let fronts = run.fleet.front_addrs();
+    run.start_readers_at(&fronts[..3], 2, Duration::from_millis(15));
+    run.start_writers_at(&fronts[3..], 2, Duration::from_millis(20));
     run.sleep(2_000);
     let world = &run.shared.world;
-    for round in 1..=12 {
-        run.say(&format!("round {round}"));
+    for round in 1..=33 {
         let primary = world.lock().primary;
         if run.trouble {
+            run.say(&format!("round {round}: packets are lost; the primary crashes"));
             world.change(|state| {
-                state.instances.iter_mut().for_each(|it| it.lossy = true);
+                state.instances.iter_mut().for_each(|it| it.loss = 25);
                 state.crash(primary);
             });
-            run.say("the links of the instances lose packets; the primary crashes");
         }
         run.sleep(1_000);
         if run.trouble {
-            world.change(|state| state.restart(primary));
             run.say("the primary is back with its log");
+            world.change(|state| state.restart(primary));
+        }
+        run.sleep(1_200);
+        if run.trouble {
+            run.say("no packets are lost");
+            world.change(|state| state.instances.iter_mut().for_each(|it| it.loss = 0));
+        }
+        run.sleep(800);
+        if !world.lock().broken.is_empty() {
+            break;
         }
-        run.sleep(2_000);
-        world.change(|state| state.instances.iter_mut().for_each(|it| it.lossy = false));
-        run.sleep(3_000);
     }
     run.finish("STALE", &["primary change", "promotion", "fleet view applied"])
 }
--- a/review/standins/instance.rs
+++ b/review/standins/instance.rs
@@ -121,15 +121,16 @@
             return;
         };
         let Some(answer) = connection.run(id, text) else { return };
-        if shared.world.lock().instances[index].lossy && is_lost() {
-            thread::sleep(RETRANSMISSION);
-        }
         let state = match &connection.transaction {
             None => "I",
             Some(transaction) if transaction.failed => "E",
             Some(_) => "T",
         };
         let position = shared.world.lock().position(index);
+        let loss = shared.world.lock().instances[index].loss;
+        if loss > 0 && is_lost(loss) {
+            thread::sleep(RETRANSMISSION);
+        }
         if send(stream, &format!("{answer}READY {state} {position}\r\n")).is_err() {
             return;
         }
@@ -152,16 +153,17 @@
     stream.write_all(text.as_bytes())
 }
 
-/// Whether the next answer is lost on its way, three times in ten.
-fn is_lost() -> bool {
-    let number = SIGNATURES.fetch_add(1, Ordering::Relaxed).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    (number >> 33) % 10 < 3
-}
-
+/// Takes the time of a statement.
 fn work() {
     thread::sleep(Duration::from_millis(WORK_MS.load(Ordering::Relaxed)));
 }
 
+/// Whether a packet of the next answer is lost, in `loss` of a thousand cases.
+fn is_lost(loss: u64) -> bool {
+    let number = SIGNATURES.fetch_add(1, Ordering::Relaxed).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    (number >> 33) % 1_000 < loss
+}
+
 fn signature() -> String {
     format!("7.{:x}", SIGNATURES.fetch_add(1, Ordering::Relaxed) + 0x10_0000)
 }
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -20,7 +20,7 @@
     process::ExitCode,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
     time::{Duration, Instant},
@@ -38,8 +38,8 @@
 pub const KEY: &str = "u6wsjnbanfqasnmgkcuy";
 pub const SECOND_KEY: &str = "j8pjbvk9m68k7b2ex5wa";
 
-/// Time that the platform takes for a promotion.
-const PROMOTE: Duration = Duration::from_millis(600);
+/// Time in ms that the platform takes for a promotion.
+pub static PROMOTE_MS: AtomicU64 = AtomicU64::new(600);
 
 /// `drainMs`.
 const DRAIN_MS: u64 = 7_000;
@@ -243,7 +243,12 @@
 
     /// Starts clients that write single statements, `count` at each entry host.
     pub fn start_writers(&self, count: usize, pause: Duration) {
-        for addr in self.fleet.front_addrs() {
+        self.start_writers_at(&self.fleet.front_addrs(), count, pause);
+    }
+
+    /// Starts clients that write single statements, `count` at each of `addrs`.
+    pub fn start_writers_at(&self, addrs: &[SocketAddr], count: usize, pause: Duration) {
+        for addr in addrs.iter().copied() {
             for _ in 0..count {
                 let shared = self.shared.clone();
                 thread::spawn(move || {
@@ -253,9 +258,9 @@
         }
     }
 
-    /// Starts clients that read on the `primary` route, `count` at each entry host.
-    pub fn start_readers(&self, count: usize, pause: Duration) {
-        for addr in self.fleet.front_addrs() {
+    /// Starts clients that read on the `primary` route, `count` at each of `addrs`.
+    pub fn start_readers_at(&self, addrs: &[SocketAddr], count: usize, pause: Duration) {
+        for addr in addrs.iter().copied() {
             for _ in 0..count {
                 let shared = self.shared.clone();
                 thread::spawn(move || client::read_until_stopped(&shared, addr, pause));
@@ -349,7 +354,7 @@
         index
     };
     http::respond(stream, 200);
-    thread::sleep(PROMOTE);
+    thread::sleep(Duration::from_millis(PROMOTE_MS.load(Ordering::Relaxed)));
     shared.world.change(|state| {
         if state.instances[index].up {
             state.promote(index, &shared.record);
--- a/review/standins/world.rs
+++ b/review/standins/world.rs
@@ -36,8 +36,8 @@
     pub deaf: bool,
     /// Partitioned from the control hosts, not from the entry hosts.
     pub cut_from_control: bool,
-    /// Packets of its answers are lost: three in ten answers come one retransmission later.
-    pub lossy: bool,
+    /// Part of its answers, in thousandths, that a lost packet delays by a retransmission.
+    pub loss: u64,
     /// Says that it leaves.
     pub draining: bool,
     /// Has left for good.
@@ -91,7 +91,7 @@
             up: true,
             deaf: false,
             cut_from_control: false,
-            lossy: false,
+            loss: 0,
             draining: false,
             gone: false,
             lead_term: (index == 0).then_some(1),
