--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -2,7 +2,11 @@
 
 use std::{path::Path, sync::atomic::Ordering, time::Duration};
 
-use crate::{KEY, PRIMARY_DATABASE, PROMOTE_MS, Platform, Run, SECOND_KEY, client::{Session, new_id}, instance::WORK_MS};
+use crate::{
+    KEY, PRIMARY_DATABASE, PROMOTE_MS, Platform, Run, SECOND_KEY,
+    client::{Session, new_id},
+    instance::WORK_MS,
+};
 
 /// `configApplyMs`.
 const CONFIG_APPLY_MS: u64 = 3_000;
@@ -117,15 +121,11 @@
             "CONFIG: {ran:?} run with a dropped key, sent {} ms after the ack, bound {CONFIG_APPLY_MS} ms",
             sent_at - acknowledged_at
         );
-        world_broken(&run, text);
+        run.shared.world.lock().broken.push(text);
     }
     run.finish("CONFIG", &["configuration applied", "transaction"])
 }
 
-fn world_broken(run: &Run, text: String) {
-    run.shared.world.lock().broken.push(text);
-}
-
 /// A client sends one request whose data holds a line feed and the text of another request.
 fn smuggled(folder: &Path) -> Option<bool> {
     let run = Run::start(folder, 3, 3)?;
--- a/review/standins/client.rs
+++ b/review/standins/client.rs
@@ -40,9 +40,9 @@
 
     /// Whether the answer promises that nothing is kept.
     pub fn is_promise(&self) -> bool {
-        self.error.as_deref().is_some_and(|it| {
-            PROMISES.contains(&it.split(' ').next().unwrap_or_default())
-        })
+        self.error
+            .as_deref()
+            .is_some_and(|it| PROMISES.contains(&it.split(' ').next().unwrap_or_default()))
     }
 }
 
--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -6,7 +6,6 @@
     net::{IpAddr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    time::{Duration, Instant},
 };
 
 use crate::record::Record;
@@ -16,15 +15,6 @@
 const READY_PORT: u16 = 8460;
 const FIRST_INTERNAL_PORT: u16 = 7560;
 
-pub const SIGKILL: i32 = 9;
-pub const SIGTERM: i32 = 15;
-pub const SIGCONT: i32 = 18;
-pub const SIGSTOP: i32 = 19;
-
-unsafe extern "C" {
-    fn kill(pid: i32, signal: i32) -> i32;
-}
-
 /// Process of a role on a machine.
 struct Process {
     name: String,
@@ -51,8 +41,9 @@
             let subnet = (60 + (number % 150) as u8, 1 + (number / 150 % 250) as u8);
             let addrs = Self { subnet };
             let ports = [CONTROL_PORT, FRONT_PORT, READY_PORT, FIRST_INTERNAL_PORT, 8466, 9464];
-            let is_free =
-                (1..20).all(|host| ports.iter().all(|port| TcpListener::bind(addrs.addr(host, *port)).is_ok()));
+            let is_free = (1..20).all(|host| {
+                ports.iter().all(|port| TcpListener::bind(addrs.addr(host, *port)).is_ok())
+            });
             is_free.then_some(addrs)
         })
     }
@@ -120,11 +111,6 @@
         entries.map(|it| SocketAddr::new(it.ip, FRONT_PORT)).collect()
     }
 
-    pub fn ready_addrs(&self) -> Vec<SocketAddr> {
-        let entries = self.processes[self.controls..].iter();
-        entries.map(|it| SocketAddr::new(it.ip, READY_PORT)).collect()
-    }
-
     /// Starts all processes.
     pub fn start_all(&mut self) -> std::io::Result<()> {
         (0..self.processes.len()).try_for_each(|index| self.start(index))
@@ -187,35 +173,6 @@
         Ok(())
     }
 
-    /// Sends a signal to a process.
-    pub fn signal(&self, index: usize, signal: i32) {
-        if let Some(child) = &self.processes[index].child {
-            // The process was started here and is not reaped yet.
-            unsafe { kill(child.id() as i32, signal) };
-        }
-    }
-
-    /// Waits until a process has ended, for `limit` at most; returns whether it has.
-    pub fn wait(&mut self, index: usize, limit: Duration) -> bool {
-        let started = Instant::now();
-        while started.elapsed() < limit {
-            match self.processes[index].child.as_mut().map(Child::try_wait) {
-                Some(Ok(None)) => std::thread::sleep(Duration::from_millis(5)),
-                _ => return true,
-            }
-        }
-        false
-    }
-
-    pub fn name(&self, index: usize) -> &str {
-        &self.processes[index].name
-    }
-
-    /// Number of control hosts.
-    pub fn controls(&self) -> usize {
-        self.controls
-    }
-
     /// Adds the lines of the processes' logs that hold one of `words` to the record.
     pub fn quote_logs(&self, record: &Record, words: &[&str]) {
         for process in &self.processes {
--- a/review/standins/http.rs
+++ b/review/standins/http.rs
@@ -19,7 +19,6 @@
 pub struct Response {
     pub status: u16,
     pub location: Option<String>,
-    pub body: String,
 }
 
 fn read_headers(reader: &mut impl BufRead) -> Option<(String, HashMap<String, String>)> {
@@ -85,8 +84,8 @@
     let mut reader = BufReader::new(stream);
     let (first, headers) = read_headers(&mut reader)?;
     let status = first.split(' ').nth(1)?.parse().ok()?;
-    let body = read_body(&mut reader, &headers)?;
-    Some(Response { status, location: headers.get("location").cloned(), body })
+    read_body(&mut reader, &headers)?;
+    Some(Response { status, location: headers.get("location").cloned() })
 }
 
 /// Calls the control hosts in turn, as callers of `control_plane` do, and follows two
--- a/review/standins/instance.rs
+++ b/review/standins/instance.rs
@@ -11,7 +11,7 @@
     time::{Duration, Instant},
 };
 
-use crate::{Shared, SERVICE, http};
+use crate::{SERVICE, Shared, http};
 
 /// Time in ms that a read, a write or a commit takes.
 pub static WORK_MS: AtomicU64 = AtomicU64::new(4);
@@ -116,8 +116,7 @@
         if line == "BYE" {
             return;
         }
-        let Some((id, text)) = line.strip_prefix("QUERY ").and_then(|it| it.split_once(' '))
-        else {
+        let Some((id, text)) = line.strip_prefix("QUERY ").and_then(|it| it.split_once(' ')) else {
             return;
         };
         let Some(answer) = connection.run(id, text) else { return };
@@ -186,7 +185,9 @@
         if matches!(words[0], "READ" | "WRITE" | "BEGIN" | "COMMIT" | "EXEC") {
             let bound = if asked == text { "" } else { " after a position" };
             let role = if self.lead().is_some() { "primary" } else { "replica" };
-            shared.record.add(&format!("{own} ({role}) gets {id} {text:?}{bound} for {}", self.tenant));
+            shared
+                .record
+                .add(&format!("{own} ({role}) gets {id} {text:?}{bound} for {}", self.tenant));
             shared.arrived(index, id, words[0], self.transaction.is_some());
         }
         if self.transaction.as_ref().is_some_and(|it| it.failed) && words[0] != "ROLLBACK" {
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -145,7 +145,8 @@
     pub fn start(folder: &Path, controls: u8, entries: u8) -> Option<Self> {
         let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
         let addrs = Addrs::pick()?;
-        let temporary = std::env::temp_dir().join(format!("pomelopin-review-{}", std::process::id()));
+        let temporary =
+            std::env::temp_dir().join(format!("pomelopin-review-{}", std::process::id()));
         std::fs::create_dir_all(&temporary).ok()?;
         let mut fleet = Fleet::new(temporary, &addrs, controls, entries)?;
         let instances: Vec<SocketAddr> =
@@ -336,7 +337,8 @@
     let token: u64 = header("x-pomelopin-fencing-token").parse().unwrap_or_default();
     let id = request.body.split("\"id\":\"").nth(1).and_then(|it| it.split('"').next());
     let id = id.unwrap_or_default().to_owned();
-    let text = format!("platform: {} {} {id} from {holder} under {token}", request.method, request.path);
+    let text =
+        format!("platform: {} {} {id} from {holder} under {token}", request.method, request.path);
     shared.record.say(&text);
     if shared.platform.lock().is_ok_and(|it| *it == Platform::Down) {
         thread::sleep(Duration::from_secs(20));
--- a/review/standins/world.rs
+++ b/review/standins/world.rs
@@ -133,7 +133,13 @@
 
     /// Commits writes at the instance `index`, if it leads `term`, and waits until a replica
     /// has received them. `None` if the instance ends or loses the lead before.
-    pub fn commit(&self, index: usize, lead: u64, id: &str, writes: &[(String, String)]) -> Option<()> {
+    pub fn commit(
+        &self,
+        index: usize,
+        lead: u64,
+        id: &str,
+        writes: &[(String, String)],
+    ) -> Option<()> {
         let mut state = self.lock();
         if state.instances[index].lead_term != Some(lead) {
             return None;
