Review case 2: acknowledged writes are forgotten with the entry hosts

Which commits were acknowledged is known only from the memory of the entry hosts. After they were killed, a replica that lacks acknowledged writes passes for complete and is promoted.

The case fails on purpose and nothing is fixed here.

--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -16,6 +16,7 @@
     match case {
         "lost-commits" => lost_commits(folder),
         "drain" => drain(folder),
+        "forgotten-commits" => forgotten_commits(folder),
         "smuggled" => smuggled(folder),
         "stale" => stale(folder),
         "withdrawn-key" => withdrawn_key(folder),
@@ -189,3 +190,52 @@
     }
     run.finish("STALE", &["primary change", "promotion", "fleet view applied"])
 }
+
+/// A replica receives nothing for a while and the primary crashes meanwhile; the other replica
+/// is cut off from control. Shortly before the crash the entry hosts are killed and start again.
+fn forgotten_commits(folder: &Path) -> Option<bool> {
+    let mut run = Run::start(folder, 3, 3)?;
+    run.start_writers(2, Duration::from_millis(40));
+    run.sleep(3_000);
+    let shared = run.shared.clone();
+    let world = &shared.world;
+    let (primary, near, far) = {
+        let state = world.lock();
+        let primary = state.primary;
+        let replicas: Vec<usize> = (0..3).filter(|index| *index != primary).collect();
+        (primary, replicas[0], replicas[1])
+    };
+    if run.trouble {
+        run.say("a replica receives nothing; the other one is cut off from control");
+        world.change(|state| {
+            state.instances[far].deaf = true;
+            state.instances[near].cut_from_control = true;
+        });
+    }
+    run.sleep(500);
+    if run.trouble {
+        run.say("the entry hosts are killed");
+        run.fleet.kill_entries();
+    }
+    run.sleep(200);
+    if run.trouble {
+        run.say("the primary crashes");
+        world.change(|state| state.crash(primary));
+    }
+    run.sleep(300);
+    if run.trouble {
+        run.say("the entry hosts start again");
+        run.fleet.start_entries().ok()?;
+    }
+    run.sleep(3_500);
+    if run.trouble {
+        run.say("the primary is back with its log; the cut has healed, the replica receives again");
+        world.change(|state| {
+            state.restart(primary);
+            state.instances[near].cut_from_control = false;
+            state.instances[far].deaf = false;
+        });
+    }
+    run.sleep(5_000);
+    run.finish("LOST", &["promotion", "primary change", "no target holds"])
+}
--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -173,6 +173,25 @@
         Ok(())
     }
 
+    /// Kills the entry hosts at once.
+    pub fn kill_entries(&mut self) {
+        for process in &mut self.processes[self.controls..] {
+            if let Some(child) = &mut process.child {
+                let _ = child.kill();
+            }
+        }
+        for process in &mut self.processes[self.controls..] {
+            if let Some(mut child) = process.child.take() {
+                let _ = child.wait();
+            }
+        }
+    }
+
+    /// Starts the entry hosts again.
+    pub fn start_entries(&mut self) -> std::io::Result<()> {
+        (self.controls..self.processes.len()).try_for_each(|index| self.start(index))
+    }
+
     /// Adds the lines of the processes' logs that hold one of `words` to the record.
     pub fn quote_logs(&self, record: &Record, words: &[&str]) {
         for process in &self.processes {
