--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -58,6 +58,8 @@
     pub record: Record,
     pub control_addrs: Vec<SocketAddr>,
     pub platform: Mutex<Platform>,
+    /// Process ids of the entry hosts.
+    pub entry_pids: Mutex<Vec<u32>>,
     stopping: AtomicBool,
     /// Ids that clients sent.
     sent: Mutex<HashMap<String, Instant>>,
@@ -156,6 +158,7 @@
             record: Record::create(&folder.join("record.txt")).ok()?,
             control_addrs: fleet.control_addrs(),
             platform: Mutex::new(Platform::Up),
+            entry_pids: Mutex::default(),
             stopping: AtomicBool::new(false),
             sent: Mutex::default(),
             draining_since: Mutex::default(),
@@ -163,6 +166,9 @@
         shared.record.say(&format!("trouble: {trouble}"));
         start_platform(&shared, addrs.addr(19, 8466))?;
         fleet.start_all().ok()?;
+        if let Ok(mut pids) = shared.entry_pids.lock() {
+            *pids = fleet.entry_pids();
+        }
         for index in 0..world::INSTANCES {
             instance::start(&shared, index);
         }
