Wait for acknowledged commits without a limit

Cause: the wait for a target that holds the newest acknowledged commit ended after 30 s, counted in ServiceState::incomplete_since. Nothing cleared it when the change was cancelled, finished or restarted, so the second outage found it expired.

Evidence: the state machine alone shows it. Before the change, of the new tests wait_for_a_missing_commit_is_not_shortened_by_an_earlier_outage failed with "outage 2: [("r1", 7340033)]", and missing_commit_is_waited_for_without_a_limit with a promotion after 30 s.

No state is left that could outlive an outage; the other fields of ServiceState were read for the same fault.

--- a/src/fleet/service_failover.rs
+++ b/src/fleet/service_failover.rs
@@ -26,9 +26,6 @@
 /// Time without progress after which a change is restarted.
 const CHANGE_TIMEOUT: Millis = Millis(5_000);
 
-/// Time for which a service waits for a target that holds the newest acknowledged commit.
-const MISSING_COMMIT_TIMEOUT: Millis = Millis(30_000);
-
 /// Interval between log lines on a promotion that waits.
 const WAIT_LOG_INTERVAL: Millis = Millis(1_000);
 
@@ -53,8 +50,6 @@
     /// A change has ended, but calls to promote the primary may still be carried out, so the
     /// promotion stays unfinished in the log for the next leader.
     completed: Option<InstanceId>,
-    /// Since when no candidate holds the newest acknowledged commit.
-    incomplete_since: Option<Millis>,
     wait_logged_at: Option<Millis>,
 }
 
@@ -253,22 +248,14 @@
         }
     }
 
-    /// Whether a candidate is safe enough. One that lacks an acknowledged commit is accepted
-    /// only if no target that holds the commit answers for [`MISSING_COMMIT_TIMEOUT`].
+    /// Whether a candidate is safe enough. If it is not, the change waits for as long as it
+    /// takes: a target that holds the missing commits may come back.
     fn is_acceptable(&mut self, cx: &Cx<'_>, service: &Service, safety: Safety) -> bool {
-        if matches!(safety, Safety::Incomplete | Safety::Unproven) {
+        let acceptable = matches!(safety, Safety::Fenced | Safety::Reported);
+        if !acceptable {
             self.log_wait(cx, service, safety);
         }
-        if safety != Safety::Incomplete {
-            self.incomplete_since = None;
-            return safety != Safety::Unproven;
-        }
-        let since = *self.incomplete_since.get_or_insert(cx.now);
-        let must_proceed = cx.now.since(since) >= MISSING_COMMIT_TIMEOUT;
-        if must_proceed {
-            spdlog::error!("no target holds the newest acknowledged commit, and the primary is away; promoting a target without it", kv: {service = service.as_str(), waited_ms = cx.now.since(since).0});
-        }
-        must_proceed
+        acceptable
     }
 
     /// Logs once per interval why no candidate is promoted.
--- a/tests/fleet_failover.rs
+++ b/tests/fleet_failover.rs
@@ -154,6 +154,20 @@
         }
     }
 
+    /// Runs while the targets that are up announce themselves, and those that are not expire.
+    fn run_announcing(&mut self, ms: u64) {
+        for _ in 0..ms / 1_000 {
+            self.announce(false);
+            self.registry.remove_silent(self.now);
+            for (id, state) in &self.targets {
+                if matches!(state, Some((TargetRole::Primary, _))) {
+                    self.failover.record_primary_claim(&service(), &(*id).into());
+                }
+            }
+            self.run(1_000);
+        }
+    }
+
     fn cx(&self) -> Cx<'_> {
         Cx {
             now: self.now,
@@ -682,3 +696,55 @@
     assert_eq!(primary, Some((Some(&"p".into()), false)));
     assert!(harness.promotions.is_empty() && harness.paused.is_empty());
 }
+
+/// Guards against a promotion that loses acknowledged commits in the second of two outages
+/// (62 to 64 commits in review/1): the wait for a target that holds them ended because it was
+/// counted from the first outage.
+#[test]
+fn wait_for_a_missing_commit_is_not_shortened_by_an_earlier_outage() {
+    let mut harness = Harness::new();
+    harness.targets["r1"] = Some((TargetRole::Replica, Mark::new(3, 99)));
+    harness.run(1_000);
+    for outage in 1..=2 {
+        harness.targets["r2"] = None;
+        harness.primary_failing_for = Some(Millis(800));
+        harness.run(3_000);
+        assert!(harness.promotions.is_empty(), "outage {outage}: {:?}", harness.promotions);
+        harness.targets["r2"] = Some((TargetRole::Replica, Mark::new(3, 100)));
+        harness.primary_failing_for = None;
+        harness.run_announcing(35_000);
+    }
+}
+
+/// Guards against acknowledged commits that are given up because their outage lasts long.
+#[test]
+fn missing_commit_is_waited_for_without_a_limit() {
+    let mut harness = Harness::new();
+    harness.targets["r1"] = Some((TargetRole::Replica, Mark::new(3, 99)));
+    harness.targets["r2"] = None;
+    harness.targets["p"] = None;
+    harness.primary_failing_for = Some(Millis(800));
+    harness.run(120_000);
+    assert!(harness.promotions.is_empty(), "{:?}", harness.promotions);
+    harness.targets["r2"] = Some((TargetRole::Replica, Mark::new(3, 100)));
+    harness.run_announcing(8_000);
+    assert_eq!(harness.promoted_targets(), ["r2"]);
+}
+
+/// Guards against a wait that operators cannot end: they promote a target themselves if all
+/// that hold the missing commit are lost for good.
+#[test]
+fn promotion_by_the_operator_ends_the_wait_for_a_missing_commit() {
+    let mut harness = Harness::new();
+    harness.targets["r1"] = Some((TargetRole::Replica, Mark::new(3, 99)));
+    harness.targets["r2"] = None;
+    harness.targets["p"] = None;
+    harness.primary_failing_for = Some(Millis(800));
+    harness.run_announcing(40_000);
+    harness.targets["r1"] = Some((TargetRole::Primary, Mark::new(4, 99)));
+    harness.primary_failing_for = None;
+    harness.run_announcing(8_000);
+    assert!(harness.promotions.is_empty(), "{:?}", harness.promotions);
+    let primary = harness.failover.primary(&service(), &harness.unfinished);
+    assert_eq!(primary, Some((Some(&"r1".into()), false)));
+}
