Count on reported commits only with a later position of the primary

Cause: which commits were acknowledged was kept per entry host. A report under a new incarnation, the removal of a silent host and a new leader each left nothing, and nothing reported was taken for nothing acknowledged. Replicas that had left the registry did not count at all.

Ruled out: keeping the reported positions (commits after a host's last report are in no memory), and positions in the log (they lag by their interval).

Change: the unknown is a state of its own. It ends with a position that the primary gave when it was queried later (fleet::commit_evidence, decision 12). Replicas that have left count as silent, and stay in the log for the next leader, until a replica has reached such a position.

--- /dev/null
+++ b/src/fleet/commit_evidence.rs
@@ -0,0 +1,149 @@
+//! Evidence of where the acknowledged commits of a service are.
+//!
+//! A commit is acknowledged once the primary and one replica hold it. A candidate that covers
+//! all other replicas therefore holds every acknowledged commit. The argument has two gaps:
+//!
+//! - A replica has left, or was promoted and leads now. No other replica may hold what it had
+//!   received.
+//! - A replica does not answer. The reports of the entry hosts then tell what was
+//!   acknowledged, but a host that has ended can't report its last commits any more, and a
+//!   new leader does not know which hosts there were.
+//!
+//! A position closes both if the primary reported it when it was queried later: its log
+//! holds every commit that was acknowledged before the query.
+
+use derive_more::Display;
+use indexmap::{IndexMap, IndexSet};
+
+use crate::{
+    clock::Millis,
+    ids::{InstanceId, Mark},
+};
+
+/// Interval between the queries that close a gap.
+const QUERY_INTERVAL: Millis = Millis(500);
+
+/// Evidence of one service.
+#[derive(Debug, Default, Display)]
+#[display("{replication:?}, primary {primary_position:?}")]
+pub(super) struct CommitEvidence {
+    replicas: IndexSet<InstanceId>,
+    /// Replicas that have left and may have held the only copy of a commit beside the
+    /// primary's.
+    departed: IndexSet<InstanceId>,
+    replication: Replication,
+    /// Position of the primary, and when it was queried.
+    primary_position: Option<(Millis, Mark)>,
+    queried_at: Option<Millis>,
+}
+
+/// Whether the replicas in the registry hold every acknowledged commit among them.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum Replication {
+    #[default]
+    Complete,
+    /// The primary alone may hold commits that were acknowledged before the given time.
+    UnknownUntil(Millis),
+    /// The primary alone may hold commits up to the given position.
+    AwaitedUpTo(Mark),
+}
+
+impl CommitEvidence {
+    /// Notes which replicas the registry holds. `paused` has the final positions of those that
+    /// receive nothing any more.
+    pub(super) fn update_replicas(
+        &mut self,
+        now: Millis,
+        replicas: &[&InstanceId],
+        paused: &IndexMap<InstanceId, Mark>,
+    ) {
+        let left = self.replicas.extract_if(.., |id| !replicas.contains(&id));
+        for id in left {
+            self.replication = self.replication.without_replica(now, paused.get(&id));
+            self.departed.insert(id);
+        }
+        for id in replicas {
+            if !self.replicas.contains(*id) {
+                self.replicas.insert((*id).clone());
+                self.departed.shift_remove(*id);
+            }
+        }
+    }
+
+    /// Records the position of the primary from its answer to a query.
+    pub(super) fn record_primary(&mut self, queried_at: Millis, received: Mark) {
+        if let Replication::UnknownUntil(until) = self.replication
+            && queried_at >= until
+        {
+            self.replication = Replication::AwaitedUpTo(received);
+        }
+        if self.primary_position.is_none_or(|(at, _)| at < queried_at) {
+            self.primary_position = Some((queried_at, received));
+        }
+    }
+
+    /// Records the position of a target that answered as a replica.
+    pub(super) fn record_replica(&mut self, target: &InstanceId, received: Mark) {
+        if self.replicas.contains(target) && self.replication.is_complete_at(received) {
+            self.replication = Replication::Complete;
+            self.departed.clear();
+        }
+    }
+
+    /// Whether a candidate that covers all replicas and has received up to `received` holds
+    /// what only replicas that have left had received.
+    pub(super) fn covers_departed(&self, received: Mark) -> bool {
+        self.replication.is_complete_at(received)
+    }
+
+    /// Whether a candidate that has received up to `received` holds every commit acknowledged
+    /// before `until`.
+    pub(super) fn covers_all_before(&self, until: Millis, received: Mark) -> bool {
+        self.primary_position
+            .is_some_and(|(queried_at, position)| queried_at >= until && received >= position)
+    }
+
+    /// Replicas that have left and may have held the only copy of a commit beside the primary's.
+    pub(super) fn departed(&self) -> impl Iterator<Item = &InstanceId> {
+        self.departed.iter()
+    }
+
+    /// Whether the positions of the replicas are needed.
+    pub(super) fn awaits_replicas(&self) -> bool {
+        self.replication != Replication::Complete
+    }
+
+    /// Whether the primary is to be queried now. Hosts may have acknowledged
+    /// commits before `unreported_until` that nobody reports.
+    pub(super) fn query_is_due(&mut self, now: Millis, unreported_until: Millis) -> bool {
+        let is_unreported = now >= unreported_until
+            && self.primary_position.is_none_or(|(at, _)| at < unreported_until);
+        let is_needed = is_unreported || self.awaits_replicas();
+        let is_due = is_needed && self.queried_at.is_none_or(|at| now.since(at) >= QUERY_INTERVAL);
+        if is_due {
+            self.queried_at = Some(now);
+        }
+        is_due
+    }
+}
+
+impl Replication {
+    /// State after a replica has left; `paused_at` is its position if it was paused.
+    fn without_replica(self, now: Millis, paused_at: Option<&Mark>) -> Self {
+        match (self, paused_at) {
+            (Self::UnknownUntil(_), _) | (_, None) => Self::UnknownUntil(now),
+            (Self::Complete, Some(position)) => Self::AwaitedUpTo(*position),
+            (Self::AwaitedUpTo(awaited), Some(position)) => {
+                Self::AwaitedUpTo(awaited.max(*position))
+            }
+        }
+    }
+
+    fn is_complete_at(self, received: Mark) -> bool {
+        match self {
+            Self::Complete => true,
+            Self::UnknownUntil(_) => false,
+            Self::AwaitedUpTo(position) => received >= position,
+        }
+    }
+}
--- a/src/fleet/failover.rs
+++ b/src/fleet/failover.rs
@@ -3,7 +3,8 @@
 //! A commit is acknowledged once one replica holds it. A change therefore pauses all
 //! replicas except the candidate, so that no commit can be acknowledged that the candidate
 //! lacks, and proceeds only if the candidate holds at least what every other replica had
-//! received. Before the promotion, every entry host must have stopped relying on the old
+//! received. [`commit_evidence`](crate::fleet::commit_evidence) covers replicas that have left
+//! or do not answer. Before the promotion, every entry host must have stopped relying on the old
 //! primary. The intent is committed to the log before the first promotion request. Each
 //! request carries a higher fencing token than all earlier ones, so that a request that is
 //! carried out late has no effect after a newer one.
@@ -62,6 +63,7 @@
     CommandCompleted {
         target: InstanceId,
         command: TargetCommand,
+        sent_at: Millis,
         status: Option<TargetStatus>,
     },
     PromotionCompleted {
@@ -155,6 +157,11 @@
         self.services.get(service).is_some_and(|state| state.primary.is_some())
     }
 
+    /// Targets that have left and may have held commits that only the primary holds as well.
+    pub fn departed_targets(&self) -> impl Iterator<Item = &InstanceId> {
+        self.services.values().flat_map(|state| state.evidence.departed())
+    }
+
     pub fn services(&self) -> impl Iterator<Item = (&Service, &ServiceState)> {
         self.services.iter()
     }
@@ -190,6 +197,7 @@
         let mut out = Vec::new();
         for service in services {
             let state = self.services.entry(service.clone()).or_default();
+            state.update_replicas(cx, &service);
             state.end_completed(cx, &service, &mut out);
             if state.change.is_none()
                 && let Some(reason) = state.reason_to_change(cx, &service, unfinished)
@@ -206,6 +214,7 @@
                 out.push(Action::ViewChanged);
             }
             state.advance(cx, &service, &mut self.promotions_sent, &mut out);
+            state.query_for_evidence(cx, &service, &mut out);
             state.deposed.demote(cx, &service, &mut out);
         }
         out
@@ -215,8 +224,10 @@
     pub fn handle(&mut self, cx: &Cx<'_>, service: &Service, event: Event) -> Vec<Action> {
         let mut out = Vec::new();
         let Some(state) = self.services.get_mut(service) else { return out };
-        if let Event::CommandCompleted { target, status: Some(status), .. } = &event {
+        state.update_replicas(cx, service);
+        if let Event::CommandCompleted { target, sent_at, status: Some(status), .. } = &event {
             state.deposed.record(target, status);
+            state.record_evidence(target, *sent_at, status);
         }
         if let Event::PromotionCompleted { token, outcome } = event {
             state.calls.record_outcome(token, outcome);
--- a/src/fleet/hosts.rs
+++ b/src/fleet/hosts.rs
@@ -38,7 +38,6 @@
     lease_until: Millis,
     view_revision: ViewRevision,
     health: IndexMap<InstanceId, Health>,
-    acknowledged: IndexMap<Service, Mark>,
 }
 
 /// Entry hosts that have reported to this leader.
@@ -54,6 +53,10 @@
     removed_heard_at: Option<Millis>,
     /// Latest time at which the previous leader may have heard its hosts.
     previous_heard_at: Millis,
+    /// Newest commits that any host has reported as acknowledged. They outlive the host.
+    acknowledged: IndexMap<Service, Mark>,
+    /// Until when commits may have been acknowledged that no host can report any more.
+    unreported_until: Millis,
 }
 
 /// Health of a target as reported by the hosts.
@@ -81,7 +84,6 @@
             lease_until: now,
             view_revision: ViewRevision::default(),
             health: IndexMap::new(),
-            acknowledged: IndexMap::new(),
         }
     }
 }
@@ -96,6 +98,8 @@
             previous_leases_end: now + LEASE_EXPIRY,
             removed_heard_at: None,
             previous_heard_at: Millis(0),
+            acknowledged: IndexMap::new(),
+            unreported_until: now,
         }
     }
 
@@ -107,7 +111,7 @@
         self.expected_until = now + HOST_TIMEOUT;
         if !self.expected.is_empty() {
             // The previous leader has not heard other hosts for at least the timeout.
-            self.removed_heard_at = Some(Millis(now.0.saturating_sub(HOST_TIMEOUT.0)));
+            self.record_lost_host(Millis(now.0.saturating_sub(HOST_TIMEOUT.0)));
             self.previous_heard_at = now;
         }
     }
@@ -116,10 +120,14 @@
     /// changed.
     pub fn record(&mut self, now: Millis, report: &HostReport) -> bool {
         let is_new = self.get(&report.host).is_none_or(|it| it.incarnation != report.incarnation);
+        let expected = self.expected.shift_remove(&report.host);
         if is_new {
-            self.hosts.insert(report.host.clone(), Host::new(now, report));
+            let replaced = self.hosts.insert(report.host.clone(), Host::new(now, report));
+            // An expected host may have restarted since the previous leader heard it.
+            if replaced.is_some() || expected.is_some() {
+                self.unreported_until = self.unreported_until.max(now);
+            }
         }
-        let expected = self.expected.shift_remove(&report.host);
         let is_expected = expected.is_some_and(|host| {
             !report.leaving && host.addr == report.bus_addr && host.domain == report.domain
         });
@@ -132,7 +140,7 @@
         host.config_version = report.config_version;
         host.health = report.targets.iter().map(|it| (it.id.clone(), it.health)).collect();
         for (service, mark) in &report.acknowledged {
-            let newest = host.acknowledged.entry(service.clone()).or_default();
+            let newest = self.acknowledged.entry(service.clone()).or_default();
             *newest = (*newest).max(*mark);
         }
         changed
@@ -142,15 +150,29 @@
     pub fn remove_silent(&mut self, now: Millis) -> bool {
         let before = self.hosts.len() + self.expected.len();
         let removed = self.hosts.extract_if(.., |_, host| now.since(host.heard_at) >= HOST_TIMEOUT);
-        let removed_heard_at = removed.map(|(_, host)| host.heard_at).max();
-        self.removed_heard_at = self.removed_heard_at.max(removed_heard_at);
+        if let Some(heard_at) = removed.map(|(_, host)| host.heard_at).max() {
+            self.record_lost_host(heard_at);
+        }
         if now >= self.expected_until && !self.expected.is_empty() {
             self.expected.clear();
-            self.removed_heard_at = self.removed_heard_at.max(Some(self.previous_heard_at));
+            self.record_lost_host(self.previous_heard_at);
         }
         before != self.hosts.len() + self.expected.len()
     }
 
+    /// Records that a host may have been in contact until `heard_at` and is not in the table
+    /// any more. It can commit until its view expires.
+    fn record_lost_host(&mut self, heard_at: Millis) {
+        self.removed_heard_at = self.removed_heard_at.max(Some(heard_at));
+        self.unreported_until = self.unreported_until.max(heard_at + VIEW_EXPIRY);
+    }
+
+    /// Until when commits may have been acknowledged that no host can report any more: the host
+    /// has ended, or it was lost by a previous leader or by this one.
+    pub fn unreported_until(&self) -> Millis {
+        self.unreported_until
+    }
+
     pub fn get(&self, id: &HostId) -> Option<&Host> {
         self.hosts.get(id)
     }
@@ -211,7 +233,7 @@
 
     /// Newest acknowledged commit that any host has reported.
     pub fn acknowledged(&self, service: &Service) -> Option<Mark> {
-        self.hosts.values().filter_map(|host| host.acknowledged.get(service)).max().copied()
+        self.acknowledged.get(service).copied()
     }
 
     /// Summary of the hosts' recent reports on a target.
--- a/src/fleet/inventory_sync.rs
+++ b/src/fleet/inventory_sync.rs
@@ -9,6 +9,7 @@
         runtime::Ports,
         state::{FleetCommand, FleetState},
     },
+    ids::InstanceId,
 };
 
 /// Minimum interval between two inventory entries in the log, so that targets that start
@@ -69,7 +70,13 @@
             primary.filter(|_| !changing).map(|primary| (service, primary))
         });
         let hosts = self.hosts.eligible_owners();
-        let observed = Observed { registry: &self.registry, primaries: settled, hosts: &hosts };
+        let departed: Vec<&InstanceId> = self.failover.departed_targets().collect();
+        let observed = Observed {
+            registry: &self.registry,
+            departed: &departed,
+            primaries: settled,
+            hosts: &hosts,
+        };
         state.inventory.delta_to(observed)
     }
 }
--- a/src/fleet/leader.rs
+++ b/src/fleet/leader.rs
@@ -101,7 +101,8 @@
     fn send_command(&self, service: &Service, target: &InstanceId, command: TargetCommand) {
         let target = self.leader_state.as_ref().and_then(|leader| leader.registry.get(target));
         if let Some(target) = target {
-            self.tasks.send_command(self.ports.clone(), service.clone(), target.clone(), command);
+            let (ports, sent_at) = (self.ports.clone(), self.clock.now());
+            self.tasks.send_command(ports, service.clone(), target.clone(), command, sent_at);
         }
     }
 
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 
 mod allocated_host;
 pub mod allocation;
+mod commit_evidence;
 pub mod config;
 pub mod control;
 pub mod demand;
--- a/src/fleet/primary_change.rs
+++ b/src/fleet/primary_change.rs
@@ -6,6 +6,7 @@
 use crate::{
     clock::Millis,
     fleet::{
+        commit_evidence::CommitEvidence,
         failover::{Cx, PromotionOutcome, Reason, TargetStatus},
         hosts::VIEW_EXPIRY,
         messages::{Announcement, TargetRole, ViewRevision},
@@ -83,9 +84,10 @@
 /// Why a candidate holds every commit that was or can still be acknowledged.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Safety {
-    /// All other replicas are paused.
+    /// All other replicas are paused, and none has left that may have held more.
     Fenced,
-    /// A replica is silent, but the host reports show no commit that the candidate lacks.
+    /// A replica is silent or has left, but the host reports show no commit that the candidate
+    /// lacks.
     /// Hosts must stop using the old primary before the promotion.
     Reported,
     /// The candidate lacks a commit that was acknowledged. A replica that has left may have
@@ -262,6 +264,7 @@
         service: &Service,
         candidate: &InstanceId,
         primary: Option<&InstanceId>,
+        evidence: &CommitEvidence,
     ) -> Safety {
         if self.already_primary {
             return Safety::Fenced;
@@ -279,16 +282,18 @@
         }
         let is_unpaused =
             |it: &Announcement| it.id != *candidate && !self.paused.contains_key(&it.id);
-        if !replicas_of(cx, service, primary).any(is_unpaused) {
+        let all_paused = !replicas_of(cx, service, primary).any(is_unpaused);
+        if all_paused && evidence.covers_departed(own.received) {
             return Safety::Fenced;
         }
-        // A replica that does not answer may hold more than the candidate. The host reports
-        // tell which commits were acknowledged to callers, unless a host without contact can
-        // still commit at the old primary.
+        // A replica that does not answer or has left may hold more than the candidate. The host
+        // reports tell which commits were acknowledged to callers, unless a host without
+        // contact can still commit at the old primary, or one has ended with what it knew.
         let timed_out = cx.now.since(self.started_at) >= SILENT_REPLICA_TIMEOUT;
         let is_reported = timed_out
             && primary.is_none_or(|id| is_silent_to_hosts(cx, id))
-            && cx.hosts.reports_are_complete(cx.now);
+            && cx.hosts.reports_are_complete(cx.now)
+            && evidence.covers_all_before(cx.hosts.unreported_until(), own.received);
         if is_reported { Safety::Reported } else { Safety::Unproven }
     }
 }
--- a/src/fleet/runtime.rs
+++ b/src/fleet/runtime.rs
@@ -143,11 +143,13 @@
         service: Service,
         target: Announcement,
         command: TargetCommand,
+        sent_at: Millis,
     ) {
         let events = self.events.clone();
         tokio::task::spawn_local(async move {
             let status = ports.send_command(&target, command).await;
-            let event = failover::Event::CommandCompleted { target: target.id, command, status };
+            let target = target.id;
+            let event = failover::Event::CommandCompleted { target, command, sent_at, status };
             // The receiver is dropped when the process stops.
             let _ = events.send(Event::Failover { service, event }).await;
         });
--- a/src/fleet/service_failover.rs
+++ b/src/fleet/service_failover.rs
@@ -6,6 +6,7 @@
 use crate::{
     clock::Millis,
     fleet::{
+        commit_evidence::CommitEvidence,
         deposed::DeposedPrimaries,
         failover::{Action, Cx, Reason, TargetCommand, TargetStatus},
         messages::{TargetRole, ViewRevision},
@@ -45,6 +46,7 @@
     last_change_ended: Option<Millis>,
     pub(super) deposed: DeposedPrimaries,
     pub(super) calls: OutstandingCalls,
+    pub(super) evidence: CommitEvidence,
     /// Target of the promotion that this leader has logged last.
     logged: Option<InstanceId>,
     /// A change has ended, but calls to promote the primary may still be carried out, so the
@@ -134,6 +136,57 @@
         self.restart_if_stuck(cx, service, out);
     }
 
+    /// Notes which replicas the registry holds.
+    pub(super) fn update_replicas(&mut self, cx: &Cx<'_>, service: &Service) {
+        let no_paused = IndexMap::new();
+        let paused = self.change.as_ref().map_or(&no_paused, |change| &change.paused);
+        let targets = cx.registry.of_service(service).map(|target| &target.id);
+        let replicas: Vec<&InstanceId> =
+            targets.filter(|id| Some(*id) != self.primary.as_ref()).collect();
+        self.evidence.update_replicas(cx.now, &replicas, paused);
+    }
+
+    /// Records the position in a target's answer to a command that was sent at `sent_at`.
+    pub(super) fn record_evidence(
+        &mut self,
+        target: &InstanceId,
+        sent_at: Millis,
+        status: &TargetStatus,
+    ) {
+        let promotion_sent = self.change.as_ref().is_some_and(PrimaryChange::promotion_sent);
+        match status.role {
+            TargetRole::Primary if self.primary.as_ref() == Some(target) && !promotion_sent => {
+                self.evidence.record_primary(sent_at, status.received);
+            }
+            TargetRole::Replica => self.evidence.record_replica(target, status.received),
+            TargetRole::Primary => {}
+        }
+    }
+
+    /// Queries the primary, and the replicas if necessary, to close gaps in the evidence. During
+    /// a change they are queried anyway.
+    pub(super) fn query_for_evidence(
+        &mut self,
+        cx: &Cx<'_>,
+        service: &Service,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(primary) = &self.primary else { return };
+        if self.change.is_some()
+            || cx.registry.get(primary).is_none()
+            || !self.evidence.query_is_due(cx.now, cx.hosts.unreported_until())
+        {
+            return;
+        }
+        let targets = cx.registry.of_service(service).map(|target| &target.id);
+        let queried = targets.filter(|id| self.evidence.awaits_replicas() || *id == primary);
+        out.extend(queried.map(|target| Action::SendCommand {
+            service: service.clone(),
+            target: target.clone(),
+            command: TargetCommand::Status,
+        }));
+    }
+
     fn log_began(&mut self, service: &Service, target: InstanceId, out: &mut Vec<Action>) {
         self.completed = None;
         self.logged = Some(target.clone());
@@ -206,7 +259,7 @@
             self.query_targets(cx, service, out);
             return;
         }
-        let safety = change.safety(cx, service, &candidate, primary.as_ref());
+        let safety = change.safety(cx, service, &candidate, primary.as_ref(), &self.evidence);
         if self.is_acceptable(cx, service, safety) {
             let Some(change) = &mut self.change else { return };
             spdlog::info!("promotion candidate chosen", kv: {service = service.as_str(), candidate = candidate.as_str(), after_ms = cx.now.since(change.started_at).0});
@@ -279,7 +332,9 @@
             acknowledged = acknowledged.to_string().as_str(),
             paused = change.paused.len(),
             silent = silent.join(" ").as_str(),
-            reports_complete = cx.hosts.reports_are_complete(cx.now)
+            reports_complete = cx.hosts.reports_are_complete(cx.now),
+            unreported_until = cx.hosts.unreported_until().0,
+            evidence = self.evidence.to_string().as_str()
         });
     }
 
@@ -288,7 +343,7 @@
     fn may_promote(&mut self, cx: &Cx<'_>, service: &Service, out: &mut Vec<Action>) -> bool {
         let Some(change) = &self.change else { return false };
         let Some(candidate) = &change.candidate else { return false };
-        let safety = change.safety(cx, service, candidate, self.primary.as_ref());
+        let safety = change.safety(cx, service, candidate, self.primary.as_ref(), &self.evidence);
         if !self.is_acceptable(cx, service, safety) {
             return false;
         }
