Store a discovered primary only under the view it was asked under

Cause: the outcome of a search among the targets overrides the view until the next one. It was stored after an await, also when the view that names the successor had come meanwhile.

Evidence: search_that_ends_after_a_newer_view_does_not_override_it read at "p" instead of "r1" before the change.

Change: PrimarySearch::Proven carries the revision of the view under which it asked; an outcome of an older view is not stored. The statement that asked may still use it: the primary led when the question was asked, after the statement had arrived.

--- a/src/gateway/operation.rs
+++ b/src/gateway/operation.rs
@@ -193,9 +193,9 @@
     /// Primary that a search among the targets proves.
     async fn searched_primary(&self, tried: &[InstanceId]) -> Result<Option<Selection>, JobError> {
         match self.search_primary().await {
-            PrimarySearch::Proven { target, asked_at } => {
+            PrimarySearch::Proven { target, asked_at, view } => {
                 let mut topology = self.cx.topology.borrow_mut();
-                topology.set_discovered_primary(&self.auth.route.service, &target);
+                topology.set_discovered_primary(&self.auth.route.service, &target, view);
                 let target = topology.target(&target);
                 let usable = target.filter(|it| !tried.contains(&it.id));
                 let confirmed_at = Some(asked_at);
--- a/src/gateway/primary_search.rs
+++ b/src/gateway/primary_search.rs
@@ -7,7 +7,10 @@
 
 use crate::{
     clock::Millis,
-    fleet::{failover::TargetStatus, messages::Announcement},
+    fleet::{
+        failover::TargetStatus,
+        messages::{Announcement, ViewRevision},
+    },
     gateway::{
         cx::Cx,
         job::{JobError, JobKind, RejectReason},
@@ -35,8 +38,8 @@
 /// Outcome of a search.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PrimarySearch {
-    /// `target` was the primary at `asked_at`.
-    Proven { target: InstanceId, asked_at: Millis },
+    /// `target` was the primary at `asked_at`, when the host had the view `view`.
+    Proven { target: InstanceId, asked_at: Millis, view: ViewRevision },
     /// No target is proven to be the primary, since the given time.
     Unproven { since: Millis },
     /// The owner of the primary in the view rejected the query.
@@ -88,6 +91,7 @@
             self.log_search("view is too old", view_age, 0, 0);
             return PrimarySearch::Unproven { since: failing_since };
         }
+        let revision = cx.topology.borrow().revision();
         let view = cx.topology.borrow().service(service).cloned().unwrap_or_default();
         if view.primary.is_none() {
             self.log_search("control has withdrawn the primary", view_age, 0, 0);
@@ -113,7 +117,9 @@
             }
         }
         match proof.primary() {
-            Some(target) => PrimarySearch::Proven { target: target.clone(), asked_at },
+            Some(target) => {
+                PrimarySearch::Proven { target: target.clone(), asked_at, view: revision }
+            }
             None => {
                 self.log_search("answers prove no primary", view_age, targets.len(), answered);
                 PrimarySearch::Unproven { since: failing_since }
--- a/src/gateway/topology.rs
+++ b/src/gateway/topology.rs
@@ -23,8 +23,7 @@
     services: IndexMap<Service, ServiceView>,
     /// Targets that have answered that they are not the primary, and when.
     not_primary: IndexMap<Service, (InstanceId, Millis)>,
-    /// Primaries that this host has discovered by querying the targets since the view was
-    /// received.
+    /// Primaries that this host has discovered by querying the targets under the current view.
     discovered: IndexMap<Service, InstanceId>,
     /// Cache of [`rank_owners`] by target.
     ranked_owners: IndexMap<InstanceId, Rc<[EntryHost]>>,
@@ -101,9 +100,17 @@
         self.not_primary.insert(service.clone(), (target.clone(), now));
     }
 
-    /// Records that `target` has answered that it is the primary. This overrides the view
-    /// until the next one.
-    pub fn set_discovered_primary(&mut self, service: &Service, target: &InstanceId) {
+    /// Records that `target` was proven to be the primary by questions that were asked under the
+    /// view `asked_under`. This overrides that view, but no newer one.
+    pub fn set_discovered_primary(
+        &mut self,
+        service: &Service,
+        target: &InstanceId,
+        asked_under: ViewRevision,
+    ) {
+        if asked_under != self.revision() {
+            return;
+        }
         self.discovered.insert(service.clone(), target.clone());
         self.not_primary.shift_remove(service);
     }
--- a/tests/gateway_primaries.rs
+++ b/tests/gateway_primaries.rs
@@ -36,8 +36,13 @@
     /// Targets at which reads ran.
     reads: Rc<RefCell<Vec<InstanceId>>>,
     status_queries: Rc<Cell<usize>>,
+    /// Targets whose answers arrive late, and how late.
+    late: Rc<RefCell<IndexMap<InstanceId, Duration>>>,
 }
 
+/// Time that a target takes to answer.
+const ANSWER_TIME: Duration = Duration::from_millis(2);
+
 struct RoleConnection {
     targets: RoleTargets,
     id: InstanceId,
@@ -62,8 +67,10 @@
     }
 
     async fn receive(&mut self) -> Result<Answer, TargetFailure> {
-        tokio::time::sleep(Duration::from_millis(2)).await;
+        tokio::time::sleep(ANSWER_TIME).await;
         let (role, term) = self.targets.roles.borrow()[&self.id];
+        let delay = self.targets.late.borrow().get(&self.id).copied().unwrap_or_default();
+        tokio::time::sleep(delay).await;
         let row = format!("{} {term}", if role == TargetRole::Primary { "p" } else { "r" });
         let position = Some(Mark::new(term, 1));
         Ok(Answer { rows: vec![row], position, ..Answer::local(TransactionState::Idle) })
@@ -177,6 +184,29 @@
     assert_eq!(read(&cx).await, (Err(ErrorCode::Busy), vec![]));
 }
 
+/// Guards against stale reads at a replaced primary until the next view (5 to 81 in review/3): a
+/// search ended after the view that names its successor, and its outcome overrode that view.
+#[tokio::test]
+async fn search_that_ends_after_a_newer_view_does_not_override_it() {
+    let cx = cx(&[("p", PRIMARY, 1), ("r1", REPLICA, 1), ("r2", REPLICA, 1)]);
+    cx.targets.late.borrow_mut().insert("r2".into(), Duration::from_millis(100));
+    let promotion = async {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        for (id, role) in [("p", REPLICA), ("r1", PRIMARY)] {
+            cx.targets.roles.borrow_mut().insert(id.into(), (role, 2));
+        }
+        let revision = ViewRevision { term: 1, number: 2 };
+        cx.topology.borrow_mut().set_view(FleetView { revision, ..view(Some("r1")) });
+        cx.lease.borrow_mut().extend(cx.now(), Millis(10_000));
+    };
+    let ((result, _), ()) = futures::join!(read(&cx), promotion);
+    assert!(result.is_ok(), "the search proved the primary for this read: {result:?}");
+    cx.targets.reads.borrow_mut().clear();
+    let (result, reads) = read(&cx).await;
+    assert!(result.is_ok(), "{result:?}");
+    assert_eq!(reads, ["r1"]);
+}
+
 /// Guards against a status query to each target for each read, which takes slots from
 /// statements: reads that wait share a search.
 #[tokio::test]
--- a/tests/gateway_topology.rs
+++ b/tests/gateway_topology.rs
@@ -50,7 +50,7 @@
     assert_eq!(primary(&topology, 0).as_deref(), Some("p"));
     topology.mark_not_primary(Millis(0), &service, &"p".into());
     assert_eq!(primary(&topology, 10), None);
-    topology.set_discovered_primary(&service, &"r".into());
+    topology.set_discovered_primary(&service, &"r".into(), topology.revision());
     assert_eq!(primary(&topology, 20).as_deref(), Some("r"));
     topology.set_view(view(2, "p"));
     assert_eq!(primary(&topology, 30).as_deref(), Some("p"));
@@ -62,6 +62,19 @@
     let service = Service::from("ledger");
     let mut topology = Topology::default();
     topology.set_view(view(1, "p"));
-    topology.set_discovered_primary(&service, &"gone".into());
+    topology.set_discovered_primary(&service, &"gone".into(), topology.revision());
     assert_eq!(primary(&topology, 0).as_deref(), Some("p"));
 }
+
+/// Guards against the outcome of a search that overrides a view which came after its beginning
+/// (review/3).
+#[test]
+fn primary_discovered_under_an_older_view_is_not_used() {
+    let service = Service::from("ledger");
+    let mut topology = Topology::default();
+    topology.set_view(view(1, "p"));
+    let asked_under = topology.revision();
+    topology.set_view(view(2, "r"));
+    topology.set_discovered_primary(&service, &"p".into(), asked_under);
+    assert_eq!(primary(&topology, 0).as_deref(), Some("r"));
+}
