Check the key of a session at each request

Cause: route and key were looked up at BEGIN and kept for the transaction, which reaches a target only with its first statement. No later request asked again.

Change: each request is checked against the configuration in force. A transaction whose key is withdrawn, or belongs to another workspace now, is rolled back; its statements get NOAUTH, and COMMIT gets ABORTED, which is true because it was not sent. Resting sessions get NOAUTH for SET, PREPARE and DEALLOCATE as well. Routes still apply from the next transaction on.

--- a/src/gateway/runtime.rs
+++ b/src/gateway/runtime.rs
@@ -177,6 +177,7 @@
         let Some(transaction) = &mut self.transaction else {
             return until_phase(phases, Phase::Closing, caller.next()).await.transpose();
         };
+        // Nothing waits for a transaction that holds no connection, so it may stay idle.
         if !transaction.holds_connection() {
             return until_phase(phases, Phase::Aborting, caller.next()).await.transpose();
         }
@@ -193,6 +194,9 @@
     }
 
     async fn handle(&mut self, request: &Request) -> Answer {
+        if let Some(refusal) = self.refuse_withdrawn_key(request).await {
+            return refusal;
+        }
         let state = self.transaction.as_ref().map_or(TransactionState::Idle, Transaction::state);
         if let Some(answer) = apply_session_statement(&mut self.session, &request.statement, state)
         {
@@ -204,6 +208,31 @@
         }
     }
 
+    /// Refuses a request if the session's key was withdrawn, or was given to another workspace
+    /// during the transaction. What the transaction has done is rolled back.
+    async fn refuse_withdrawn_key(&mut self, request: &Request) -> Option<Answer> {
+        let config = self.cx.topology.borrow().config.clone();
+        let Some(transaction) = &mut self.transaction else {
+            let error = self.session.authorize(&config).err()?;
+            let is_unknown_key = error.code == ErrorCode::NoAuth;
+            return is_unknown_key
+                .then(|| Answer::error(error.code, error.text, TransactionState::Idle));
+        };
+        if transaction.is_authorized(&self.session, &config) {
+            return None;
+        }
+        if !transaction.has_failed() {
+            spdlog::info!("transaction rolled back, its key was withdrawn", kv: {config = config.version, began_ms_ago = self.cx.now().since(transaction.began()).0});
+            transaction.abandon(&self.cx).await;
+            let is_end = matches!(request.statement, Statement::Commit | Statement::Rollback);
+            if !is_end {
+                let text = "the key was withdrawn; the transaction was rolled back";
+                return Some(Answer::error(ErrorCode::NoAuth, text, TransactionState::Failed));
+            }
+        }
+        None
+    }
+
     async fn continue_transaction(
         &mut self,
         mut transaction: Transaction<T>,
--- a/src/gateway/transaction.rs
+++ b/src/gateway/transaction.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     clock::Millis,
+    fleet::config::FleetConfig,
     gateway::{
         cx::Cx,
         job::{JobError, JobKind, RejectReason},
@@ -50,6 +51,17 @@
         self.selected.is_some()
     }
 
+    pub fn has_failed(&self) -> bool {
+        self.failed
+    }
+
+    /// Whether the session's key still stands for the workspace in whose name the transaction
+    /// began.
+    pub fn is_authorized(&self, session: &Session, config: &FleetConfig) -> bool {
+        let workspace = self.auth.workspace.as_ref();
+        workspace.is_none() || session.workspace(config) == workspace
+    }
+
     /// State to report in answers that the gateway gives without a target.
     pub fn state(&self) -> TransactionState {
         if self.failed { TransactionState::Failed } else { TransactionState::Open }
@@ -186,10 +198,11 @@
         }
     }
 
-    /// Rolls back a transaction that was idle for too long and marks it as failed.
+    /// Rolls back a transaction that must not go on, and marks it as failed.
     pub async fn abandon(&mut self, cx: &Cx<T>) {
         self.roll_back(cx).await;
         self.failed = true;
+        self.refund();
     }
 
     /// Gives the workspace's token back if no target has begun the transaction.
