Send views and configurations to many hosts in steps

Cause, in part: a view went to all 291 hosts at once, and each host confirmed it at once with a report. On 0.15 cores this takes longer than heartbeats may be late.

Change: updates go to 32 hosts per 25 ms, in turn; views follow each other less closely if there are many hosts (unchanged up to 50 hosts for urgent ones, and up to 100 for others). Hosts confirm changes of the primaries, configurations and allocations at once, other views with their next report. A target that joins counts as known to all hosts after 3 s instead of 1 s.

--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -28,6 +28,7 @@
         runtime::{Ports, Tasks},
         shared_frames::SharedFrames,
         state::{FleetCommand, FleetState},
+        update_pacing::UpdatePacer,
     },
     gateway::log_limit::LogLimiter,
     ids::{HostId, InstanceId, Service},
@@ -88,6 +89,7 @@
     pub(super) connections: IndexMap<HostId, HostConnection>,
     pub(super) view: FleetView,
     pub(super) frames: SharedFrames,
+    pub(super) update_pacer: UpdatePacer,
     /// The view changed and must be sent at once.
     pub(super) view_push_urgent: bool,
     /// The view changed and may wait for the minimum interval between views.
@@ -437,6 +439,7 @@
             connections: IndexMap::new(),
             view: FleetView { revision, ..FleetView::default() },
             frames: SharedFrames::default(),
+            update_pacer: UpdatePacer::default(),
             view_push_urgent: true,
             view_push_pending: false,
             view_sent_at: Millis(0),
--- a/src/fleet/leader.rs
+++ b/src/fleet/leader.rs
@@ -17,20 +17,14 @@
         registry::AnnouncementEffect,
         runtime::{Ports, PromotionRequest},
         state::FleetCommand,
+        update_pacing::min_view_interval,
     },
     ids::{HostId, InstanceId, Service},
 };
 
-/// Minimum interval between two views. Changes in between share one.
-const MIN_URGENT_VIEW_INTERVAL: Millis = Millis(50);
-
 /// Time after which a view is sent again to a host that has not confirmed it.
 const VIEW_RETRY_INTERVAL: Millis = Millis(1_000);
 
-/// Minimum interval between views without an urgent change. Otherwise, when all hosts start
-/// together, each one would cause a view for all others.
-const MIN_VIEW_INTERVAL: Millis = Millis(400);
-
 /// Time after which a configuration is sent again to a host that has not confirmed it.
 const CONFIG_RETRY_INTERVAL: Millis = Millis(1_000);
 
@@ -55,7 +49,7 @@
             leader.failover = failover;
             self.execute_actions(actions);
         }
-        self.push_configs(now);
+        self.send_updates(now);
         self.store_inventory(now);
     }
 
@@ -171,9 +165,7 @@
         let host_version = leader.hosts.get(host).map_or(0, |host| host.config_version);
         let mut frames = Vec::new();
         let in_force = self.state.config.version;
-        let (sent, sent_at) = connection.config_sent;
-        let is_due = sent != in_force || now.since(sent_at) >= CONFIG_RETRY_INTERVAL;
-        if host_version < in_force && is_due && now.since(sent_at) >= MIN_CONFIG_INTERVAL {
+        if connection.config_is_due(now, host_version, in_force) {
             connection.config_sent = (in_force, now);
             frames.push(leader.frames.config(&self.state.config));
         }
@@ -197,20 +189,22 @@
         }
     }
 
-    /// Sends the configuration in force to hosts that have an older one.
-    fn push_configs(&mut self, now: Millis) {
-        let Some(leader) = &self.leader_state else { return };
+    /// Sends the view and the configuration in force to the next hosts that have older ones.
+    fn send_updates(&mut self, now: Millis) {
+        let Some(leader) = &mut self.leader_state else { return };
         let in_force = self.state.config.version;
-        let is_behind = |host: &&HostId| {
-            leader.hosts.get(host).is_some_and(|host| host.config_version < in_force)
+        let (view, hosts) = (leader.view.revision, &leader.hosts);
+        let is_behind = |id: &HostId, connection: &HostConnection| {
+            let host_version = hosts.get(id).map_or(0, |host| host.config_version);
+            connection.view_revision != view
+                || connection.config_is_due(now, host_version, in_force)
         };
-        let hosts: Vec<HostId> = leader.connections.keys().filter(is_behind).cloned().collect();
-        for host in hosts {
+        for host in leader.update_pacer.next_hosts(now, &leader.connections, is_behind) {
             self.send_update(now, &host, false);
         }
     }
 
-    /// Builds a new view if a change is due to be sent, and sends it to all hosts.
+    /// Builds a new view if a change is due to be sent, and begins to send it.
     pub(super) fn push_view(&mut self) {
         let now = self.clock.now();
         let serving = self.group.node.is_serving(now);
@@ -218,8 +212,9 @@
             self.group.node.members().0.values().map(|member| member.bus_addr.clone()).collect();
         let Some(leader) = &mut self.leader_state else { return };
         let elapsed = now.since(leader.view_sent_at);
-        let is_urgent = leader.view_push_urgent && elapsed >= MIN_URGENT_VIEW_INTERVAL;
-        let is_due = leader.view_push_pending && elapsed >= MIN_VIEW_INTERVAL;
+        let hosts = leader.connections.len();
+        let is_urgent = leader.view_push_urgent && elapsed >= min_view_interval(hosts, true);
+        let is_due = leader.view_push_pending && elapsed >= min_view_interval(hosts, false);
         if !serving || !(is_urgent || is_due) {
             return;
         }
@@ -235,10 +230,7 @@
             control_addrs,
         };
         leader.view = next;
-        let hosts: Vec<HostId> = leader.connections.keys().cloned().collect();
-        for host in hosts {
-            self.send_update(now, &host, false);
-        }
+        self.send_updates(now);
     }
 }
 
@@ -276,4 +268,12 @@
             echo: Millis(0),
         }
     }
+
+    /// Whether the configuration `in_force` is to be sent to a host that has `host_version`.
+    fn config_is_due(&self, now: Millis, host_version: u64, in_force: u64) -> bool {
+        let (sent, sent_at) = self.config_sent;
+        let since_sent = now.since(sent_at);
+        let is_retry_due = sent != in_force || since_sent >= CONFIG_RETRY_INTERVAL;
+        host_version < in_force && is_retry_due && since_sent >= MIN_CONFIG_INTERVAL
+    }
 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -31,3 +31,4 @@
 pub mod service_failover;
 pub mod shared_frames;
 pub mod state;
+pub mod update_pacing;
--- a/src/fleet/primary_change.rs
+++ b/src/fleet/primary_change.rs
@@ -28,7 +28,7 @@
 const MAX_REPORT_DELAY: Millis = Millis(600);
 
 /// Time within which a target that joins is in the views of all hosts in contact.
-const MAX_VIEW_DELAY: Millis = Millis(1_000);
+const MAX_VIEW_DELAY: Millis = Millis(3_000);
 
 /// Interval between status queries to the targets during a change.
 pub(super) const STATUS_QUERY_INTERVAL: Millis = Millis(100);
--- a/src/gateway/control_link.rs
+++ b/src/gateway/control_link.rs
@@ -108,7 +108,14 @@
     incarnation: Incarnation,
 ) {
     let reported_commits = RefCell::default();
-    let mut link = ControlLink { cx, control_hosts, incarnation, leader_term: 0, reported_commits };
+    let mut link = ControlLink {
+        cx,
+        control_hosts,
+        incarnation,
+        leader_term: 0,
+        primaries_changed: ViewRevision::default(),
+        reported_commits,
+    };
     loop {
         let next = link.control_hosts.borrow_mut().next_address();
         if let Some(addr) = next
@@ -123,7 +130,8 @@
 /// Versions of what the host has received from control.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Versions {
-    view: ViewRevision,
+    /// View with which the primaries last changed.
+    primaries: ViewRevision,
     config: u64,
     allocations: AllocationRevision,
 }
@@ -134,6 +142,9 @@
     incarnation: Incarnation,
     /// Term of the leader that sent the last view.
     leader_term: u64,
+    /// View with which the primaries last changed. Changes of hosts and other targets are
+    /// confirmed with the next report: the leader waits for none of them.
+    primaries_changed: ViewRevision,
     /// Commits reported to the leader on the current connection.
     reported_commits: RefCell<IndexMap<Service, Mark>>,
 }
@@ -161,7 +172,8 @@
                     match frame? {
                         Frame::Update(update) => {
                             let is_new_leader = self.apply(update)?;
-                            // A new view, configuration or allocation is confirmed at once.
+                            // A change of the primaries, a new configuration or a new allocation
+                            // is confirmed at once.
                             let versions = self.versions();
                             if versions != confirmed || is_new_leader {
                                 confirmed = versions;
@@ -184,7 +196,8 @@
     fn versions(&self) -> Versions {
         let topology = self.cx.topology.borrow();
         let allocations = self.cx.rate_limiter.borrow().allocation_age(self.cx.now()).0;
-        Versions { view: topology.revision(), config: topology.config.version, allocations }
+        let (primaries, config) = (self.primaries_changed, topology.config.version);
+        Versions { primaries, config, allocations }
     }
 
     async fn report(&self, writer: &mut FrameWriter, full: bool) -> Result<()> {
@@ -252,6 +265,9 @@
             if view.revision > newest {
                 is_new_leader = view.revision.term != self.leader_term;
                 self.leader_term = view.revision.term;
+                if view.primaries != cx.topology.borrow().view.primaries {
+                    self.primaries_changed = view.revision;
+                }
                 self.control_hosts.borrow_mut().set_members(&view.control_addrs);
                 self.apply_view(view);
             }
