Compare the allocations of all hosts at intervals, not for each report

Cause: each report that confirms an allocation made the leader compare what all hosts have and should have, twice, for 190 workspaces. After each plan, every 500 ms, 291 hosts confirm within moments. The plan itself ranked all hosts for each workspace.

Change: above 50 hosts, a comparison at most once per millisecond and host. Lenders are ranked when the hosts change. Hosts that have nothing of a limit and ask for nothing are left out of its division; their plan was nothing before.

--- a/src/fleet/limits.rs
+++ b/src/fleet/limits.rs
@@ -65,7 +65,7 @@
             leader.limits_logged_at = now;
             leader.log_limits(&cx);
         }
-        for host in leader.rate_allocator.outdated(&self.state.allocations) {
+        for host in leader.rate_allocator.outdated(now, &self.state.allocations) {
             self.send_update(now, &host, false);
         }
     }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -18,6 +18,7 @@
 pub mod inventory;
 pub mod inventory_sync;
 pub mod leader;
+mod lender_cache;
 pub mod limits;
 pub mod link;
 pub mod messages;
--- a/src/fleet/rate_allocator.rs
+++ b/src/fleet/rate_allocator.rs
@@ -20,8 +20,9 @@
         allocated_host::{Credits, Host, Sent, Table},
         allocation::{AllocationBatch, AllocationChange, Allocations, BatchId, Fraction},
         config::FleetWorkspace,
+        lender_cache::LenderCache,
         messages::{AllocationRevision, EntryHost, LimitReport, LimitUpdate, Usage},
-        rate_plan::{HostNeed, lenders, plan},
+        rate_plan::{HostNeed, plan},
     },
     ids::{HostId, Incarnation, Workspace},
 };
@@ -43,6 +44,14 @@
 /// Shortest interval between two plans, after a host has joined or returned.
 const MIN_PLAN_INTERVAL: Millis = Millis(50);
 
+/// Up to so many hosts, the allocations of all are compared after each report that may change
+/// them.
+const MAX_HOSTS_COMPARED_AT_ONCE: usize = 50;
+
+/// Interval between two comparisons per host, if there are more hosts. A comparison costs as
+/// much as there are hosts times workspaces, and each host's report may ask for one.
+const COMPARE_INTERVAL_PER_HOST: Millis = Millis(1);
+
 /// Time after which unconfirmed allocations are sent again.
 const RESEND_INTERVAL: Millis = Millis(1_000);
 
@@ -73,6 +82,7 @@
     /// Whether the first batch is applied.
     is_active: bool,
     hosts: IndexMap<HostId, Host>,
+    lenders: LenderCache,
     planned_at: Option<Millis>,
     /// Tokens that hosts gave up with a part of their allocation. They go to the hosts that
     /// get this part.
@@ -81,8 +91,11 @@
     plan_is_urgent: bool,
     /// Batches may have to be proposed.
     has_changes: bool,
+    changes_compared_at: Millis,
     /// Hosts may have to be sent allocations.
     has_updates: bool,
+    updates_compared_at: Millis,
+    comparisons: u64,
 }
 
 /// State of a workspace's limit, for the log.
@@ -108,11 +121,15 @@
             last_revision: AllocationRevision { term, number: now.0 * REVISIONS_PER_MS },
             is_active: false,
             hosts: IndexMap::new(),
+            lenders: LenderCache::default(),
             planned_at: None,
             released: IndexMap::new(),
             plan_is_urgent: false,
             has_changes: false,
+            changes_compared_at: Millis(0),
             has_updates: false,
+            updates_compared_at: Millis(0),
+            comparisons: 0,
         }
     }
 
@@ -172,13 +189,28 @@
         if self.planned_at.is_none_or(|at| cx.now.since(at) >= interval) {
             self.plan(cx);
         }
-        if !std::mem::take(&mut self.has_changes) {
+        if !self.has_changes || !self.may_compare(cx.now, self.changes_compared_at) {
             return None;
         }
+        self.has_changes = false;
+        self.changes_compared_at = cx.now;
+        self.comparisons += 1;
         let changes = self.changes(cx);
         (!changes.is_empty()).then(|| self.batch(cx.now, changes))
     }
 
+    /// Number of comparisons of the allocations of all hosts.
+    pub fn comparisons(&self) -> u64 {
+        self.comparisons
+    }
+
+    /// Whether the allocations of all hosts may be compared again.
+    fn may_compare(&self, now: Millis, compared_at: Millis) -> bool {
+        let hosts = self.hosts.len();
+        let interval = Millis(COMPARE_INTERVAL_PER_HOST.0 * hosts as u64);
+        hosts <= MAX_HOSTS_COMPARED_AT_ONCE || now.since(compared_at) >= interval
+    }
+
     fn batch(&mut self, now: Millis, changes: Vec<AllocationChange>) -> AllocationBatch {
         self.last_batch.number += 1;
         self.pending = Some((self.last_batch, now));
@@ -191,14 +223,15 @@
         self.plan_is_urgent = false;
         self.has_changes = true;
         self.has_updates = true;
+        self.lenders.set_hosts(cx.hosts);
         self.hosts.retain(|_, host| cx.now.since(host.heard_at) < LEASE_EXPIRY);
         for host in self.hosts.values_mut() {
             host.is_planned = host.is_live(cx.now);
             host.targets.clear();
         }
         for (workspace, limits) in cx.workspaces {
-            let lenders = lenders(workspace, cx.hosts);
-            let is_lender = |id: &HostId| lenders.iter().any(|lender| lender.id == *id);
+            let lenders = self.lenders.of(workspace, cx.hosts);
+            let is_lender = |id: &HostId| lenders.contains(id);
             let live = self.hosts.iter().filter(|(_, host)| host.is_live(cx.now));
             let needs: Vec<HostNeed> = live
                 .map(|(id, host)| HostNeed {
@@ -209,6 +242,7 @@
                     is_lender: is_lender(id),
                     is_new: host.is_new(cx.now, workspace),
                 })
+                .filter(HostNeed::is_relevant)
                 .collect();
             let plans = plan(limits, self.available(cx, workspace), &needs);
             let ids: Vec<HostId> = needs.iter().map(|it| it.host.clone()).collect();
@@ -323,10 +357,17 @@
     }
 
     /// Hosts whose allocations have changed since they were last sent.
-    pub fn outdated(&mut self, allocations: &Allocations) -> Vec<HostId> {
-        if !self.is_active || self.pending.is_some() || !std::mem::take(&mut self.has_updates) {
+    pub fn outdated(&mut self, now: Millis, allocations: &Allocations) -> Vec<HostId> {
+        if !self.is_active
+            || self.pending.is_some()
+            || !self.has_updates
+            || !self.may_compare(now, self.updates_compared_at)
+        {
             return Vec::new();
         }
+        self.has_updates = false;
+        self.updates_compared_at = now;
+        self.comparisons += 1;
         let is_outdated = |(id, host): &(&HostId, &Host)| {
             let sent = host.sent.as_ref();
             host.is_planned
--- a/src/fleet/rate_plan.rs
+++ b/src/fleet/rate_plan.rs
@@ -49,6 +49,16 @@
     pub is_new: bool,
 }
 
+impl HostNeed<'_> {
+    /// Whether the host has or gets anything of the limit.
+    pub fn is_relevant(&self) -> bool {
+        self.demand > 0.0
+            || self.current > Fraction::NONE
+            || self.last_part.is_some()
+            || self.is_lender
+    }
+}
+
 /// Planned allocation of one host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Planned {
--- a/tests/fleet_allocations.rs
+++ b/tests/fleet_allocations.rs
@@ -123,7 +123,7 @@
     };
     assert!(leader.allocator.advance(&cx).is_some_and(|batch| batch.changes.is_empty()));
     assert_eq!(leader.allocator.advance(&cx), None);
-    assert!(leader.allocator.outdated(&leader.allocations).is_empty());
+    assert!(leader.allocator.outdated(leader.now, &leader.allocations).is_empty());
 }
 
 /// Guards against a new leader that gives the part of a host to others before it has heard
@@ -205,3 +205,44 @@
     let per_second = demand.of(&workspace());
     assert!((1.0..1.3).contains(&per_second), "{per_second} instead of 1 in 0.9 s");
 }
+
+/// Number of hosts and workspaces of a large fleet.
+const LARGE_FLEET: (usize, usize) = (291, 190);
+
+/// Guards against a leader that compares the allocations of all hosts after each host's report
+/// (gaps of 300 to 490 ms twice a second on kcrc-pool-large): the reports of all hosts at one
+/// moment must cause a few comparisons in all.
+#[test]
+fn reports_of_all_hosts_cost_no_comparison_each() {
+    let (host_count, workspace_count) = LARGE_FLEET;
+    let mut leader = Leader::new(Allocations::default());
+    let host = |number| EntryHost {
+        id: format!("h{number}").as_str().into(),
+        addr: String::new(),
+        domain: "a".into(),
+    };
+    leader.hosts = (0..host_count).map(host).collect();
+    let limits = FleetWorkspace { rate: 20, burst: 20 };
+    let workspace = |number| (format!("w{number}").as_str().into(), limits.clone());
+    leader.workspaces = (0..workspace_count).map(workspace).collect();
+    let ids: Vec<String> = leader.hosts.iter().map(|host| host.id.to_string()).collect();
+    for id in &ids {
+        leader.report(id, FIRST_PROCESS, &LimitUpdate::default(), 1);
+    }
+    while leader.advance().is_some() {
+        leader.now += Millis(1_000);
+    }
+    let before = leader.allocator.comparisons();
+    for _ in 0..3 {
+        leader.now += Millis(1_000);
+        leader.advance();
+        for id in &ids {
+            let update = leader.update(id);
+            leader.report(id, FIRST_PROCESS, &update, 1);
+            leader.advance();
+            leader.allocator.outdated(leader.now, &leader.allocations);
+        }
+    }
+    let comparisons = leader.allocator.comparisons() - before;
+    assert!((1..=12).contains(&comparisons), "{comparisons} after {} reports", 3 * ids.len());
+}
--- a/tests/fleet_limits/simulation.rs
+++ b/tests/fleet_limits/simulation.rs
@@ -580,7 +580,7 @@
             let previous = leader.proposed.last().map_or(0, |(at, _)| *at);
             leader.proposed.push((commit_at.max(previous), batch));
         }
-        for id in leader.allocator.outdated(&self.allocations) {
+        for id in leader.allocator.outdated(Millis(now), &self.allocations) {
             let update = leader.allocator.update(Millis(now), &id, &self.allocations, &workspaces);
             let Some((incarnation, echo)) = leader.echoes.get(&id).copied() else { continue };
             let message = Message::Update { host: id, incarnation, echo, update };
