Begin a new outage with a search that follows a failed one after a pause

Evidence: earlier_outage_does_not_refuse_reads_at_once failed with "Err(Busy) after 61 ms".

Change: the outcome carries when it was asked; after 600 ms, longer than a search and the delay after it, a failed search begins a new outage.

--- a/src/gateway/primary_search.rs
+++ b/src/gateway/primary_search.rs
@@ -32,6 +32,10 @@
 /// Time for which searches must have failed before statements no longer wait for the next one.
 const MIN_FAILING_TIME: Millis = Millis(500);
 
+/// Time from one failed search to the next from which the outage of the first one counts as
+/// ended. It is longer than a search and the delay after it.
+const MAX_SEARCH_GAP: Millis = Millis(600);
+
 /// Priority of the status queries of a search: statements wait for them.
 const SEARCH_PRIORITY: u32 = 0;
 
@@ -40,8 +44,9 @@
 pub enum PrimarySearch {
     /// `target` was the primary at `asked_at`, when the host had the view `view`.
     Proven { target: InstanceId, asked_at: Millis, view: ViewRevision },
-    /// No target is proven to be the primary, since the given time.
-    Unproven { since: Millis },
+    /// No target was proven to be the primary by the search of `asked_at`, nor by those before it
+    /// since `since`.
+    Unproven { since: Millis, asked_at: Millis },
     /// The owner of the primary in the view rejected the query.
     Rejected(Millis, RejectReason),
 }
@@ -49,7 +54,7 @@
 impl PrimarySearch {
     /// Whether searches have failed for so long that a statement is rejected at once.
     pub fn keeps_failing(&self, now: Millis) -> bool {
-        matches!(self, Self::Unproven { since } if now.since(*since) >= MIN_FAILING_TIME)
+        matches!(self, Self::Unproven { since, .. } if now.since(*since) >= MIN_FAILING_TIME)
     }
 }
 
@@ -72,9 +77,14 @@
     /// Searches, and delays the next search if this one fails.
     async fn run_search(&self) -> PrimarySearch {
         let searches = self.cx.searches(&self.auth.route.service);
+        let now = self.cx.now();
         let failing_since = match searches.last() {
-            Some(PrimarySearch::Unproven { since }) => since,
-            _ => self.cx.now(),
+            Some(PrimarySearch::Unproven { since, asked_at })
+                if now.since(asked_at) < MAX_SEARCH_GAP =>
+            {
+                since
+            }
+            _ => now,
         };
         let found = self.query_targets(failing_since).await;
         if matches!(found, PrimarySearch::Unproven { .. }) {
@@ -89,13 +99,13 @@
         let view_age = asked_at.since(cx.lease.borrow().contact_at());
         if view_age >= MAX_VIEW_AGE {
             self.log_search("view is too old", view_age, 0, 0);
-            return PrimarySearch::Unproven { since: failing_since };
+            return PrimarySearch::Unproven { since: failing_since, asked_at };
         }
         let revision = cx.topology.borrow().revision();
         let view = cx.topology.borrow().service(service).cloned().unwrap_or_default();
         if view.primary.is_none() {
             self.log_search("control has withdrawn the primary", view_age, 0, 0);
-            return PrimarySearch::Unproven { since: failing_since };
+            return PrimarySearch::Unproven { since: failing_since, asked_at };
         }
         let targets = view.targets;
         let known_primary = cx.topology.borrow().primary(asked_at, service);
@@ -122,7 +132,7 @@
             }
             None => {
                 self.log_search("answers prove no primary", view_age, targets.len(), answered);
-                PrimarySearch::Unproven { since: failing_since }
+                PrimarySearch::Unproven { since: failing_since, asked_at }
             }
         }
     }
