Log the hosts' contact to control, and what a busy control host does

The hypotheses could not be told apart: a host said nothing when it lost or found the leader, and the leader nothing of what took its time. Now an entry host logs one line when it loses the leader and one when a leader answers (time without contact, attempts, version held); a control host that was busy for half of a second logs for what.

--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -1,7 +1,7 @@
 //! Event loop of a control host. Every host replicates the log; the leader also keeps the
 //! registry of targets and the entry hosts, and changes primaries.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{collections::HashMap, sync::Arc, time::Instant};
 
 use bytes::Bytes;
 use eyre::Result;
@@ -21,6 +21,7 @@
         failover::{self, Failover},
         hosts::Hosts,
         link::{ConnectionId, Inbound, Links},
+        loop_load::LoopLoad,
         messages::{Announcement, ConfigDocument, FleetView, Frame, TargetRole, ViewRevision},
         metrics::{ControlMetrics, ControlState},
         rate_allocator::RateAllocator,
@@ -77,6 +78,15 @@
     Failover { service: Service, event: failover::Event },
 }
 
+/// What the event loop has to do next.
+enum Wake {
+    /// So many writes were synced to disk.
+    Synced(usize),
+    Inbound(Inbound),
+    Event(Event),
+    Tick,
+}
+
 /// State that exists only while this host is the leader.
 pub(super) struct LeaderState {
     /// When this host became the leader, or when its state was last reset.
@@ -143,6 +153,7 @@
     pub(super) metrics: Arc<ControlMetrics>,
     /// Limits the log lines on changed allocations.
     pub(super) allocation_log: LogLimiter,
+    pub(super) load: LoopLoad,
     /// Expected interval between a target's announcements.
     announce_interval: Millis,
     /// Whether the platform rejects promotions with a lower fencing token than an earlier
@@ -197,6 +208,7 @@
             tasks,
             metrics,
             allocation_log: LogLimiter::default(),
+            load: LoopLoad::default(),
             announce_interval,
             promotions_are_fenced,
         }
@@ -212,15 +224,22 @@
         let mut ticks = tokio::time::interval(TICK.duration());
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
-            tokio::select! {
+            let wake = tokio::select! {
                 biased;
-                Some(confirmed) = confirmations.recv() => self.confirm(confirmed?)?,
-                Some(message) = inbound.recv() => self.handle_inbound(message)?,
+                Some(confirmed) = confirmations.recv() => Wake::Synced(confirmed?),
+                Some(message) = inbound.recv() => Wake::Inbound(message),
                 event = events.recv() => match event {
-                    Some(event) => self.handle_event(event),
+                    Some(event) => Wake::Event(event),
                     None => return Ok(()),
                 },
-                _ = ticks.tick() => self.tick()?,
+                _ = ticks.tick() => Wake::Tick,
+            };
+            let began = Instant::now();
+            match wake {
+                Wake::Synced(count) => self.confirm(count)?,
+                Wake::Inbound(message) => self.handle_inbound(message)?,
+                Wake::Event(event) => self.handle_event(event),
+                Wake::Tick => self.tick()?,
             }
             while let Ok(message) = inbound.try_recv() {
                 self.handle_inbound(message)?;
@@ -229,9 +248,18 @@
                 self.handle_event(event);
             }
             self.finish_batch()?;
+            self.record_load(began);
         }
     }
 
+    /// Records the time spent since `began`, and logs a second in which the loop had little
+    /// time left.
+    fn record_load(&mut self, began: Instant) {
+        let Some(load) = self.load.record(began) else { return };
+        let hosts = self.leader_state.as_ref().map_or(0, |leader| leader.hosts.len());
+        spdlog::info!("control host is busy", kv: {busy_ms = load.busy.as_millis(), longest_ms = load.longest.as_millis(), limits_ms = load.limits.as_millis(), views_ms = load.views.as_millis(), failover_ms = load.failover.as_millis(), reporting_ms = load.reporting.as_millis(), reports = load.reports, hosts, leads = self.leader_state.is_some()});
+    }
+
     fn tick(&mut self) -> Result<()> {
         self.step(Input::Tick)?;
         self.reconnect();
@@ -289,8 +317,10 @@
                 self.step(Input::Message(message))?;
             }
             Frame::Report(report) => {
+                let began = Instant::now();
                 self.restore_inventory();
                 self.handle_report(id, &report);
+                self.load.record_report(began);
             }
             _ => spdlog::debug!("ignoring an unexpected frame"),
         }
--- a/src/fleet/leader.rs
+++ b/src/fleet/leader.rs
@@ -1,7 +1,7 @@
 //! Duties of the leader: it answers the reports of entry hosts, distributes the view and the
 //! configuration, and drives primary changes.
 
-use std::mem;
+use std::{mem, time::Instant};
 
 use bytes::Bytes;
 use indexmap::IndexMap;
@@ -42,12 +42,14 @@
         let silent_targets = leader.registry.remove_silent(now);
         leader.view_push_pending |= silent_hosts || silent_targets;
         if leader.failover_due(now) {
+            let began = Instant::now();
             let services: Vec<Service> = self.config.services.keys().cloned().collect();
             let mut failover = mem::take(&mut leader.failover);
             let cx = leader.failover_cx(now, fenced);
             let actions = failover.tick(&cx, services.into_iter(), &self.state.promotions);
             leader.failover = failover;
             self.execute_actions(actions);
+            self.load.record_failover(began);
         }
         self.send_updates(now);
         self.store_inventory(now);
@@ -206,6 +208,12 @@
 
     /// Builds a new view if a change is due to be sent, and begins to send it.
     pub(super) fn push_view(&mut self) {
+        let began = Instant::now();
+        self.build_and_send_view();
+        self.load.record_views(began);
+    }
+
+    fn build_and_send_view(&mut self) {
         let now = self.clock.now();
         let serving = self.group.node.is_serving(now);
         let control_addrs =
--- a/src/fleet/limits.rs
+++ b/src/fleet/limits.rs
@@ -1,6 +1,8 @@
 //! Rate limits at the control hosts: replicates the allocations, and sends them to the
 //! entry hosts.
 
+use std::time::Instant;
+
 use crate::{
     clock::{Clock, Millis},
     fleet::{
@@ -47,6 +49,12 @@
 
     /// Proposes due changes of the allocations, and sends them to hosts once committed.
     pub(super) fn advance_limits(&mut self) {
+        let began = Instant::now();
+        self.plan_and_send_limits();
+        self.load.record_limits(began);
+    }
+
+    fn plan_and_send_limits(&mut self) {
         let now = self.clock.now();
         if !self.group.node.is_serving(now) {
             return;
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -21,6 +21,7 @@
 mod lender_cache;
 pub mod limits;
 pub mod link;
+pub mod loop_load;
 pub mod messages;
 pub mod metrics;
 pub mod outstanding_calls;
--- a/src/gateway/control_link.rs
+++ b/src/gateway/control_link.rs
@@ -115,13 +115,15 @@
         leader_term: 0,
         primaries_changed: ViewRevision::default(),
         reported_commits,
+        in_contact: false,
+        failed_attempts: 0,
     };
     loop {
         let next = link.control_hosts.borrow_mut().next_address();
         if let Some(addr) = next
             && let Err(error) = link.run_connection(&addr).await
         {
-            spdlog::debug!("connection to control host {addr} ended: {error:#}");
+            link.record_end(&addr, &error);
         }
         tokio::time::sleep(RECONNECT_DELAY).await;
     }
@@ -147,6 +149,10 @@
     primaries_changed: ViewRevision,
     /// Commits reported to the leader on the current connection.
     reported_commits: RefCell<IndexMap<Service, Mark>>,
+    /// Whether the leader has answered on the current connection.
+    in_contact: bool,
+    /// Connections that have ended without an answer of the leader since the last one with.
+    failed_attempts: u32,
 }
 
 impl<T: Targets> ControlLink<T> {
@@ -171,6 +177,7 @@
                     last_received = Instant::now();
                     match frame? {
                         Frame::Update(update) => {
+                            self.record_answer(addr);
                             let is_new_leader = self.apply(update)?;
                             // A change of the primaries, a new configuration or a new allocation
                             // is confirmed at once.
@@ -193,6 +200,28 @@
         }
     }
 
+    /// Logs the first answer of the leader on a connection.
+    fn record_answer(&mut self, addr: &str) {
+        if self.in_contact {
+            return;
+        }
+        self.in_contact = true;
+        let (cx, attempts) = (&self.cx, std::mem::take(&mut self.failed_attempts));
+        let silent = cx.now().since(cx.lease.borrow().contact_at());
+        let config = cx.topology.borrow().config.version;
+        spdlog::info!("control leader answers", kv: {addr, silent_ms = silent.0, attempts, config});
+    }
+
+    /// Logs the loss of the leader; attempts to find it are only counted.
+    fn record_end(&mut self, addr: &str, error: &eyre::Report) {
+        spdlog::debug!("connection to control host {addr} ended: {error:#}");
+        if std::mem::take(&mut self.in_contact) {
+            spdlog::info!("control leader lost", kv: {addr, error = format!("{error:#}").as_str()});
+        } else {
+            self.failed_attempts += 1;
+        }
+    }
+
     fn versions(&self) -> Versions {
         let topology = self.cx.topology.borrow();
         let allocations = self.cx.rate_limiter.borrow().allocation_age(self.cx.now()).0;
