Acknowledge a configuration once no host can act on an older one for long

Cause: the acknowledgement was given when a majority of the control hosts had the version, and nothing tied it, or what a host may answer, to whether hosts have it. Hosts that had lost the leader acted on what they had for any time. The class: a promise with a bound in time that is kept by pace.

A host acts on its configuration for 6 s after the newest report whose answer confirmed it, less the time for which the reported version has been superseded. The leader acknowledges when each host has confirmed, or will have stopped within the bound by its own clock.

--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -17,6 +17,7 @@
     },
     fleet::{
         config::FleetConfig,
+        config_rollout::{ConfigHistory, ConfigRollout},
         document::decode_config,
         failover::{self, Failover},
         hosts::Hosts,
@@ -111,6 +112,7 @@
     /// When the inventory was last compared with the log.
     pub(super) inventory_compared_at: Millis,
     pub(super) limits_logged_at: Millis,
+    pub(super) config_history: ConfigHistory,
 }
 
 /// Connection of an entry host, with what was last sent on it.
@@ -132,6 +134,12 @@
     pub(super) reply: oneshot::Sender<ControlResponse>,
 }
 
+/// Configuration in force that an operator waits for.
+pub(super) struct PendingRollout {
+    rollout: ConfigRollout,
+    reply: oneshot::Sender<ControlResponse>,
+}
+
 /// Event loop of a control host with its state.
 pub struct ControlLoop<P> {
     pub(super) clock: SystemClock,
@@ -142,12 +150,15 @@
     pub(super) peers_heard_at: HashMap<String, Millis>,
     pub(super) state: FleetState,
     pub(super) config: FleetConfig,
+    /// When this process learned that the configuration in force is committed.
+    pub(super) config_committed_at: Millis,
     /// Queues of outgoing frames of accepted connections.
     pub(super) outgoing: HashMap<ConnectionId, mpsc::Sender<Bytes>>,
     pub(super) leader_state: Option<LeaderState>,
     /// Clients that wait for a proposal to be added to the log, by proposal id.
     pub(super) pending_proposals: HashMap<u64, oneshot::Sender<ControlResponse>>,
     pub(super) pending_commits: Vec<PendingCommit>,
+    pub(super) pending_rollouts: Vec<PendingRollout>,
     pub(super) ports: P,
     pub(super) tasks: Tasks,
     pub(super) metrics: Arc<ControlMetrics>,
@@ -159,6 +170,8 @@
     /// Whether the platform rejects promotions with a lower fencing token than an earlier
     /// one.
     pub(super) promotions_are_fenced: bool,
+    /// Time after the acknowledgement of a configuration from which no host acts on an older one.
+    max_config_delay: Millis,
 }
 
 /// Components of a [`ControlLoop`].
@@ -174,6 +187,7 @@
     pub metrics: Arc<ControlMetrics>,
     pub announce_interval: Millis,
     pub promotions_are_fenced: bool,
+    pub max_config_delay: Millis,
 }
 
 impl<P: Ports> ControlLoop<P> {
@@ -190,6 +204,7 @@
             metrics,
             announce_interval,
             promotions_are_fenced,
+            max_config_delay,
         } = components;
         let config = decode_config(&ports, &state.config);
         Self {
@@ -200,10 +215,12 @@
             peers_heard_at: HashMap::new(),
             state,
             config,
+            config_committed_at: clock.now(),
             outgoing: HashMap::new(),
             leader_state: None,
             pending_proposals: HashMap::new(),
             pending_commits: Vec::new(),
+            pending_rollouts: Vec::new(),
             ports,
             tasks,
             metrics,
@@ -211,6 +228,7 @@
             load: LoopLoad::default(),
             announce_interval,
             promotions_are_fenced,
+            max_config_delay,
         }
     }
 
@@ -347,7 +365,7 @@
                 if document.version <= self.state.config.version =>
             {
                 spdlog::info!("configuration ignored: its version is not newer than the one in force", kv: {version = document.version, in_force = self.state.config.version});
-                let _ = reply.send(ControlResponse::Done);
+                self.acknowledge_after_rollout(reply);
             }
             ControlRequest::Configure(document) => {
                 let id = self.propose(&FleetCommand::Configure(document));
@@ -367,6 +385,29 @@
         }
     }
 
+    /// Acknowledges the configuration in force as soon as the promise of the acknowledgement holds.
+    pub(super) fn acknowledge_after_rollout(&mut self, reply: oneshot::Sender<ControlResponse>) {
+        let (version, committed_at) = (self.state.config.version, self.config_committed_at);
+        let rollout = ConfigRollout { version, committed_at };
+        self.pending_rollouts.push(PendingRollout { rollout, reply });
+    }
+
+    fn acknowledge_rollouts(&mut self) {
+        let Some(leader) = &self.leader_state else { return };
+        let (now, max_delay) = (self.clock.now(), self.max_config_delay);
+        let has_ended = |it: &mut PendingRollout| {
+            it.reply.is_closed() || it.rollout.is_complete(now, &leader.hosts, max_delay)
+        };
+        for PendingRollout { rollout, reply } in self.pending_rollouts.extract_if(.., has_ended) {
+            if reply.send(ControlResponse::Done).is_err() {
+                continue;
+            }
+            let behind = leader.hosts.count_behind(rollout.version);
+            let took_ms = now.since(rollout.committed_at).0;
+            spdlog::info!("configuration acknowledged", kv: {version = rollout.version, took_ms, hosts = leader.hosts.len(), behind});
+        }
+    }
+
     fn handle_announcement(&mut self, now: Millis, announcement: &Announcement) {
         let Some(leader) = &mut self.leader_state else { return };
         let effect = leader.registry.record(now, announcement);
@@ -420,13 +461,15 @@
         }
         self.restore_inventory();
         self.push_view();
+        self.acknowledge_rollouts();
         Ok(())
     }
 
     pub(super) fn change_role(&mut self, role: Role, term: u64) {
         if role == Role::Leader {
             let (now, interval) = (self.clock.now(), self.announce_interval);
-            self.leader_state.get_or_insert_with(|| LeaderState::new(now, term, interval));
+            let config = self.state.config.version;
+            self.leader_state.get_or_insert_with(|| LeaderState::new(now, term, interval, config));
         } else if self.leader_state.take().is_some() {
             self.group.clear_proposals();
             for (_, reply) in self.pending_proposals.drain() {
@@ -435,6 +478,9 @@
             for pending in self.pending_commits.drain(..) {
                 let _ = pending.reply.send(ControlResponse::Unavailable);
             }
+            for pending in self.pending_rollouts.drain(..) {
+                let _ = pending.reply.send(ControlResponse::Unavailable);
+            }
         }
     }
 
@@ -450,15 +496,17 @@
             for connection in leader.connections.values() {
                 self.outgoing.remove(&connection.id);
             }
-            let term = leader.view.revision.term;
-            *leader = LeaderState::new(self.clock.now(), term, self.announce_interval);
+            let (now, term) = (self.clock.now(), leader.view.revision.term);
+            let config = self.state.config.version;
+            *leader = LeaderState::new(now, term, self.announce_interval, config);
             leader.view.revision.number = self.clock.now().0;
         }
     }
 }
 
 impl LeaderState {
-    fn new(now: Millis, term: u64, announce_interval: Millis) -> Self {
+    /// State of a leader that finds the version `config` in force.
+    fn new(now: Millis, term: u64, announce_interval: Millis, config: u64) -> Self {
         let revision = ViewRevision { term, number: 0 };
         Self {
             since: now,
@@ -477,6 +525,7 @@
             inventory_restored: false,
             inventory_compared_at: now,
             limits_logged_at: now,
+            config_history: ConfigHistory::new(config),
         }
     }
 
--- a/src/fleet/group_io.rs
+++ b/src/fleet/group_io.rs
@@ -49,6 +49,7 @@
             Output::RestoreSnapshot { index, data } => {
                 self.state = FleetState::decode(&data)?;
                 self.config = decode_config(&self.ports, &self.state.config);
+                self.config_committed_at = self.clock.now();
                 spdlog::info!("snapshot restored", kv: {index, version = self.state.config.version});
             }
             Output::Committed { index, term, bytes } => self.apply(index, term, &bytes)?,
@@ -85,6 +86,7 @@
             Applied::Nothing | Applied::PromotionBegan => {}
             Applied::Configuration => {
                 self.config = decode_config(&self.ports, &self.state.config);
+                self.record_config_commit(term);
                 spdlog::info!("configuration applied", kv: {version = self.state.config.version, index});
             }
             Applied::PromotionEnded => {
@@ -95,10 +97,11 @@
         }
         let is_passed = |it: &mut PendingCommit| it.index <= index;
         for pending in self.pending_commits.extract_if(.., is_passed).collect::<Vec<_>>() {
-            let committed = pending.index == index && pending.term == term;
-            let response =
-                if committed { ControlResponse::Done } else { ControlResponse::Unavailable };
-            let _ = pending.reply.send(response);
+            if pending.index == index && pending.term == term {
+                self.acknowledge_after_rollout(pending.reply);
+            } else {
+                let _ = pending.reply.send(ControlResponse::Unavailable);
+            }
         }
         if let FleetCommand::PromotionBegan { service, .. } = &command {
             self.handle_failover_event(service, failover::Event::PromotionLogged);
@@ -106,6 +109,18 @@
         Ok(())
     }
 
+    /// Records that the configuration in force, which was proposed in `term`, is committed.
+    fn record_config_commit(&mut self, term: GroupTerm) {
+        let (now, version) = (self.clock.now(), self.state.config.version);
+        self.config_committed_at = now;
+        let Some(leader) = &mut self.leader_state else { return };
+        if term.0 == leader.view.revision.term {
+            leader.config_history.record(now, version);
+        } else {
+            leader.config_history.record_inherited(version);
+        }
+    }
+
     /// Closes connections to control hosts that time out; the next message reopens them.
     pub(super) fn reconnect(&mut self) {
         let now = self.clock.now();
--- a/src/fleet/hosts.rs
+++ b/src/fleet/hosts.rs
@@ -47,6 +47,8 @@
     /// Hosts known to the previous leader that have not yet reported to this one.
     expected: IndexMap<HostId, EntryHost>,
     expected_until: Millis,
+    /// When this table was begun; hosts that are not in it had no contact since.
+    since: Millis,
     /// When all leases granted by previous leaders have expired.
     previous_leases_end: Millis,
     /// Latest time at which a host that is no longer in the table may have had contact.
@@ -95,6 +97,7 @@
             hosts: IndexMap::new(),
             expected: IndexMap::new(),
             expected_until: now,
+            since: now,
             previous_leases_end: now + LEASE_EXPIRY,
             removed_heard_at: None,
             previous_heard_at: Millis(0),
@@ -218,6 +221,19 @@
                 .all(|host| host.view_revision >= revision || is_too_old(host.heard_at))
     }
 
+    /// Latest time up to which a host may have renewed a configuration older than `version`, which
+    /// was committed at `committed_at`.
+    pub fn last_renewal_before(&self, version: u64, committed_at: Millis) -> Millis {
+        let behind = self.hosts.values().filter(|host| host.config_version < version);
+        let heard_at = behind.map(|host| host.heard_at).chain(self.removed_heard_at).max();
+        self.since.max(heard_at.unwrap_or_default().min(committed_at))
+    }
+
+    /// Number of hosts that have not confirmed `version` or a newer configuration.
+    pub fn count_behind(&self, version: u64) -> usize {
+        self.hosts.values().filter(|host| host.config_version < version).count()
+    }
+
     /// Whether the reports cover all hosts that may still use a primary: every known host has
     /// reported lately, and the others have lost contact long ago.
     pub fn reports_are_complete(&self, now: Millis) -> bool {
--- a/src/fleet/leader.rs
+++ b/src/fleet/leader.rs
@@ -177,7 +177,12 @@
             frames.push(leader.frames.view(&leader.view));
         }
         let (id, echo) = (connection.id, connection.echo);
-        let mut update = HostUpdate { echo, lease: LEASE_DURATION, ..HostUpdate::default() };
+        let mut update = HostUpdate {
+            echo,
+            lease: LEASE_DURATION,
+            config_status: Some(leader.config_history.status(now, host_version)),
+            ..HostUpdate::default()
+        };
         self.add_limits(now, host, &mut update);
         let has_allocations = update.limits.as_ref().is_some_and(|it| it.allocations.is_some())
             || update.shares.is_some();
--- a/src/fleet/link.rs
+++ b/src/fleet/link.rs
@@ -80,7 +80,13 @@
 fn append_extension(frame: &Frame, buf: Vec<u8>) -> postcard::Result<Vec<u8>> {
     match frame {
         Frame::Report(HostReport { limits: Some(limits), .. }) => postcard::to_extend(limits, buf),
-        Frame::Update(HostUpdate { limits: Some(limits), .. }) => postcard::to_extend(limits, buf),
+        Frame::Update(HostUpdate { limits: Some(limits), config_status, .. }) => {
+            let buf = postcard::to_extend(limits, buf)?;
+            match config_status {
+                Some(status) => postcard::to_extend(status, buf),
+                None => Ok(buf),
+            }
+        }
         Frame::Ping { tokens: Some(req) } => postcard::to_extend(req, buf),
         Frame::Pong { tokens: Some(grant) } => postcard::to_extend(grant, buf),
         _ => Ok(buf),
@@ -109,7 +115,13 @@
     }
     match &mut frame {
         Frame::Report(report) => report.limits = Some(postcard::from_bytes(extension)?),
-        Frame::Update(update) => update.limits = Some(postcard::from_bytes(extension)?),
+        Frame::Update(update) => {
+            let (limits, rest) = postcard::take_from_bytes(extension)?;
+            update.limits = Some(limits);
+            if !rest.is_empty() {
+                update.config_status = Some(postcard::from_bytes(rest)?);
+            }
+        }
         Frame::Ping { tokens } => *tokens = Some(postcard::from_bytes(extension)?),
         Frame::Pong { tokens } => *tokens = Some(postcard::from_bytes(extension)?),
         _ => {}
--- a/src/fleet/messages.rs
+++ b/src/fleet/messages.rs
@@ -152,6 +152,19 @@
     /// `None` from a leader whose build knows no allocations.
     #[serde(skip)]
     pub limits: Option<LimitUpdate>,
+    /// Status of the configuration in the report of `echo`; `None` in an update that answers no
+    /// report, and from a leader whose build does not send it.
+    #[serde(skip)]
+    pub config_status: Option<ConfigStatus>,
+}
+
+/// Whether the configuration that a host has reported is in force.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ConfigStatus {
+    /// Time since a newer one was committed; zero if there is none.
+    SupersededFor(Millis),
+    /// Superseded before the leader can tell.
+    Outdated,
 }
 
 /// Leader's update of a host's allocations.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 pub mod allocation;
 mod commit_evidence;
 pub mod config;
+pub mod config_rollout;
 pub mod control;
 pub mod demand;
 pub mod deposed;
--- a/src/fleet/runtime.rs
+++ b/src/fleet/runtime.rs
@@ -109,6 +109,8 @@
     /// Whether the platform rejects promotions with a lower fencing token than an earlier
     /// one.
     pub promotions_are_fenced: bool,
+    /// Time after the acknowledgement of a configuration from which no host acts on an older one.
+    pub max_config_delay: Millis,
 }
 
 /// Handle for requests to the event loop.
@@ -201,6 +203,7 @@
         metrics: metrics.clone(),
         announce_interval: settings.announce_interval,
         promotions_are_fenced: settings.promotions_are_fenced,
+        max_config_delay: settings.max_config_delay,
     };
     let control = ControlLoop::new(components);
     let listen_addr = settings.listen_addr;
--- a/src/gateway/control_link.rs
+++ b/src/gateway/control_link.rs
@@ -16,8 +16,8 @@
         document::decompress,
         link::{FrameReader, FrameWriter, connect, decode, encode, split_framed},
         messages::{
-            AllocationRevision, Frame, Health, HostReport, HostUpdate, LimitUpdate, Redirect,
-            TargetHealth, ViewRevision,
+            AllocationRevision, ConfigStatus, Frame, Health, HostReport, HostUpdate, LimitUpdate,
+            Redirect, TargetHealth, ViewRevision,
         },
     },
     gateway::{
@@ -303,7 +303,16 @@
         }
         self.apply_limits(update.echo, update.limits);
         if update.lease > Millis(0) {
-            cx.lease.borrow_mut().extend(update.echo, update.lease);
+            let mut lease = cx.lease.borrow_mut();
+            lease.extend(update.echo, update.lease);
+            match update.config_status {
+                Some(ConfigStatus::SupersededFor(span)) => {
+                    lease.renew_config(Millis(update.echo.0.saturating_sub(span.0)));
+                }
+                Some(ConfigStatus::Outdated) => {}
+                // Leaders of older builds say nothing of the configuration.
+                None => lease.renew_config(update.echo),
+            }
         }
         Ok(is_new_leader)
     }
--- a/src/gateway/cx.rs
+++ b/src/gateway/cx.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     clock::{Clock, Millis, SystemClock},
-    fleet::messages::Announcement,
+    fleet::{config::FleetConfig, messages::Announcement},
     gateway::{
         executor::AdmissionQueues,
         freshness::Freshness,
@@ -29,7 +29,7 @@
         primary_search::PrimarySearch,
         proof_rounds::Rounds,
         rate_limit::RateLimiter,
-        statement::Answer,
+        statement::{Answer, ErrorCode, StatementError},
         topology::Topology,
     },
     ids::{FailureDomain, HostId, InstanceId, Mark, Service},
@@ -168,6 +168,20 @@
         self.phase() == Phase::Serving && self.topology.borrow().is_complete()
     }
 
+    /// Configuration to act on; the error says that there is none, or that it may have been
+    /// replaced too long ago.
+    pub fn config(&self) -> Result<Rc<FleetConfig>, StatementError> {
+        let config = self.topology.borrow().config.clone();
+        if config.version == 0 {
+            return Err(StatementError::new(ErrorCode::Busy, "no configuration yet"));
+        }
+        if !self.lease.borrow().allows_config(self.now()) {
+            let text = "control has not confirmed the configuration lately";
+            return Err(StatementError::new(ErrorCode::Busy, text));
+        }
+        Ok(config)
+    }
+
     /// Whether the known primary of `service` may be used without confirming its role.
     pub fn trusts_primary(&self, service: &Service) -> bool {
         let topology = self.topology.borrow();
--- a/src/gateway/runtime.rs
+++ b/src/gateway/runtime.rs
@@ -92,11 +92,7 @@
 }
 
 fn check_access<T: Targets>(cx: &Cx<T>, session: &Session) -> Result<(), StatementError> {
-    let topology = cx.topology.borrow();
-    if topology.config.version == 0 {
-        return Err(StatementError::new(ErrorCode::Busy, "no configuration yet"));
-    }
-    session.authorize(&topology.config).map(|_| ())
+    session.authorize(&*cx.config()?).map(|_| ())
 }
 
 /// Result of `future`, or `None` if the host reaches `phase` first.
@@ -162,6 +158,7 @@
             primary = primary.as_ref().map_or("none", |it| it.id.as_str()),
             leased = cx.lease.borrow().is_valid(now),
             config = topology.config.version,
+            config_age_ms = cx.lease.borrow().config_age(now).unwrap_or(now).0,
             view_term = topology.revision().term,
             view = topology.revision().number,
             left_out = suppressed
@@ -194,7 +191,7 @@
     }
 
     async fn handle(&mut self, request: &Request) -> Answer {
-        if let Some(refusal) = self.refuse_withdrawn_key(request).await {
+        if let Some(refusal) = self.refuse_unauthorized(request).await {
             return refusal;
         }
         let state = self.transaction.as_ref().map_or(TransactionState::Idle, Transaction::state);
@@ -209,25 +206,32 @@
     }
 
     /// Refuses a request if the session's key was withdrawn, or was given to another workspace
-    /// during the transaction. What the transaction has done is rolled back.
-    async fn refuse_withdrawn_key(&mut self, request: &Request) -> Option<Answer> {
-        let config = self.cx.topology.borrow().config.clone();
+    /// during the transaction, or if the host's configuration is too old to know. What the
+    /// transaction has done is rolled back.
+    async fn refuse_unauthorized(&mut self, request: &Request) -> Option<Answer> {
+        let config = self.cx.config();
         let Some(transaction) = &mut self.transaction else {
-            let error = self.session.authorize(&config).err()?;
+            let error = match config {
+                Ok(config) => self.session.authorize(&config).err()?,
+                Err(error) => return Some(refusal(error, TransactionState::Idle)),
+            };
             let is_unknown_key = error.code == ErrorCode::NoAuth;
-            return is_unknown_key
-                .then(|| Answer::error(error.code, error.text, TransactionState::Idle));
+            return is_unknown_key.then(|| refusal(error, TransactionState::Idle));
+        };
+        let error = match config {
+            _ if transaction.is_anonymous() => return None,
+            Ok(config) if transaction.is_authorized(&self.session, &config) => return None,
+            Ok(_) => StatementError::new(ErrorCode::NoAuth, "the key was withdrawn"),
+            Err(error) => error,
         };
-        if transaction.is_authorized(&self.session, &config) {
-            return None;
-        }
         if !transaction.has_failed() {
-            spdlog::info!("transaction rolled back, its key was withdrawn", kv: {config = config.version, began_ms_ago = self.cx.now().since(transaction.began()).0});
+            spdlog::info!("transaction rolled back, its key is no longer known to be valid", kv: {config = self.cx.topology.borrow().config.version, reason = error.text.as_str(), began_ms_ago = self.cx.now().since(transaction.began()).0});
             transaction.abandon(&self.cx).await;
             let is_end = matches!(request.statement, Statement::Commit | Statement::Rollback);
             if !is_end {
-                let text = "the key was withdrawn; the transaction was rolled back";
-                return Some(Answer::error(ErrorCode::NoAuth, text, TransactionState::Failed));
+                let text = format!("{}; the transaction was rolled back", error.text);
+                let error = StatementError { text, ..error };
+                return Some(refusal(error, TransactionState::Failed));
             }
         }
         None
@@ -314,6 +318,10 @@
     }
 }
 
+fn refusal(error: StatementError, state: TransactionState) -> Answer {
+    Answer::error(error.code, error.text, state)
+}
+
 fn unknown_statement(state: TransactionState) -> Answer {
     Answer::error(ErrorCode::NoStatement, "no such prepared statement", state)
 }
--- a/src/gateway/transaction.rs
+++ b/src/gateway/transaction.rs
@@ -55,11 +55,15 @@
         self.failed
     }
 
+    /// Whether the transaction began without a key.
+    pub fn is_anonymous(&self) -> bool {
+        self.auth.workspace.is_none()
+    }
+
     /// Whether the session's key still stands for the workspace in whose name the transaction
     /// began.
     pub fn is_authorized(&self, session: &Session, config: &FleetConfig) -> bool {
-        let workspace = self.auth.workspace.as_ref();
-        workspace.is_none() || session.workspace(config) == workspace
+        session.workspace(config) == self.auth.workspace.as_ref()
     }
 
     /// State to report in answers that the gateway gives without a target.
--- a/tests/fleet_decoders.rs
+++ b/tests/fleet_decoders.rs
@@ -9,8 +9,9 @@
         inventory::InventoryDelta,
         link::{decode, encode},
         messages::{
-            Allocation, AllocationRevision, Announcement, ConfigDocument, EntryHost, FleetView,
-            Frame, HostUpdate, LimitUpdate, Primary, TargetRole, TokenRequest, ViewRevision,
+            Allocation, AllocationRevision, Announcement, ConfigDocument, ConfigStatus, EntryHost,
+            FleetView, Frame, HostUpdate, LimitUpdate, Primary, TargetRole, TokenRequest,
+            ViewRevision,
         },
         state::{FleetCommand, FleetState, LogEntry, allocation_entry},
     },
@@ -63,6 +64,7 @@
         config: Some(config),
         view: Some(view),
         limits: Some(limits),
+        config_status: Some(ConfigStatus::SupersededFor(Millis(300))),
         ..HostUpdate::default()
     };
     let tokens = TokenRequest { request_id: 1, workspace: "w".into(), wanted: 2 };
--- a/tests/fleet_messages.rs
+++ b/tests/fleet_messages.rs
@@ -10,8 +10,8 @@
         inventory::InventoryDelta,
         link::{decode, encode},
         messages::{
-            Allocation, AllocationRevision, Frame, HostReport, HostUpdate, LimitReport,
-            LimitUpdate, TokenGrant, TokenRequest, ViewRevision,
+            Allocation, AllocationRevision, ConfigStatus, Frame, HostReport, HostUpdate,
+            LimitReport, LimitUpdate, TokenGrant, TokenRequest, ViewRevision,
         },
         state::{Applied, FleetCommand, FleetState, LogEntry, allocation_entry},
     },
@@ -47,6 +47,7 @@
         shares: None,
         demand_fractions: None,
         limits,
+        config_status: Some(ConfigStatus::SupersededFor(Millis(40))),
     }
 }
 
@@ -117,6 +118,28 @@
     assert!(matches!(ping, Frame::Ping { tokens: None }));
 }
 
+/// Guards against a status of the configuration that is lost on the way, that a build which
+/// knows only limits rejects, or that this one expects from such a build.
+#[test]
+fn config_status_follows_the_limits() {
+    let limits = LimitUpdate { revision: REVISION, allocations: Some(vec![allocation(5)]) };
+    let sent = update(Some(limits.clone()));
+    let bytes = encode(&Frame::Update(sent.clone()));
+    match decode(&bytes).unwrap() {
+        Frame::Update(update) => assert_eq!(update.config_status, sent.config_status),
+        frame => panic!("{frame:?}"),
+    }
+    let (_, extension): (Frame, _) = postcard::take_from_bytes(&bytes[1..]).unwrap();
+    assert_eq!(postcard::from_bytes::<LimitUpdate>(extension).unwrap(), limits);
+    let older = encode(&Frame::Update(HostUpdate { config_status: None, ..sent }));
+    match decode(&older).unwrap() {
+        Frame::Update(update) => {
+            assert_eq!((update.limits, update.config_status), (Some(limits), None));
+        }
+        frame => panic!("{frame:?}"),
+    }
+}
+
 /// Guards against frames of older builds that this one rejects or encodes differently.
 #[test]
 fn frames_of_older_builds_are_read() {
--- a/tests/gateway_fixture/mod.rs
+++ b/tests/gateway_fixture/mod.rs
@@ -111,4 +111,5 @@
     cx.rate_limiter.borrow_mut().set_workspaces(cx.now(), &config.workspaces);
     cx.rate_limiter.borrow_mut().apply(cx.now(), cx.now(), update);
     cx.topology.borrow_mut().set_config(config);
+    cx.lease.borrow_mut().renew_config(cx.now());
 }
