Give up a slow leader less and less early

What callers saw: as before.

Cause: a host gave up a connection after 0.9 s without an answer and tried again 60 ms later, in a cycle through all control hosts. The leader went on with the report of the connection that was given up. With 291 hosts its work so caused more of the same.

Change: the time for the first answer doubles with each silent connection, up to 3.6 s, until a leader answers. The leader does not answer reports of connections that are closed; it records the commits in them.

--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -334,6 +334,12 @@
                 self.peers_heard_at.insert(name.to_owned(), self.clock.now());
                 self.step(Input::Message(message))?;
             }
+            // The host has given up waiting, and reports again on its next connection.
+            Frame::Report(report) if !self.is_open(id) => {
+                if let Some(leader) = &mut self.leader_state {
+                    leader.hosts.record_acknowledged(&report);
+                }
+            }
             Frame::Report(report) => {
                 let began = Instant::now();
                 self.restore_inventory();
@@ -345,6 +351,11 @@
         Ok(())
     }
 
+    /// Whether frames can still be sent on a connection.
+    fn is_open(&self, id: ConnectionId) -> bool {
+        self.outgoing.get(&id).is_some_and(|queue| !queue.is_closed())
+    }
+
     fn handle_event(&mut self, event: Event) {
         self.restore_inventory();
         match event {
--- a/src/fleet/hosts.rs
+++ b/src/fleet/hosts.rs
@@ -142,11 +142,16 @@
         host.view_revision = report.view_revision;
         host.config_version = report.config_version;
         host.health = report.targets.iter().map(|it| (it.id.clone(), it.health)).collect();
+        self.record_acknowledged(report);
+        changed
+    }
+
+    /// Records the acknowledged commits in a report.
+    pub fn record_acknowledged(&mut self, report: &HostReport) {
         for (service, mark) in &report.acknowledged {
             let newest = self.acknowledged.entry(service.clone()).or_default();
             *newest = (*newest).max(*mark);
         }
-        changed
     }
 
     /// Removes hosts that have timed out; returns whether there were any.
--- a/src/fleet/link.rs
+++ b/src/fleet/link.rs
@@ -224,6 +224,8 @@
             }
         }
     }
+    // The event loop sees at once that answers cannot be sent any more.
+    drop(queue);
     // The receiver is dropped when the process stops.
     let _ = events.send(Inbound::Closed { id }).await;
 }
--- a/src/gateway/control_link.rs
+++ b/src/gateway/control_link.rs
@@ -5,7 +5,7 @@
 
 use std::{cell::RefCell, collections::VecDeque, rc::Rc, time::Duration};
 
-use eyre::{Result, bail};
+use eyre::{Result, bail, eyre};
 use futures::{SinkExt, StreamExt};
 use indexmap::IndexMap;
 use tokio::time::{Instant, interval, timeout_at};
@@ -35,6 +35,11 @@
 /// lease, so that a dead connection does not make it expire.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Longest time for which a host waits for the first answer of a leader, as a multiple of
+/// [`SILENCE_TIMEOUT`]. It doubles with each connection that stays silent: a leader to which all
+/// hosts return at once would otherwise work on reports of hosts that have given up.
+const MAX_FIRST_ANSWER_FACTOR: u32 = 4;
+
 /// Delay before the next control host is tried.
 const RECONNECT_DELAY: Duration = Duration::from_millis(60);
 
@@ -117,6 +122,7 @@
         reported_commits,
         in_contact: false,
         failed_attempts: 0,
+        first_answer_timeout: SILENCE_TIMEOUT,
     };
     loop {
         let next = link.control_hosts.borrow_mut().next_address();
@@ -153,6 +159,8 @@
     in_contact: bool,
     /// Connections that have ended without an answer of the leader since the last one with.
     failed_attempts: u32,
+    /// Time for which the host waits for the first answer on the next connection.
+    first_answer_timeout: Duration,
 }
 
 impl<T: Targets> ControlLink<T> {
@@ -170,10 +178,8 @@
                     self.report(&mut writer, is_first).await?;
                     is_first = false;
                 }
-                read = timeout_at(last_received + SILENCE_TIMEOUT, next_frame(&mut reader)) => {
-                    let Ok(frame) = read else {
-                        bail!("no message within {} ms", SILENCE_TIMEOUT.as_millis())
-                    };
+                read = timeout_at(last_received + self.silence_timeout(), next_frame(&mut reader)) => {
+                    let Ok(frame) = read else { return Err(self.give_up()) };
                     last_received = Instant::now();
                     match frame? {
                         Frame::Update(update) => {
@@ -200,12 +206,28 @@
         }
     }
 
+    /// Silence after which the host gives the current connection up.
+    fn silence_timeout(&self) -> Duration {
+        if self.in_contact { SILENCE_TIMEOUT } else { self.first_answer_timeout }
+    }
+
+    /// Error for a connection that was silent for too long; the next one gets more time.
+    fn give_up(&mut self) -> eyre::Report {
+        let waited = self.silence_timeout();
+        if !self.in_contact {
+            let longest = SILENCE_TIMEOUT * MAX_FIRST_ANSWER_FACTOR;
+            self.first_answer_timeout = (self.first_answer_timeout * 2).min(longest);
+        }
+        eyre!("no message within {} ms", waited.as_millis())
+    }
+
     /// Logs the first answer of the leader on a connection.
     fn record_answer(&mut self, addr: &str) {
         if self.in_contact {
             return;
         }
         self.in_contact = true;
+        self.first_answer_timeout = SILENCE_TIMEOUT;
         let (cx, attempts) = (&self.cx, std::mem::take(&mut self.failed_attempts));
         let silent = cx.now().since(cx.lease.borrow().contact_at());
         let config = cx.topology.borrow().config.version;
