Keep the hosts of a leader that is without a confirmed majority for a moment

What callers saw: as before.

Cause: a leader whose lease from the majority had lapsed for some milliseconds answered each report with 'not the leader'. Its hosts closed their connections and all came back with full reports, which made the next lapse more likely.

Change: as long as it has not stepped down (0.9 s without a majority), a leader answers nothing instead, and records the commits and limits in the report. Hosts leave after 0.9 s as before.

--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -335,11 +335,7 @@
                 self.step(Input::Message(message))?;
             }
             // The host has given up waiting, and reports again on its next connection.
-            Frame::Report(report) if !self.is_open(id) => {
-                if let Some(leader) = &mut self.leader_state {
-                    leader.hosts.record_acknowledged(&report);
-                }
-            }
+            Frame::Report(report) if !self.is_open(id) => self.record_unanswered(&report),
             Frame::Report(report) => {
                 let began = Instant::now();
                 self.restore_inventory();
--- a/src/fleet/leader.rs
+++ b/src/fleet/leader.rs
@@ -105,11 +105,15 @@
     /// Handles the report of an entry host.
     pub(super) fn handle_report(&mut self, id: ConnectionId, report: &HostReport) {
         let now = self.clock.now();
-        if !self.group.node.is_serving(now) || self.leader_state.is_none() {
+        if self.leader_state.is_none() {
             self.redirect(id);
             return;
         }
         self.record_limits(now, report);
+        if !self.group.node.is_serving(now) {
+            self.record_unanswered(report);
+            return;
+        }
         let Some(leader) = &mut self.leader_state else { return };
         let previous_incarnation = leader.hosts.get(&report.host).map(|host| host.incarnation);
         let changed = leader.hosts.record(now, report);
@@ -146,6 +150,15 @@
         self.send_update(now, &report.host, true);
     }
 
+    /// Records what a host says only once, in a report that gets no answer. A leader without a
+    /// confirmed majority may have one again in a moment; if it sent its hosts away until then,
+    /// all of them would return at once.
+    pub(super) fn record_unanswered(&mut self, report: &HostReport) {
+        if let Some(leader) = &mut self.leader_state {
+            leader.hosts.record_acknowledged(report);
+        }
+    }
+
     fn redirect(&self, id: ConnectionId) {
         let members = &self.group.node.members().0;
         let leader = self.group.node.role().leader.filter(|leader| leader != self.group.node.id());
