--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -5,7 +5,6 @@
 
 use bytes::Bytes;
 use eyre::Result;
-use indexmap::IndexMap;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::{
@@ -17,32 +16,26 @@
     },
     fleet::{
         config::FleetConfig,
-        config_rollout::{ConfigHistory, ConfigRollout},
+        config_acknowledgement::PendingRollout,
         document::decode_config,
-        failover::{self, Failover},
-        hosts::Hosts,
+        failover,
+        leader_state::LeaderState,
         link::{ConnectionId, Inbound, Links},
         loop_load::LoopLoad,
-        messages::{Announcement, ConfigDocument, FleetView, Frame, TargetRole, ViewRevision},
+        messages::{Announcement, ConfigDocument, Frame, TargetRole},
         metrics::{ControlMetrics, ControlState},
-        rate_allocator::RateAllocator,
-        registry::{AnnouncementEffect, Registry},
+        registry::AnnouncementEffect,
         runtime::{Ports, Tasks},
-        shared_frames::SharedFrames,
         state::{FleetCommand, FleetState},
-        update_pacing::UpdatePacer,
     },
     gateway::log_limit::LogLimiter,
-    ids::{HostId, InstanceId, Service},
+    ids::{InstanceId, Service},
     wire::group::GroupTerm,
 };
 
 /// Interval between ticks of the event loop.
 pub const TICK: Millis = Millis(25);
 
-/// Interval between checks of the primaries' health.
-const FAILOVER_INTERVAL: Millis = Millis(50);
-
 /// Time without running from which the leader's data on targets and hosts is outdated. It is
 /// below the age at which reports of hosts stop counting.
 const MIN_OUTDATED_GAP: Millis = Millis(1_000);
@@ -88,45 +81,6 @@
     Tick,
 }
 
-/// State that exists only while this host is the leader.
-pub(super) struct LeaderState {
-    /// When this host became the leader, or when its state was last reset.
-    pub(super) since: Millis,
-    pub(super) registry: Registry,
-    pub(super) hosts: Hosts,
-    pub(super) failover: Failover,
-    pub(super) rate_allocator: RateAllocator,
-    /// Connection of each entry host, with what was last sent on it.
-    pub(super) connections: IndexMap<HostId, HostConnection>,
-    pub(super) view: FleetView,
-    pub(super) frames: SharedFrames,
-    pub(super) update_pacer: UpdatePacer,
-    /// The view changed and must be sent at once.
-    pub(super) view_push_urgent: bool,
-    /// The view changed and may wait for the minimum interval between views.
-    pub(super) view_push_pending: bool,
-    pub(super) view_sent_at: Millis,
-    pub(super) next_failover_at: Millis,
-    /// Whether the inventory was restored from the log.
-    pub(super) inventory_restored: bool,
-    /// When the inventory was last compared with the log.
-    pub(super) inventory_compared_at: Millis,
-    pub(super) limits_logged_at: Millis,
-    pub(super) config_history: ConfigHistory,
-}
-
-/// Connection of an entry host, with what was last sent on it.
-pub(super) struct HostConnection {
-    pub(super) id: ConnectionId,
-    /// View that the host has reported or was last sent, and when it was sent.
-    pub(super) view_revision: ViewRevision,
-    pub(super) view_sent_at: Millis,
-    /// Version of the configuration last sent, and when.
-    pub(super) config_sent: (u64, Millis),
-    /// `sent_at` of the host's newest report.
-    pub(super) echo: Millis,
-}
-
 /// Log entry whose commit a client waits for.
 pub(super) struct PendingCommit {
     pub(super) index: u64,
@@ -134,12 +88,6 @@
     pub(super) reply: oneshot::Sender<ControlResponse>,
 }
 
-/// Configuration in force that an operator waits for.
-pub(super) struct PendingRollout {
-    rollout: ConfigRollout,
-    reply: oneshot::Sender<ControlResponse>,
-}
-
 /// Event loop of a control host with its state.
 pub struct ControlLoop<P> {
     pub(super) clock: SystemClock,
@@ -171,7 +119,7 @@
     /// one.
     pub(super) promotions_are_fenced: bool,
     /// Time after the acknowledgement of a configuration from which no host acts on an older one.
-    max_config_delay: Millis,
+    pub(super) max_config_delay: Millis,
 }
 
 /// Components of a [`ControlLoop`].
@@ -392,29 +340,6 @@
         }
     }
 
-    /// Acknowledges the configuration in force as soon as the promise of the acknowledgement holds.
-    pub(super) fn acknowledge_after_rollout(&mut self, reply: oneshot::Sender<ControlResponse>) {
-        let (version, committed_at) = (self.state.config.version, self.config_committed_at);
-        let rollout = ConfigRollout { version, committed_at };
-        self.pending_rollouts.push(PendingRollout { rollout, reply });
-    }
-
-    fn acknowledge_rollouts(&mut self) {
-        let Some(leader) = &self.leader_state else { return };
-        let (now, max_delay) = (self.clock.now(), self.max_config_delay);
-        let has_ended = |it: &mut PendingRollout| {
-            it.reply.is_closed() || it.rollout.is_complete(now, &leader.hosts, max_delay)
-        };
-        for PendingRollout { rollout, reply } in self.pending_rollouts.extract_if(.., has_ended) {
-            if reply.send(ControlResponse::Done).is_err() {
-                continue;
-            }
-            let behind = leader.hosts.count_behind(rollout.version);
-            let took_ms = now.since(rollout.committed_at).0;
-            spdlog::info!("configuration acknowledged", kv: {version = rollout.version, took_ms, hosts = leader.hosts.len(), behind});
-        }
-    }
-
     fn handle_announcement(&mut self, now: Millis, announcement: &Announcement) {
         let Some(leader) = &mut self.leader_state else { return };
         let effect = leader.registry.record(now, announcement);
@@ -510,38 +435,3 @@
         }
     }
 }
-
-impl LeaderState {
-    /// State of a leader that finds the version `config` in force.
-    fn new(now: Millis, term: u64, announce_interval: Millis, config: u64) -> Self {
-        let revision = ViewRevision { term, number: 0 };
-        Self {
-            since: now,
-            registry: Registry::new(announce_interval),
-            hosts: Hosts::new(now),
-            failover: Failover::default(),
-            rate_allocator: RateAllocator::new(now, term, rand::random()),
-            connections: IndexMap::new(),
-            view: FleetView { revision, ..FleetView::default() },
-            frames: SharedFrames::default(),
-            update_pacer: UpdatePacer::default(),
-            view_push_urgent: true,
-            view_push_pending: false,
-            view_sent_at: Millis(0),
-            next_failover_at: now + FAILOVER_INTERVAL,
-            inventory_restored: false,
-            inventory_compared_at: now,
-            limits_logged_at: now,
-            config_history: ConfigHistory::new(config),
-        }
-    }
-
-    /// Whether the failover check is due; schedules the next one.
-    pub(super) fn failover_due(&mut self, now: Millis) -> bool {
-        let due = now >= self.next_failover_at;
-        if due {
-            self.next_failover_at = now + FAILOVER_INTERVAL;
-        }
-        due
-    }
-}
--- a/src/fleet/group_io.rs
+++ b/src/fleet/group_io.rs
@@ -109,18 +109,6 @@
         Ok(())
     }
 
-    /// Records that the configuration in force, which was proposed in `term`, is committed.
-    fn record_config_commit(&mut self, term: GroupTerm) {
-        let (now, version) = (self.clock.now(), self.state.config.version);
-        self.config_committed_at = now;
-        let Some(leader) = &mut self.leader_state else { return };
-        if term.0 == leader.view.revision.term {
-            leader.config_history.record(now, version);
-        } else {
-            leader.config_history.record_inherited(version);
-        }
-    }
-
     /// Closes connections to control hosts that time out; the next message reopens them.
     pub(super) fn reconnect(&mut self) {
         let now = self.clock.now();
--- a/src/fleet/inventory_sync.rs
+++ b/src/fleet/inventory_sync.rs
@@ -4,8 +4,9 @@
 use crate::{
     clock::{Clock, Millis},
     fleet::{
-        control::{ControlLoop, LeaderState},
+        control::ControlLoop,
         inventory::{Inventory, InventoryDelta, Observed},
+        leader_state::LeaderState,
         runtime::Ports,
         state::{FleetCommand, FleetState},
     },
--- a/src/fleet/leader.rs
+++ b/src/fleet/leader.rs
@@ -9,9 +9,10 @@
 use crate::{
     clock::{Clock, Millis},
     fleet::{
-        control::{ControlLoop, HostConnection, LeaderState},
+        control::ControlLoop,
         failover::{self, Action, TargetCommand},
         hosts::LEASE_DURATION,
+        leader_state::{HostConnection, LeaderState},
         link::{ConnectionId, encode},
         messages::{FleetView, Frame, HostReport, HostUpdate, Primary, Redirect, ViewRevision},
         registry::AnnouncementEffect,
--- a/src/fleet/limits.rs
+++ b/src/fleet/limits.rs
@@ -7,7 +7,8 @@
     clock::{Clock, Millis},
     fleet::{
         allocation::{AllocationBatch, Fraction},
-        control::{ControlLoop, LeaderState},
+        control::ControlLoop,
+        leader_state::LeaderState,
         messages::{HostReport, HostUpdate, Share},
         rate_allocator::PlanCx,
         runtime::Ports,
--- a/tests/gateway_config_age.rs
+++ b/tests/gateway_config_age.rs
@@ -7,31 +7,27 @@
 
 use eyre::Result;
 use futures::{SinkExt, StreamExt};
-use gateway_fixture::{config, target};
+use gateway_fixture::{UnreachableTargets, config, target};
 use pomelopin::{
     clock::Millis,
     fleet::{
         allocation::Fraction,
-        config::{FleetConfig, FleetWorkspace},
+        config::FleetWorkspace,
         document::compress,
-        failover::TargetStatus,
         link::{decode, encode, split_framed},
         messages::{
-            Allocation, AllocationRevision, Announcement, ConfigDocument, FleetView, Frame,
-            HostUpdate, LimitUpdate, Primary, TargetRole, ViewRevision,
+            Allocation, AllocationRevision, ConfigDocument, FleetView, Frame, HostUpdate,
+            LimitUpdate, Primary, TargetRole, ViewRevision,
         },
     },
     gateway::{
         control_link::{self, ControlHosts},
         cx::{Cx, GatewaySettings},
-        ports::{
-            Caller, CallerMessage, StartupMessage, TargetConnection, TargetFailure, TargetRequest,
-            Targets,
-        },
+        ports::{Caller, CallerMessage, StartupMessage},
         runtime::serve,
         statement::{Answer, ErrorCode, Request, Statement, StatementError},
     },
-    ids::{Incarnation, Mark, Workspace},
+    ids::Incarnation,
 };
 use tokio::{net::TcpListener, task::LocalSet, time::sleep};
 
@@ -41,42 +37,6 @@
 /// Time for a message to arrive and to be handled.
 const MARGIN: Duration = Duration::from_millis(500);
 
-/// Targets that nobody should reach.
-#[derive(Clone, Default)]
-struct NoTargets;
-
-struct NoConnection;
-
-impl TargetConnection for NoConnection {
-    async fn send(&mut self, _: &[TargetRequest<'_>]) -> Result<(), TargetFailure> {
-        Ok(())
-    }
-
-    async fn receive(&mut self) -> Result<Answer, TargetFailure> {
-        Err(TargetFailure::Broken("closed".to_owned()))
-    }
-
-    fn status(_: &Answer) -> Option<TargetStatus> {
-        None
-    }
-}
-
-impl Targets for NoTargets {
-    type Connection = NoConnection;
-
-    async fn open(
-        &self,
-        _: &Announcement,
-        _: Option<&Workspace>,
-    ) -> Result<(NoConnection, Option<Mark>), TargetFailure> {
-        Err(TargetFailure::Broken("unreachable".to_owned()))
-    }
-
-    fn decode_config(&self, _: &[u8]) -> Result<FleetConfig> {
-        Ok(config(400, FleetWorkspace { rate: 1_000, burst: 1_000 }))
-    }
-}
-
 /// Caller with the key `key` that sends its statements with pauses before them.
 struct PausingCaller {
     database: &'static str,
@@ -115,7 +75,7 @@
     }
 }
 
-type HostCx = Rc<Cx<NoTargets>>;
+type HostCx = Rc<Cx<UnreachableTargets>>;
 
 async fn codes(
     cx: &HostCx,
@@ -175,7 +135,8 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("free port");
     let addr = listener.local_addr().expect("bound").to_string();
     tokio::task::spawn_local(answer_once(listener));
-    let cx = Rc::new(Cx::new(GatewaySettings::default(), NoTargets));
+    let served = config(400, FleetWorkspace { rate: 1_000, burst: 1_000 });
+    let cx = Rc::new(Cx::new(GatewaySettings::default(), UnreachableTargets(served)));
     let control_hosts = Rc::new(RefCell::new(ControlHosts::new(vec![addr])));
     tokio::task::spawn_local(control_link::run(cx.clone(), control_hosts, Incarnation(1)));
     sleep(MARGIN).await;
--- a/tests/gateway_control_link.rs
+++ b/tests/gateway_control_link.rs
@@ -1,24 +1,23 @@
 //! Search of an entry host for the control leader.
 
+mod gateway_fixture;
+
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
-use eyre::Result;
 use futures::{SinkExt, StreamExt};
+use gateway_fixture::UnreachableTargets;
 use pomelopin::{
     clock::Millis,
     fleet::{
         config::FleetConfig,
-        failover::TargetStatus,
         link::{decode, encode, split_framed},
-        messages::{Announcement, Frame, HostUpdate, LimitUpdate},
+        messages::{Frame, HostUpdate, LimitUpdate},
     },
     gateway::{
         control_link::{self, ControlHosts},
         cx::{Cx, GatewaySettings},
-        ports::{TargetConnection, TargetFailure, TargetRequest, Targets},
-        statement::Answer,
     },
-    ids::{Incarnation, Mark, Workspace},
+    ids::Incarnation,
 };
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -26,42 +25,6 @@
     time::sleep,
 };
 
-/// Targets that nobody connects to.
-#[derive(Clone)]
-struct NoTargets;
-
-struct NoConnection;
-
-impl TargetConnection for NoConnection {
-    async fn send(&mut self, _: &[TargetRequest<'_>]) -> Result<(), TargetFailure> {
-        Ok(())
-    }
-
-    async fn receive(&mut self) -> Result<Answer, TargetFailure> {
-        Err(TargetFailure::Broken("closed".to_owned()))
-    }
-
-    fn status(_: &Answer) -> Option<TargetStatus> {
-        None
-    }
-}
-
-impl Targets for NoTargets {
-    type Connection = NoConnection;
-
-    async fn open(
-        &self,
-        _: &Announcement,
-        _: Option<&Workspace>,
-    ) -> Result<(NoConnection, Option<Mark>), TargetFailure> {
-        Err(TargetFailure::Broken("unreachable".to_owned()))
-    }
-
-    fn decode_config(&self, _: &[u8]) -> Result<FleetConfig> {
-        Ok(FleetConfig::default())
-    }
-}
-
 /// Answers the first report on a connection after `delay`.
 async fn answer_late(stream: TcpStream, delay: Duration) {
     let (mut reader, mut writer) = split_framed(stream);
@@ -95,7 +58,10 @@
                     tokio::task::spawn_local(answer_late(stream, delay));
                 }
             });
-            let cx = Rc::new(Cx::new(GatewaySettings::default(), NoTargets));
+            let cx = Rc::new(Cx::new(
+                GatewaySettings::default(),
+                UnreachableTargets(FleetConfig::default()),
+            ));
             let control_hosts = Rc::new(RefCell::new(ControlHosts::new(vec![addr])));
             tokio::task::spawn_local(control_link::run(cx.clone(), control_hosts, Incarnation(1)));
             sleep(Duration::from_secs(4)).await;
--- a/tests/gateway_fixture/mod.rs
+++ b/tests/gateway_fixture/mod.rs
@@ -11,13 +11,18 @@
     fleet::{
         allocation::Fraction,
         config::{Consistency, FleetConfig, FleetRoute, FleetWorkspace},
+        failover::TargetStatus,
         messages::{Allocation, AllocationRevision, Announcement, LimitUpdate, TargetRole},
     },
     gateway::{
         cx::Cx,
-        ports::{Caller, CallerMessage, StartupMessage, Targets},
+        ports::{
+            Caller, CallerMessage, StartupMessage, TargetConnection, TargetFailure, TargetRequest,
+            Targets,
+        },
         statement::{Answer, Request, Statement, StatementError},
     },
+    ids::{Mark, Workspace},
 };
 
 /// Caller that sends reads one after the other.
@@ -65,6 +70,42 @@
     }
 }
 
+/// Targets that no host reaches; holds the configuration that every document stands for.
+#[derive(Clone)]
+pub struct UnreachableTargets(pub FleetConfig);
+
+pub struct NoConnection;
+
+impl TargetConnection for NoConnection {
+    async fn send(&mut self, _: &[TargetRequest<'_>]) -> Result<(), TargetFailure> {
+        Ok(())
+    }
+
+    async fn receive(&mut self) -> Result<Answer, TargetFailure> {
+        Err(TargetFailure::Broken("closed".to_owned()))
+    }
+
+    fn status(_: &Answer) -> Option<TargetStatus> {
+        None
+    }
+}
+
+impl Targets for UnreachableTargets {
+    type Connection = NoConnection;
+
+    async fn open(
+        &self,
+        _: &Announcement,
+        _: Option<&Workspace>,
+    ) -> Result<(NoConnection, Option<Mark>), TargetFailure> {
+        Err(TargetFailure::Broken("unreachable".to_owned()))
+    }
+
+    fn decode_config(&self, _: &[u8]) -> Result<FleetConfig> {
+        Ok(self.0.clone())
+    }
+}
+
 /// Target of the service.
 pub fn target(id: &str, role: TargetRole) -> Announcement {
     Announcement {
