End the renewal of older configurations with the acknowledgement of a newer one

Cause: the acknowledgement counted on the renewals up to then, of hosts that the leader knew. A host that reported for the first time afterwards was renewed up to the commit of the newer version, which is later than what the acknowledgement had counted with.

Change: with its acknowledgement a version ends the renewal of all older ones.

--- a/src/fleet/config_acknowledgement.rs
+++ b/src/fleet/config_acknowledgement.rs
@@ -42,18 +42,18 @@
 
     /// Acknowledges the configurations whose rollout is complete.
     pub(super) fn acknowledge_rollouts(&mut self) {
-        let Some(leader) = &self.leader_state else { return };
+        let Some(leader) = &mut self.leader_state else { return };
         let (now, max_delay) = (self.clock.now(), self.max_config_delay);
-        let has_ended = |it: &mut PendingRollout| {
-            it.reply.is_closed() || it.rollout.is_complete(now, &leader.hosts, max_delay)
-        };
-        for PendingRollout { rollout, reply } in self.pending_rollouts.extract_if(.., has_ended) {
-            if reply.send(ControlResponse::Done).is_err() {
-                continue;
-            }
-            let behind = leader.hosts.count_behind(rollout.version);
+        let (hosts, history) = (&leader.hosts, &mut leader.config_history);
+        self.pending_rollouts.retain(|it| !it.reply.is_closed());
+        let is_complete = |it: &mut PendingRollout| it.rollout.is_complete(now, hosts, max_delay);
+        for PendingRollout { rollout, reply } in self.pending_rollouts.extract_if(.., is_complete) {
+            history.record_acknowledged(rollout.version);
+            // The operator may have stopped waiting; it sends the configuration again.
+            let _ = reply.send(ControlResponse::Done);
+            let behind = hosts.count_behind(rollout.version);
             let took_ms = now.since(rollout.committed_at).0;
-            spdlog::info!("configuration acknowledged", kv: {version = rollout.version, took_ms, hosts = leader.hosts.len(), behind});
+            spdlog::info!("configuration acknowledged", kv: {version = rollout.version, took_ms, hosts = hosts.len(), behind});
         }
     }
 }
--- a/src/fleet/config_rollout.rs
+++ b/src/fleet/config_rollout.rs
@@ -9,12 +9,13 @@
 //!   in this report has been superseded. [`MAX_CONFIG_AGE`] after the newest renewal the host
 //!   refuses whatever depends on the configuration.
 //! - The leader acknowledges a version once each host has confirmed it, or will have stopped
-//!   acting on an older one within the promised delay.
+//!   acting on an older one within the promised delay. From then on it renews no older one.
 //!
-//! A host that lacks a version is renewed at most up to the time at which that version was
-//! committed, and at most up to its last report. A host that the leader does not know was
-//! renewed by an earlier leader, at most up to the time at which this one took the lead.
-//! [`RENEWAL_EXPIRY`] after the earlier of these times the host has stopped, by its own clock.
+//! Until the acknowledgement, a host that lacks the version is renewed at most up to the time at
+//! which that version was committed, and at most up to its last report. A host that the leader
+//! does not know was renewed by an earlier leader, at most up to the time at which this one took
+//! the lead. [`RENEWAL_EXPIRY`] after the earlier of these times the host has stopped, by its own
+//! clock.
 
 use std::collections::VecDeque;
 
@@ -38,8 +39,8 @@
 /// Commit times of the versions that one leader has put in force.
 #[derive(Debug, Default)]
 pub struct ConfigHistory {
-    /// Newest version whose commit time is not known, because an earlier leader committed it or
-    /// because it was long ago.
+    /// Newest version than which no older one is renewed: its commit time is not known, since an
+    /// earlier leader committed it or since it was long ago, or it was acknowledged.
     base: u64,
     commits: VecDeque<Commit>,
 }
@@ -64,9 +65,17 @@
     /// Records a version that this leader has committed.
     pub fn record(&mut self, now: Millis, version: u64) {
         self.commits.push_back(Commit { version, at: now });
-        while let Some(oldest) = self.commits.front()
-            && now.since(oldest.at) > RENEWAL_EXPIRY
-        {
+        self.drop_while(|oldest| now.since(oldest.at) > RENEWAL_EXPIRY);
+    }
+
+    /// Records that `version` is about to be acknowledged: the leader counts on it that hosts
+    /// which lack it are not renewed any more.
+    pub fn record_acknowledged(&mut self, version: u64) {
+        self.drop_while(|oldest| oldest.version <= version);
+    }
+
+    fn drop_while(&mut self, is_dropped: impl Fn(&Commit) -> bool) {
+        while let Some(oldest) = self.commits.front().copied().filter(&is_dropped) {
             self.base = oldest.version;
             self.commits.pop_front();
         }
--- a/tests/config_simulation/fleet.rs
+++ b/tests/config_simulation/fleet.rs
@@ -41,6 +41,8 @@
     Expiry,
     /// Each answer renews the configuration, whatever version the host has.
     Supersession,
+    /// Older versions are renewed after a newer one was acknowledged.
+    EndOfRenewals,
 }
 
 struct Host {
@@ -359,9 +361,13 @@
             self.push();
         }
         let at_once = self.omitted == Omitted::WaitForHosts;
-        let Leader { waiting, hosts, .. } = &mut self.leader;
+        let renews_older = self.omitted == Omitted::EndOfRenewals;
+        let Leader { waiting, hosts, history, .. } = &mut self.leader;
         let is_complete = |it: &mut ConfigRollout| at_once || it.is_complete(now, hosts, MAX_DELAY);
         for rollout in waiting.extract_if(.., is_complete) {
+            if !renews_older {
+                history.record_acknowledged(rollout.version);
+            }
             self.acknowledged.entry(rollout.version).or_insert(now.0);
             self.counts.acknowledged += 1;
             let took = now.since(rollout.committed_at).0;
--- a/tests/config_simulation/main.rs
+++ b/tests/config_simulation/main.rs
@@ -87,6 +87,15 @@
     }
 }
 
+/// Guards against a host that returns with an older version just after a newer one was
+/// acknowledged, and may act on the older one for longer than control counted on.
+#[test]
+fn acknowledgement_ends_the_renewal_of_older_versions() {
+    let (seed, hosts, report_cost_us) = (16, 300, 400);
+    assert!(run(seed, hosts, report_cost_us, Omitted::EndOfRenewals).breaches > 0);
+    assert_eq!(run(seed, hosts, report_cost_us, Omitted::Nothing).breaches, 0);
+}
+
 /// Guards against hosts that refuse although they are in contact, and against operators who wait
 /// although all hosts are.
 #[test]
