--- a/src/fleet/primary_change.rs
+++ b/src/fleet/primary_change.rs
@@ -66,6 +66,8 @@
     pub(super) step: Step,
     /// Target of an earlier promotion that may still be carried out.
     pub(super) unfinished: Option<InstanceId>,
+    /// Safety of the candidate when it was last logged.
+    pub(super) logged_safety: Option<Safety>,
 }
 
 /// Phase of a primary change.
@@ -113,6 +115,7 @@
             candidate_heard_at: now,
             step: Step::Choosing,
             unfinished,
+            logged_safety: None,
         }
     }
 
@@ -145,9 +148,7 @@
             Some(_) => {
                 self.paused.entry(target.clone()).or_insert(status.received);
             }
-            None => {
-                self.paused.shift_remove(&target);
-            }
+            None => self.record_end_of_pause(&target, &status),
         }
         if self.candidate.as_ref() == Some(&target) {
             self.candidate_heard_at = now;
@@ -157,6 +158,11 @@
         self.statuses.insert(target, status);
     }
 
+    fn record_end_of_pause(&mut self, target: &InstanceId, status: &TargetStatus) {
+        let Some(paused_at) = self.paused.shift_remove(target) else { return };
+        spdlog::info!("replica is no longer paused", kv: {target = target.as_str(), paused_at = paused_at.to_string().as_str(), received = status.received.to_string().as_str(), step = format!("{:?}", self.step).as_str()});
+    }
+
     /// Whether a promotion request was sent.
     pub(super) fn promotion_sent(&self) -> bool {
         matches!(self.step, Step::Calling { .. })
--- a/src/fleet/service_failover.rs
+++ b/src/fleet/service_failover.rs
@@ -361,6 +361,7 @@
         if !self.is_acceptable(cx, service, safety) {
             return false;
         }
+        self.log_premises(cx, service, safety);
         let Some(change) = &mut self.change else { return false };
         let mut awaited = change.view_revision;
         if safety == Safety::Reported {
@@ -373,6 +374,27 @@
         awaited.is_some_and(|view| cx.hosts.all_have_view(cx.now, view))
     }
 
+    /// Logs what a promotion rests on, when it becomes safe and whenever that changes.
+    fn log_premises(&mut self, cx: &Cx<'_>, service: &Service, safety: Safety) {
+        let Some(change) = &mut self.change else { return };
+        if change.logged_safety.replace(safety) == Some(safety) {
+            return;
+        }
+        let candidate = change.candidate.as_ref();
+        let received = candidate.and_then(|id| change.statuses.get(id)).map(|it| it.received);
+        let paused: Vec<&str> = change.paused.keys().map(|id| id.as_str()).collect();
+        spdlog::info!("promotion may be requested", kv: {
+            service = service.as_str(),
+            candidate = candidate.map_or("none", |id| id.as_str()),
+            safety = format!("{safety:?}").as_str(),
+            received = received.unwrap_or_default().to_string().as_str(),
+            acknowledged = cx.hosts.acknowledged(service).unwrap_or_default().to_string().as_str(),
+            paused = paused.join(" ").as_str(),
+            targets = cx.registry.of_service(service).count(),
+            hosts = cx.hosts.len()
+        });
+    }
+
     fn send_promotion(
         &mut self,
         cx: &Cx<'_>,
@@ -407,7 +429,12 @@
     fn finish(&mut self, cx: &Cx<'_>, service: &Service, out: &mut Vec<Action>) {
         let Some(change) = self.change.take() else { return };
         let Some(candidate) = change.candidate.clone() else { return };
-        spdlog::info!("primary change completed", kv: {service = service.as_str(), primary = candidate.as_str(), took_ms = cx.now.since(change.started_at).0});
+        spdlog::info!("primary change completed", kv: {
+            service = service.as_str(),
+            primary = candidate.as_str(),
+            took_ms = cx.now.since(change.started_at).0,
+            acknowledged = cx.hosts.acknowledged(service).unwrap_or_default().to_string().as_str()
+        });
         let replaced = self.primary.replace(candidate.clone()).filter(|id| *id != candidate);
         let claimants = change
             .statuses
