--- a/src/fleet/failover.rs
+++ b/src/fleet/failover.rs
@@ -1,13 +1,37 @@
 //! State machine without I/O that changes the primary of a service.
 //!
-//! A commit is acknowledged once one replica holds it. A change therefore pauses all
-//! replicas except the candidate, so that no commit can be acknowledged that the candidate
-//! lacks, and proceeds only if the candidate holds at least what every other replica had
-//! received. [`commit_evidence`](crate::fleet::commit_evidence) covers replicas that have left
-//! or do not answer. Before the promotion, every entry host must have stopped relying on the old
-//! primary. The intent is committed to the log before the first promotion request. Each
-//! request carries a higher fencing token than all earlier ones, so that a request that is
-//! carried out late has no effect after a newer one.
+//! # No acknowledged commit is lost
+//!
+//! A call that promotes a target may take effect at any time after it was sent, and cannot be taken
+//! back. Until then targets join, leave and restart, orders to them take effect late, and leaders
+//! change. So the argument uses nothing that may end before the effect.
+//!
+//! A *successor* is a target for which a call may have been sent that can still have an effect.
+//! Every successor holds every acknowledged commit:
+//!
+//! 1. *Every leader knows the successors.* The promotion is in the log before its first call, and
+//!    stays there until no call for its target can have an effect
+//!    ([`unfinished`](crate::fleet::unfinished),
+//!    [`outstanding_calls`](crate::fleet::outstanding_calls)). Every view names them.
+//! 2. *Hosts acknowledge only what the successors hold.* After a commit they ask the successors for
+//!    their positions, and answer that the outcome is unknown if one lacks the commit. Hosts without
+//!    a lease, which may not know the successors, ask all targets
+//!    ([`commit_rule`](crate::gateway::commit_rule)).
+//! 3. *A candidate is called for once it holds all earlier commits.* All hosts must have confirmed
+//!    a view that names it. Commits that were acknowledged before are compared afterwards
+//!    ([`candidate_proof`](crate::fleet::candidate_proof)), and the host reports if replicas are
+//!    silent ([`commit_evidence`](crate::fleet::commit_evidence)).
+//!
+//! So it does not matter when a call takes effect, nor in which order calls do. A promotion rolls
+//! other targets back to the log of a successor, which holds every acknowledged commit as well.
+//!
+//! Pausing the other replicas is not part of the argument. It makes the old primary wait for the
+//! receipt of the candidate, so that hosts seldom leave a commit without confirmation.
+//!
+//! # Order of calls
+//!
+//! Each request carries a higher fencing token than all earlier ones, so that a request that is
+//! carried out late has no effect after a newer one, where the platform compares tokens.
 
 use indexmap::IndexMap;
 
@@ -15,10 +39,11 @@
     clock::Millis,
     fleet::{
         hosts::Hosts,
-        messages::{TargetRole, ViewRevision},
+        messages::{Successor, TargetRole, ViewRevision},
         primary_change::{PrimaryChange, Step},
         registry::Registry,
         service_failover::ServiceState,
+        unfinished::UnfinishedPromotions,
     },
     ids::{InstanceId, Mark, Service},
 };
@@ -142,14 +167,27 @@
     pub fn primary(
         &self,
         service: &Service,
-        unfinished: &IndexMap<Service, InstanceId>,
+        unfinished: &UnfinishedPromotions,
     ) -> Option<(Option<&InstanceId>, bool)> {
         let state = self.services.get(service)?;
-        let is_unfinished = unfinished.get(service).is_some_and(|id| !state.is_completed(id));
+        let mut successors = state.successors(service, unfinished);
+        let may_be_replaced = successors.any(|id| Some(id) != state.primary.as_ref());
         let is_withdrawn =
             state.change.as_ref().is_some_and(|change| change.withdrawn_revision.is_some());
         let primary = state.primary.as_ref().filter(|_| !is_withdrawn);
-        Some((primary, state.change.is_some() || is_unfinished))
+        let is_unfinished = unfinished.newest(service).is_some_and(|id| !state.is_completed(id));
+        Some((primary, state.change.is_some() || is_unfinished || may_be_replaced))
+    }
+
+    /// Targets of `service` that may be promoted at any time.
+    pub fn successors(
+        &self,
+        service: &Service,
+        unfinished: &UnfinishedPromotions,
+    ) -> Vec<Successor> {
+        let Some(state) = self.services.get(service) else { return Vec::new() };
+        let successor = |id: &InstanceId| Successor { service: service.clone(), id: id.clone() };
+        state.successors(service, unfinished).map(successor).collect()
     }
 
     /// Whether the primary of `service` is known.
@@ -192,7 +230,7 @@
         &mut self,
         cx: &Cx<'_>,
         services: impl Iterator<Item = Service>,
-        unfinished: &IndexMap<Service, InstanceId>,
+        unfinished: &UnfinishedPromotions,
     ) -> Vec<Action> {
         let mut out = Vec::new();
         for service in services {
@@ -204,16 +242,16 @@
             {
                 spdlog::warn!("primary change started", kv: {service = service.as_str(), reason = format!("{reason:?}").as_str(), primary = state.primary.as_ref().map_or("none", |id| id.as_str())});
                 state.disputed = false;
-                let unfinished =
-                    unfinished.get(&service).filter(|id| !state.is_completed(id)).cloned();
                 // Of its own calls the leader knows which are outstanding.
-                if let Some(target) = unfinished.as_ref().filter(|id| !state.has_logged(id)) {
-                    state.calls.assume_sent(cx.now, target);
+                for target in unfinished.targets(&service) {
+                    state.assume_called(cx.now, target);
                 }
-                state.change = Some(PrimaryChange::new(cx.now, reason, unfinished));
+                let newest =
+                    unfinished.newest(&service).filter(|id| !state.is_completed(id)).cloned();
+                state.change = Some(PrimaryChange::new(cx.now, reason, newest));
                 out.push(Action::ViewChanged);
             }
-            state.advance(cx, &service, &mut self.promotions_sent, &mut out);
+            state.advance(cx, &service, unfinished, &mut self.promotions_sent, &mut out);
             state.query_for_evidence(cx, &service, &mut out);
             state.deposed.demote(cx, &service, &mut out);
         }
@@ -221,7 +259,13 @@
     }
 
     /// Handles an event of `service`.
-    pub fn handle(&mut self, cx: &Cx<'_>, service: &Service, event: Event) -> Vec<Action> {
+    pub fn handle(
+        &mut self,
+        cx: &Cx<'_>,
+        service: &Service,
+        event: Event,
+        unfinished: &UnfinishedPromotions,
+    ) -> Vec<Action> {
         let mut out = Vec::new();
         let Some(state) = self.services.get_mut(service) else { return out };
         state.update_replicas(cx, service);
@@ -230,12 +274,12 @@
             state.record_evidence(target, *sent_at, status);
         }
         if let Event::PromotionCompleted { token, outcome } = event {
-            state.calls.record_outcome(token, outcome);
+            state.calls.record_outcome(token, outcome, cx.promotions_are_fenced);
         }
         let Some(change) = &mut state.change else { return out };
         match event {
-            Event::CommandCompleted { target, status: Some(status), .. } => {
-                change.record_status(cx.now, target, status);
+            Event::CommandCompleted { target, sent_at, status: Some(status), .. } => {
+                change.record_status(cx.now, sent_at, target, status);
             }
             Event::CommandCompleted { status: None, .. } => {}
             Event::PromotionLogged if change.step == Step::Logging => change.step = Step::Revoking,
@@ -244,7 +288,7 @@
                 change.handle_promotion_outcome(cx.now, token, outcome)
             }
         }
-        state.advance(cx, service, &mut self.promotions_sent, &mut out);
+        state.advance(cx, service, unfinished, &mut self.promotions_sent, &mut out);
         out
     }
 }
--- a/src/fleet/leader.rs
+++ b/src/fleet/leader.rs
@@ -4,7 +4,6 @@
 use std::{mem, time::Instant};
 
 use bytes::Bytes;
-use indexmap::IndexMap;
 
 use crate::{
     clock::{Clock, Millis},
@@ -14,10 +13,13 @@
         hosts::LEASE_DURATION,
         leader_state::{HostConnection, LeaderState},
         link::{ConnectionId, encode},
-        messages::{FleetView, Frame, HostReport, HostUpdate, Primary, Redirect, ViewRevision},
+        messages::{
+            FleetView, Frame, HostReport, HostUpdate, Primary, Redirect, Successor, ViewRevision,
+        },
         registry::AnnouncementEffect,
         runtime::{Ports, PromotionRequest},
         state::FleetCommand,
+        unfinished::UnfinishedPromotions,
         update_pacing::min_view_interval,
     },
     ids::{HostId, InstanceId, Service},
@@ -61,7 +63,8 @@
         let fenced = self.promotions_are_fenced;
         let Some(leader) = &mut self.leader_state else { return };
         let mut failover = mem::take(&mut leader.failover);
-        let actions = failover.handle(&leader.failover_cx(now, fenced), service, event);
+        let cx = leader.failover_cx(now, fenced);
+        let actions = failover.handle(&cx, service, event, &self.state.promotions);
         leader.failover = failover;
         self.execute_actions(actions);
     }
@@ -255,6 +258,7 @@
             targets: leader.registry.all().cloned().collect(),
             primaries: leader.primaries(&self.state.promotions),
             control_addrs,
+            successors: leader.successors(&self.state.promotions),
         };
         leader.view = next;
         self.send_updates(now);
@@ -274,7 +278,7 @@
         }
     }
 
-    fn primaries(&self, unfinished: &IndexMap<Service, InstanceId>) -> Vec<Primary> {
+    fn primaries(&self, unfinished: &UnfinishedPromotions) -> Vec<Primary> {
         let services = self.failover.services().map(|(service, _)| service);
         services
             .filter_map(|service| {
@@ -283,6 +287,11 @@
             })
             .collect()
     }
+
+    fn successors(&self, unfinished: &UnfinishedPromotions) -> Vec<Successor> {
+        let services = self.failover.services().map(|(service, _)| service);
+        services.flat_map(|service| self.failover.successors(service, unfinished)).collect()
+    }
 }
 
 impl HostConnection {
--- a/src/fleet/link.rs
+++ b/src/fleet/link.rs
@@ -22,7 +22,7 @@
 };
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
-use crate::fleet::messages::{Frame, HostReport, HostUpdate};
+use crate::fleet::messages::{ConfigStatus, Frame, HostReport, HostUpdate};
 
 /// Time to establish a connection; allows several round trips between distant failure
 /// domains.
@@ -80,12 +80,8 @@
 fn append_extension(frame: &Frame, buf: Vec<u8>) -> postcard::Result<Vec<u8>> {
     match frame {
         Frame::Report(HostReport { limits: Some(limits), .. }) => postcard::to_extend(limits, buf),
-        Frame::Update(HostUpdate { limits: Some(limits), config_status, .. }) => {
-            let buf = postcard::to_extend(limits, buf)?;
-            match config_status {
-                Some(status) => postcard::to_extend(status, buf),
-                None => Ok(buf),
-            }
+        Frame::Update(update @ HostUpdate { limits: Some(limits), .. }) => {
+            append_update_extension(update, postcard::to_extend(limits, buf)?)
         }
         Frame::Ping { tokens: Some(req) } => postcard::to_extend(req, buf),
         Frame::Pong { tokens: Some(grant) } => postcard::to_extend(grant, buf),
@@ -93,6 +89,20 @@
     }
 }
 
+/// Appends what follows the limits of an update: the status of the configuration, and the
+/// successors in the view. An update with a view extends no lease, and the status counts only
+/// with one, so any status may stand before the successors.
+fn append_update_extension(update: &HostUpdate, buf: Vec<u8>) -> postcard::Result<Vec<u8>> {
+    let view = update.view.as_ref().filter(|view| !view.successors.is_empty());
+    let status = update.config_status.or(view.map(|_| ConfigStatus::Outdated));
+    let Some(status) = status else { return Ok(buf) };
+    let buf = postcard::to_extend(&status, buf)?;
+    match view {
+        Some(view) => postcard::to_extend(&view.successors, buf),
+        None => Ok(buf),
+    }
+}
+
 /// Decodes a frame.
 pub fn decode(bytes: &[u8]) -> Result<Frame> {
     let frame = match bytes.split_first() {
@@ -118,8 +128,13 @@
         Frame::Update(update) => {
             let (limits, rest) = postcard::take_from_bytes(extension)?;
             update.limits = Some(limits);
-            if !rest.is_empty() {
-                update.config_status = Some(postcard::from_bytes(rest)?);
+            if rest.is_empty() {
+                return Ok(frame);
+            }
+            let (status, rest) = postcard::take_from_bytes(rest)?;
+            update.config_status = Some(status);
+            if let (Some(view), false) = (&mut update.view, rest.is_empty()) {
+                view.successors = postcard::from_bytes(rest)?;
             }
         }
         Frame::Ping { tokens } => *tokens = Some(postcard::from_bytes(extension)?),
--- a/src/fleet/messages.rs
+++ b/src/fleet/messages.rs
@@ -228,6 +228,17 @@
     pub primaries: Vec<Primary>,
     /// Bus addresses of the control hosts.
     pub control_addrs: Vec<String>,
+    /// Targets that may be promoted at any time.
+    #[serde(skip)]
+    pub successors: Vec<Successor>,
+}
+
+/// Target that may be promoted at any time: a commit of its service is acknowledged only once it
+/// holds the commit.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Successor {
+    pub service: Service,
+    pub id: InstanceId,
 }
 
 /// Entry host as other entry hosts see it.
--- a/src/fleet/outstanding_calls.rs
+++ b/src/fleet/outstanding_calls.rs
@@ -1,9 +1,9 @@
-//! Promotion calls that the platform may still carry out.
+//! Calls to promote a target that the platform may still carry out.
 //!
-//! A call without an answer may be carried out seconds later. Where the platform does not
-//! compare fencing tokens, it then replaces whoever leads by that time. A late call for the
-//! target that leads changes nothing, so the leader only has to keep that target until the
-//! call has expired.
+//! A call without an answer may be carried out at any later time. Where the platform compares
+//! fencing tokens, it has no effect once a call with a higher token was accepted. Elsewhere it
+//! replaces whoever leads by that time, as long as its target runs. A late call for the target
+//! that leads changes nothing.
 
 use crate::{
     clock::Millis,
@@ -11,8 +11,9 @@
     ids::InstanceId,
 };
 
-/// Time after which a call without an answer is not carried out any more.
-const CALL_EXPIRY: Millis = Millis(10_000);
+/// Time for which the target of a call without an answer is preferred to all others, where the
+/// platform does not compare tokens: usually it leads by then.
+const PREFERENCE_TIME: Millis = Millis(10_000);
 
 /// Calls of one service without a clear answer.
 #[derive(Debug, Default)]
@@ -21,43 +22,64 @@
 #[derive(Debug)]
 struct Call {
     target: InstanceId,
-    /// `None` for calls of earlier leaders.
+    /// `None` for calls of earlier leaders, whose tokens are lower.
     token: Option<u64>,
-    expires_at: Millis,
+    sent_at: Millis,
 }
 
 impl OutstandingCalls {
     /// Records a call that is sent.
     pub(super) fn record_sent(&mut self, now: Millis, target: &InstanceId, token: u64) {
-        self.add(now, target, Some(token));
+        self.0.push(Call { target: target.clone(), token: Some(token), sent_at: now });
     }
 
     /// Records that an earlier leader may have sent a call.
     pub(super) fn assume_sent(&mut self, now: Millis, target: &InstanceId) {
-        self.add(now, target, None);
+        self.0.retain(|call| call.token.is_some() || call.target != *target);
+        self.0.push(Call { target: target.clone(), token: None, sent_at: now });
     }
 
-    fn add(&mut self, now: Millis, target: &InstanceId, token: Option<u64>) {
-        self.0.retain(|call| now < call.expires_at);
-        self.0.push(Call { target: target.clone(), token, expires_at: now + CALL_EXPIRY });
+    /// Records the outcome of a call. A call with a clear answer was carried out or never will be.
+    pub(super) fn record_outcome(
+        &mut self,
+        token: u64,
+        outcome: PromotionOutcome,
+        promotions_are_fenced: bool,
+    ) {
+        if outcome == PromotionOutcome::Unknown {
+            return;
+        }
+        self.0.retain(|call| call.token != Some(token));
+        if outcome == PromotionOutcome::Accepted && promotions_are_fenced {
+            self.0.retain(|call| call.token > Some(token));
+        }
     }
 
-    /// Records the outcome of a call. A call with a clear answer was carried out or never
-    /// will be.
-    pub(super) fn record_outcome(&mut self, token: u64, outcome: PromotionOutcome) {
-        if outcome != PromotionOutcome::Unknown {
-            self.0.retain(|call| call.token != Some(token));
-        }
+    /// Whether a call for another target than `primary` may be carried out.
+    pub(super) fn may_replace(&self, cx: &Cx<'_>, primary: &InstanceId) -> bool {
+        self.targets(cx).any(|target| target != primary)
+    }
+
+    /// Whether calls must be remembered after a change. A call for the primary is harmless while it
+    /// leads; it has to be remembered if a newer call does not void it.
+    pub(super) fn must_be_remembered(&self, cx: &Cx<'_>, primary: Option<&InstanceId>) -> bool {
+        self.targets(cx).any(|target| !cx.promotions_are_fenced || Some(target) != primary)
+    }
+
+    /// Targets of calls that may be carried out. A target that has left is not promoted; where
+    /// tokens are compared, a newer call voids the calls for it as well.
+    fn targets(&self, cx: &Cx<'_>) -> impl Iterator<Item = &InstanceId> {
+        let targets = self.0.iter().map(|call| &call.target);
+        targets.filter(|id| cx.promotions_are_fenced || cx.registry.get(id).is_some())
     }
 
-    /// Target that must lead until its calls have expired. The platform does not promote a
-    /// target that has left.
+    /// Target that is preferred to all others, since calls for it are outstanding.
     pub(super) fn required_target(&self, cx: &Cx<'_>) -> Option<&InstanceId> {
         if cx.promotions_are_fenced {
             return None;
         }
-        let may_take_effect =
-            |call: &&Call| cx.now < call.expires_at && cx.registry.get(&call.target).is_some();
-        self.0.iter().filter(may_take_effect).map(|call| &call.target).next_back()
+        let is_recent = |call: &&Call| cx.now.since(call.sent_at) < PREFERENCE_TIME;
+        let runs = |call: &&Call| cx.registry.get(&call.target).is_some();
+        self.0.iter().filter(is_recent).filter(runs).map(|call| &call.target).next_back()
     }
 }
--- a/src/fleet/primary_change.rs
+++ b/src/fleet/primary_change.rs
@@ -6,10 +6,10 @@
 use crate::{
     clock::Millis,
     fleet::{
-        commit_evidence::CommitEvidence,
+        candidate_proof::CandidateProof,
         failover::{Cx, PromotionOutcome, Reason, TargetStatus},
-        hosts::VIEW_EXPIRY,
         messages::{Announcement, TargetRole, ViewRevision},
+        promotion_safety::Safety,
     },
     ids::{InstanceId, Mark, Service},
 };
@@ -23,13 +23,6 @@
 /// Percentage of reporting hosts that must see a primary fail before it is replaced.
 const FAILING_HOSTS_PERCENT: usize = 30;
 
-/// Time within which every acknowledged commit reaches the leader in a host report: one
-/// report interval plus the network delay.
-const MAX_REPORT_DELAY: Millis = Millis(600);
-
-/// Time within which a target that joins is in the views of all hosts in contact.
-const MAX_VIEW_DELAY: Millis = Millis(3_000);
-
 /// Interval between status queries to the targets during a change.
 pub(super) const STATUS_QUERY_INTERVAL: Millis = Millis(100);
 
@@ -47,6 +40,10 @@
     pub(super) started_at: Millis,
     /// First view that marks the primary as changing.
     pub(super) view_revision: Option<ViewRevision>,
+    /// First view that names the candidate as a successor.
+    pub(super) successor_revision: Option<ViewRevision>,
+    /// Positions since all hosts acknowledge only commits that the candidate holds.
+    pub(super) proof: Option<CandidateProof>,
     /// First view without a primary, which no host may use any more.
     pub(super) withdrawn_revision: Option<ViewRevision>,
     pub(super) queried_at: Option<Millis>,
@@ -77,33 +74,21 @@
     Choosing,
     /// Waiting for the intent to be committed to the log.
     Logging,
-    /// Waiting until no host relies on the old primary.
+    /// Waiting until all hosts acknowledge only commits that the candidate holds, and until it is
+    /// proven to hold those from before.
     Revoking,
     /// Promotion sent, waiting until it takes effect.
     Calling { sent: Millis, token: u64 },
 }
 
-/// Why a candidate holds every commit that was or can still be acknowledged.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Safety {
-    /// All other replicas are paused, and none has left that may have held more.
-    Fenced,
-    /// A replica is silent or has left, but the host reports show no commit that the candidate
-    /// lacks.
-    /// Hosts must stop using the old primary before the promotion.
-    Reported,
-    /// The candidate lacks a commit that was acknowledged. A replica that has left may have
-    /// held the only other copy; the old primary holds it as well and may come back.
-    Incomplete,
-    Unproven,
-}
-
 impl PrimaryChange {
     pub(super) fn new(now: Millis, reason: Reason, unfinished: Option<InstanceId>) -> Self {
         Self {
             reason,
             started_at: now,
             view_revision: None,
+            successor_revision: None,
+            proof: None,
             withdrawn_revision: None,
             queried_at: None,
             statuses: IndexMap::new(),
@@ -142,8 +127,17 @@
         }
     }
 
-    /// Records the answer of a target to a command.
-    pub(super) fn record_status(&mut self, now: Millis, target: InstanceId, status: TargetStatus) {
+    /// Records the answer of a target to a command that was sent at `sent_at`.
+    pub(super) fn record_status(
+        &mut self,
+        now: Millis,
+        sent_at: Millis,
+        target: InstanceId,
+        status: TargetStatus,
+    ) {
+        if let Some(proof) = &mut self.proof {
+            proof.record(self.candidate.as_ref(), &target, sent_at, status.received);
+        }
         match status.paused_under {
             Some(_) => {
                 self.paused.entry(target.clone()).or_insert(status.received);
@@ -261,65 +255,14 @@
     }
 
     /// Whether the candidate has received all that the paused replicas had received.
-    fn covers_paused(&self, candidate: &InstanceId) -> bool {
+    pub(super) fn covers_paused(&self, candidate: &InstanceId) -> bool {
         let Some(own) = self.statuses.get(candidate) else { return false };
         self.paused.values().all(|received| own.received >= *received)
     }
-
-    /// Whether every host that may still use its view knows the candidate. Otherwise a host
-    /// without contact could prove the old primary without asking its successor.
-    fn is_known_to_hosts(&self, cx: &Cx<'_>, candidate: &InstanceId) -> bool {
-        let Some(joined_at) = cx.registry.joined_at(candidate) else { return true };
-        // A target that joins is in the hosts' views after one interval between views.
-        cx.now.since(joined_at) >= VIEW_EXPIRY + MAX_VIEW_DELAY
-            || self.view_revision.is_some_and(|view| cx.hosts.all_views_include(cx.now, view))
-    }
-
-    /// Why the candidate holds every commit that was or can still be acknowledged. It is
-    /// checked again before the promotion, because targets that joined during the change may
-    /// have acknowledged commits that it lacks.
-    pub(super) fn safety(
-        &self,
-        cx: &Cx<'_>,
-        service: &Service,
-        candidate: &InstanceId,
-        primary: Option<&InstanceId>,
-        evidence: &CommitEvidence,
-    ) -> Safety {
-        if self.already_primary {
-            return Safety::Fenced;
-        }
-        if !self.covers_paused(candidate)
-            || self.paused.contains_key(candidate)
-            || !self.is_known_to_hosts(cx, candidate)
-        {
-            return Safety::Unproven;
-        }
-        let Some(own) = self.statuses.get(candidate) else { return Safety::Unproven };
-        let acknowledged = cx.hosts.acknowledged(service);
-        if acknowledged.is_some_and(|newest| own.received < newest) {
-            return Safety::Incomplete;
-        }
-        let is_unpaused =
-            |it: &Announcement| it.id != *candidate && !self.paused.contains_key(&it.id);
-        let all_paused = !replicas_of(cx, service, primary).any(is_unpaused);
-        if all_paused && evidence.covers_departed(own.received) {
-            return Safety::Fenced;
-        }
-        // A replica that does not answer or has left may hold more than the candidate. The host
-        // reports tell which commits were acknowledged to callers, unless a host without
-        // contact can still commit at the old primary, or one has ended with what it knew.
-        let timed_out = cx.now.since(self.started_at) >= SILENT_REPLICA_TIMEOUT;
-        let is_reported = timed_out
-            && primary.is_none_or(|id| is_silent_to_hosts(cx, id))
-            && cx.hosts.reports_are_complete(cx.now)
-            && evidence.covers_all_before(cx.hosts.unreported_until(), own.received);
-        if is_reported { Safety::Reported } else { Safety::Unproven }
-    }
 }
 
 /// Targets of the service other than the primary.
-fn replicas_of<'a>(
+pub(super) fn replicas_of<'a>(
     cx: &'a Cx<'_>,
     service: &'a Service,
     primary: Option<&'a InstanceId>,
@@ -338,13 +281,6 @@
     cx.hosts.health_summary(cx.now, id).failing * 2 <= cx.hosts.len()
 }
 
-/// Whether no host has got an answer from the target for at least the report delay, so that
-/// the host reports include all that it has acknowledged.
-fn is_silent_to_hosts(cx: &Cx<'_>, id: &InstanceId) -> bool {
-    let summary = cx.hosts.health_summary(cx.now, id);
-    summary.answering == 0 && summary.shortest_failure.is_none_or(|span| span >= MAX_REPORT_DELAY)
-}
-
 /// Whether too many hosts report a primary as failing. If no host reports on it, missed
 /// announcements decide.
 pub(super) fn is_failing(cx: &Cx<'_>, id: &InstanceId) -> bool {
--- a/src/fleet/service_failover.rs
+++ b/src/fleet/service_failover.rs
@@ -1,20 +1,23 @@
 //! Primary of one service and the change in progress: when it starts, whom it promotes, and
 //! when it has ended. [`failover`](crate::fleet::failover) says why no commit is lost.
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::{
     clock::Millis,
     fleet::{
+        candidate_proof::CandidateProof,
         commit_evidence::CommitEvidence,
         deposed::DeposedPrimaries,
-        failover::{Action, Cx, Reason, TargetCommand, TargetStatus},
+        failover::{Action, Cx, Reason, TargetStatus},
         messages::{TargetRole, ViewRevision},
         outstanding_calls::OutstandingCalls,
         primary_change::{
-            PROMOTION_RETRY_INTERVAL, PrimaryChange, SILENT_REPLICA_TIMEOUT, STATUS_QUERY_INTERVAL,
-            Safety, Step, has_non_draining, is_failing, is_reachable,
+            PROMOTION_RETRY_INTERVAL, PrimaryChange, SILENT_REPLICA_TIMEOUT, Step,
+            has_non_draining, is_failing, is_reachable,
         },
+        promotion_safety::Safety,
+        unfinished::UnfinishedPromotions,
     },
     ids::{InstanceId, Service},
 };
@@ -27,9 +30,6 @@
 /// Time without progress after which a change is restarted.
 const CHANGE_TIMEOUT: Millis = Millis(5_000);
 
-/// Interval between log lines on a promotion that waits.
-const WAIT_LOG_INTERVAL: Millis = Millis(1_000);
-
 /// Minimum time between two primary changes of one service.
 const CHANGE_COOLDOWN: Millis = Millis(1_000);
 
@@ -47,12 +47,12 @@
     pub(super) deposed: DeposedPrimaries,
     pub(super) calls: OutstandingCalls,
     pub(super) evidence: CommitEvidence,
-    /// Target of the promotion that this leader has logged last.
-    logged: Option<InstanceId>,
+    /// Targets of the unfinished promotions that this leader has logged.
+    logged: IndexSet<InstanceId>,
     /// A change has ended, but calls to promote the primary may still be carried out, so the
     /// promotion stays unfinished in the log for the next leader.
     completed: Option<InstanceId>,
-    wait_logged_at: Option<Millis>,
+    pub(super) wait_logged_at: Option<Millis>,
 }
 
 impl ServiceState {
@@ -61,9 +61,9 @@
         &self,
         cx: &Cx<'_>,
         service: &Service,
-        unfinished: &IndexMap<Service, InstanceId>,
+        unfinished: &UnfinishedPromotions,
     ) -> Option<Reason> {
-        let is_unfinished = unfinished.get(service).is_some_and(|id| !self.is_completed(id));
+        let is_unfinished = unfinished.newest(service).is_some_and(|id| !self.is_completed(id));
         if self.disputed && !is_unfinished {
             return Some(Reason::Disputed);
         }
@@ -96,6 +96,7 @@
         &mut self,
         cx: &Cx<'_>,
         service: &Service,
+        unfinished: &UnfinishedPromotions,
         promotions_sent: &mut u64,
         out: &mut Vec<Action>,
     ) {
@@ -114,7 +115,7 @@
             }
             Step::Logging => {}
             Step::Revoking => {
-                if self.may_promote(cx, service, out) {
+                if self.may_promote(cx, service, unfinished, out) {
                     self.send_promotion(cx, service, promotions_sent, out);
                 } else {
                     self.query_targets(cx, service, out);
@@ -160,39 +161,42 @@
         }
     }
 
-    /// Queries the primary, and the replicas if necessary, to close gaps in the evidence. During
-    /// a change they are queried anyway.
-    pub(super) fn query_for_evidence(
+    /// Logs the promotion of `target`, and names it as a successor in the next view.
+    fn log_began(
         &mut self,
         cx: &Cx<'_>,
         service: &Service,
+        target: InstanceId,
         out: &mut Vec<Action>,
     ) {
-        let Some(primary) = &self.primary else { return };
-        if self.change.is_some()
-            || cx.registry.get(primary).is_none()
-            || !self.evidence.query_is_due(cx.now, cx.hosts.unreported_until())
-        {
-            return;
+        if let Some(change) = &mut self.change {
+            change.step = Step::Logging;
+            change.successor_revision = Some(next_revision(cx));
         }
-        let targets = cx.registry.of_service(service).map(|target| &target.id);
-        let queried = targets.filter(|id| self.evidence.awaits_replicas() || *id == primary);
-        out.extend(queried.map(|target| Action::SendCommand {
-            service: service.clone(),
-            target: target.clone(),
-            command: TargetCommand::Status,
-        }));
-    }
-
-    fn log_began(&mut self, service: &Service, target: InstanceId, out: &mut Vec<Action>) {
         self.completed = None;
-        self.logged = Some(target.clone());
+        self.logged.insert(target.clone());
         out.push(Action::LogPromotionBegan { service: service.clone(), target });
+        out.push(Action::ViewChanged);
+    }
+
+    /// Targets that may be promoted at any time, by a call of this leader or of an earlier one.
+    pub(super) fn successors<'a>(
+        &'a self,
+        service: &'a Service,
+        unfinished: &'a UnfinishedPromotions,
+    ) -> impl Iterator<Item = &'a InstanceId> {
+        let change = self.change.as_ref().filter(|change| change.step != Step::Choosing);
+        let candidate = change.and_then(|change| change.candidate.as_ref());
+        let logged = unfinished.targets(service).filter(move |id| Some(*id) != candidate);
+        logged.chain(candidate)
     }
 
-    /// Whether this leader has logged the promotion of `target`.
-    pub(super) fn has_logged(&self, target: &InstanceId) -> bool {
-        self.logged.as_ref() == Some(target)
+    /// Records that an earlier leader may have called for `target`, unless this leader has logged
+    /// the promotion and knows its calls.
+    pub(super) fn assume_called(&mut self, now: Millis, target: &InstanceId) {
+        if !self.logged.contains(target) {
+            self.calls.assume_sent(now, target);
+        }
     }
 
     /// Whether the primary answers again while no candidate could be chosen.
@@ -213,14 +217,6 @@
         out.push(Action::ViewChanged);
     }
 
-    /// Resumes the replicas that `change` has paused.
-    fn resume(&self, service: &Service, change: &PrimaryChange, out: &mut Vec<Action>) {
-        for target in change.paused.keys().filter(|id| Some(*id) != self.primary.as_ref()) {
-            let (service, target) = (service.clone(), target.clone());
-            out.push(Action::SendCommand { service, target, command: TargetCommand::Resume });
-        }
-    }
-
     /// Queries the targets until a candidate is proven to hold every acknowledged commit,
     /// or a target reports that it is already the primary.
     fn choose_candidate(&mut self, cx: &Cx<'_>, service: &Service, out: &mut Vec<Action>) {
@@ -250,12 +246,12 @@
             self.query_targets(cx, service, out);
             return;
         }
-        let safety = change.safety(cx, service, &candidate, primary.as_ref(), &self.evidence);
+        let safety =
+            change.safety_of_choice(cx, service, &candidate, primary.as_ref(), &self.evidence);
         if self.is_acceptable(cx, service, safety) {
-            let Some(change) = &mut self.change else { return };
+            let Some(change) = &self.change else { return };
             spdlog::info!("promotion candidate chosen", kv: {service = service.as_str(), candidate = candidate.as_str(), after_ms = cx.now.since(change.started_at).0});
-            change.step = Step::Logging;
-            self.log_began(service, candidate, out);
+            self.log_began(cx, service, candidate, out);
         }
     }
 
@@ -272,127 +268,58 @@
         change.candidate = Some(current.clone());
         change.already_primary = true;
         if change.reason == Reason::Unfinished {
-            change.step = Step::Logging;
-            self.log_began(service, current, out);
+            self.log_began(cx, service, current, out);
         } else {
             self.finish(cx, service, out);
         }
     }
 
-    /// Queries the status of all targets of the service. Once there is a candidate, the
-    /// other replicas are paused.
-    fn query_targets(&mut self, cx: &Cx<'_>, service: &Service, out: &mut Vec<Action>) {
-        let Some(change) = &mut self.change else { return };
-        if change.queried_at.is_some_and(|at| cx.now.since(at) < STATUS_QUERY_INTERVAL) {
-            return;
-        }
-        change.queried_at = Some(cx.now);
-        let term = change.newest_term;
-        for target in cx.registry.of_service(service) {
-            let is_candidate = change.candidate.as_ref() == Some(&target.id);
-            let is_primary = self.primary.as_ref() == Some(&target.id);
-            // While the promotion is carried out, replicas that join or restart are not paused
-            // yet. The others are only queried, since they may already follow the candidate.
-            let pauses = change.candidate.is_some()
-                && !change.already_primary
-                && (!change.promotion_sent() || !change.paused.contains_key(&target.id));
-            // A paused candidate would miss commits that the primary still acknowledges.
-            let command = if is_candidate && change.paused.contains_key(&target.id) {
-                TargetCommand::Resume
-            } else if pauses && !is_candidate && !is_primary {
-                TargetCommand::Pause(term + 1)
-            } else {
-                TargetCommand::Status
-            };
-            out.push(Action::SendCommand {
-                service: service.clone(),
-                target: target.id.clone(),
-                command,
-            });
-        }
-    }
-
     /// Whether a candidate is safe enough. If it is not, the change waits for as long as it
     /// takes: a target that holds the missing commits may come back.
     fn is_acceptable(&mut self, cx: &Cx<'_>, service: &Service, safety: Safety) -> bool {
-        let acceptable = matches!(safety, Safety::Fenced | Safety::Reported);
+        let acceptable = matches!(safety, Safety::Covered | Safety::Reported);
         if !acceptable {
             self.log_wait(cx, service, safety);
         }
         acceptable
     }
 
-    /// Logs once per interval why no candidate is promoted.
-    fn log_wait(&mut self, cx: &Cx<'_>, service: &Service, safety: Safety) {
-        let Some(change) = &self.change else { return };
-        if self.wait_logged_at.is_some_and(|at| cx.now.since(at) < WAIT_LOG_INTERVAL) {
-            return;
-        }
-        self.wait_logged_at = Some(cx.now);
-        let candidate = change.candidate.as_ref();
-        let received = candidate.and_then(|id| change.statuses.get(id)).map(|it| it.received);
-        let acknowledged = cx.hosts.acknowledged(service).unwrap_or_default();
-        let silent =
-            cx.registry.of_service(service).filter(|it| !change.statuses.contains_key(&it.id));
-        let silent: Vec<&str> = silent.map(|it| it.id.as_str()).collect();
-        spdlog::info!("promotion waits", kv: {
-            service = service.as_str(),
-            safety = format!("{safety:?}").as_str(),
-            candidate = candidate.map_or("none", |id| id.as_str()),
-            received = received.unwrap_or_default().to_string().as_str(),
-            acknowledged = acknowledged.to_string().as_str(),
-            paused = change.paused.len(),
-            silent = silent.join(" ").as_str(),
-            reports_complete = cx.hosts.reports_are_complete(cx.now),
-            unreported_until = cx.hosts.unreported_until().0,
-            evidence = self.evidence.to_string().as_str()
-        });
-    }
-
-    /// Whether no host relies on the old primary any more and the candidate holds every
-    /// commit. If that rests on host reports, the primary is first withdrawn from the view.
-    fn may_promote(&mut self, cx: &Cx<'_>, service: &Service, out: &mut Vec<Action>) -> bool {
-        let Some(change) = &self.change else { return false };
-        let Some(candidate) = &change.candidate else { return false };
+    /// Whether the candidate holds every commit that was acknowledged, and hosts acknowledge none
+    /// that it lacks. If that rests on host reports, the primary is first withdrawn from the view.
+    fn may_promote(
+        &mut self,
+        cx: &Cx<'_>,
+        service: &Service,
+        unfinished: &UnfinishedPromotions,
+        out: &mut Vec<Action>,
+    ) -> bool {
+        let Some(change) = &mut self.change else { return false };
         if !has_observed(cx) {
             return false;
         }
-        let safety = change.safety(cx, service, candidate, self.primary.as_ref(), &self.evidence);
+        if change.proof.is_none() {
+            if change.is_guarded(cx) {
+                change.proof = Some(CandidateProof::new(cx.now));
+                change.queried_at = None;
+            }
+            return false;
+        }
+        let Some(change) = &self.change else { return false };
+        let successors = self.successors(service, unfinished);
+        let safety = change.safety(cx, service, successors, &self.evidence);
         if !self.is_acceptable(cx, service, safety) {
             return false;
         }
         self.log_premises(cx, service, safety);
         let Some(change) = &mut self.change else { return false };
-        let mut awaited = change.view_revision;
-        if safety == Safety::Reported {
-            if change.withdrawn_revision.is_none() {
-                change.withdrawn_revision = Some(next_revision(cx));
-                out.push(Action::ViewChanged);
-            }
-            awaited = change.withdrawn_revision;
+        if safety == Safety::Covered {
+            return true;
         }
-        awaited.is_some_and(|view| cx.hosts.all_have_view(cx.now, view))
-    }
-
-    /// Logs what a promotion rests on, when it becomes safe and whenever that changes.
-    fn log_premises(&mut self, cx: &Cx<'_>, service: &Service, safety: Safety) {
-        let Some(change) = &mut self.change else { return };
-        if change.logged_safety.replace(safety) == Some(safety) {
-            return;
+        if change.withdrawn_revision.is_none() {
+            change.withdrawn_revision = Some(next_revision(cx));
+            out.push(Action::ViewChanged);
         }
-        let candidate = change.candidate.as_ref();
-        let received = candidate.and_then(|id| change.statuses.get(id)).map(|it| it.received);
-        let paused: Vec<&str> = change.paused.keys().map(|id| id.as_str()).collect();
-        spdlog::info!("promotion may be requested", kv: {
-            service = service.as_str(),
-            candidate = candidate.map_or("none", |id| id.as_str()),
-            safety = format!("{safety:?}").as_str(),
-            received = received.unwrap_or_default().to_string().as_str(),
-            acknowledged = cx.hosts.acknowledged(service).unwrap_or_default().to_string().as_str(),
-            paused = paused.join(" ").as_str(),
-            targets = cx.registry.of_service(service).count(),
-            hosts = cx.hosts.len()
-        });
+        change.withdrawn_revision.is_some_and(|view| cx.hosts.all_have_view(cx.now, view))
     }
 
     fn send_promotion(
@@ -416,7 +343,9 @@
         let Some(change) = &self.change else { return false };
         let Some(candidate) = &change.candidate else { return false };
         // Only an accepted request rejects late ones of others.
-        if change.already_primary && !change.accepted {
+        let must_be_accepted = change.already_primary
+            || (cx.promotions_are_fenced && self.calls.may_replace(cx, candidate));
+        if must_be_accepted && !change.accepted {
             return false;
         }
         let is_primary = |status: &TargetStatus| status.role == TargetRole::Primary;
@@ -458,7 +387,7 @@
     pub(super) fn end_completed(&mut self, cx: &Cx<'_>, service: &Service, out: &mut Vec<Action>) {
         if self.completed.is_some()
             && self.change.is_none()
-            && self.calls.required_target(cx).is_none()
+            && !self.calls.must_be_remembered(cx, self.primary.as_ref())
         {
             self.completed = None;
             out.push(Action::LogPromotionEnded { service: service.clone() });
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -2,10 +2,10 @@
 //! the inventory and the allocations of the rate limits.
 //!
 //! Allocations follow the older parts of a snapshot, and a batch of them follows an empty
-//! command in its log entry. Builds that know no allocations read the part before them.
+//! command in its log entry. Superseded promotions follow the allocations of a snapshot. Builds
+//! that do not know a part read those before it.
 
 use eyre::{Result, WrapErr};
-use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -13,6 +13,7 @@
         allocation::{AllocationBatch, Allocations},
         inventory::{Inventory, InventoryDelta},
         messages::ConfigDocument,
+        unfinished::{Superseded, UnfinishedPromotions},
     },
     ids::{InstanceId, Service},
 };
@@ -34,8 +35,7 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FleetState {
     pub config: ConfigDocument,
-    /// Targets of unfinished promotions.
-    pub promotions: IndexMap<Service, InstanceId>,
+    pub promotions: UnfinishedPromotions,
     pub inventory: Inventory,
     #[serde(skip)]
     pub allocations: Allocations,
@@ -78,19 +78,25 @@
 
 impl FleetState {
     /// State in encodable form, for a snapshot.
-    pub fn snapshot(&self) -> (&Self, &Allocations) {
-        (self, &self.allocations)
+    pub fn snapshot(&self) -> (&Self, &Allocations, &Superseded) {
+        (self, &self.allocations, &self.promotions.superseded)
     }
 
-    /// Decodes a snapshot of this build or of one that knows no allocations.
+    /// Decodes a snapshot of this build or of an older one.
     pub fn decode(data: &[u8]) -> Result<Self> {
-        let (state, rest): (Self, _) =
+        let (mut state, rest): (Self, _) =
             postcard::take_from_bytes(data).wrap_err("cannot decode the state in the snapshot")?;
-        let allocations = match rest {
-            [] => Allocations::default(),
-            rest => postcard::from_bytes(rest).wrap_err("cannot decode the allocations")?,
-        };
-        Ok(Self { allocations, ..state })
+        if rest.is_empty() {
+            return Ok(state);
+        }
+        let (allocations, rest) =
+            postcard::take_from_bytes(rest).wrap_err("cannot decode the allocations")?;
+        state.allocations = allocations;
+        if !rest.is_empty() {
+            state.promotions.superseded =
+                postcard::from_bytes(rest).wrap_err("cannot decode the superseded promotions")?;
+        }
+        Ok(state)
     }
 
     /// Applies a committed command.
@@ -102,11 +108,11 @@
             }
             FleetCommand::Configure(_) => Applied::Nothing,
             FleetCommand::PromotionBegan { service, target } => {
-                self.promotions.insert(service.clone(), target.clone());
+                self.promotions.begin(service.clone(), target.clone());
                 Applied::PromotionBegan
             }
             FleetCommand::PromotionEnded { service } => {
-                let Some(target) = self.promotions.shift_remove(service) else {
+                let Some(target) = self.promotions.end(service) else {
                     return Applied::Nothing;
                 };
                 self.inventory.primaries.insert(service.clone(), target);
--- a/src/gateway/control_link.rs
+++ b/src/gateway/control_link.rs
@@ -316,7 +316,11 @@
             if view.revision > newest {
                 is_new_leader = view.revision.term != self.leader_term;
                 self.leader_term = view.revision.term;
-                if view.primaries != cx.topology.borrow().view.primaries {
+                let changes_primaries = {
+                    let old = &cx.topology.borrow().view;
+                    view.primaries != old.primaries || view.successors != old.successors
+                };
+                if changes_primaries {
                     self.primaries_changed = view.revision;
                 }
                 self.control_hosts.borrow_mut().set_members(&view.control_addrs);
--- a/src/gateway/cx.rs
+++ b/src/gateway/cx.rs
@@ -99,6 +99,9 @@
     pub peers: PeerClients,
     /// Newest acknowledged commit of each service.
     pub acknowledged: RefCell<IndexMap<Service, Mark>>,
+    /// Newest commit of each service that could not be confirmed, until the targets that must
+    /// hold it do.
+    pub unconfirmed: RefCell<IndexMap<Service, Mark>>,
     /// Number of open sessions.
     pub sessions: Cell<usize>,
     /// Limits the log lines on failed requests.
@@ -134,6 +137,7 @@
             admission: AdmissionQueues::default(),
             peers: PeerClients::default(),
             acknowledged: RefCell::default(),
+            unconfirmed: RefCell::default(),
             sessions: Cell::new(0),
             request_log: RefCell::default(),
             target_log: RefCell::default(),
@@ -258,6 +262,25 @@
         spdlog::info!("primary not found by querying the targets", kv: {service = service.as_str(), reason, answers, leased, view_term = revision.term, view = revision.number, left_out = suppressed});
     }
 
+    /// Logs a commit that was not acknowledged because targets that may lead were not known to
+    /// hold it, subject to the rate limit of the log.
+    pub fn log_unconfirmed(
+        &self,
+        service: &Service,
+        target: &InstanceId,
+        position: Mark,
+        missing: &[InstanceId],
+    ) {
+        let LogDecision::Write { suppressed } = self.target_log.borrow_mut().check(self.now())
+        else {
+            return;
+        };
+        let missing: Vec<&str> = missing.iter().map(|id| id.as_str()).collect();
+        let (revision, leased) =
+            (self.topology.borrow().revision(), self.lease.borrow().is_valid(self.now()));
+        spdlog::info!("commit not acknowledged", kv: {service = service.as_str(), target = target.as_str(), position = position.to_string().as_str(), missing = missing.join(" ").as_str(), leased, view_term = revision.term, view = revision.number, left_out = suppressed});
+    }
+
     /// Records a commit that has been or is about to be acknowledged to a caller.
     pub fn record_commit(&self, service: &Service, position: Mark) {
         let mut acknowledged = self.acknowledged.borrow_mut();
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -49,7 +49,7 @@
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct SearchLabel {
+struct OutcomeLabel {
     outcome: &'static str,
 }
 
@@ -61,7 +61,8 @@
     requests: Family<RequestLabels, Counter>,
     latency: LatencyHistogram,
     limit_decisions: Family<LimitLabels, Counter>,
-    primary_searches: Family<SearchLabel, Counter>,
+    primary_searches: Family<OutcomeLabel, Counter>,
+    commit_confirmations: Family<OutcomeLabel, Counter>,
     primary_search_time: Histogram,
     sessions: Gauge,
     connections: Gauge,
@@ -101,6 +102,10 @@
             "primary_searches",
             "Statements that waited for a search for the primary, by outcome",
         );
+        let commit_confirmations = set.add(
+            "commit_confirmations",
+            "Commits that waited for the positions of other targets, by outcome",
+        );
         let primary_search_time = Histogram::new(LATENCY_BUCKETS_S);
         let help = "Time for which a statement waited for a search for the primary";
         set.add_with_unit("primary_search_time", help, Unit::Seconds, primary_search_time.clone());
@@ -110,6 +115,7 @@
             latency,
             limit_decisions,
             primary_searches,
+            commit_confirmations,
             primary_search_time,
             sessions,
             connections,
@@ -148,10 +154,16 @@
             PrimarySearch::Unproven { .. } => "unproven",
             PrimarySearch::Rejected(..) => "rejected",
         };
-        self.primary_searches.get_or_create(&SearchLabel { outcome }).inc();
+        self.primary_searches.get_or_create(&OutcomeLabel { outcome }).inc();
         self.primary_search_time.observe(took.0 as f64 / SECOND_MS);
     }
 
+    /// Counts a commit that was acknowledged after other targets had confirmed it, or could not be.
+    pub fn record_commit_confirmation(&self, confirmed: bool) {
+        let outcome = if confirmed { "confirmed" } else { "unconfirmed" };
+        self.commit_confirmations.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
     /// Counts decisions of the rate limits.
     pub fn record_limits(&self, uses: &[(Workspace, LimitUse)]) {
         for (workspace, used) in uses {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,6 +7,8 @@
 
 pub mod admission;
 pub mod attempt;
+pub mod commit_confirmation;
+pub mod commit_rule;
 pub mod control_link;
 pub mod cx;
 pub mod executor;
--- a/src/gateway/operation.rs
+++ b/src/gateway/operation.rs
@@ -83,7 +83,7 @@
 }
 
 impl<T: Targets> Operation<'_, T> {
-    fn deadline(&self) -> Millis {
+    pub(super) fn deadline(&self) -> Millis {
         self.arrived + self.auth.route.statement_timeout
     }
 
@@ -287,6 +287,10 @@
             };
             let sent = self.cx.now();
             let target = selected.client.target.clone();
+            if !self.may_commit(&target.id).await {
+                let rejected = JobError::Rejected(RETRY_AFTER_NO_TARGET, RejectReason::NoTarget);
+                return Outcome::not_run(self.error_answer(&rejected));
+            }
             let job = self.job(&target.id, Self::statement(resolved, None), self.deadline());
             let answer = match self.run(&mut selected.client, &job).await {
                 Ok(answer) => answer,
@@ -300,6 +304,9 @@
                 }
             };
             match answer.code() {
+                None if !self.confirm_commit(&target.id, answer.position).await => {
+                    return Outcome { answer: self.unconfirmed(), may_have_run: true };
+                }
                 None => {
                     if let Some(position) = answer.position {
                         self.cx.freshness.borrow_mut().observe(&target.service, sent, position);
--- a/src/gateway/primary_search.rs
+++ b/src/gateway/primary_search.rs
@@ -109,7 +109,8 @@
         }
         let targets = view.targets;
         let known_primary = cx.topology.borrow().primary(asked_at, service);
-        let answers = join_all(targets.iter().map(|target| self.query_status(target))).await;
+        let answers =
+            join_all(targets.iter().map(|target| self.query_status(target, SEARCH_TIMEOUT))).await;
         let mut proof = PrimaryProof::new(targets.len());
         let mut answered = 0;
         for (target, answer) in targets.iter().zip(answers) {
@@ -137,13 +138,18 @@
         }
     }
 
-    async fn query_status(&self, target: &Rc<Announcement>) -> Result<TargetStatus, JobError> {
+    /// Status of `target`, queried after this call.
+    pub(super) async fn query_status(
+        &self,
+        target: &Rc<Announcement>,
+        timeout: Millis,
+    ) -> Result<TargetStatus, JobError> {
         let cx: &Cx<T> = self.cx;
         let mut client = TargetClient::new(cx, target.clone(), false);
-        let mut job = self.job(&target.id, JobKind::Status, cx.now() + SEARCH_TIMEOUT);
+        let mut job = self.job(&target.id, JobKind::Status, cx.now() + timeout);
         job.priority = SEARCH_PRIORITY;
         // Other statements share the answer, so it does not depend on when this one arrived.
-        job.max_wait = SEARCH_TIMEOUT;
+        job.max_wait = timeout;
         let answer = self.run(&mut client, &job).await?;
         T::Connection::status(&answer).ok_or(JobError::Lost)
     }
--- a/src/gateway/topology.rs
+++ b/src/gateway/topology.rs
@@ -36,6 +36,8 @@
     pub primary: Option<Rc<Announcement>>,
     /// Whether the primary is about to change.
     pub changing: bool,
+    /// Targets that may be promoted at any time.
+    pub successors: Vec<InstanceId>,
 }
 
 /// Time for which a target's answer that it is not the primary overrides the view.
@@ -68,6 +70,10 @@
             let is_primary = |it: &&Rc<Announcement>| Some(&it.id) == primary.id.as_ref();
             service.primary = service.targets.iter().find(is_primary).cloned();
         }
+        for successor in &view.successors {
+            let service = self.services.entry(successor.service.clone()).or_default();
+            service.successors.push(successor.id.clone());
+        }
         self.view = view;
     }
 
--- a/src/gateway/transaction.rs
+++ b/src/gateway/transaction.rs
@@ -178,6 +178,13 @@
             return Answer::error(ErrorCode::Aborted, "no connection", TransactionState::Idle);
         };
         let operation = Operation { cx, session, auth: &self.auth, arrived };
+        let target = selected.client.target.id.clone();
+        if self.wrote && !operation.may_commit(&target).await {
+            // COMMIT was not sent, so the target rolls back.
+            selected.client.close(cx).await;
+            let text = "the primary changes; nothing is kept";
+            return Answer::error(ErrorCode::Aborted, text, TransactionState::Idle);
+        }
         let deadline = arrived + self.auth.route.statement_timeout;
         let request = request.clone();
         let kind =
@@ -186,6 +193,12 @@
         let result = operation.run(&mut selected.client, &job).await;
         let answer = result.unwrap_or_else(|_| operation.unanswered());
         selected.client.close(cx).await;
+        if self.wrote
+            && answer.result.is_ok()
+            && !operation.confirm_commit(&target, answer.position).await
+        {
+            return operation.unconfirmed();
+        }
         if let (Ok(_), Some(position), true) = (&answer.result, answer.position, self.wrote) {
             let service = &self.auth.route.service;
             cx.freshness.borrow_mut().observe(service, arrived, position);
--- /dev/null
+++ b/tests/commit_rule.rs
@@ -0,0 +1,107 @@
+//! Which targets must hold a commit before a host acknowledges it.
+
+use pomelopin::{
+    clock::Millis,
+    fleet::{
+        failover::TargetStatus,
+        messages::{Announcement, FleetView, Primary, Successor, TargetRole, ViewRevision},
+    },
+    gateway::{
+        commit_rule::{Holding, holding, required_holders},
+        lease::ControlLease,
+        topology::Topology,
+    },
+    ids::{InstanceId, Mark},
+};
+
+const NOW: Millis = Millis(10_000);
+
+fn target(id: &str) -> Announcement {
+    Announcement {
+        id: id.into(),
+        service: "ledger".into(),
+        addr: format!("{id}:1"),
+        domain: "a".into(),
+        draining: false,
+        role: TargetRole::Replica,
+        slots: 2,
+        started_at_ms: 1,
+        sequence: 1,
+        warmup_remaining: Millis(0),
+    }
+}
+
+fn topology(primary: Option<&str>, successors: &[&str]) -> Topology {
+    let mut topology = Topology::default();
+    topology.set_view(FleetView {
+        revision: ViewRevision { term: 1, number: 1 },
+        targets: ["p", "r1", "r2"].map(target).to_vec(),
+        primaries: vec![Primary {
+            service: "ledger".into(),
+            id: primary.map(Into::into),
+            changing: !successors.is_empty(),
+        }],
+        successors: successors
+            .iter()
+            .map(|id| Successor { service: "ledger".into(), id: (*id).into() })
+            .collect(),
+        ..FleetView::default()
+    });
+    topology
+}
+
+/// Holders that are required at [`NOW`] by a host that had contact at `contact`.
+fn required(topology: &Topology, contact: Millis, committed_at: &str) -> Option<Vec<InstanceId>> {
+    let mut lease = ControlLease::default();
+    lease.extend(contact, Millis(1_500));
+    required_holders(topology, &lease, NOW, &"ledger".into(), &committed_at.into())
+}
+
+fn ids(ids: &[&str]) -> Option<Vec<InstanceId>> {
+    Some(ids.iter().map(|id| InstanceId::from(*id)).collect())
+}
+
+/// Guards against questions to targets for each commit while no primary changes.
+#[test]
+fn commit_at_a_primary_without_successors_needs_no_other_target() {
+    assert_eq!(required(&topology(Some("p"), &[]), NOW, "p"), ids(&[]));
+}
+
+/// Guards against an acknowledged commit that is missing at a target which is promoted later.
+#[test]
+fn commit_during_a_change_is_held_by_all_successors() {
+    let topology = topology(Some("p"), &["r1", "r2"]);
+    assert_eq!(required(&topology, NOW, "p"), ids(&["r1", "r2"]));
+    assert_eq!(required(&topology, NOW, "r1"), ids(&["r2"]));
+}
+
+/// Guards against commits at a primary that control has withdrawn or replaced: the answer may
+/// arrive after the promotion.
+#[test]
+fn commit_at_a_replaced_primary_is_held_by_its_successor() {
+    assert_eq!(required(&topology(None, &["r1"]), NOW, "p"), ids(&["r1"]));
+    assert_eq!(required(&topology(Some("r1"), &[]), NOW, "p"), ids(&["r1"]));
+    assert_eq!(required(&topology(None, &[]), NOW, "p"), None);
+}
+
+/// Guards against commits of a host that does not know which target control promotes.
+#[test]
+fn commit_without_a_lease_is_held_by_all_targets() {
+    let topology = topology(Some("p"), &[]);
+    assert_eq!(required(&topology, Millis(5_000), "p"), ids(&["r1", "r2"]));
+    assert_eq!(required(&topology, Millis(4_000), "p"), None);
+}
+
+/// Guards against a target that counts as a holder because its position is higher: the log of a
+/// later term may lack the commit.
+#[test]
+fn position_of_a_later_term_does_not_show_that_a_commit_is_held() {
+    let commit = Mark::new(3, 100);
+    let status = |role, received| TargetStatus { role, term: 3, paused_under: None, received };
+    let replica = |received| holding(&status(TargetRole::Replica, received), commit);
+    assert_eq!(replica(Mark::new(3, 99)), Holding::Lacks);
+    assert_eq!(replica(Mark::new(3, 100)), Holding::Holds);
+    assert_eq!(replica(Mark::new(2, 500)), Holding::Lacks);
+    assert_eq!(replica(Mark::new(4, 200)), Holding::Unknown);
+    assert_eq!(holding(&status(TargetRole::Primary, Mark::new(3, 100)), commit), Holding::Unknown);
+}
--- a/tests/fleet_decoders.rs
+++ b/tests/fleet_decoders.rs
@@ -10,8 +10,8 @@
         link::{decode, encode},
         messages::{
             Allocation, AllocationRevision, Announcement, ConfigDocument, ConfigStatus, EntryHost,
-            FleetView, Frame, HostUpdate, LimitUpdate, Primary, TargetRole, TokenRequest,
-            ViewRevision,
+            FleetView, Frame, HostUpdate, LimitUpdate, Primary, Successor, TargetRole,
+            TokenRequest, ViewRevision,
         },
         state::{FleetCommand, FleetState, LogEntry, allocation_entry},
     },
@@ -51,6 +51,7 @@
             changing: true,
         }],
         control_addrs: vec!["c1:1".to_owned()],
+        successors: vec![Successor { service: "ledger".into(), id: "t2".into() }],
     };
     let allocation = Allocation { workspace: "w".into(), fraction: Fraction::WHOLE, tokens: 3 };
     let limits = LimitUpdate {
@@ -81,6 +82,10 @@
     let delta = InventoryDelta { updated: vec![target("t1")], ..InventoryDelta::default() };
     let mut state = FleetState::default();
     state.apply(&FleetCommand::Inventory(delta.clone()));
+    for target in ["t2", "t3"] {
+        let target = target.into();
+        state.apply(&FleetCommand::PromotionBegan { service: "ledger".into(), target });
+    }
     let change =
         AllocationChange { workspace: "w".into(), host: "h1".into(), fraction: Fraction::WHOLE };
     let batch =
--- a/tests/fleet_messages.rs
+++ b/tests/fleet_messages.rs
@@ -10,8 +10,8 @@
         inventory::InventoryDelta,
         link::{decode, encode},
         messages::{
-            Allocation, AllocationRevision, ConfigStatus, Frame, HostReport, HostUpdate,
-            LimitReport, LimitUpdate, TokenGrant, TokenRequest, ViewRevision,
+            Allocation, AllocationRevision, ConfigStatus, FleetView, Frame, HostReport, HostUpdate,
+            LimitReport, LimitUpdate, Successor, TokenGrant, TokenRequest, ViewRevision,
         },
         state::{Applied, FleetCommand, FleetState, LogEntry, allocation_entry},
     },
@@ -140,6 +140,48 @@
     }
 }
 
+/// Update with a view, as the leader sends it to all hosts.
+fn view_update(successors: &[&str]) -> HostUpdate {
+    let successor = |id: &&str| Successor { service: "ledger".into(), id: (*id).into() };
+    let successors = successors.iter().map(successor).collect();
+    let revision = ViewRevision { term: 3, number: 9 };
+    let view = Some(FleetView { revision, successors, ..FleetView::default() });
+    let limits = Some(LimitUpdate::default());
+    HostUpdate { view, limits, ..HostUpdate::default() }
+}
+
+/// Guards against commits that a host acknowledges because the successors in its view were lost on
+/// the way.
+#[test]
+fn successors_reach_the_host() {
+    for successors in [&["r1", "r2"][..], &[]] {
+        let sent = view_update(successors);
+        match decode(&encode(&Frame::Update(sent.clone()))).unwrap() {
+            Frame::Update(update) => {
+                assert_eq!(update.view, sent.view);
+                assert_eq!(
+                    update.lease,
+                    Millis(0),
+                    "the status of the configuration has no effect"
+                );
+            }
+            frame => panic!("{frame:?}"),
+        }
+    }
+}
+
+/// Guards against views that older builds reject, because they name successors.
+#[test]
+fn older_builds_read_views_with_successors() {
+    let sent = view_update(&["r1"]);
+    let bytes = encode(&Frame::Update(sent.clone()));
+    let (frame, extension): (Frame, _) = postcard::take_from_bytes(&bytes[1..]).unwrap();
+    assert!(matches!(frame, Frame::Update(HostUpdate { view: Some(_), .. })));
+    let (limits, rest): (LimitUpdate, _) = postcard::take_from_bytes(extension).unwrap();
+    assert_eq!(Some(limits), sent.limits);
+    assert_eq!(postcard::from_bytes::<ConfigStatus>(rest).unwrap(), ConfigStatus::Outdated);
+}
+
 /// Guards against frames of older builds that this one rejects or encodes differently.
 #[test]
 fn frames_of_older_builds_are_read() {
@@ -193,3 +235,22 @@
     let older = postcard::to_allocvec(&known_to_older).unwrap();
     assert_eq!(FleetState::decode(&older).unwrap(), FleetState::default());
 }
+
+/// Guards against a next leader that does not know which targets may still be promoted, and against
+/// snapshots that one of the builds cannot restore.
+#[test]
+fn snapshots_keep_superseded_promotions_and_older_builds_read_them() {
+    let mut state = FleetState::default();
+    for target in ["r1", "r2", "r2", "r3"] {
+        let target = target.into();
+        state.apply(&FleetCommand::PromotionBegan { service: "ledger".into(), target });
+    }
+    let bytes = postcard::to_allocvec(&state.snapshot()).unwrap();
+    let restored = FleetState::decode(&bytes).unwrap();
+    assert_eq!(restored, state);
+    let service = "ledger".into();
+    let targets: Vec<&str> = restored.promotions.targets(&service).map(|id| id.as_str()).collect();
+    assert_eq!(targets, ["r1", "r2", "r3"]);
+    let known_to_older: FleetState = postcard::from_bytes(&bytes).unwrap();
+    assert_eq!(known_to_older.promotions.newest(&service), Some(&"r3".into()));
+}
--- a/tests/primary_simulation/faults.rs
+++ b/tests/primary_simulation/faults.rs
@@ -11,6 +11,8 @@
     /// All that the platform's pages allow: targets that restart, join and leave at any time, and
     /// calls and orders that are lost or late. Some faults strike while a call is outstanding.
     pub platform: bool,
+    /// Targets join that control cannot reach for seconds, and give receipts meanwhile.
+    pub unknown_targets: bool,
 }
 
 /// Number of targets that exist in one run.
@@ -136,9 +138,10 @@
     }
 }
 
-/// A target joins, in half of the cases while control cannot reach it.
+/// A target joins, in half of the cases while control cannot reach it, if the run has such targets.
 fn join(fleet: &mut Fleet, rng: &mut SmallRng) {
     let unknown_ms = if rng.random_bool(0.5) { rng.random_range(500..8_000) } else { 0 };
+    let unknown_ms = if fleet.has_unknown_targets { unknown_ms } else { 0 };
     if fleet.service.targets.len() < MAX_TARGETS {
         fleet.join(unknown_ms);
     }
--- a/tests/primary_simulation/fleet.rs
+++ b/tests/primary_simulation/fleet.rs
@@ -1,6 +1,7 @@
 //! Control leaders and entry hosts around a simulated service. Leaders run the real state
 //! machine of primary changes; hosts use the real lease, view, proof and freshness.
 
+mod confirmations;
 mod control;
 mod hosts;
 mod platform;
@@ -13,6 +14,7 @@
         hosts::LEASE_DURATION,
         inventory::Inventory,
         messages::{Announcement, FleetView, HostReport, ViewRevision},
+        unfinished::UnfinishedPromotions,
     },
     gateway::{
         freshness::Freshness, lease::ControlLease, primary_proof::PrimaryProof, topology::Topology,
@@ -22,6 +24,7 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 use crate::targets::{Entry, Service};
+use confirmations::Confirmation;
 use control::Leader;
 
 const STEP_MS: u64 = 5;
@@ -154,6 +157,8 @@
     pub proven_reads: usize,
     pub commits: usize,
     pub refused: usize,
+    /// Commits that were run and not acknowledged.
+    pub unconfirmed: usize,
 }
 
 pub struct Fleet {
@@ -162,6 +167,8 @@
     pub service: Service,
     /// Number of targets unless some join or leave.
     pub usual_targets: usize,
+    /// Whether control cannot reach some targets when they join.
+    pub has_unknown_targets: bool,
     hosts: Vec<Host>,
     leader: Option<Leader>,
     /// A replaced leader that stood still, and thinks that it leads when it wakes up.
@@ -169,13 +176,14 @@
     next_leader_at: u64,
     term: u64,
     /// Unfinished promotions and primaries in the replicated log.
-    unfinished: IndexMap<ServiceName, InstanceId>,
+    unfinished: UnfinishedPromotions,
     logged_primary: Option<InstanceId>,
     /// Targets in the replicated log.
     inventory: Inventory,
     messages: Vec<(u64, Message)>,
     proofs: Vec<Proof>,
     commits: Vec<PendingCommit>,
+    confirmations: Vec<Confirmation>,
     /// Pairs of nodes that do not reach each other, until the given time.
     cuts: Vec<(String, String, u64)>,
     /// Whether commits are answered late, targets leave by themselves, and calls and orders are
@@ -222,17 +230,19 @@
             now: 1_000,
             service: Service::new(targets, fenced),
             usual_targets: targets,
+            has_unknown_targets: false,
             hosts: (0..HOSTS).map(Host::new).collect(),
             leader: None,
             former: None,
             next_leader_at: 0,
             term: 1,
-            unfinished: IndexMap::new(),
+            unfinished: UnfinishedPromotions::default(),
             logged_primary: None,
             inventory: Inventory::default(),
             messages: Vec::new(),
             proofs: Vec::new(),
             commits: Vec::new(),
+            confirmations: Vec::new(),
             cuts: Vec::new(),
             platform_faults: false,
             late_until: 0,
@@ -296,6 +306,7 @@
         }
         self.advance_proofs();
         self.advance_commits();
+        self.advance_confirmations();
     }
 
     pub fn freeze_host(&mut self, index: usize, ms: u64) {
@@ -316,6 +327,7 @@
         self.messages.retain(|(_, message)| !is_of_host(message));
         self.proofs.retain(|proof| proof.host != index);
         self.commits.retain(|commit| commit.host != index);
+        self.confirmations.retain(|it| it.commit.host != index);
     }
 
     fn deliver(&mut self) {
--- a/tests/primary_simulation/fleet/control.rs
+++ b/tests/primary_simulation/fleet/control.rs
@@ -117,6 +117,7 @@
             revision: leader.view.revision,
             targets: leader.registry.all().cloned().collect(),
             primaries: vec![Primary { service: service_name(), id: primary.clone(), changing }],
+            successors: leader.failover.successors(&service_name(), &self.unfinished),
             ..FleetView::default()
         };
         if !changing {
@@ -125,8 +126,9 @@
         let sequences = |view: &FleetView| -> Vec<_> {
             view.targets.iter().map(|it| (it.id.clone(), it.draining)).collect()
         };
-        let changed =
-            sequences(&next) != sequences(&leader.view) || next.primaries != leader.view.primaries;
+        let changed = sequences(&next) != sequences(&leader.view)
+            || next.primaries != leader.view.primaries
+            || next.successors != leader.view.successors;
         if changed || std::mem::take(&mut self.view_due) {
             leader.view = next;
             leader.view.revision.number += 1;
@@ -161,7 +163,7 @@
         let mut failover = std::mem::take(&mut leader.failover);
         let fenced = self.service.fenced;
         let cx = leader.cx(Millis(self.now), fenced);
-        let actions = failover.handle(&cx, &service_name(), event);
+        let actions = failover.handle(&cx, &service_name(), event, &self.unfinished);
         leader.failover = failover;
         self.leader = Some(leader);
         self.execute(actions);
@@ -180,12 +182,12 @@
                     self.post(Message::Command { term, target, command, sent });
                 }
                 Action::LogPromotionBegan { target, .. } => {
-                    self.unfinished.insert(service_name(), target);
+                    self.unfinished.begin(service_name(), target);
                     self.evaluated = None;
                     self.post(Message::Logged { term });
                 }
                 Action::LogPromotionEnded { .. } => {
-                    self.logged_primary = self.unfinished.shift_remove(&service_name());
+                    self.logged_primary = self.unfinished.end(&service_name());
                 }
                 Action::Promote { target, token, .. } => {
                     let (decided, target) = (self.now, target.to_string());
--- a/tests/primary_simulation/fleet/hosts.rs
+++ b/tests/primary_simulation/fleet/hosts.rs
@@ -189,7 +189,7 @@
             if self.platform_faults {
                 self.post(Message::CommitAnswer { commit: commit.clone() });
             } else {
-                self.acknowledge(commit);
+                self.confirm(commit.clone());
             }
             false
         });
@@ -207,12 +207,12 @@
             self.messages.push((frozen_until, Message::CommitAnswer { commit }));
             return;
         }
-        self.acknowledge(&commit);
+        self.confirm(commit);
     }
 
     /// Acknowledges a commit to its caller. Every acknowledgement passes here.
-    fn acknowledge(&mut self, commit: &PendingCommit) {
-        if self.platform_faults {
+    pub(super) fn acknowledge(&mut self, commit: &PendingCommit, has_waited: bool) {
+        if self.platform_faults || has_waited {
             self.service.acknowledge_later(self.now, &commit.target, commit.entry);
         } else if let Some(index) = self.service.index(&commit.target) {
             self.service.acknowledge(self.now, index, commit.entry);
--- a/tests/primary_simulation/main.rs
+++ b/tests/primary_simulation/main.rs
@@ -32,6 +32,7 @@
     let mut fleet = Fleet::new(seed, targets, fenced);
     if faults.platform {
         fleet.enable_platform_faults();
+        fleet.has_unknown_targets = faults.unknown_targets;
     }
     fleet.run(START_MS);
     let end = fleet.now + RUN_MS;
@@ -94,7 +95,7 @@
     assert!(total.commits > 100 && total.proven_reads > 20 && promoted > 2, "{total:?}");
 }
 
-const KILLS: Faults = Faults { kills_hosts: true, platform: false };
+const KILLS: Faults = Faults { kills_hosts: true, platform: false, unknown_targets: false };
 
 /// Runs that once failed: seed, number of targets, whether promotions are fenced. The comments
 /// tell what was found; a later change of the simulation may lead a seed elsewhere.
@@ -183,11 +184,22 @@
 /// Guards against promotions that take effect after commits that the leader's check did not cover.
 #[test]
 fn acknowledged_commits_survive_whatever_happens_before_a_promotion_takes_effect() {
+    check_platform_faults(Faults { platform: true, unknown_targets: true, ..Faults::default() });
+}
+
+/// The same, if control reaches the targets that join.
+#[test]
+fn acknowledged_commits_survive_late_promotions_beside_targets_that_join_leave_and_restart() {
+    check_platform_faults(Faults { platform: true, ..Faults::default() });
+}
+
+fn check_platform_faults(faults: Faults) {
     let mut outcome = Outcome::default();
     for (targets, fenced) in [(3, true), (3, false), (2, true), (2, false), (5, true), (5, false)] {
-        outcome.run_case(targets, fenced);
+        outcome.run_case(targets, fenced, faults);
     }
-    let Outcome { commits, promotions, failures } = outcome;
+    let Outcome { commits, unconfirmed, promotions, failures } = outcome;
+    println!("{commits} commits, {unconfirmed} not acknowledged, {promotions} promotions");
     assert!(failures.is_empty(), "{} runs failed, the first one: {}", failures.len(), failures[0]);
     assert!(commits > 500 && promotions > 2, "{commits} commits, {promotions} promotions");
 }
@@ -196,6 +208,7 @@
 #[derive(Debug, Default)]
 struct Outcome {
     commits: usize,
+    unconfirmed: usize,
     promotions: usize,
     /// First violation of each run that failed, with the events before it.
     failures: Vec<String>,
@@ -203,12 +216,12 @@
 
 impl Outcome {
     /// Runs all seeds, and prints which failed by their first violation.
-    fn run_case(&mut self, targets: usize, fenced: bool) {
+    fn run_case(&mut self, targets: usize, fenced: bool, faults: Faults) {
         let mut kinds: IndexMap<ViolationKind, Vec<u64>> = IndexMap::new();
-        let faults = Faults { platform: true, ..Faults::default() };
         for seed in seeds() {
             let fleet = run_with(seed, targets, fenced, faults);
             self.commits += fleet.counts.commits;
+            self.unconfirmed += fleet.counts.unconfirmed;
             self.promotions += fleet.service.promoted;
             if let Some(violation) = fleet.service.violations.first() {
                 kinds.entry(violation.kind).or_default().push(seed);
