Give a leaving primary no new work after four seconds

Cause: a host used the primary of its view, or the proven one, for as long as no other target led, whatever the primary had announced.

Change: a host notes when it learned that a target leaves. From 4 s on it is no primary for new work, and a search that finds it counts as failed, so that statements are refused at once after the first ones.

--- a/src/gateway/control_link.rs
+++ b/src/gateway/control_link.rs
@@ -363,7 +363,11 @@
         let exists = |id: &crate::ids::InstanceId| view.targets.iter().any(|it| it.id == *id);
         cx.retain_targets(exists);
         cx.lenders.borrow_mut().set_hosts(cx.now(), &view.hosts);
-        cx.topology.borrow_mut().set_view(view);
+        {
+            let mut topology = cx.topology.borrow_mut();
+            topology.set_view(view);
+            topology.record_draining(cx.now());
+        }
         cx.trim_pools();
     }
 }
--- a/src/gateway/topology.rs
+++ b/src/gateway/topology.rs
@@ -25,6 +25,8 @@
     not_primary: IndexMap<Service, (InstanceId, Millis)>,
     /// Primaries that this host has discovered by querying the targets under the current view.
     discovered: IndexMap<Service, InstanceId>,
+    /// Since when this host knows that a target is leaving.
+    draining_since: IndexMap<InstanceId, Millis>,
     /// Cache of [`rank_owners`] by target.
     ranked_owners: IndexMap<InstanceId, Rc<[EntryHost]>>,
 }
@@ -43,6 +45,10 @@
 /// Time for which a target's answer that it is not the primary overrides the view.
 const NOT_PRIMARY_TTL: Millis = Millis(200);
 
+/// Time for which a primary that is leaving gets new work. Usually another target leads by then; if
+/// calls that promote one get no answer, statements are refused instead.
+const MAX_DRAINING_TIME: Millis = Millis(4_000);
+
 impl Topology {
     /// Replaces the configuration if `config` is newer; returns whether it is.
     pub fn set_config(&mut self, config: FleetConfig) -> bool {
@@ -77,6 +83,18 @@
         self.view = view;
     }
 
+    /// Notes which targets of the view are leaving.
+    pub fn record_draining(&mut self, now: Millis) {
+        let draining = self.view.targets.iter().filter(|target| target.draining);
+        let since = |id: &InstanceId| self.draining_since.get(id).copied().unwrap_or(now);
+        self.draining_since = draining.map(|it| (it.id.clone(), since(&it.id))).collect();
+    }
+
+    /// Whether `target` has been leaving for so long that it gets no new work.
+    pub fn has_drained(&self, now: Millis, target: &InstanceId) -> bool {
+        self.draining_since.get(target).is_some_and(|at| now.since(*at) >= MAX_DRAINING_TIME)
+    }
+
     /// Hosts ordered by precedence as the owner of `target`.
     pub fn ranked_owners(&mut self, target: &Announcement) -> Rc<[EntryHost]> {
         if let Some(ranked) = self.ranked_owners.get(&target.id) {
@@ -130,9 +148,13 @@
         discovered.or_else(|| view.primary.clone())
     }
 
-    /// Primary of `service`, unless it has just answered that it is not the primary.
+    /// Primary of `service`, unless it has just answered that it is not the primary or gets no new
+    /// work.
     pub fn primary(&self, now: Millis, service: &Service) -> Option<Rc<Announcement>> {
         let primary = self.known_primary(service)?;
+        if self.has_drained(now, &primary.id) {
+            return None;
+        }
         let refuted = self
             .not_primary
             .get(service)
--- a/tests/gateway_primaries.rs
+++ b/tests/gateway_primaries.rs
@@ -282,3 +282,20 @@
     let took = cx.now().since(began);
     assert!(result.is_ok() || took >= Millis(150), "{result:?} after {took}");
 }
+
+/// Guards against new work for a primary that has been leaving for seconds and that a search proves
+/// to be the primary still.
+#[tokio::test]
+async fn proven_primary_that_has_been_leaving_for_seconds_is_not_used() {
+    let cx = cx(&[("p", PRIMARY, 1), ("r1", REPLICA, 1), ("r2", REPLICA, 1)]);
+    let mut leaving = view(Some("p"));
+    leaving.targets[0].draining = true;
+    cx.topology.borrow_mut().set_view(leaving);
+    cx.topology.borrow_mut().record_draining(cx.now());
+    let (result, reads) = read(&cx).await;
+    assert!(result.is_ok(), "it is used until another target leads: {result:?}");
+    assert_eq!(reads, ["p"]);
+    tokio::time::sleep(Duration::from_millis(4_000)).await;
+    cx.targets.reads.borrow_mut().clear();
+    assert_eq!(read(&cx).await, (Err(ErrorCode::Busy), vec![]));
+}
--- a/tests/gateway_topology.rs
+++ b/tests/gateway_topology.rs
@@ -78,3 +78,25 @@
     topology.set_discovered_primary(&service, &"p".into(), asked_under);
     assert_eq!(primary(&topology, 0).as_deref(), Some("r"));
 }
+
+/// Guards against work for a primary that has said seconds ago that it leaves, while calls that
+/// promote its successor get no answer (DRAIN on scb-pomelopin, late-promotions.toml --vary --seed
+/// 1057613245310).
+#[test]
+fn primary_that_has_been_leaving_for_seconds_gets_no_new_work() {
+    let mut topology = Topology::default();
+    let draining = |number| {
+        let leaving = Announcement { draining: true, ..target("p") };
+        FleetView { targets: vec![leaving, target("r")], ..view(number, "p") }
+    };
+    topology.set_view(draining(1));
+    topology.record_draining(Millis(10_000));
+    assert_eq!(primary(&topology, 13_900).as_deref(), Some("p"));
+    topology.set_view(draining(2));
+    topology.record_draining(Millis(13_950));
+    assert_eq!(primary(&topology, 14_000), None);
+    assert!(topology.has_drained(Millis(14_000), &"p".into()));
+    topology.set_view(view(3, "r"));
+    topology.record_draining(Millis(14_100));
+    assert_eq!(primary(&topology, 14_100).as_deref(), Some("r"));
+}
