--- a/src/fleet/candidate_proof.rs
+++ b/src/fleet/candidate_proof.rs
@@ -7,9 +7,10 @@
 //! be silent, or ahead by commits that no replica has received.
 //!
 //! The positions are answers to questions that were asked after all hosts had begun. A proof that
-//! has succeeded holds on: the candidate's log does not lose what it has, and the hosts
-//! acknowledge nothing that it lacks. Replicas that join, leave, restart or are resumed later
-//! cannot change that.
+//! has succeeded holds on: the candidate keeps its log when it restarts, and the hosts acknowledge
+//! nothing that it lacks. Replicas that join, leave, restart or are resumed later cannot change
+//! that. A candidate whose position falls has lost its log, or was rolled back to that of another
+//! target, and must be proven again.
 
 use indexmap::IndexMap;
 
@@ -30,12 +31,13 @@
     first: IndexMap<InstanceId, Mark>,
     /// Newest position of the candidate.
     candidate: Option<Mark>,
+    has_regressed: bool,
 }
 
 impl CandidateProof {
     /// Proof by answers to questions that are asked from `since` on.
     pub(super) fn new(since: Millis) -> Self {
-        Self { since, first: IndexMap::new(), candidate: None }
+        Self { since, first: IndexMap::new(), candidate: None, has_regressed: false }
     }
 
     /// Records the position of `target` in its answer to a question of `asked_at`.
@@ -51,20 +53,30 @@
         }
         self.first.entry(target.clone()).or_insert(received);
         if candidate == Some(target) {
-            self.candidate = self.candidate.max(Some(received));
+            self.has_regressed |= self.candidate.is_some_and(|newest| received < newest);
+            self.candidate = Some(received);
         }
     }
 
+    /// Whether the candidate has less than it had.
+    pub(super) fn has_regressed(&self) -> bool {
+        self.has_regressed
+    }
+
     /// Newest position of the candidate.
     pub(super) fn candidate(&self) -> Option<Mark> {
         self.candidate
     }
 
     /// Whether the candidate is proven to hold every commit that was acknowledged before. `others`
-    /// are all other targets that may have held one.
-    pub(super) fn covers<'a>(&self, others: impl Iterator<Item = &'a InstanceId>) -> bool {
-        let Some(own) = self.candidate else { return false };
+    /// are all other targets that may have held one; a primary that is not known counts as one more.
+    pub(super) fn covers<'a>(
+        &self,
+        others: impl Iterator<Item = &'a InstanceId>,
+        primary_is_known: bool,
+    ) -> bool {
+        let Some(own) = self.candidate.filter(|_| !self.has_regressed) else { return false };
         let is_uncovered = |id: &&InstanceId| self.first.get(*id).is_none_or(|it| *it > own);
-        others.filter(is_uncovered).count() <= MAX_UNCOVERED
+        others.filter(is_uncovered).count() + usize::from(!primary_is_known) <= MAX_UNCOVERED
     }
 }
--- a/src/fleet/commit_evidence.rs
+++ b/src/fleet/commit_evidence.rs
@@ -13,7 +13,7 @@
 //! holds every commit that was acknowledged before the query.
 
 use derive_more::Display;
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexSet;
 
 use crate::{
     clock::Millis,
@@ -49,17 +49,11 @@
 }
 
 impl CommitEvidence {
-    /// Notes which replicas the registry holds. `paused` has the final positions of those that
-    /// receive nothing any more.
-    pub(super) fn update_replicas(
-        &mut self,
-        now: Millis,
-        replicas: &[&InstanceId],
-        paused: &IndexMap<InstanceId, Mark>,
-    ) {
-        let left = self.replicas.extract_if(.., |id| !replicas.contains(&id));
-        for id in left {
-            self.replication = self.replication.without_replica(now, paused.get(&id));
+    /// Notes which replicas the registry holds. A pause says nothing of one that has left: it may
+    /// have ended before.
+    pub(super) fn update_replicas(&mut self, now: Millis, replicas: &[&InstanceId]) {
+        for id in self.replicas.extract_if(.., |id| !replicas.contains(&id)) {
+            self.replication = Replication::UnknownUntil(now);
             self.departed.insert(id);
         }
         for id in replicas {
@@ -128,17 +122,6 @@
 }
 
 impl Replication {
-    /// State after a replica has left; `paused_at` is its position if it was paused.
-    fn without_replica(self, now: Millis, paused_at: Option<&Mark>) -> Self {
-        match (self, paused_at) {
-            (Self::UnknownUntil(_), _) | (_, None) => Self::UnknownUntil(now),
-            (Self::Complete, Some(position)) => Self::AwaitedUpTo(*position),
-            (Self::AwaitedUpTo(awaited), Some(position)) => {
-                Self::AwaitedUpTo(awaited.max(*position))
-            }
-        }
-    }
-
     fn is_complete_at(self, received: Mark) -> bool {
         match self {
             Self::Complete => true,
--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -430,7 +430,9 @@
             }
             let (now, term) = (self.clock.now(), leader.view.revision.term);
             let config = self.state.config.version;
-            *leader = LeaderState::new(now, term, self.announce_interval, config);
+            let failover = leader.failover.reset();
+            let reset = LeaderState::new(now, term, self.announce_interval, config);
+            *leader = LeaderState { failover, ..reset };
             leader.view.revision.number = self.clock.now().0;
         }
     }
--- a/src/fleet/failover.rs
+++ b/src/fleet/failover.rs
@@ -40,9 +40,9 @@
     fleet::{
         hosts::Hosts,
         messages::{Successor, TargetRole, ViewRevision},
-        primary_change::{PrimaryChange, Step},
+        primary_change::PrimaryChange,
         registry::Registry,
-        service_failover::ServiceState,
+        service_failover::{ServiceState, fencing_token},
         unfinished::UnfinishedPromotions,
     },
     ids::{InstanceId, Mark, Service},
@@ -95,8 +95,10 @@
         token: u64,
         outcome: PromotionOutcome,
     },
-    /// The intent to promote is committed to the log.
-    PromotionLogged,
+    /// The intent to promote `target` is committed to the log.
+    PromotionLogged {
+        target: InstanceId,
+    },
 }
 
 /// Output for the event loop to carry out.
@@ -161,6 +163,12 @@
 }
 
 impl Failover {
+    /// State of a leader that has lost what it knew and goes on in its term: its fencing tokens
+    /// continue after those that it has used.
+    pub fn reset(&self) -> Self {
+        Self { services: IndexMap::new(), promotions_sent: self.promotions_sent }
+    }
+
     /// Primary of `service` that hosts may use, and whether it may change at any time: a
     /// change is in progress, or `unfinished` holds a promotion that may still be carried
     /// out.
@@ -243,8 +251,9 @@
                 spdlog::warn!("primary change started", kv: {service = service.as_str(), reason = format!("{reason:?}").as_str(), primary = state.primary.as_ref().map_or("none", |id| id.as_str())});
                 state.disputed = false;
                 // Of its own calls the leader knows which are outstanding.
+                let newest_token = fencing_token(cx.term, self.promotions_sent);
                 for target in unfinished.targets(&service) {
-                    state.assume_called(cx.now, target);
+                    state.assume_called(cx.now, target, newest_token);
                 }
                 let newest =
                     unfinished.newest(&service).filter(|id| !state.is_completed(id)).cloned();
@@ -282,8 +291,7 @@
                 change.record_status(cx.now, sent_at, target, status);
             }
             Event::CommandCompleted { status: None, .. } => {}
-            Event::PromotionLogged if change.step == Step::Logging => change.step = Step::Revoking,
-            Event::PromotionLogged => {}
+            Event::PromotionLogged { target } => change.handle_logged(&target),
             Event::PromotionCompleted { token, outcome } => {
                 change.handle_promotion_outcome(cx.now, token, outcome)
             }
--- a/src/fleet/group_io.rs
+++ b/src/fleet/group_io.rs
@@ -103,8 +103,9 @@
                 let _ = pending.reply.send(ControlResponse::Unavailable);
             }
         }
-        if let FleetCommand::PromotionBegan { service, .. } = &command {
-            self.handle_failover_event(service, failover::Event::PromotionLogged);
+        if let FleetCommand::PromotionBegan { service, target } = command {
+            let logged = failover::Event::PromotionLogged { target };
+            self.handle_failover_event(&service, logged);
         }
         Ok(())
     }
--- a/src/fleet/leader.rs
+++ b/src/fleet/leader.rs
@@ -124,7 +124,7 @@
         let is_new = previous_incarnation != Some(report.incarnation);
         for announcement in &report.known_targets {
             leader.view_push_pending |=
-                leader.registry.record_if_unknown(now, announcement) == AnnouncementEffect::Changed;
+                leader.registry.record_reported(now, announcement) == AnnouncementEffect::Changed;
             if announcement.role == crate::fleet::messages::TargetRole::Primary
                 && !leader.failover.has_primary(&announcement.service)
             {
--- a/src/fleet/outstanding_calls.rs
+++ b/src/fleet/outstanding_calls.rs
@@ -22,21 +22,27 @@
 #[derive(Debug)]
 struct Call {
     target: InstanceId,
-    /// `None` for calls of earlier leaders, whose tokens are lower.
-    token: Option<u64>,
+    token: u64,
     sent_at: Millis,
 }
 
 impl OutstandingCalls {
     /// Records a call that is sent.
     pub(super) fn record_sent(&mut self, now: Millis, target: &InstanceId, token: u64) {
-        self.0.push(Call { target: target.clone(), token: Some(token), sent_at: now });
+        self.0.push(Call { target: target.clone(), token, sent_at: now });
     }
 
-    /// Records that an earlier leader may have sent a call.
-    pub(super) fn assume_sent(&mut self, now: Millis, target: &InstanceId) {
-        self.0.retain(|call| call.token.is_some() || call.target != *target);
-        self.0.push(Call { target: target.clone(), token: None, sent_at: now });
+    /// Records that a call that this leader does not know of may have been sent, with a token up to
+    /// `newest_token`.
+    pub(super) fn assume_sent(&mut self, now: Millis, target: &InstanceId, newest_token: u64) {
+        if self.0.iter().all(|call| call.target != *target) {
+            self.record_sent(now, target, newest_token);
+        }
+    }
+
+    /// Whether no call is outstanding.
+    pub(super) fn is_empty(&self) -> bool {
+        self.0.is_empty()
     }
 
     /// Records the outcome of a call. A call with a clear answer was carried out or never will be.
@@ -49,9 +55,9 @@
         if outcome == PromotionOutcome::Unknown {
             return;
         }
-        self.0.retain(|call| call.token != Some(token));
+        self.0.retain(|call| call.token != token);
         if outcome == PromotionOutcome::Accepted && promotions_are_fenced {
-            self.0.retain(|call| call.token > Some(token));
+            self.0.retain(|call| call.token > token);
         }
     }
 
--- a/src/fleet/primary_change.rs
+++ b/src/fleet/primary_change.rs
@@ -76,7 +76,7 @@
     Logging,
     /// Waiting until all hosts acknowledge only commits that the candidate holds, and until it is
     /// proven to hold those from before.
-    Revoking,
+    Proving,
     /// Promotion sent, waiting until it takes effect.
     Calling { sent: Millis, token: u64 },
 }
@@ -127,6 +127,13 @@
         }
     }
 
+    /// Goes on once the promotion of the candidate is in the log.
+    pub(super) fn handle_logged(&mut self, target: &InstanceId) {
+        if self.step == Step::Logging && self.candidate.as_ref() == Some(target) {
+            self.step = Step::Proving;
+        }
+    }
+
     /// Records the answer of a target to a command that was sent at `sent_at`.
     pub(super) fn record_status(
         &mut self,
--- a/src/fleet/promotion_safety.rs
+++ b/src/fleet/promotion_safety.rs
@@ -94,12 +94,13 @@
         if is_reported { Safety::Reported } else { Safety::Unproven }
     }
 
-    /// Why the candidate holds every acknowledged commit, now and until the change has ended.
-    /// `successors` are the targets of calls that may be carried out.
+    /// Why the candidate holds every acknowledged commit, now and from now on. `successors` are the
+    /// targets of calls that may be carried out. `primary` counts also if it has left.
     pub(super) fn safety<'a>(
         &'a self,
         cx: &'a Cx<'_>,
         service: &'a Service,
+        primary: Option<&'a InstanceId>,
         successors: impl Iterator<Item = &'a InstanceId>,
         evidence: &'a CommitEvidence,
     ) -> Safety {
@@ -116,9 +117,9 @@
         }
         let departed = evidence.departed().filter(|_| !evidence.covers_departed(own));
         let registered = cx.registry.of_service(service).map(|target| &target.id);
-        let others: IndexSet<&InstanceId> =
-            registered.chain(departed).chain(successors).filter(|id| *id != candidate).collect();
-        if proof.covers(others.into_iter()) {
+        let known = registered.chain(departed).chain(successors).chain(primary);
+        let others: IndexSet<&InstanceId> = known.filter(|id| *id != candidate).collect();
+        if proof.covers(others.into_iter(), primary.is_some()) {
             Safety::Covered
         } else if reports_cover(cx, own, evidence) {
             Safety::Reported
--- a/src/fleet/registry.rs
+++ b/src/fleet/registry.rs
@@ -34,7 +34,7 @@
 struct Entry {
     announcement: Announcement,
     heard_at: Millis,
-    /// When this process was first announced; `None` if an earlier leader knew it.
+    /// When this leader first heard of the target; `None` if an earlier leader knew it.
     joined_at: Option<Millis>,
 }
 
@@ -95,17 +95,35 @@
         }
     }
 
-    /// Records an announcement from an entry host's report or from the log, which may be
-    /// outdated, if the target is unknown.
+    /// Records an announcement from the log, which may be outdated, if the target is unknown.
     pub fn record_if_unknown(
         &mut self,
         now: Millis,
         announcement: &Announcement,
+    ) -> AnnouncementEffect {
+        self.insert_if_unknown(now, announcement, None)
+    }
+
+    /// Records an announcement from the report of an entry host, which may be outdated, if the
+    /// target is unknown. Other hosts need not know it.
+    pub fn record_reported(
+        &mut self,
+        now: Millis,
+        announcement: &Announcement,
+    ) -> AnnouncementEffect {
+        self.insert_if_unknown(now, announcement, Some(now))
+    }
+
+    fn insert_if_unknown(
+        &mut self,
+        now: Millis,
+        announcement: &Announcement,
+        joined_at: Option<Millis>,
     ) -> AnnouncementEffect {
         if self.targets.contains_key(&announcement.id) {
             return AnnouncementEffect::Unchanged;
         }
-        self.insert(now, announcement, None)
+        self.insert(now, announcement, joined_at)
     }
 
     fn is_stale(&self, announcement: &Announcement) -> bool {
--- a/src/fleet/service_failover.rs
+++ b/src/fleet/service_failover.rs
@@ -1,7 +1,7 @@
 //! Primary of one service and the change in progress: when it starts, whom it promotes, and
 //! when it has ended. [`failover`](crate::fleet::failover) says why no commit is lost.
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexSet;
 
 use crate::{
     clock::Millis,
@@ -114,7 +114,7 @@
                 }
             }
             Step::Logging => {}
-            Step::Revoking => {
+            Step::Proving => {
                 if self.may_promote(cx, service, unfinished, out) {
                     self.send_promotion(cx, service, promotions_sent, out);
                 } else {
@@ -131,17 +131,15 @@
                 }
             }
         }
-        self.restart_if_stuck(cx, service, out);
+        self.restart_if_stuck(cx, service, unfinished, out);
     }
 
     /// Notes which replicas the registry holds.
     pub(super) fn update_replicas(&mut self, cx: &Cx<'_>, service: &Service) {
-        let no_paused = IndexMap::new();
-        let paused = self.change.as_ref().map_or(&no_paused, |change| &change.paused);
         let targets = cx.registry.of_service(service).map(|target| &target.id);
         let replicas: Vec<&InstanceId> =
             targets.filter(|id| Some(*id) != self.primary.as_ref()).collect();
-        self.evidence.update_replicas(cx.now, &replicas, paused);
+        self.evidence.update_replicas(cx.now, &replicas);
     }
 
     /// Records the position in a target's answer to a command that was sent at `sent_at`.
@@ -193,9 +191,9 @@
 
     /// Records that an earlier leader may have called for `target`, unless this leader has logged
     /// the promotion and knows its calls.
-    pub(super) fn assume_called(&mut self, now: Millis, target: &InstanceId) {
+    pub(super) fn assume_called(&mut self, now: Millis, target: &InstanceId, newest_token: u64) {
         if !self.logged.contains(target) {
-            self.calls.assume_sent(now, target);
+            self.calls.assume_sent(now, target, newest_token);
         }
     }
 
@@ -306,7 +304,7 @@
         }
         let Some(change) = &self.change else { return false };
         let successors = self.successors(service, unfinished);
-        let safety = change.safety(cx, service, successors, &self.evidence);
+        let safety = change.safety(cx, service, self.primary.as_ref(), successors, &self.evidence);
         if !self.is_acceptable(cx, service, safety) {
             return false;
         }
@@ -332,7 +330,7 @@
         let Some(change) = &mut self.change else { return };
         let Some(target) = change.candidate.clone() else { return };
         *promotions_sent += 1;
-        let token = (cx.term << TOKEN_COUNTER_BITS) | *promotions_sent;
+        let token = fencing_token(cx.term, *promotions_sent);
         change.step = Step::Calling { sent: cx.now, token };
         change.statuses.clear();
         self.calls.record_sent(cx.now, &target, token);
@@ -394,21 +392,60 @@
         }
     }
 
+    /// Gives up promotions for which no call was ever sent, so that another candidate can be chosen;
+    /// returns whether it did. The present primary is logged last, which keeps it.
+    fn abort_without_calls(
+        &mut self,
+        cx: &Cx<'_>,
+        service: &Service,
+        unfinished: &UnfinishedPromotions,
+        out: &mut Vec<Action>,
+    ) -> bool {
+        let is_own = |id: &InstanceId| self.logged.contains(id);
+        let Some(change) = &self.change else { return false };
+        let Some(primary) = self.primary.clone() else { return false };
+        let was_logged = matches!(change.step, Step::Logging | Step::Proving);
+        if !was_logged || !self.calls.is_empty() || !unfinished.targets(service).all(is_own) {
+            return false;
+        }
+        self.resume(service, change, out);
+        self.change = None;
+        self.last_change_ended = Some(cx.now);
+        self.logged.insert(primary.clone());
+        let service = service.clone();
+        out.push(Action::LogPromotionBegan { service: service.clone(), target: primary });
+        out.push(Action::LogPromotionEnded { service });
+        out.push(Action::ViewChanged);
+        true
+    }
+
     /// Restarts a change that makes no progress, for example because the candidate was
     /// lost as well. Once a promotion was sent, the time counts from the candidate's last
     /// answer, so that promotions of a candidate that answers are retried instead. Replicas
     /// paused while choosing are resumed.
-    fn restart_if_stuck(&mut self, cx: &Cx<'_>, service: &Service, out: &mut Vec<Action>) {
+    fn restart_if_stuck(
+        &mut self,
+        cx: &Cx<'_>,
+        service: &Service,
+        unfinished: &UnfinishedPromotions,
+        out: &mut Vec<Action>,
+    ) {
         let Some(change) = &self.change else { return };
         let promotion_sent = change.promotion_sent();
         let stuck_since =
             if promotion_sent { change.candidate_heard_at } else { change.started_at };
         let is_gone = |id: &InstanceId| cx.registry.get(id).is_none();
-        let is_lost = promotion_sent && change.candidate.as_ref().is_some_and(is_gone);
+        let has_regressed = change.proof.as_ref().is_some_and(CandidateProof::has_regressed);
+        let is_lost =
+            has_regressed || (promotion_sent && change.candidate.as_ref().is_some_and(is_gone));
         if cx.now.since(stuck_since) < CHANGE_TIMEOUT && !is_lost {
             return;
         }
         spdlog::warn!("primary change made no progress, restarting it", kv: {service = service.as_str(), step = format!("{:?}", change.step).as_str()});
+        if self.abort_without_calls(cx, service, unfinished, out) {
+            return;
+        }
+        let Some(change) = &self.change else { return };
         if change.step == Step::Choosing {
             self.resume(service, change, out);
         }
@@ -429,6 +466,11 @@
     cx.now.since(cx.leader_since) >= observation
 }
 
+/// Fencing token of the leader's call with the given number, counted from 1.
+pub(super) fn fencing_token(term: u64, call: u64) -> u64 {
+    (term << TOKEN_COUNTER_BITS) | call
+}
+
 /// Revision of the next view.
 fn next_revision(cx: &Cx<'_>) -> ViewRevision {
     ViewRevision { number: cx.view_revision.number + 1, ..cx.view_revision }
--- a/src/gateway/commit_confirmation.rs
+++ b/src/gateway/commit_confirmation.rs
@@ -31,32 +31,32 @@
     /// Targets that hold the commit.
     holders: Vec<InstanceId>,
     /// A target leads or follows a later term, so no further answer can help.
-    is_refuted: bool,
+    may_have_diverged: bool,
 }
 
 impl<T: Targets> Operation<'_, T> {
-    /// Waits until the commit at `position`, which `committed_at` has run, may be acknowledged;
+    /// Waits until the commit at `position`, which `committed_by` has run, may be acknowledged;
     /// returns whether it may.
-    pub async fn confirm_commit(&self, committed_at: &InstanceId, position: Option<Mark>) -> bool {
+    pub async fn confirm_commit(&self, committed_by: &InstanceId, position: Option<Mark>) -> bool {
         let mut holders: IndexSet<InstanceId> = IndexSet::new();
         let mut rounds = 0;
         loop {
-            let required = self.required_holders(committed_at);
+            let required = self.required_holders(committed_by);
             let missing = required.map(|ids| without(ids, &holders));
             if missing.as_ref().is_some_and(Vec::is_empty) {
                 self.record_confirmation(rounds, true);
                 return true;
             }
             let (Some(missing), Some(position)) = (missing, position) else {
-                break self.record_unconfirmed(committed_at, position, &[]);
+                break self.record_unconfirmed(committed_by, position, &[]);
             };
             if self.cx.now() >= self.deadline() {
-                break self.record_unconfirmed(committed_at, Some(position), &missing);
+                break self.record_unconfirmed(committed_by, Some(position), &missing);
             }
             let round = self.ask_holders(&missing, position).await;
             rounds += 1;
-            if round.is_refuted {
-                break self.record_unconfirmed(committed_at, Some(position), &missing);
+            if round.may_have_diverged {
+                break self.record_unconfirmed(committed_by, Some(position), &missing);
             }
             if round.holders.len() < missing.len() {
                 tokio::time::sleep(ROUND_PAUSE.duration()).await;
@@ -71,11 +71,14 @@
     /// not be is held by the targets that must hold it.
     pub async fn may_commit(&self, target: &InstanceId) -> bool {
         let service = &self.auth.route.service;
-        let unconfirmed = self.cx.unconfirmed.borrow().get(service).copied();
-        let Some(position) = unconfirmed else { return true };
+        let unconfirmed = self.cx.unconfirmed.borrow().get(service).cloned();
+        let Some((_, position)) = unconfirmed.filter(|(committed_by, _)| committed_by == target)
+        else {
+            return true;
+        };
         let Some(required) = self.required_holders(target) else { return false };
         let round = self.ask_holders(&required, position).await;
-        let is_held = round.is_refuted || round.holders.len() == required.len();
+        let is_held = round.may_have_diverged || round.holders.len() == required.len();
         if is_held {
             self.cx.unconfirmed.borrow_mut().shift_remove(service);
         }
@@ -86,13 +89,13 @@
     pub fn unconfirmed(&self) -> Answer {
         let late = self.cx.now() >= self.deadline();
         let code = if late { ErrorCode::Timeout } else { ErrorCode::Unknown };
-        let text = "the primary changes, and the next one may lack the commit";
+        let text = "not all targets that may become the primary are known to hold the commit";
         Answer::error(code, text, TransactionState::Idle)
     }
 
-    fn required_holders(&self, committed_at: &InstanceId) -> Option<Vec<InstanceId>> {
+    fn required_holders(&self, committed_by: &InstanceId) -> Option<Vec<InstanceId>> {
         let (topology, lease) = (self.cx.topology.borrow(), self.cx.lease.borrow());
-        required_holders(&topology, &lease, self.cx.now(), &self.auth.route.service, committed_at)
+        required_holders(&topology, &lease, self.cx.now(), &self.auth.route.service, committed_by)
     }
 
     /// Asks the targets in `ids` whether they hold the commit at `position`.
@@ -103,11 +106,11 @@
         };
         let ask = known.iter().map(|target| self.query_status(target, ROUND_TIMEOUT));
         let answers = join_all(ask).await;
-        let mut round = Round { holders: Vec::new(), is_refuted: false };
+        let mut round = Round { holders: Vec::new(), may_have_diverged: false };
         for (target, answer) in known.iter().zip(answers) {
             match answer.map(|status| holding(&status, position)) {
                 Ok(Holding::Holds) => round.holders.push(target.id.clone()),
-                Ok(Holding::Unknown) => round.is_refuted = true,
+                Ok(Holding::Diverged) => round.may_have_diverged = true,
                 Ok(Holding::Lacks) | Err(_) => {}
             }
         }
@@ -122,15 +125,16 @@
 
     fn record_unconfirmed(
         &self,
-        committed_at: &InstanceId,
+        committed_by: &InstanceId,
         position: Option<Mark>,
         missing: &[InstanceId],
     ) {
         let service = &self.auth.route.service;
         if let Some(position) = position {
-            self.cx.unconfirmed.borrow_mut().insert(service.clone(), position);
+            let unconfirmed = (committed_by.clone(), position);
+            self.cx.unconfirmed.borrow_mut().insert(service.clone(), unconfirmed);
         }
-        self.cx.log_unconfirmed(service, committed_at, position.unwrap_or_default(), missing);
+        self.cx.log_unconfirmed(service, committed_by, position.unwrap_or_default(), missing);
     }
 }
 
--- a/src/gateway/commit_rule.rs
+++ b/src/gateway/commit_rule.rs
@@ -22,34 +22,34 @@
     ids::{InstanceId, Mark, Service},
 };
 
-/// Targets that must hold a commit which `committed_at` has run, beside that target itself.
+/// Targets that must hold a commit which `committed_by` has run, beside that target itself.
 /// `None` if the commit may not be acknowledged, whatever targets answer.
 pub fn required_holders(
     topology: &Topology,
     lease: &ControlLease,
     now: Millis,
     service: &Service,
-    committed_at: &InstanceId,
+    committed_by: &InstanceId,
 ) -> Option<Vec<InstanceId>> {
     let view = topology.service(service)?;
     if lease.is_valid(now) {
-        return holders_in_view(view, committed_at);
+        return holders_in_view(view, committed_by);
     }
     if now.since(lease.contact_at()) >= MAX_VIEW_AGE {
         return None;
     }
     let targets = view.targets.iter().map(|target| &target.id);
-    let mut holders = others(targets, committed_at);
-    holders.extend(others(view.successors.iter(), committed_at));
+    let mut holders = others(targets, committed_by);
+    holders.extend(others(view.successors.iter(), committed_by));
     Some(holders)
 }
 
-/// Targets that may lead later, according to a view that control vouches for. A primary that the
+/// Targets that may lead later, according to a view that the lease keeps valid. A primary that the
 /// view has replaced may commit no more, unless its successor holds the commit.
-fn holders_in_view(view: &ServiceView, committed_at: &InstanceId) -> Option<Vec<InstanceId>> {
+fn holders_in_view(view: &ServiceView, committed_by: &InstanceId) -> Option<Vec<InstanceId>> {
     let primary = view.primary.as_ref().map(|target| &target.id);
-    let mut holders = others(view.successors.iter(), committed_at);
-    if primary == Some(committed_at) || view.successors.contains(committed_at) {
+    let mut holders = others(view.successors.iter(), committed_by);
+    if primary == Some(committed_by) || view.successors.contains(committed_by) {
         return Some(holders);
     }
     holders.extend(primary.cloned());
@@ -71,13 +71,13 @@
     /// The target has not received the commit yet.
     Lacks,
     /// The target leads or follows a later term, whose log may lack the commit.
-    Unknown,
+    Diverged,
 }
 
 /// What `status` says about the commit at `position`.
 pub fn holding(status: &TargetStatus, position: Mark) -> Holding {
     if status.role == TargetRole::Primary || status.received.term > position.term {
-        Holding::Unknown
+        Holding::Diverged
     } else if status.received >= position {
         Holding::Holds
     } else {
--- a/src/gateway/cx.rs
+++ b/src/gateway/cx.rs
@@ -99,9 +99,9 @@
     pub peers: PeerClients,
     /// Newest acknowledged commit of each service.
     pub acknowledged: RefCell<IndexMap<Service, Mark>>,
-    /// Newest commit of each service that could not be confirmed, until the targets that must
-    /// hold it do.
-    pub unconfirmed: RefCell<IndexMap<Service, Mark>>,
+    /// Newest commit of each service that could not be confirmed, with the target that has run it,
+    /// until the targets that must hold it do or another target leads.
+    pub unconfirmed: RefCell<IndexMap<Service, (InstanceId, Mark)>>,
     /// Number of open sessions.
     pub sessions: Cell<usize>,
     /// Limits the log lines on failed requests.
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -74,6 +74,8 @@
     NoTarget,
     /// Target had no free slot.
     Busy,
+    /// An earlier commit is not confirmed yet.
+    Unconfirmed,
 }
 
 impl RejectReason {
@@ -84,6 +86,7 @@
             Self::Connections => "all connections are in use",
             Self::NoTarget => "no target can be used",
             Self::Busy => "the target has no free slot",
+            Self::Unconfirmed => "an earlier commit is not confirmed yet",
         }
     }
 }
--- a/src/gateway/operation.rs
+++ b/src/gateway/operation.rs
@@ -288,7 +288,8 @@
             let sent = self.cx.now();
             let target = selected.client.target.clone();
             if !self.may_commit(&target.id).await {
-                let rejected = JobError::Rejected(RETRY_AFTER_NO_TARGET, RejectReason::NoTarget);
+                let reason = RejectReason::Unconfirmed;
+                let rejected = JobError::Rejected(RETRY_AFTER_NO_TARGET, reason);
                 return Outcome::not_run(self.error_answer(&rejected));
             }
             let job = self.job(&target.id, Self::statement(resolved, None), self.deadline());
--- a/src/gateway/transaction.rs
+++ b/src/gateway/transaction.rs
@@ -182,7 +182,7 @@
         if self.wrote && !operation.may_commit(&target).await {
             // COMMIT was not sent, so the target rolls back.
             selected.client.close(cx).await;
-            let text = "the primary changes; nothing is kept";
+            let text = "an earlier commit is not confirmed yet; nothing is kept";
             return Answer::error(ErrorCode::Aborted, text, TransactionState::Idle);
         }
         let deadline = arrived + self.auth.route.statement_timeout;
--- a/tests/commit_rule.rs
+++ b/tests/commit_rule.rs
@@ -51,10 +51,10 @@
 }
 
 /// Holders that are required at [`NOW`] by a host that had contact at `contact`.
-fn required(topology: &Topology, contact: Millis, committed_at: &str) -> Option<Vec<InstanceId>> {
+fn required(topology: &Topology, contact: Millis, committed_by: &str) -> Option<Vec<InstanceId>> {
     let mut lease = ControlLease::default();
     lease.extend(contact, Millis(1_500));
-    required_holders(topology, &lease, NOW, &"ledger".into(), &committed_at.into())
+    required_holders(topology, &lease, NOW, &"ledger".into(), &committed_by.into())
 }
 
 fn ids(ids: &[&str]) -> Option<Vec<InstanceId>> {
@@ -102,6 +102,6 @@
     assert_eq!(replica(Mark::new(3, 99)), Holding::Lacks);
     assert_eq!(replica(Mark::new(3, 100)), Holding::Holds);
     assert_eq!(replica(Mark::new(2, 500)), Holding::Lacks);
-    assert_eq!(replica(Mark::new(4, 200)), Holding::Unknown);
-    assert_eq!(holding(&status(TargetRole::Primary, Mark::new(3, 100)), commit), Holding::Unknown);
+    assert_eq!(replica(Mark::new(4, 200)), Holding::Diverged);
+    assert_eq!(holding(&status(TargetRole::Primary, Mark::new(3, 100)), commit), Holding::Diverged);
 }
--- a/tests/fleet_failover/harness.rs
+++ b/tests/fleet_failover/harness.rs
@@ -134,30 +134,35 @@
 
     pub fn report(&mut self) {
         for name in ["h1", "h2", "h3"] {
-            let failing = self.primary_failing_for.filter(|_| self.host_with_answers != Some(name));
-            let health = failing.map_or(Health::Answering, Health::Failing);
-            let view = if self.hosts_confirm_view { self.view } else { 1 };
-            self.hosts.record(
-                self.now,
-                &HostReport {
-                    host: name.into(),
-                    incarnation: Incarnation(self.incarnation),
-                    sent_at: self.now,
-                    config_version: 1,
-                    view_revision: ViewRevision { term: self.term, number: view },
-                    bus_addr: String::new(),
-                    domain: "a".into(),
-                    leaving: false,
-                    usage: Vec::new(),
-                    targets: self.health(health),
-                    acknowledged: vec![(service(), self.acknowledged)],
-                    known_targets: Vec::new(),
-                    limits: None,
-                },
-            );
+            self.report_once(name);
         }
     }
 
+    /// Report of the host `name`.
+    pub fn report_once(&mut self, name: &'static str) {
+        let failing = self.primary_failing_for.filter(|_| self.host_with_answers != Some(name));
+        let health = failing.map_or(Health::Answering, Health::Failing);
+        let view = if self.hosts_confirm_view { self.view } else { 1 };
+        self.hosts.record(
+            self.now,
+            &HostReport {
+                host: name.into(),
+                incarnation: Incarnation(self.incarnation),
+                sent_at: self.now,
+                config_version: 1,
+                view_revision: ViewRevision { term: self.term, number: view },
+                bus_addr: String::new(),
+                domain: "a".into(),
+                leaving: false,
+                usage: Vec::new(),
+                targets: self.health(health),
+                acknowledged: vec![(service(), self.acknowledged)],
+                known_targets: Vec::new(),
+                limits: None,
+            },
+        );
+    }
+
     pub fn health(&self, primary_health: Health) -> Vec<TargetHealth> {
         let failing =
             |id: &&str| TargetHealth { id: (*id).into(), health: Health::Failing(Millis(2_000)) };
@@ -251,8 +256,8 @@
             match action {
                 Action::SendCommand { target, command, .. } => self.answer_command(target, command),
                 Action::LogPromotionBegan { target, .. } => {
-                    self.unfinished.begin(service(), target);
-                    self.handle_event(Event::PromotionLogged);
+                    self.unfinished.begin(service(), target.clone());
+                    self.handle_event(Event::PromotionLogged { target });
                 }
                 Action::LogPromotionEnded { .. } => {
                     self.unfinished.end(&service());
--- a/tests/fleet_failover/main.rs
+++ b/tests/fleet_failover/main.rs
@@ -604,10 +604,11 @@
     assert!(!harness.promotions.is_empty());
 }
 
-/// Guards against a change that waits for a replica which left after it was paused: its final
-/// position is known.
+/// Guards against a change that takes the last known position of a paused replica which has left
+/// for its final one: the pause may have ended before. Without reports, the position of the primary
+/// tells what was acknowledged.
 #[test]
-fn replica_that_leaves_while_it_is_paused_does_not_stop_a_change() {
+fn replica_that_leaves_while_it_is_paused_counts_as_silent() {
     let mut harness = Harness::new();
     harness.hosts_confirm_view = false;
     harness.run(1_000);
@@ -620,5 +621,8 @@
     harness.restart_hosts();
     harness.hosts_confirm_view = true;
     harness.run(1_000);
+    assert!(harness.promotions.is_empty(), "{:?}", harness.promotions);
+    harness.targets["p"] = Some((TargetRole::Primary, Mark::new(3, 100)));
+    harness.run_announcing(8_000);
     assert_eq!(harness.promoted_targets(), ["r2"]);
 }
--- a/tests/gateway_commits.rs
+++ b/tests/gateway_commits.rs
@@ -317,3 +317,22 @@
     let (result, ()) = futures::join!(write(&cx), change);
     assert!(matches!(result, Err(ErrorCode::Timeout | ErrorCode::Unknown)), "{result:?}");
 }
+
+/// Guards against commits that are refused for as long as a successor is behind, because of one that
+/// the replaced primary has run: it was rolled back, so nobody will receive it.
+#[tokio::test]
+async fn unconfirmed_commit_of_a_replaced_primary_stops_no_others() {
+    let cx = host(&["r1"], LEASED);
+    cx.targets.cut("r1");
+    assert!(write(&cx).await.is_err());
+    let service = &cx.targets;
+    service.replicas.borrow_mut().shift_remove(&InstanceId::from("r2"));
+    service.replicas.borrow_mut().insert("p".into(), 0);
+    service.cut.borrow_mut().clear();
+    let view = cx.topology.borrow().view.clone();
+    let primary = Primary { service: "ledger".into(), id: Some("r2".into()), changing: false };
+    let revision = ViewRevision { term: 1, number: 2 };
+    let next = FleetView { revision, primaries: vec![primary], ..view };
+    cx.topology.borrow_mut().set_view(next);
+    assert!(write(&cx).await.is_ok());
+}
--- a/tests/primary_simulation/fleet.rs
+++ b/tests/primary_simulation/fleet.rs
@@ -97,6 +97,7 @@
     },
     Logged {
         term: u64,
+        target: InstanceId,
     },
     Read {
         host: usize,
@@ -370,7 +371,9 @@
             Message::Promoted { term, token, outcome } => {
                 self.handle_event(term, Event::PromotionCompleted { token, outcome });
             }
-            Message::Logged { term } => self.handle_event(term, Event::PromotionLogged),
+            Message::Logged { term, target } => {
+                self.handle_event(term, Event::PromotionLogged { target });
+            }
             Message::Read { host, target, arrived, confirmed, need } => {
                 self.read_at_target(host, &target, arrived, confirmed, need);
             }
--- a/tests/primary_simulation/fleet/confirmations.rs
+++ b/tests/primary_simulation/fleet/confirmations.rs
@@ -123,14 +123,14 @@
     /// be confirmed any more.
     fn take_answers(&mut self, now: u64) -> bool {
         let answered = self.questions.extract_if(.., |it| now >= it.answered_at);
-        let mut is_refuted = false;
+        let mut may_have_diverged = false;
         for question in answered {
             match question.answer {
                 Some(Holding::Holds) => self.holders.push(question.target),
-                Some(Holding::Unknown) => is_refuted = true,
+                Some(Holding::Diverged) => may_have_diverged = true,
                 Some(Holding::Lacks) | None => {}
             }
         }
-        is_refuted
+        may_have_diverged
     }
 }
--- a/tests/primary_simulation/fleet/control.rs
+++ b/tests/primary_simulation/fleet/control.rs
@@ -182,9 +182,9 @@
                     self.post(Message::Command { term, target, command, sent });
                 }
                 Action::LogPromotionBegan { target, .. } => {
-                    self.unfinished.begin(service_name(), target);
+                    self.unfinished.begin(service_name(), target.clone());
                     self.evaluated = None;
-                    self.post(Message::Logged { term });
+                    self.post(Message::Logged { term, target });
                 }
                 Action::LogPromotionEnded { .. } => {
                     self.logged_primary = self.unfinished.end(&service_name());
