Give up promotions only while no call was ever sent for them

Reading the review's change again: a call that the platform has accepted is no longer outstanding, but may take effect a moment later, so that giving its target up is not sound. The state now notes whether any call was sent since the log held no promotion. Also names and comments that the review stumbled on.

--- a/src/fleet/failover_log.rs
+++ b/src/fleet/failover_log.rs
@@ -2,7 +2,10 @@
 
 use crate::{
     clock::Millis,
-    fleet::{failover::Cx, promotion_safety::Safety, service_failover::ServiceState},
+    fleet::{
+        candidate_proof::CandidateProof, failover::Cx, promotion_safety::Safety,
+        service_failover::ServiceState,
+    },
     ids::Service,
 };
 
@@ -44,7 +47,7 @@
             return;
         }
         let candidate = change.candidate.as_ref();
-        let received = candidate.and_then(|id| change.statuses.get(id)).map(|it| it.received);
+        let received = change.proof.as_ref().and_then(CandidateProof::candidate);
         let paused: Vec<&str> = change.paused.keys().map(|id| id.as_str()).collect();
         spdlog::info!("promotion may be requested", kv: {
             service = service.as_str(),
--- a/src/fleet/inventory.rs
+++ b/src/fleet/inventory.rs
@@ -3,8 +3,8 @@
 //! The leader learns them from announcements and reports, and stores them in the log for
 //! the next leader. Entry hosts that have lost their state as well then need not wait for
 //! the next announcement of each target, and targets keep their owners while the hosts find
-//! the new leader. The end of every promotion is logged, so a primary from the log is as
-//! reliable as one that the previous leader knew.
+//! the new leader. A primary is stored while no other target may be promoted, so one from the
+//! log is as reliable as one that the previous leader knew.
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
--- a/src/fleet/outstanding_calls.rs
+++ b/src/fleet/outstanding_calls.rs
@@ -40,11 +40,6 @@
         }
     }
 
-    /// Whether no call is outstanding.
-    pub(super) fn is_empty(&self) -> bool {
-        self.0.is_empty()
-    }
-
     /// Records the outcome of a call. A call with a clear answer was carried out or never will be.
     pub(super) fn record_outcome(
         &mut self,
--- a/src/fleet/promotion_safety.rs
+++ b/src/fleet/promotion_safety.rs
@@ -27,9 +27,8 @@
 pub(super) enum Safety {
     /// The positions of the other targets show it.
     Covered,
-    /// A replica is silent or has left, but the host reports show no commit that the candidate
-    /// lacks.
-    /// Hosts must stop using the old primary before the promotion.
+    /// Replicas are silent or have left, but the host reports show no commit that the candidate
+    /// lacks. Hosts must stop using the old primary before the promotion.
     Reported,
     /// The candidate lacks a commit that was acknowledged. A replica that has left may have
     /// held the only other copy; the old primary holds it as well and may come back.
@@ -52,7 +51,7 @@
     }
 
     /// Whether all hosts acknowledge only commits that the candidate holds.
-    pub(super) fn is_guarded(&self, cx: &Cx<'_>) -> bool {
+    pub(super) fn all_hosts_require_candidate(&self, cx: &Cx<'_>) -> bool {
         let Some(candidate) = &self.candidate else { return false };
         self.is_known_to_hosts(cx, candidate)
             && self.successor_revision.is_some_and(|view| cx.hosts.all_have_view(cx.now, view))
--- a/src/fleet/service_failover.rs
+++ b/src/fleet/service_failover.rs
@@ -49,6 +49,8 @@
     pub(super) evidence: CommitEvidence,
     /// Targets of the unfinished promotions that this leader has logged.
     logged: IndexSet<InstanceId>,
+    /// A call may have been sent for one of the unfinished promotions.
+    called: bool,
     /// A change has ended, but calls to promote the primary may still be carried out, so the
     /// promotion stays unfinished in the log for the next leader.
     completed: Option<InstanceId>,
@@ -193,6 +195,7 @@
     /// the promotion and knows its calls.
     pub(super) fn assume_called(&mut self, now: Millis, target: &InstanceId, newest_token: u64) {
         if !self.logged.contains(target) {
+            self.called = true;
             self.calls.assume_sent(now, target, newest_token);
         }
     }
@@ -296,7 +299,7 @@
             return false;
         }
         if change.proof.is_none() {
-            if change.is_guarded(cx) {
+            if change.all_hosts_require_candidate(cx) {
                 change.proof = Some(CandidateProof::new(cx.now));
                 change.queried_at = None;
             }
@@ -333,6 +336,7 @@
         let token = fencing_token(cx.term, *promotions_sent);
         change.step = Step::Calling { sent: cx.now, token };
         change.statuses.clear();
+        self.called = true;
         self.calls.record_sent(cx.now, &target, token);
         out.push(Action::Promote { service: service.clone(), target, token });
     }
@@ -388,6 +392,7 @@
             && !self.calls.must_be_remembered(cx, self.primary.as_ref())
         {
             self.completed = None;
+            self.called = false;
             out.push(Action::LogPromotionEnded { service: service.clone() });
         }
     }
@@ -405,7 +410,7 @@
         let Some(change) = &self.change else { return false };
         let Some(primary) = self.primary.clone() else { return false };
         let was_logged = matches!(change.step, Step::Logging | Step::Proving);
-        if !was_logged || !self.calls.is_empty() || !unfinished.targets(service).all(is_own) {
+        if !was_logged || self.called || !unfinished.targets(service).all(is_own) {
             return false;
         }
         self.resume(service, change, out);
