Simulate replicas that receive although they say that they are paused

The argument does not need pauses, so a further case of the test runs with replicas whose pauses fail.

Tests that build the same announcements share the fixture.

--- a/tests/commit_rule.rs
+++ b/tests/commit_rule.rs
@@ -1,10 +1,13 @@
 //! Which targets must hold a commit before a host acknowledges it.
 
+mod gateway_fixture;
+
+use gateway_fixture::target;
 use pomelopin::{
     clock::Millis,
     fleet::{
         failover::TargetStatus,
-        messages::{Announcement, FleetView, Primary, Successor, TargetRole, ViewRevision},
+        messages::{FleetView, Primary, Successor, TargetRole, ViewRevision},
     },
     gateway::{
         commit_rule::{Holding, holding, required_holders},
@@ -16,26 +19,11 @@
 
 const NOW: Millis = Millis(10_000);
 
-fn target(id: &str) -> Announcement {
-    Announcement {
-        id: id.into(),
-        service: "ledger".into(),
-        addr: format!("{id}:1"),
-        domain: "a".into(),
-        draining: false,
-        role: TargetRole::Replica,
-        slots: 2,
-        started_at_ms: 1,
-        sequence: 1,
-        warmup_remaining: Millis(0),
-    }
-}
-
 fn topology(primary: Option<&str>, successors: &[&str]) -> Topology {
     let mut topology = Topology::default();
     topology.set_view(FleetView {
         revision: ViewRevision { term: 1, number: 1 },
-        targets: ["p", "r1", "r2"].map(target).to_vec(),
+        targets: ["p", "r1", "r2"].map(|id| target(id, TargetRole::Replica)).to_vec(),
         primaries: vec![Primary {
             service: "ledger".into(),
             id: primary.map(Into::into),
--- a/tests/gateway_topology.rs
+++ b/tests/gateway_topology.rs
@@ -1,5 +1,8 @@
 //! Primary of a service according to an entry host.
 
+mod gateway_fixture;
+
+use gateway_fixture::target;
 use pomelopin::{
     clock::Millis,
     fleet::messages::{Announcement, FleetView, Primary, TargetRole, ViewRevision},
@@ -7,25 +10,14 @@
     ids::Service,
 };
 
-fn target(id: &str) -> Announcement {
-    Announcement {
-        id: id.into(),
-        service: "ledger".into(),
-        addr: format!("{id}:1"),
-        domain: "a".into(),
-        draining: false,
-        role: TargetRole::Replica,
-        slots: 2,
-        started_at_ms: 1,
-        sequence: 1,
-        warmup_remaining: Millis(0),
-    }
+fn replica(id: &str) -> Announcement {
+    target(id, TargetRole::Replica)
 }
 
 fn view(number: u64, primary: &str) -> FleetView {
     FleetView {
         revision: ViewRevision { term: 1, number },
-        targets: vec![target("p"), target("r")],
+        targets: vec![replica("p"), replica("r")],
         primaries: vec![Primary {
             service: "ledger".into(),
             id: Some(primary.into()),
@@ -86,8 +78,8 @@
 fn primary_that_has_been_leaving_for_seconds_gets_no_new_work() {
     let mut topology = Topology::default();
     let draining = |number| {
-        let leaving = Announcement { draining: true, ..target("p") };
-        FleetView { targets: vec![leaving, target("r")], ..view(number, "p") }
+        let leaving = Announcement { draining: true, ..replica("p") };
+        FleetView { targets: vec![leaving, replica("r")], ..view(number, "p") }
     };
     topology.set_view(draining(1));
     topology.record_draining(Millis(10_000));
--- a/tests/primary_simulation/faults.rs
+++ b/tests/primary_simulation/faults.rs
@@ -11,6 +11,8 @@
     /// All that the platform's pages allow: targets that restart, join and leave at any time, and
     /// calls and orders that are lost or late. Some faults strike while a call is outstanding.
     pub platform: bool,
+    /// Replicas say that they are paused and receive all the same, as if each pause ended unseen.
+    pub pauses_fail: bool,
     /// Targets join that control cannot reach for seconds, and give receipts meanwhile.
     pub unknown_targets: bool,
 }
--- a/tests/primary_simulation/main.rs
+++ b/tests/primary_simulation/main.rs
@@ -33,6 +33,7 @@
     if faults.platform {
         fleet.enable_platform_faults();
         fleet.has_unknown_targets = faults.unknown_targets;
+        fleet.service.pauses_fail = faults.pauses_fail;
     }
     fleet.run(START_MS);
     let end = fleet.now + RUN_MS;
@@ -95,7 +96,8 @@
     assert!(total.commits > 100 && total.proven_reads > 20 && promoted > 2, "{total:?}");
 }
 
-const KILLS: Faults = Faults { kills_hosts: true, platform: false, unknown_targets: false };
+const KILLS: Faults =
+    Faults { kills_hosts: true, platform: false, pauses_fail: false, unknown_targets: false };
 
 /// Runs that once failed: seed, number of targets, whether promotions are fenced. The comments
 /// tell what was found; a later change of the simulation may lead a seed elsewhere.
@@ -193,6 +195,12 @@
     check_platform_faults(Faults { platform: true, ..Faults::default() });
 }
 
+/// The same without the help of pauses, which the argument does not need.
+#[test]
+fn acknowledged_commits_survive_late_promotions_without_pauses() {
+    check_platform_faults(Faults { platform: true, pauses_fail: true, ..Faults::default() });
+}
+
 fn check_platform_faults(faults: Faults) {
     let mut outcome = Outcome::default();
     for (targets, fenced) in [(3, true), (3, false), (2, true), (2, false), (5, true), (5, false)] {
--- a/tests/primary_simulation/targets.rs
+++ b/tests/primary_simulation/targets.rs
@@ -79,6 +79,8 @@
     pub leader: usize,
     pub promotions: Vec<Promotion>,
     pub fenced: bool,
+    /// Whether replicas receive although they say that they are paused.
+    pub pauses_fail: bool,
     newest_token: u64,
     pub acknowledged: Vec<Acknowledged>,
     /// Term of the newest control leader.
@@ -155,6 +157,7 @@
             leader: 0,
             promotions: Vec::new(),
             fenced,
+            pauses_fail: false,
             newest_token: 0,
             acknowledged: Vec::new(),
             control_term: 0,
@@ -278,7 +281,7 @@
         for target in &mut self.targets {
             let follows = target.id != leader.id
                 && !target.is_primary
-                && target.paused_under.is_none()
+                && (target.paused_under.is_none() || self.pauses_fail)
                 && target.runs(now)
                 && now >= target.receives_from
                 && now.is_multiple_of(target.lag_ms);
