--- a/src/fleet/leader.rs
+++ b/src/fleet/leader.rs
@@ -259,6 +259,7 @@
             primaries: leader.primaries(&self.state.promotions),
             control_addrs,
             successors: leader.successors(&self.state.promotions),
+            evacuated: Vec::new(),
         };
         leader.view = next;
         self.send_updates(now);
--- a/src/fleet/link.rs
+++ b/src/fleet/link.rs
@@ -22,7 +22,7 @@
 };
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
-use crate::fleet::messages::{ConfigStatus, Frame, HostReport, HostUpdate};
+use crate::fleet::messages::{ConfigStatus, FleetView, Frame, HostReport, HostUpdate};
 
 /// Time to establish a connection; allows several round trips between distant failure
 /// domains.
@@ -89,18 +89,21 @@
     }
 }
 
-/// Appends what follows the limits of an update: the status of the configuration, and the
-/// successors in the view. An update with a view extends no lease, and the status counts only
-/// with one, so any status may stand before the successors.
+/// Appends what follows the limits of an update: the status of the configuration, then the
+/// successors and the evacuated failure domains in the view. An update with a view extends no
+/// lease, and the status counts only with one, so any status may stand before them.
 fn append_update_extension(update: &HostUpdate, buf: Vec<u8>) -> postcard::Result<Vec<u8>> {
-    let view = update.view.as_ref().filter(|view| !view.successors.is_empty());
+    let has_extension = |it: &&FleetView| !it.successors.is_empty() || !it.evacuated.is_empty();
+    let view = update.view.as_ref().filter(has_extension);
     let status = update.config_status.or(view.map(|_| ConfigStatus::Outdated));
     let Some(status) = status else { return Ok(buf) };
     let buf = postcard::to_extend(&status, buf)?;
-    match view {
-        Some(view) => postcard::to_extend(&view.successors, buf),
-        None => Ok(buf),
+    let Some(view) = view else { return Ok(buf) };
+    let buf = postcard::to_extend(&view.successors, buf)?;
+    if view.evacuated.is_empty() {
+        return Ok(buf);
     }
+    postcard::to_extend(&view.evacuated, buf)
 }
 
 /// Decodes a frame.
@@ -134,7 +137,11 @@
             let (status, rest) = postcard::take_from_bytes(rest)?;
             update.config_status = Some(status);
             if let (Some(view), false) = (&mut update.view, rest.is_empty()) {
-                view.successors = postcard::from_bytes(rest)?;
+                let (successors, rest) = postcard::take_from_bytes(rest)?;
+                view.successors = successors;
+                if !rest.is_empty() {
+                    view.evacuated = postcard::from_bytes(rest)?;
+                }
             }
         }
         Frame::Ping { tokens } => *tokens = Some(postcard::from_bytes(extension)?),
--- a/src/fleet/messages.rs
+++ b/src/fleet/messages.rs
@@ -231,6 +231,9 @@
     /// Targets that may be promoted at any time.
     #[serde(skip)]
     pub successors: Vec<Successor>,
+    /// Failure domains that are out of use: their targets get no statements.
+    #[serde(skip)]
+    pub evacuated: Vec<FailureDomain>,
 }
 
 /// Target that may be promoted at any time: a commit of its service is acknowledged only once it
--- a/tests/fleet_decoders.rs
+++ b/tests/fleet_decoders.rs
@@ -52,6 +52,7 @@
         }],
         control_addrs: vec!["c1:1".to_owned()],
         successors: vec![Successor { service: "ledger".into(), id: "t2".into() }],
+        evacuated: vec!["midrand".into()],
     };
     let allocation = Allocation { workspace: "w".into(), fraction: Fraction::WHOLE, tokens: 3 };
     let limits = LimitUpdate {
--- a/tests/fleet_messages.rs
+++ b/tests/fleet_messages.rs
@@ -182,6 +182,22 @@
     assert_eq!(postcard::from_bytes::<ConfigStatus>(rest).unwrap(), ConfigStatus::Outdated);
 }
 
+/// Guards against hosts that use the targets of a failure domain which is out of use, because the
+/// list was lost on the way, with and without successors before it.
+#[test]
+fn evacuated_domains_reach_the_host() {
+    for successors in [&["r1"][..], &[]] {
+        let mut sent = view_update(successors);
+        if let Some(view) = &mut sent.view {
+            view.evacuated = vec!["midrand".into(), "isando".into()];
+        }
+        match decode(&encode(&Frame::Update(sent.clone()))).unwrap() {
+            Frame::Update(update) => assert_eq!(update.view, sent.view),
+            frame => panic!("{frame:?}"),
+        }
+    }
+}
+
 /// Guards against frames of older builds that this one rejects or encodes differently.
 #[test]
 fn frames_of_older_builds_are_read() {
