Discard what an abandoned connection still holds

Cause: a host that gives up a silent peer or target drops the connection, and the system goes on sending what the connection holds, with retransmissions that double; after a congested second a frame arrives after 13 s. Change: a connection that is given up with unanswered requests is closed with SO_LINGER 0, which discards its bytes.

--- a/src/fleet/link.rs
+++ b/src/fleet/link.rs
@@ -168,6 +168,15 @@
     }
 }
 
+/// Makes the close of a connection that is given up discard what was not delivered. Otherwise the
+/// system goes on sending it, and a frame may arrive many seconds after its sender gave up.
+pub fn discard_on_close(stream: &TcpStream) {
+    let linger = Some(Duration::ZERO);
+    if let Err(error) = rustix::net::sockopt::set_socket_linger(stream, linger) {
+        spdlog::debug!("cannot set SO_LINGER: {error}");
+    }
+}
+
 /// Splits a connection into its framed halves.
 pub fn split_framed(stream: TcpStream) -> (FrameReader, FrameWriter) {
     let codec = || LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
--- a/src/gateway/peer_client.rs
+++ b/src/gateway/peer_client.rs
@@ -22,7 +22,9 @@
 
 use crate::{
     fleet::{
-        link::{FrameReader, FrameWriter, connect, decode, encode, split_framed},
+        link::{
+            FrameReader, FrameWriter, connect, decode, discard_on_close, encode, split_framed,
+        },
         messages::{Frame, TokenGrant, TokenRequest},
     },
     gateway::{
@@ -186,8 +188,13 @@
                 if !peer.usable.replace(true) {
                     spdlog::info!("entry host is reachable again", kv: {addr = addr.as_str()});
                 }
-                let (reader, writer) = split_framed(stream);
-                exchange(reader, writer, &mut messages, &mut outstanding).await
+                let (mut reader, mut writer) = split_framed(stream);
+                let result =
+                    exchange(&mut reader, &mut writer, &mut messages, &mut outstanding).await;
+                if result.is_err() {
+                    discard_on_close(reader.get_ref().as_ref());
+                }
+                result
             }
             Err(error) => Err(error),
         };
@@ -239,8 +246,8 @@
 }
 
 async fn exchange(
-    mut reader: FrameReader,
-    mut writer: FrameWriter,
+    reader: &mut FrameReader,
+    writer: &mut FrameWriter,
     messages: &mut mpsc::Receiver<Message>,
     outstanding: &mut HashMap<u64, Reply>,
 ) -> Result<()> {
