Share the work for a target among several owners

Cause: all statements of a target pass through the link of its owner. Change: workspaces are divided among up to four owners of a target, by hash; each owner has its part of the connections and slots. Deployments with fewer than two hosts for each target, or few connections, keep one owner.

--- a/src/gateway/cx.rs
+++ b/src/gateway/cx.rs
@@ -22,7 +22,7 @@
         lenders::Lenders,
         log_limit::{LogDecision, LogLimiter},
         metrics::GatewayMetrics,
-        ownership::{OwnerRole, OwnerTracker, connection_quota},
+        ownership::{OwnerRole, OwnerTracker, Shard, connection_quota, slot_share},
         peer_client::PeerClients,
         pool::Pools,
         ports::Targets,
@@ -32,7 +32,7 @@
         statement::{Answer, ErrorCode, StatementError},
         topology::Topology,
     },
-    ids::{FailureDomain, HostId, InstanceId, Mark, Service},
+    ids::{FailureDomain, HostId, InstanceId, Mark, Service, Workspace},
 };
 
 /// Shortest time between two searches for the primary of one service.
@@ -212,22 +212,38 @@
         self.status_queries.borrow_mut().retain(|id, _| exists(id));
     }
 
+    /// Shard of `target` whose owner works for a workspace. Work without a workspace is spread
+    /// by the host that sends it.
+    pub fn shard(&self, target: &Announcement, workspace: Option<&Workspace>) -> Shard {
+        let shards = self.topology.borrow().shards(&target.service);
+        match workspace {
+            Some(workspace) => Shard::of(workspace, shards),
+            None => Shard::of(&Workspace::from(self.settings.host.as_str()), shards),
+        }
+    }
+
     /// Number of connections to `target` that this host may hold.
     pub fn connection_limit(&self, target: &Announcement) -> u32 {
         let now = self.now();
         let mut topology = self.topology.borrow_mut();
         let service = topology.config.services.get(&target.service);
         let max_connections = service.map_or(1, |it| it.max_connections);
-        let ranked = topology.ranked_owners(target);
         let changing = topology.service(&target.service).is_some_and(|service| service.changing);
-        let role = if ranked.first().is_some_and(|host| host.id == self.settings.host) {
-            OwnerRole::Owner
-        } else if self.owners.borrow().is_serving(now, &target.id) {
-            OwnerRole::Fallback
-        } else {
-            OwnerRole::Other
+        let shards = topology.shards(&target.service);
+        let hosts = topology.view.hosts.len();
+        let role = match topology.owned_shards(target, &self.settings.host) {
+            0 if self.owners.borrow().is_serving(now, &target.id) => OwnerRole::Fallback,
+            0 => OwnerRole::Other,
+            owned => OwnerRole::Owner(owned),
         };
-        connection_quota(max_connections, ranked.len(), role, changing)
+        connection_quota(max_connections, hosts, shards, role, changing)
+    }
+
+    /// Slots of `target` that this host may use.
+    pub fn slots(&self, target: &Announcement) -> u32 {
+        let mut topology = self.topology.borrow_mut();
+        let owned = topology.owned_shards(target, &self.settings.host);
+        slot_share(target.slots, owned, topology.shards(&target.service))
     }
 
     /// Closes idle connections above this host's limits.
--- a/src/gateway/executor.rs
+++ b/src/gateway/executor.rs
@@ -144,10 +144,11 @@
         queued,
         clock: cx.clock,
     };
+    let slots = cx.slots(target);
     let decision = {
         let mut admission = cx.admission.borrow_mut();
         let queue = admission.entry(target.id.clone()).or_default();
-        queue.set_slots(target.slots);
+        queue.set_slots(slots);
         if in_transaction {
             queue.acquire_unqueued();
             drop(admission);
--- a/src/gateway/operation.rs
+++ b/src/gateway/operation.rs
@@ -166,7 +166,8 @@
                 None => self.searched_primary(tried).await?,
             };
             if let Some(Selection { target, after, confirmed_at }) = selected {
-                let client = TargetClient::new(self.cx, target, transactional);
+                let shard = self.cx.shard(&target, self.auth.workspace.as_ref());
+                let client = TargetClient::new(self.cx, target, shard, transactional);
                 return Ok(SelectedTarget { client, after, confirmed_at });
             }
             if self.cx.now() >= self.wait_deadline() {
--- a/src/gateway/ownership.rs
+++ b/src/gateway/ownership.rs
@@ -5,15 +5,21 @@
 //! failure domain first, then the others, each ordered by rendezvous hashing. A host uses
 //! the first one that answers and has not recently reported the target as unreachable. If
 //! hosts disagree on the owner for a time, the target's own connection limit still holds.
+//!
+//! A target may have several owners, one for each shard of the workspaces. Load: at a peak the
+//! traffic of a busy target exceeds the network link of one small host, while other hosts of the
+//! failure domain have room. All work of a workspace goes to one owner, so that the connections,
+//! which belong to workspaces, are used as well as by a single owner.
 
 use std::cmp::Reverse;
 
 use indexmap::IndexMap;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     clock::Millis,
     fleet::messages::{Announcement, EntryHost},
-    ids::{HostId, InstanceId},
+    ids::{HostId, InstanceId, Workspace},
     ownership::rendezvous::score,
 };
 
@@ -32,12 +38,48 @@
 /// command every 100 ms, each of which takes at most 400 ms.
 const CONTROL_CONNECTIONS: u32 = 4;
 
-/// Hosts ordered by precedence as the owner of `target`.
-pub fn rank_owners<'a>(target: &Announcement, hosts: &'a [EntryHost]) -> Vec<&'a EntryHost> {
+/// Most owners of one target.
+const MAX_SHARDS: u32 = 4;
+
+/// Connections that each owner of a target must have, so that few workspaces wait for one.
+const MIN_SHARD_CONNECTIONS: u32 = 16;
+
+/// Part of the workspaces whose work for a target goes to the same owner.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+pub struct Shard(pub u32);
+
+impl Shard {
+    /// Shard of a workspace among `shards`. Halving the number of shards moves only the
+    /// workspaces of the upper half.
+    pub fn of(workspace: &Workspace, shards: u32) -> Self {
+        let hash = xxh3_64(workspace.as_str().as_bytes());
+        Self((hash % u64::from(shards.max(1))) as u32)
+    }
+}
+
+/// Number of shards of each target of a service, of which a target accepts `max_connections`.
+/// A power of two, at most the number of hosts for each target.
+pub fn shard_count(hosts: usize, targets: usize, max_connections: u32) -> u32 {
+    let by_hosts = u32::try_from(hosts / targets.max(1)).unwrap_or(MAX_SHARDS);
+    let by_connections = owner_connections(max_connections) / MIN_SHARD_CONNECTIONS;
+    let most = by_hosts.min(by_connections).clamp(1, MAX_SHARDS);
+    1 << most.ilog2()
+}
+
+/// Hosts ordered by precedence as the owner of a shard of `target`.
+pub fn rank_owners<'a>(
+    target: &Announcement,
+    shard: Shard,
+    hosts: &'a [EntryHost],
+) -> Vec<&'a EntryHost> {
+    let item = match shard {
+        Shard(0) => target.addr.clone(),
+        Shard(number) => format!("{}/{number}", target.addr),
+    };
     let mut ranked: Vec<&EntryHost> = hosts.iter().collect();
     ranked.sort_by_cached_key(|host| {
         let local = host.domain == target.domain;
-        Reverse((local, score(&target.addr, &host.id), &host.id))
+        Reverse((local, score(&item, &host.id), &host.id))
     });
     ranked
 }
@@ -45,28 +87,36 @@
 /// Role of a host for a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OwnerRole {
-    /// First in the ranking.
-    Owner,
+    /// First in the ranking of so many shards.
+    Owner(u32),
     /// Used by other hosts because the owner is unusable to them.
     Fallback,
     Other,
 }
 
-/// Number of connections that a host may hold, of the `max_connections` that a target
-/// accepts from `hosts` hosts. While the primary of the target's service changes, the
-/// owner leaves some to control, whose commands would otherwise be refused.
+/// Connections to a target that its owners may hold together.
+fn owner_connections(max_connections: u32) -> u32 {
+    max_connections * OWNER_PERCENT / 100
+}
+
+/// Number of connections that a host may hold, of the `max_connections` that a target with so
+/// many `shards` accepts from `hosts` hosts. While the primary of the target's service changes,
+/// the owners leave some to control, whose commands would otherwise be refused.
 pub fn connection_quota(
     max_connections: u32,
     hosts: usize,
+    shards: u32,
     role: OwnerRole,
     changing: bool,
 ) -> u32 {
-    let owner_quota = max_connections * OWNER_PERCENT / 100;
+    let owner_quota = owner_connections(max_connections);
     let rest = max_connections - owner_quota;
     let quota = match role {
-        OwnerRole::Owner if changing => owner_quota.saturating_sub(CONTROL_CONNECTIONS),
-        OwnerRole::Owner => owner_quota,
-        OwnerRole::Fallback => rest / 2,
+        OwnerRole::Owner(owned) if changing => {
+            owner_quota.saturating_sub(CONTROL_CONNECTIONS) * owned / shards
+        }
+        OwnerRole::Owner(owned) => owner_quota * owned / shards,
+        OwnerRole::Fallback => rest / 2 / shards,
         // Without a view it is unknown how many hosts share the rest.
         OwnerRole::Other => {
             u32::try_from(hosts).ok().and_then(|hosts| rest.checked_div(hosts)).unwrap_or(1)
@@ -75,6 +125,12 @@
     quota.max(1)
 }
 
+/// Slots of a target that a host may use which owns `owned` of its `shards`. A host that owns
+/// none serves others for a short time only, and uses all.
+pub fn slot_share(slots: u32, owned: u32, shards: u32) -> u32 {
+    if owned == 0 { slots } else { (slots * owned).div_ceil(shards) }
+}
+
 /// Which owners are blocked for a target, and which targets this host serves for others.
 #[derive(Debug, Default)]
 pub struct OwnerTracker {
--- a/src/gateway/peer_client.rs
+++ b/src/gateway/peer_client.rs
@@ -22,9 +22,7 @@
 
 use crate::{
     fleet::{
-        link::{
-            FrameReader, FrameWriter, connect, decode, discard_on_close, encode, split_framed,
-        },
+        link::{FrameReader, FrameWriter, connect, decode, discard_on_close, encode, split_framed},
         messages::{Frame, TokenGrant, TokenRequest},
     },
     gateway::{
--- a/src/gateway/primary_search.rs
+++ b/src/gateway/primary_search.rs
@@ -15,6 +15,7 @@
         cx::Cx,
         job::{JobError, JobKind, RejectReason},
         operation::Operation,
+        ownership::Shard,
         ports::{TargetConnection, Targets},
         primary_proof::{MAX_VIEW_AGE, PrimaryProof},
         target_client::TargetClient,
@@ -149,7 +150,8 @@
         timeout: Millis,
     ) -> Result<TargetStatus, JobError> {
         let cx: &Cx<T> = self.cx;
-        let mut client = TargetClient::new(cx, target.clone(), false);
+        // Hosts that ask at the same time share a query of one owner.
+        let mut client = TargetClient::new(cx, target.clone(), Shard::default(), false);
         let mut job = self.job(&target.id, JobKind::Status, cx.now() + timeout);
         job.priority = SEARCH_PRIORITY;
         // Other statements share the answer, so it does not depend on when this one arrived.
--- a/src/gateway/target_client.rs
+++ b/src/gateway/target_client.rs
@@ -10,7 +10,7 @@
         cx::Cx,
         executor::execute,
         job::{Job, JobError, JobKind},
-        ownership::OwnerSelection,
+        ownership::{OwnerSelection, Shard},
         peer_server::rollback_job,
         pool::Checkout,
         ports::Targets,
@@ -25,6 +25,8 @@
 /// Client for one target; it holds the connection or stream of an open transaction.
 pub struct TargetClient<T: Targets> {
     pub target: Rc<Announcement>,
+    /// Part of the target's work whose owner executes the jobs.
+    shard: Shard,
     transactional: bool,
     transport: Transport<T::Connection>,
 }
@@ -38,9 +40,9 @@
 
 impl<T: Targets> TargetClient<T> {
     /// Client for `target`; `transactional` if it is to hold an open transaction.
-    pub fn new(cx: &Cx<T>, target: Rc<Announcement>, transactional: bool) -> Self {
-        let transport = select_transport(cx, &target, transactional, &[]);
-        Self { target, transactional, transport }
+    pub fn new(cx: &Cx<T>, target: Rc<Announcement>, shard: Shard, transactional: bool) -> Self {
+        let transport = select_transport(cx, &target, shard, transactional, &[]);
+        Self { target, shard, transactional, transport }
     }
 
     /// Executes a job. A job that has not reached the target is tried over another
@@ -68,7 +70,8 @@
                 return result;
             }
             job.to_mut().timeout = remaining;
-            self.transport = select_transport(cx, &self.target, self.transactional, &tried);
+            self.transport =
+                select_transport(cx, &self.target, self.shard, self.transactional, &tried);
             if matches!(self.transport, Transport::Local(_)) && tried.contains(&cx.settings.host) {
                 return result;
             }
@@ -108,11 +111,12 @@
 fn select_transport<T: Targets>(
     cx: &Cx<T>,
     target: &Announcement,
+    shard: Shard,
     transactional: bool,
     tried: &[HostId],
 ) -> Transport<T::Connection> {
     let now = cx.now();
-    let ranked = cx.topology.borrow_mut().ranked_owners(target);
+    let ranked = cx.topology.borrow_mut().ranked_owners(target, shard);
     let reachable = cx.direct_health.borrow().is_usable(now, &target.id);
     let owners = cx.owners.borrow();
     let (own, target) = (&cx.settings.host, &target.id);
--- a/src/gateway/topology.rs
+++ b/src/gateway/topology.rs
@@ -10,8 +10,8 @@
         config::FleetConfig,
         messages::{Announcement, EntryHost, FleetView, TargetRole, ViewRevision},
     },
-    gateway::ownership::rank_owners,
-    ids::{InstanceId, Service},
+    gateway::ownership::{Shard, rank_owners, shard_count},
+    ids::{HostId, InstanceId, Service},
 };
 
 /// Configuration and view received from control, with the primaries that answers of
@@ -27,8 +27,8 @@
     discovered: IndexMap<Service, InstanceId>,
     /// Since when this host knows that a target is leaving.
     draining_since: IndexMap<InstanceId, Millis>,
-    /// Cache of [`rank_owners`] by target.
-    ranked_owners: IndexMap<InstanceId, Rc<[EntryHost]>>,
+    /// Cache of [`rank_owners`] by target and shard.
+    ranked_owners: IndexMap<(InstanceId, Shard), Rc<[EntryHost]>>,
 }
 
 /// Targets of one service.
@@ -95,17 +95,33 @@
         self.draining_since.get(target).is_some_and(|at| now.since(*at) >= MAX_DRAINING_TIME)
     }
 
-    /// Hosts ordered by precedence as the owner of `target`.
-    pub fn ranked_owners(&mut self, target: &Announcement) -> Rc<[EntryHost]> {
-        if let Some(ranked) = self.ranked_owners.get(&target.id) {
+    /// Hosts ordered by precedence as the owner of a shard of `target`.
+    pub fn ranked_owners(&mut self, target: &Announcement, shard: Shard) -> Rc<[EntryHost]> {
+        let key = (target.id.clone(), shard);
+        if let Some(ranked) = self.ranked_owners.get(&key) {
             return ranked.clone();
         }
         let ranked: Rc<[EntryHost]> =
-            rank_owners(target, &self.view.hosts).into_iter().cloned().collect();
-        self.ranked_owners.insert(target.id.clone(), ranked.clone());
+            rank_owners(target, shard, &self.view.hosts).into_iter().cloned().collect();
+        self.ranked_owners.insert(key, ranked.clone());
         ranked
     }
 
+    /// Number of shards of each target of `service`.
+    pub fn shards(&self, service: &Service) -> u32 {
+        let max_connections = self.config.services.get(service).map_or(1, |it| it.max_connections);
+        shard_count(self.view.hosts.len(), self.view.targets.len(), max_connections)
+    }
+
+    /// Number of shards of `target` that `host` owns.
+    pub fn owned_shards(&mut self, target: &Announcement, host: &HostId) -> u32 {
+        let shards = (0..self.shards(&target.service)).map(Shard);
+        let owns = |shard: &Shard| {
+            self.ranked_owners(target, *shard).first().is_some_and(|first| first.id == *host)
+        };
+        shards.filter(owns).count() as u32
+    }
+
     pub fn revision(&self) -> ViewRevision {
         self.view.revision
     }
--- a/tests/gateway_slots.rs
+++ b/tests/gateway_slots.rs
@@ -6,7 +6,7 @@
     fleet::messages::{Announcement, EntryHost, TargetRole},
     gateway::{
         admission::{Admission, AdmissionQueue},
-        ownership::rank_owners,
+        ownership::{Shard, rank_owners},
         pool::{Grant, Pool, PoolDecision, PoolRequest, PooledConnection},
         ports::TargetRequest,
         prepare::ConnectionState,
@@ -169,9 +169,9 @@
     let after: Vec<EntryHost> = (0..11).map(host).collect();
     let mut moved = 0;
     for number in 0..100 {
-        let first = rank_owners(&target(number), &before)[0];
+        let first = rank_owners(&target(number), Shard(0), &before)[0];
         assert_eq!(first.domain, "a".into());
-        moved += usize::from(rank_owners(&target(number), &after)[0].id != first.id);
+        moved += usize::from(rank_owners(&target(number), Shard(0), &after)[0].id != first.id);
     }
     assert!(moved < 35, "{moved} of 100 targets moved");
 }
