Evacuate failure domains on the users' platform: the control side

Operators could not take a failure domain out of use. Primaries leave by planned changes.

The start and the end without progress of a primary change, and the begin and end of leadership, move to modules of their own.

--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -12,34 +12,32 @@
     clock::{Clock, Millis, SystemClock},
     control::{
         driver::Driver,
-        node::{Input, Node, Role},
+        node::{Input, Node},
     },
     fleet::{
         config::FleetConfig,
         config_acknowledgement::PendingRollout,
         document::decode_config,
+        evacuation::EvacuationOrder,
+        evacuation_acknowledgement::PendingEvacuation,
         failover,
         leader_state::LeaderState,
         link::{ConnectionId, Inbound, Links},
         loop_load::LoopLoad,
         messages::{Announcement, ConfigDocument, Frame, TargetRole},
-        metrics::{ControlMetrics, ControlState},
+        metrics::ControlMetrics,
         registry::AnnouncementEffect,
         runtime::{Ports, Tasks},
         state::{FleetCommand, FleetState},
     },
     gateway::log_limit::LogLimiter,
-    ids::{InstanceId, Service},
+    ids::{FailureDomain, InstanceId, Service},
     wire::group::GroupTerm,
 };
 
 /// Interval between ticks of the event loop.
 pub const TICK: Millis = Millis(25);
 
-/// Time without running from which the leader's data on targets and hosts is outdated. It is
-/// below the age at which reports of hosts stop counting.
-const MIN_OUTDATED_GAP: Millis = Millis(1_000);
-
 /// Log entries after which a snapshot is stored and the log is truncated.
 const SNAPSHOT_ENTRIES: u64 = 64;
 
@@ -52,6 +50,11 @@
     Announce(Box<Announcement>),
     /// Deregisters a target.
     Leave(InstanceId),
+    /// Evacuates a failure domain, or withdraws its evacuation.
+    SetEvacuation {
+        domain: FailureDomain,
+        evacuated: bool,
+    },
 }
 
 /// Response to a [`ControlRequest`].
@@ -61,6 +64,8 @@
     Config(ConfigDocument),
     /// This host is not the leader; holds the leader's HTTP address.
     Leader(String),
+    /// The request cannot be carried out; holds the reason.
+    Rejected(String),
     /// No leader is known, or this host is the leader without a confirmed majority.
     Unavailable,
 }
@@ -107,19 +112,25 @@
     pub(super) pending_proposals: HashMap<u64, oneshot::Sender<ControlResponse>>,
     pub(super) pending_commits: Vec<PendingCommit>,
     pub(super) pending_rollouts: Vec<PendingRollout>,
+    pub(super) pending_evacuations: Vec<PendingEvacuation>,
     pub(super) ports: P,
     pub(super) tasks: Tasks,
     pub(super) metrics: Arc<ControlMetrics>,
     /// Limits the log lines on changed allocations.
     pub(super) allocation_log: LogLimiter,
+    /// Limits the log lines on evacuation orders.
+    pub(super) evacuation_log: LogLimiter,
     pub(super) load: LoopLoad,
     /// Expected interval between a target's announcements.
-    announce_interval: Millis,
+    pub(super) announce_interval: Millis,
     /// Whether the platform rejects promotions with a lower fencing token than an earlier
     /// one.
     pub(super) promotions_are_fenced: bool,
     /// Time after the acknowledgement of a configuration from which no host acts on an older one.
     pub(super) max_config_delay: Millis,
+    /// Time after the acknowledgement of an evacuation from which no host sends statements to
+    /// targets of the domain.
+    pub(super) max_evacuation_delay: Millis,
 }
 
 /// Components of a [`ControlLoop`].
@@ -136,6 +147,7 @@
     pub announce_interval: Millis,
     pub promotions_are_fenced: bool,
     pub max_config_delay: Millis,
+    pub max_evacuation_delay: Millis,
 }
 
 impl<P: Ports> ControlLoop<P> {
@@ -153,6 +165,7 @@
             announce_interval,
             promotions_are_fenced,
             max_config_delay,
+            max_evacuation_delay,
         } = components;
         let config = decode_config(&ports, &state.config);
         Self {
@@ -169,14 +182,17 @@
             pending_proposals: HashMap::new(),
             pending_commits: Vec::new(),
             pending_rollouts: Vec::new(),
+            pending_evacuations: Vec::new(),
             ports,
             tasks,
             metrics,
             allocation_log: LogLimiter::default(),
+            evacuation_log: LogLimiter::default(),
             load: LoopLoad::default(),
             announce_interval,
             promotions_are_fenced,
             max_config_delay,
+            max_evacuation_delay,
         }
     }
 
@@ -236,32 +252,6 @@
         Ok(())
     }
 
-    fn update_metrics(&self) {
-        let role = self.group.node.role();
-        let leader = self.leader_state.as_ref();
-        let count_changing = |leader: &LeaderState| {
-            let services = leader.failover.services().map(|(service, _)| service);
-            let changing = |service: &&Service| {
-                leader
-                    .failover
-                    .primary(service, &self.state.promotions)
-                    .is_some_and(|(_, changing)| changing)
-            };
-            services.filter(changing).count()
-        };
-        self.metrics.update(ControlState {
-            is_leader: role.role == Role::Leader,
-            serving: self.group.node.is_serving(self.clock.now()),
-            term: role.term.0,
-            commit_index: self.group.node.commit_index(),
-            voters: self.group.node.members().0.len(),
-            config_version: self.state.config.version,
-            hosts: leader.map_or(0, |leader| leader.hosts.len()),
-            targets: leader.map_or(0, |leader| leader.registry.all().count()),
-            changing_services: leader.map_or(0, count_changing),
-        });
-    }
-
     fn handle_inbound(&mut self, inbound: Inbound) -> Result<()> {
         match inbound {
             Inbound::Opened { id, outgoing } => {
@@ -337,6 +327,9 @@
                 self.remove_target(&id);
                 let _ = reply.send(ControlResponse::Done);
             }
+            ControlRequest::SetEvacuation { domain, evacuated } => {
+                self.handle_evacuation_order(&EvacuationOrder { domain, evacuated }, reply);
+            }
         }
     }
 
@@ -394,46 +387,7 @@
         self.restore_inventory();
         self.push_view();
         self.acknowledge_rollouts();
+        self.acknowledge_evacuations();
         Ok(())
     }
-
-    pub(super) fn change_role(&mut self, role: Role, term: u64) {
-        if role == Role::Leader {
-            let (now, interval) = (self.clock.now(), self.announce_interval);
-            let config = self.state.config.version;
-            self.leader_state.get_or_insert_with(|| LeaderState::new(now, term, interval, config));
-        } else if self.leader_state.take().is_some() {
-            self.group.clear_proposals();
-            for (_, reply) in self.pending_proposals.drain() {
-                let _ = reply.send(ControlResponse::Unavailable);
-            }
-            for pending in self.pending_commits.drain(..) {
-                let _ = pending.reply.send(ControlResponse::Unavailable);
-            }
-            for pending in self.pending_rollouts.drain(..) {
-                let _ = pending.reply.send(ControlResponse::Unavailable);
-            }
-        }
-    }
-
-    /// Resets the leader's state after the process was suspended for long, since its data on
-    /// targets and hosts is outdated by the length of the gap.
-    pub(super) fn reset_after_pause(&mut self, gap: Millis) {
-        spdlog::warn!("process was suspended", kv: {gap_ms = gap.0});
-        if gap < MIN_OUTDATED_GAP {
-            return;
-        }
-        if let Some(leader) = &mut self.leader_state {
-            // Closes the connections, as hosts send a full report after they reconnect.
-            for connection in leader.connections.values() {
-                self.outgoing.remove(&connection.id);
-            }
-            let (now, term) = (self.clock.now(), leader.view.revision.term);
-            let config = self.state.config.version;
-            let failover = leader.failover.reset();
-            let reset = LeaderState::new(now, term, self.announce_interval, config);
-            *leader = LeaderState { failover, ..reset };
-            leader.view.revision.number = self.clock.now().0;
-        }
-    }
 }
--- /dev/null
+++ b/src/fleet/evacuation_rollout.rs
@@ -0,0 +1,53 @@
+//! Acknowledgement of an evacuation to the operator.
+//!
+//! The operator is promised that no host sends statements to targets of the domain later than a
+//! given delay after the acknowledgement. Hosts may be slow, or out of contact, for any time. A
+//! host stops using its view [`MAX_VIEW_AGE`] after its last contact with a leader. So the leader
+//! acknowledges an evacuation once each host has confirmed a view that names the domain, or will
+//! have stopped using any older view within the promised delay.
+//!
+//! A host may go on for a part of the delay after it learned of the evacuation, while the primary
+//! is replaced, if it had a lease by then. A host that the leader has counted as expired may learn of
+//! it only after the acknowledgement, but has no lease then, because of [`MAX_COUNTED_DELAY`].
+//!
+//! [`MAX_VIEW_AGE`]: crate::gateway::primary_proof::MAX_VIEW_AGE
+
+use crate::{
+    clock::Millis,
+    fleet::{
+        hosts::{Hosts, LEASE_EXPIRY, VIEW_EXPIRY},
+        messages::{FleetView, ViewRevision},
+    },
+    ids::FailureDomain,
+};
+
+/// Part of the delay on which the leader counts: with more, hosts whose lease is valid would count as
+/// expired.
+const MAX_COUNTED_DELAY: Millis = Millis(VIEW_EXPIRY.0 - LEASE_EXPIRY.0);
+
+/// Evacuation that waits for its acknowledgement.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EvacuationRollout {
+    pub domain: FailureDomain,
+    /// When this leader learned that the order is committed.
+    pub committed_at: Millis,
+    /// First view that names the domain.
+    revision: ViewRevision,
+}
+
+impl EvacuationRollout {
+    /// Rollout of an evacuation that is committed while `view` is the newest view.
+    pub fn new(now: Millis, domain: FailureDomain, view: &FleetView) -> Self {
+        let ViewRevision { term, number } = view.revision;
+        let is_named = view.evacuated.contains(&domain);
+        let revision = ViewRevision { term, number: number + u64::from(!is_named) };
+        Self { domain, committed_at: now, revision }
+    }
+
+    /// Whether no host can act on a view without the evacuation later than `max_delay` from now.
+    pub fn is_complete(&self, now: Millis, hosts: &Hosts, max_delay: Millis) -> bool {
+        let deadline = now + max_delay.min(MAX_COUNTED_DELAY);
+        hosts.unknown_hosts_have_expired(deadline)
+            && hosts.all_views_include(deadline, self.revision)
+    }
+}
--- a/src/fleet/failover.rs
+++ b/src/fleet/failover.rs
@@ -38,6 +38,8 @@
 use crate::{
     clock::Millis,
     fleet::{
+        change_reason::next_to_leave,
+        evacuation::Evacuations,
         hosts::Hosts,
         messages::{Successor, TargetRole, ViewRevision},
         primary_change::PrimaryChange,
@@ -131,6 +133,8 @@
 pub enum Reason {
     Draining,
     Failing,
+    /// The failure domain of the primary is out of use.
+    Evacuated,
     /// The primary is unknown, was removed, or no longer announces itself as the primary.
     Gone,
     /// The log holds a promotion whose end was not logged.
@@ -153,6 +157,7 @@
     pub registry: &'a Registry,
     pub hosts: &'a Hosts,
     pub view_revision: ViewRevision,
+    pub evacuations: &'a Evacuations,
 }
 
 /// Primaries of all services and their changes.
@@ -241,12 +246,15 @@
         unfinished: &UnfinishedPromotions,
     ) -> Vec<Action> {
         let mut out = Vec::new();
+        let services: Vec<Service> = services.collect();
+        let leaving = next_to_leave(cx, &services, &self.services, unfinished);
         for service in services {
             let state = self.services.entry(service.clone()).or_default();
             state.update_replicas(cx, &service);
             state.end_completed(cx, &service, &mut out);
             if state.change.is_none()
                 && let Some(reason) = state.reason_to_change(cx, &service, unfinished)
+                && (reason != Reason::Evacuated || leaving.contains(&service))
             {
                 spdlog::warn!("primary change started", kv: {service = service.as_str(), reason = format!("{reason:?}").as_str(), primary = state.primary.as_ref().map_or("none", |id| id.as_str())});
                 state.disputed = false;
--- a/src/fleet/group_io.rs
+++ b/src/fleet/group_io.rs
@@ -77,11 +77,12 @@
     }
 
     fn apply(&mut self, index: u64, term: GroupTerm, bytes: &Bytes) -> Result<()> {
-        let LogEntry { command, allocations } = LogEntry::decode(bytes)
+        let LogEntry { command, allocations, evacuation } = LogEntry::decode(bytes)
             .wrap_err_with(|| format!("cannot decode the command at index {index}"))?;
         if let Some(batch) = allocations {
             self.apply_allocations(index, &batch);
         }
+        let applied_order = evacuation.map(|order| self.apply_evacuation(index, order));
         match self.state.apply(&command) {
             Applied::Nothing | Applied::PromotionBegan => {}
             Applied::Configuration => {
@@ -97,10 +98,12 @@
         }
         let is_passed = |it: &mut PendingCommit| it.index <= index;
         for pending in self.pending_commits.extract_if(.., is_passed).collect::<Vec<_>>() {
-            if pending.index == index && pending.term == term {
-                self.acknowledge_after_rollout(pending.reply);
-            } else {
+            if pending.index != index || pending.term != term {
                 let _ = pending.reply.send(ControlResponse::Unavailable);
+            } else if let Some(applied) = &applied_order {
+                self.acknowledge_order(applied, pending.reply);
+            } else {
+                self.acknowledge_after_rollout(pending.reply);
             }
         }
         if let FleetCommand::PromotionBegan { service, target } = command {
--- a/src/fleet/hosts.rs
+++ b/src/fleet/hosts.rs
@@ -14,7 +14,7 @@
 
 /// Time from the receipt of a report until the leader regards the lease as expired: the
 /// lease duration, 10 % for clock drift, and the time a host takes to act on the expiry.
-const LEASE_EXPIRY: Millis = Millis(1_750);
+pub const LEASE_EXPIRY: Millis = Millis(1_750);
 
 /// Time from the last report of a host until the leader counts on the host not to use its
 /// view any more: the maximum age of the view, and 10 % for clock drift.
@@ -216,16 +216,24 @@
                 .all(|host| host.view_revision >= revision || host.lease_until <= now)
     }
 
-    /// Whether every host that may still use its view has `revision` or a later one.
-    pub fn all_views_include(&self, now: Millis, revision: ViewRevision) -> bool {
-        let is_too_old = |heard_at| now.since(heard_at) >= VIEW_EXPIRY;
-        self.lost_hosts_have_expired(now)
+    /// Whether every host that may still use its view at `at`, which may lie ahead, has `revision`
+    /// or a later one.
+    pub fn all_views_include(&self, at: Millis, revision: ViewRevision) -> bool {
+        let is_too_old = |heard_at| at.since(heard_at) >= VIEW_EXPIRY;
+        (self.expected.is_empty() || is_too_old(self.previous_heard_at))
+            && self.removed_heard_at.is_none_or(is_too_old)
             && self
                 .hosts
                 .values()
                 .all(|host| host.view_revision >= revision || is_too_old(host.heard_at))
     }
 
+    /// Whether no host that the table never held can use its view at `at`: it had no contact since
+    /// the table was begun.
+    pub fn unknown_hosts_have_expired(&self, at: Millis) -> bool {
+        at.since(self.since) >= VIEW_EXPIRY
+    }
+
     /// Latest time up to which a host may have renewed a configuration older than `version`, which
     /// was committed at `committed_at`.
     pub fn last_renewal_before(&self, version: u64, committed_at: Millis) -> Millis {
--- a/src/fleet/leader.rs
+++ b/src/fleet/leader.rs
@@ -9,6 +9,7 @@
     clock::{Clock, Millis},
     fleet::{
         control::ControlLoop,
+        evacuation::Evacuations,
         failover::{self, Action, TargetCommand},
         hosts::LEASE_DURATION,
         leader_state::{HostConnection, LeaderState},
@@ -48,7 +49,7 @@
             let began = Instant::now();
             let services: Vec<Service> = self.config.services.keys().cloned().collect();
             let mut failover = mem::take(&mut leader.failover);
-            let cx = leader.failover_cx(now, fenced);
+            let cx = leader.failover_cx(now, fenced, &self.state.evacuations);
             let actions = failover.tick(&cx, services.into_iter(), &self.state.promotions);
             leader.failover = failover;
             self.execute_actions(actions);
@@ -63,7 +64,7 @@
         let fenced = self.promotions_are_fenced;
         let Some(leader) = &mut self.leader_state else { return };
         let mut failover = mem::take(&mut leader.failover);
-        let cx = leader.failover_cx(now, fenced);
+        let cx = leader.failover_cx(now, fenced, &self.state.evacuations);
         let actions = failover.handle(&cx, service, event, &self.state.promotions);
         leader.failover = failover;
         self.execute_actions(actions);
@@ -259,7 +260,7 @@
             primaries: leader.primaries(&self.state.promotions),
             control_addrs,
             successors: leader.successors(&self.state.promotions),
-            evacuated: Vec::new(),
+            evacuated: self.state.evacuations.domains().cloned().collect(),
         };
         leader.view = next;
         self.send_updates(now);
@@ -267,7 +268,12 @@
 }
 
 impl LeaderState {
-    fn failover_cx(&self, now: Millis, promotions_are_fenced: bool) -> failover::Cx<'_> {
+    fn failover_cx<'a>(
+        &'a self,
+        now: Millis,
+        promotions_are_fenced: bool,
+        evacuations: &'a Evacuations,
+    ) -> failover::Cx<'a> {
         failover::Cx {
             promotions_are_fenced,
             now,
@@ -276,6 +282,7 @@
             registry: &self.registry,
             hosts: &self.hosts,
             view_revision: self.view.revision,
+            evacuations,
         }
     }
 
--- a/src/fleet/metrics.rs
+++ b/src/fleet/metrics.rs
@@ -21,6 +21,9 @@
     pub hosts: usize,
     pub targets: usize,
     pub changing_services: usize,
+    pub evacuated_domains: usize,
+    pub evacuated_primaries: usize,
+    pub pending_evacuations: usize,
 }
 
 /// Counters and gauges of a control host; shared with the listener that exposes them.
@@ -35,10 +38,14 @@
     hosts: Gauge,
     targets: Gauge,
     changing_services: Gauge,
+    evacuated_domains: Gauge,
+    evacuated_primaries: Gauge,
+    pending_evacuations: Gauge,
     pub promotions: Counter,
     pub announcements: Counter,
     pub stale_announcements: Counter,
     pub allocation_batches: Counter,
+    pub evacuation_orders: Counter,
 }
 
 impl ControlMetrics {
@@ -54,6 +61,13 @@
         let hosts = gauge("hosts", "Entry hosts that report to this leader");
         let targets = gauge("targets", "Targets that this leader knows");
         let changing_services = gauge("changing_services", "Services whose primary is changing");
+        let evacuated_domains = gauge("evacuated_domains", "Failure domains out of use");
+        let evacuated_primaries = gauge(
+            "evacuated_primaries",
+            "Services whose primary is in a failure domain out of use",
+        );
+        let pending_evacuations =
+            gauge("pending_evacuations", "Committed evacuations that are not yet acknowledged");
         let counter = |name, help| set.counter(name, help);
         let promotions = counter("promotions", "Calls that promote a target");
         let announcements = counter("announcements", "Announcements of targets");
@@ -61,6 +75,8 @@
             counter("stale_announcements", "Announcements that were older than what was known");
         let allocation_batches =
             counter("allocation_batches", "Applied batches of rate limit allocations");
+        let evacuation_orders =
+            counter("evacuation_orders", "Committed orders on the use of failure domains");
         Arc::new(Self {
             set,
             is_leader,
@@ -72,10 +88,14 @@
             hosts,
             targets,
             changing_services,
+            evacuated_domains,
+            evacuated_primaries,
+            pending_evacuations,
             promotions,
             announcements,
             stale_announcements,
             allocation_batches,
+            evacuation_orders,
         })
     }
 
@@ -91,6 +111,9 @@
         self.hosts.set(signed(state.hosts as u64));
         self.targets.set(signed(state.targets as u64));
         self.changing_services.set(signed(state.changing_services as u64));
+        self.evacuated_domains.set(signed(state.evacuated_domains as u64));
+        self.evacuated_primaries.set(signed(state.evacuated_primaries as u64));
+        self.pending_evacuations.set(signed(state.pending_evacuations as u64));
     }
 
     /// All metrics in the OpenMetrics text format.
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -1,12 +1,13 @@
 //! Control plane of a fleet whose entry hosts and targets are discovered at run time.
 //!
 //! The control group replicates the configuration, unfinished promotions, the inventory of
-//! targets and hosts, and the allocations of the rate limits in its log. The leases of entry
+//! targets and hosts, the allocations of the rate limits and evacuations in its log. The leases of entry
 //! hosts are kept only in the leader's memory, and are rebuilt after a leader change.
 
 mod allocated_host;
 pub mod allocation;
 mod candidate_proof;
+mod change_reason;
 mod commit_evidence;
 pub mod config;
 mod config_acknowledgement;
@@ -15,6 +16,9 @@
 pub mod demand;
 pub mod deposed;
 pub mod document;
+pub mod evacuation;
+mod evacuation_acknowledgement;
+pub mod evacuation_rollout;
 pub mod failover;
 mod failover_log;
 pub mod group_io;
@@ -23,6 +27,7 @@
 pub mod inventory_sync;
 pub mod leader;
 mod leader_state;
+mod leadership;
 mod lender_cache;
 pub mod limits;
 pub mod link;
@@ -39,6 +44,7 @@
 pub mod service_failover;
 pub mod shared_frames;
 pub mod state;
+mod stuck_change;
 mod target_queries;
 pub mod unfinished;
 pub mod update_pacing;
--- a/src/fleet/primary_change.rs
+++ b/src/fleet/primary_change.rs
@@ -7,6 +7,7 @@
     clock::Millis,
     fleet::{
         candidate_proof::CandidateProof,
+        change_reason::is_evacuated,
         failover::{Cx, PromotionOutcome, Reason, TargetStatus},
         messages::{Announcement, TargetRole, ViewRevision},
         promotion_safety::Safety,
@@ -224,8 +225,9 @@
     /// Replica to promote; `None` until all replicas have answered or the timeout for
     /// silent ones has passed. The current candidate is kept while it is not draining and
     /// covers all paused replicas. Otherwise targets that are not draining come first, then
-    /// those that hosts can reach, then those with the highest received position. No other
-    /// target than `required` may be chosen.
+    /// those that hosts can reach, then those outside of evacuated domains if a primary answers,
+    /// then those with the highest received position. No other target than `required` may be
+    /// chosen.
     pub(super) fn best_candidate(
         &self,
         cx: &Cx<'_>,
@@ -244,17 +246,21 @@
         }
         if let Some(candidate) = &self.candidate
             && self.covers_paused(candidate)
-            && cx.registry.get(candidate).is_some_and(|it| !it.draining)
+            && cx.registry.get(candidate).is_some_and(|it| !it.draining && self.may_lead(cx, it))
         {
             return Some(candidate.clone());
         }
+        let prefers_usable = self.prefers_usable();
         let rank = |it: &&Announcement| {
             let received = self.statuses.get(&it.id).map(|status| status.received);
-            let joined_at = cx.registry.joined_at(&it.id);
-            (is_reachable(cx, &it.id), received, !it.draining, joined_at.is_none())
+            let is_in_use = !is_evacuated(cx, it);
+            let is_preferred = prefers_usable && is_in_use;
+            let is_old = cx.registry.joined_at(&it.id).is_none();
+            (is_reachable(cx, &it.id), is_preferred, received, !it.draining, is_in_use, is_old)
         };
         let is_replica = |it: &&Announcement| {
-            self.statuses.get(&it.id).is_some_and(|status| status.role == TargetRole::Replica)
+            let status = self.statuses.get(&it.id);
+            status.is_some_and(|status| status.role == TargetRole::Replica) && self.may_lead(cx, it)
         };
         let active = replicas().filter(|it| !it.draining && is_replica(it));
         let best = active.max_by_key(rank);
--- a/src/fleet/runtime.rs
+++ b/src/fleet/runtime.rs
@@ -111,6 +111,9 @@
     pub promotions_are_fenced: bool,
     /// Time after the acknowledgement of a configuration from which no host acts on an older one.
     pub max_config_delay: Millis,
+    /// Time after the acknowledgement of an evacuation from which no host sends statements to
+    /// targets of the failure domain.
+    pub max_evacuation_delay: Millis,
 }
 
 /// Handle for requests to the event loop.
@@ -204,6 +207,7 @@
         announce_interval: settings.announce_interval,
         promotions_are_fenced: settings.promotions_are_fenced,
         max_config_delay: settings.max_config_delay,
+        max_evacuation_delay: settings.max_evacuation_delay,
     };
     let control = ControlLoop::new(components);
     let listen_addr = settings.listen_addr;
--- a/src/fleet/service_failover.rs
+++ b/src/fleet/service_failover.rs
@@ -1,5 +1,6 @@
-//! Primary of one service and the change in progress: when it starts, whom it promotes, and
-//! when it has ended. [`failover`](crate::fleet::failover) says why no commit is lost.
+//! Primary of one service and the change in progress: whom it promotes, and when it has ended.
+//! [`failover`](crate::fleet::failover) says why no commit is lost,
+//! `fleet::change_reason` when a change starts.
 
 use indexmap::IndexSet;
 
@@ -7,32 +8,19 @@
     clock::Millis,
     fleet::{
         candidate_proof::CandidateProof,
+        change_reason::has_observed,
         commit_evidence::CommitEvidence,
         deposed::DeposedPrimaries,
         failover::{Action, Cx, Reason, TargetStatus},
         messages::{TargetRole, ViewRevision},
         outstanding_calls::OutstandingCalls,
-        primary_change::{
-            PROMOTION_RETRY_INTERVAL, PrimaryChange, SILENT_REPLICA_TIMEOUT, Step,
-            has_non_draining, is_failing, is_reachable,
-        },
+        primary_change::{PROMOTION_RETRY_INTERVAL, PrimaryChange, SILENT_REPLICA_TIMEOUT, Step},
         promotion_safety::Safety,
         unfinished::UnfinishedPromotions,
     },
     ids::{InstanceId, Service},
 };
 
-/// Time for which a new leader observes before it changes primaries, as a percentage of the
-/// announcement interval: long enough for an announcement of every target and a report of
-/// every host.
-const OBSERVATION_PERCENT: u64 = 150;
-
-/// Time without progress after which a change is restarted.
-const CHANGE_TIMEOUT: Millis = Millis(5_000);
-
-/// Minimum time between two primary changes of one service.
-const CHANGE_COOLDOWN: Millis = Millis(1_000);
-
 /// Low bits of a fencing token, which count the promotions sent by one leader.
 const TOKEN_COUNTER_BITS: u32 = 20;
 
@@ -43,14 +31,14 @@
     /// Another target announced itself as the primary.
     pub(super) disputed: bool,
     pub(super) change: Option<PrimaryChange>,
-    last_change_ended: Option<Millis>,
+    pub(super) last_change_ended: Option<Millis>,
     pub(super) deposed: DeposedPrimaries,
     pub(super) calls: OutstandingCalls,
     pub(super) evidence: CommitEvidence,
     /// Targets of the unfinished promotions that this leader has logged.
-    logged: IndexSet<InstanceId>,
+    pub(super) logged: IndexSet<InstanceId>,
     /// A call may have been sent for one of the unfinished promotions.
-    called: bool,
+    pub(super) called: bool,
     /// A change has ended, but calls to promote the primary may still be carried out, so the
     /// promotion stays unfinished in the log for the next leader.
     completed: Option<InstanceId>,
@@ -58,42 +46,6 @@
 }
 
 impl ServiceState {
-    /// Reason to start a primary change, if there is one.
-    pub(super) fn reason_to_change(
-        &self,
-        cx: &Cx<'_>,
-        service: &Service,
-        unfinished: &UnfinishedPromotions,
-    ) -> Option<Reason> {
-        let is_unfinished = unfinished.newest(service).is_some_and(|id| !self.is_completed(id));
-        if self.disputed && !is_unfinished {
-            return Some(Reason::Disputed);
-        }
-        if cx.registry.of_service(service).count() < 2 || (!is_unfinished && !has_observed(cx)) {
-            return None;
-        }
-        if self.last_change_ended.is_some_and(|at| cx.now.since(at) < CHANGE_COOLDOWN) {
-            return None;
-        }
-        if is_unfinished {
-            return Some(Reason::Unfinished);
-        }
-        let known = self.primary.as_ref().and_then(|id| cx.registry.get(id));
-        let Some(primary) = known else { return Some(Reason::Gone) };
-        if primary.role != TargetRole::Primary {
-            return Some(Reason::Gone);
-        }
-        if primary.draining {
-            return has_non_draining(cx, service).then_some(Reason::Draining);
-        }
-        // A target that the hosts cannot reach either is no better primary.
-        let has_better = cx
-            .registry
-            .of_service(service)
-            .any(|it| it.id != primary.id && !it.draining && is_reachable(cx, &it.id));
-        (has_better && is_failing(cx, &primary.id)).then_some(Reason::Failing)
-    }
-
     pub(super) fn advance(
         &mut self,
         cx: &Cx<'_>,
@@ -109,7 +61,8 @@
         }
         match change.step {
             Step::Choosing => {
-                if self.has_recovered(cx) {
+                self.update_reason(cx);
+                if self.reason_has_passed(cx, service) {
                     self.cancel(cx, service, out);
                 } else {
                     self.choose_candidate(cx, service, out);
@@ -200,19 +153,14 @@
         }
     }
 
-    /// Whether the primary answers again while no candidate could be chosen.
-    fn has_recovered(&self, cx: &Cx<'_>) -> bool {
-        let (Some(change), Some(primary)) = (&self.change, &self.primary) else { return false };
-        change.reason == Reason::Failing
-            && cx.now.since(change.started_at) >= SILENT_REPLICA_TIMEOUT
-            && cx.registry.get(primary).is_some()
-            && !is_failing(cx, primary)
-    }
-
     /// Ends a change for which nothing was logged; the primary stays.
     fn cancel(&mut self, cx: &Cx<'_>, service: &Service, out: &mut Vec<Action>) {
         let Some(change) = self.change.take() else { return };
-        spdlog::info!("primary change cancelled, the primary answers again", kv: {service = service.as_str(), took_ms = cx.now.since(change.started_at).0});
+        let passed = match change.reason {
+            Reason::Evacuated => "the primary may stay where it is",
+            _ => "the primary answers again",
+        };
+        spdlog::info!("primary change cancelled, {passed}", kv: {service = service.as_str(), took_ms = cx.now.since(change.started_at).0});
         self.resume(service, &change, out);
         self.last_change_ended = Some(cx.now);
         out.push(Action::ViewChanged);
@@ -226,8 +174,12 @@
         let required = self.calls.required_target(cx).cloned();
         let Some(change) = &mut self.change else { return };
         let required = required.or_else(|| change.target_to_complete(cx).cloned());
+        let may_stay = |id: &InstanceId| match &required {
+            Some(required) => required == id,
+            None => !change.has_replacement(cx, service, id),
+        };
         let serving = change.serving_primary(cx, service, primary.as_ref());
-        if let Some(current) = serving.filter(|id| required.as_ref().is_none_or(|it| it == id)) {
+        if let Some(current) = serving.filter(may_stay) {
             self.keep_primary(cx, service, current, out);
             return;
         }
@@ -396,79 +348,6 @@
             out.push(Action::LogPromotionEnded { service: service.clone() });
         }
     }
-
-    /// Gives up promotions for which no call was ever sent, so that another candidate can be chosen;
-    /// returns whether it did. The present primary is logged last, which keeps it.
-    fn abort_without_calls(
-        &mut self,
-        cx: &Cx<'_>,
-        service: &Service,
-        unfinished: &UnfinishedPromotions,
-        out: &mut Vec<Action>,
-    ) -> bool {
-        let is_own = |id: &InstanceId| self.logged.contains(id);
-        let Some(change) = &self.change else { return false };
-        let Some(primary) = self.primary.clone() else { return false };
-        let was_logged = matches!(change.step, Step::Logging | Step::Proving);
-        if !was_logged || self.called || !unfinished.targets(service).all(is_own) {
-            return false;
-        }
-        self.resume(service, change, out);
-        self.change = None;
-        self.last_change_ended = Some(cx.now);
-        self.logged.insert(primary.clone());
-        let service = service.clone();
-        out.push(Action::LogPromotionBegan { service: service.clone(), target: primary });
-        out.push(Action::LogPromotionEnded { service });
-        out.push(Action::ViewChanged);
-        true
-    }
-
-    /// Restarts a change that makes no progress, for example because the candidate was
-    /// lost as well. Once a promotion was sent, the time counts from the candidate's last
-    /// answer, so that promotions of a candidate that answers are retried instead. Replicas
-    /// paused while choosing are resumed.
-    fn restart_if_stuck(
-        &mut self,
-        cx: &Cx<'_>,
-        service: &Service,
-        unfinished: &UnfinishedPromotions,
-        out: &mut Vec<Action>,
-    ) {
-        let Some(change) = &self.change else { return };
-        let promotion_sent = change.promotion_sent();
-        let stuck_since =
-            if promotion_sent { change.candidate_heard_at } else { change.started_at };
-        let is_gone = |id: &InstanceId| cx.registry.get(id).is_none();
-        let has_regressed = change.proof.as_ref().is_some_and(CandidateProof::has_regressed);
-        let is_lost =
-            has_regressed || (promotion_sent && change.candidate.as_ref().is_some_and(is_gone));
-        if cx.now.since(stuck_since) < CHANGE_TIMEOUT && !is_lost {
-            return;
-        }
-        spdlog::warn!("primary change made no progress, restarting it", kv: {service = service.as_str(), step = format!("{:?}", change.step).as_str()});
-        if self.abort_without_calls(cx, service, unfinished, out) {
-            return;
-        }
-        let Some(change) = &self.change else { return };
-        if change.step == Step::Choosing {
-            self.resume(service, change, out);
-        }
-        let stuck = self.change.take().filter(|_| promotion_sent);
-        self.last_change_ended = Some(cx.now);
-        // Replicas that were paused for the promotion are still paused.
-        self.change = stuck.map(|stuck| PrimaryChange {
-            paused: stuck.paused,
-            ..PrimaryChange::new(cx.now, Reason::Unfinished, stuck.candidate)
-        });
-        out.push(Action::ViewChanged);
-    }
-}
-
-/// Whether the leader has led for long enough to know all targets and hosts.
-fn has_observed(cx: &Cx<'_>) -> bool {
-    let observation = Millis(cx.registry.interval().0 * OBSERVATION_PERCENT / 100);
-    cx.now.since(cx.leader_since) >= observation
 }
 
 /// Fencing token of the leader's call with the given number, counted from 1.
--- a/src/fleet/state.rs
+++ b/src/fleet/state.rs
@@ -1,16 +1,18 @@
 //! Replicated state machine of a fleet: the configuration in force, unfinished promotions,
-//! the inventory and the allocations of the rate limits.
+//! the inventory, the allocations of the rate limits and evacuated failure domains.
 //!
 //! Allocations follow the older parts of a snapshot, and a batch of them follows an empty
-//! command in its log entry. Superseded promotions follow the allocations of a snapshot. Builds
-//! that do not know a part read those before it.
+//! command in its log entry. Superseded promotions follow the allocations of a snapshot, and
+//! evacuations follow these. An order to evacuate follows an empty command and an empty batch.
+//! Builds that do not know a part read those before it.
 
 use eyre::{Result, WrapErr};
 use serde::{Deserialize, Serialize};
 
 use crate::{
     fleet::{
-        allocation::{AllocationBatch, Allocations},
+        allocation::{AllocationBatch, Allocations, BatchId},
+        evacuation::{EvacuationOrder, Evacuations},
         inventory::{Inventory, InventoryDelta},
         messages::ConfigDocument,
         unfinished::{Superseded, UnfinishedPromotions},
@@ -39,6 +41,8 @@
     pub inventory: Inventory,
     #[serde(skip)]
     pub allocations: Allocations,
+    #[serde(skip)]
+    pub evacuations: Evacuations,
 }
 
 /// Log entry.
@@ -46,17 +50,21 @@
 pub struct LogEntry {
     pub command: FleetCommand,
     pub allocations: Option<AllocationBatch>,
+    pub evacuation: Option<EvacuationOrder>,
 }
 
 impl LogEntry {
-    /// Decodes an entry of this build or of one that knows no allocations.
+    /// Decodes an entry of this build or of one that knows no allocations or no evacuations.
     pub fn decode(bytes: &[u8]) -> Result<Self> {
         let (command, rest) = postcard::take_from_bytes(bytes)?;
-        let allocations = match rest {
-            [] => None,
-            rest => Some(postcard::from_bytes(rest)?),
-        };
-        Ok(Self { command, allocations })
+        if rest.is_empty() {
+            return Ok(Self { command, allocations: None, evacuation: None });
+        }
+        let (allocations, rest) = postcard::take_from_bytes(rest)?;
+        if rest.is_empty() {
+            return Ok(Self { command, allocations: Some(allocations), evacuation: None });
+        }
+        Ok(Self { command, allocations: None, evacuation: Some(postcard::from_bytes(rest)?) })
     }
 }
 
@@ -65,6 +73,14 @@
     (FleetCommand::Inventory(InventoryDelta::default()), batch)
 }
 
+/// Log entry that holds only an order to evacuate, in encodable form.
+pub fn evacuation_entry(
+    order: &EvacuationOrder,
+) -> (FleetCommand, AllocationBatch, &EvacuationOrder) {
+    let batch = AllocationBatch { proposer: BatchId::default(), changes: Vec::new() };
+    (FleetCommand::Inventory(InventoryDelta::default()), batch, order)
+}
+
 /// Effect of a command.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Applied {
@@ -78,8 +94,8 @@
 
 impl FleetState {
     /// State in encodable form, for a snapshot.
-    pub fn snapshot(&self) -> (&Self, &Allocations, &Superseded) {
-        (self, &self.allocations, &self.promotions.superseded)
+    pub fn snapshot(&self) -> (&Self, &Allocations, &Superseded, &Evacuations) {
+        (self, &self.allocations, &self.promotions.superseded, &self.evacuations)
     }
 
     /// Decodes a snapshot of this build or of an older one.
@@ -92,9 +108,15 @@
         let (allocations, rest) =
             postcard::take_from_bytes(rest).wrap_err("cannot decode the allocations")?;
         state.allocations = allocations;
+        if rest.is_empty() {
+            return Ok(state);
+        }
+        let (superseded, rest) =
+            postcard::take_from_bytes(rest).wrap_err("cannot decode the superseded promotions")?;
+        state.promotions.superseded = superseded;
         if !rest.is_empty() {
-            state.promotions.superseded =
-                postcard::from_bytes(rest).wrap_err("cannot decode the superseded promotions")?;
+            state.evacuations =
+                postcard::from_bytes(rest).wrap_err("cannot decode the evacuations")?;
         }
         Ok(state)
     }
--- a/tests/fleet_failover/harness.rs
+++ b/tests/fleet_failover/harness.rs
@@ -4,6 +4,7 @@
 use pomelopin::{
     clock::Millis,
     fleet::{
+        evacuation::{EvacuationOrder, Evacuations},
         failover::{Action, Cx, Event, Failover, PromotionOutcome, TargetCommand, TargetStatus},
         hosts::Hosts,
         messages::{
@@ -12,7 +13,7 @@
         registry::Registry,
         unfinished::UnfinishedPromotions,
     },
-    ids::{Incarnation, InstanceId, Mark, Service},
+    ids::{FailureDomain, Incarnation, InstanceId, Mark, Service},
 };
 
 pub const STEP_MS: u64 = 50;
@@ -51,19 +52,25 @@
     /// Incarnation of all hosts.
     pub incarnation: u64,
     pub sequence: u64,
+    pub evacuations: Evacuations,
 }
 
 pub fn service() -> Service {
     Service::from("ledger")
 }
 
+/// Failure domain of a target; each has its own.
+pub fn domain_of(id: &str) -> FailureDomain {
+    format!("domain-{id}").as_str().into()
+}
+
 /// First announcement of a replica.
 pub fn joining(id: &str) -> Announcement {
     Announcement {
         id: id.into(),
         service: service(),
         addr: format!("{id}:1"),
-        domain: "a".into(),
+        domain: domain_of(id),
         draining: false,
         role: TargetRole::Replica,
         slots: 2,
@@ -104,6 +111,7 @@
             acknowledged: mark,
             incarnation: 1,
             sequence: 0,
+            evacuations: Evacuations::default(),
         };
         harness.failover.record_primary_claim(&service(), &"p".into());
         harness.announce(false);
@@ -202,6 +210,22 @@
         self.acknowledged = Mark::default();
     }
 
+    /// The replicas receive all that the primary has.
+    pub fn replicate(&mut self) {
+        let primary =
+            self.targets.values().flatten().find(|(role, _)| *role == TargetRole::Primary);
+        let newest = primary.expect("a primary runs").1;
+        for (_, received) in self.targets.values_mut().flatten() {
+            *received = newest;
+        }
+    }
+
+    /// Evacuates the failure domain of a target, or withdraws the evacuation.
+    pub fn set_evacuated(&mut self, id: &str, evacuated: bool) {
+        let order = EvacuationOrder { domain: domain_of(id), evacuated };
+        self.evacuations.apply(&order).expect("a valid order");
+    }
+
     /// Replaces the leader by one that knows only the log.
     pub fn replace_leader(&mut self) {
         self.term += 1;
@@ -241,6 +265,7 @@
             registry: &self.registry,
             hosts: &self.hosts,
             view_revision: ViewRevision { term: self.term, number: self.view },
+            evacuations: &self.evacuations,
         }
     }
 
--- a/tests/fleet_failover/main.rs
+++ b/tests/fleet_failover/main.rs
@@ -1,6 +1,7 @@
 //! Primary changes must lose no acknowledged commit, and no host may rely on the old primary
 //! once the new one is promoted.
 
+mod evacuation;
 mod harness;
 mod successors;
 
@@ -271,6 +272,7 @@
             registry: &harness.registry,
             hosts: &harness.hosts,
             view_revision: ViewRevision { term: harness.term, number: harness.view },
+            evacuations: &harness.evacuations,
         };
         let actions = harness.failover.tick(&cx, [service()].into_iter(), &harness.unfinished);
         let is_query = |action: &Action| {
--- a/tests/fleet_fixture/mod.rs
+++ b/tests/fleet_fixture/mod.rs
@@ -29,6 +29,9 @@
 /// Time after the acknowledgement of a configuration from which no host acts on an older one.
 const MAX_CONFIG_DELAY: Millis = Millis(5_000);
 
+/// Time after the acknowledgement of an evacuation from which no host uses the domain.
+const MAX_EVACUATION_DELAY: Millis = Millis(5_000);
+
 #[derive(Clone)]
 struct StubPorts;
 
@@ -74,6 +77,7 @@
         announce_interval: Millis(1_200),
         promotions_are_fenced: true,
         max_config_delay: MAX_CONFIG_DELAY,
+        max_evacuation_delay: MAX_EVACUATION_DELAY,
     };
     let (handle, run) = start(&settings, StubPorts).expect("control host");
     let task = tokio::task::spawn_local(async move { run.await.expect("running control host") });
@@ -95,12 +99,22 @@
 
 /// Sends the report of the entry host `h1` with the version `config_version`.
 pub async fn send_report(writer: &mut FrameWriter, sent_at: Millis, config_version: u64) {
+    send_report_with_view(writer, sent_at, config_version, ViewRevision::default()).await;
+}
+
+/// Sends the report of the entry host `h1` with the view `view_revision`.
+pub async fn send_report_with_view(
+    writer: &mut FrameWriter,
+    sent_at: Millis,
+    config_version: u64,
+    view_revision: ViewRevision,
+) {
     let report = HostReport {
         host: "h1".into(),
         incarnation: Incarnation(1),
         sent_at,
         config_version,
-        view_revision: ViewRevision::default(),
+        view_revision,
         bus_addr: "127.0.0.1:2".to_owned(),
         domain: "a".into(),
         leaving: false,
--- a/tests/fleet_messages.rs
+++ b/tests/fleet_messages.rs
@@ -235,7 +235,10 @@
 fn log_entries_of_older_builds_are_read() {
     let command = FleetCommand::Inventory(InventoryDelta::default());
     let bytes = postcard::to_allocvec(&command).unwrap();
-    assert_eq!(LogEntry::decode(&bytes).unwrap(), LogEntry { command, allocations: None });
+    assert_eq!(
+        LogEntry::decode(&bytes).unwrap(),
+        LogEntry { command, allocations: None, evacuation: None }
+    );
 }
 
 /// Guards against allocations that a restored control host does not know, and against
--- a/tests/primary_simulation/faults.rs
+++ b/tests/primary_simulation/faults.rs
@@ -2,7 +2,7 @@
 
 use rand::{Rng, rngs::SmallRng};
 
-use crate::fleet::{CONTROL, Fleet, HOSTS};
+use crate::fleet::{CONTROL, DOMAINS, Fleet, HOSTS};
 
 /// Faults of a run besides cuts, crashes of primaries, pauses and leader changes.
 #[derive(Debug, Clone, Copy, Default)]
@@ -15,6 +15,8 @@
     pub pauses_fail: bool,
     /// Targets join that control cannot reach for seconds, and give receipts meanwhile.
     pub unknown_targets: bool,
+    /// Operators evacuate failure domains and withdraw that.
+    pub evacuations: bool,
 }
 
 /// Number of targets that exist in one run.
@@ -81,6 +83,12 @@
     }
 }
 
+/// Evacuates a random failure domain, or withdraws an evacuation; all may be evacuated at a time.
+pub fn order_evacuation(fleet: &mut Fleet, rng: &mut SmallRng) {
+    let domain = rng.random_range(0..DOMAINS);
+    fleet.set_evacuated(domain, rng.random_bool(0.6));
+}
+
 /// Injects one random fault of the platform, or one of the others.
 pub fn inject_platform_fault(fleet: &mut Fleet, rng: &mut SmallRng) {
     let ms = rng.random_range(500..8_000);
--- a/tests/primary_simulation/fleet.rs
+++ b/tests/primary_simulation/fleet.rs
@@ -10,6 +10,7 @@
 use pomelopin::{
     clock::Millis,
     fleet::{
+        evacuation::{EvacuationOrder, Evacuations},
         failover::{Event, PromotionOutcome, TargetCommand, TargetStatus},
         hosts::LEASE_DURATION,
         inventory::Inventory,
@@ -19,7 +20,7 @@
     gateway::{
         freshness::Freshness, lease::ControlLease, primary_proof::PrimaryProof, topology::Topology,
     },
-    ids::{InstanceId, Mark, Service as ServiceName},
+    ids::{FailureDomain, InstanceId, Mark, Service as ServiceName},
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
@@ -197,6 +198,8 @@
     evaluated: Option<u64>,
     announced: IndexMap<String, u64>,
     sequence: u64,
+    /// Evacuations in the replicated log.
+    evacuations: Evacuations,
     view_due: bool,
     pub counts: Counts,
 }
@@ -204,6 +207,13 @@
 /// Name of the control hosts in cuts.
 pub const CONTROL: &str = "control";
 
+/// Number of failure domains; the targets are divided among them.
+pub const DOMAINS: usize = 3;
+
+fn domain_name(index: usize) -> FailureDomain {
+    format!("d{}", index % DOMAINS).as_str().into()
+}
+
 fn host_id(index: usize) -> String {
     format!("h{index}")
 }
@@ -251,6 +261,7 @@
             evaluated: None,
             announced: IndexMap::new(),
             sequence: 0,
+            evacuations: Evacuations::default(),
             view_due: false,
             counts: Counts::default(),
         }
@@ -310,6 +321,13 @@
         self.advance_confirmations();
     }
 
+    /// Evacuates a failure domain, or withdraws its evacuation.
+    pub fn set_evacuated(&mut self, domain: usize, evacuated: bool) {
+        self.service.record(self.now, format_args!("domain {domain} evacuated: {evacuated}"));
+        let order = EvacuationOrder { domain: domain_name(domain), evacuated };
+        self.evacuations.apply(&order).expect("a valid order");
+    }
+
     pub fn freeze_host(&mut self, index: usize, ms: u64) {
         self.hosts[index].frozen_until = self.now + ms;
     }
--- a/tests/primary_simulation/fleet/control.rs
+++ b/tests/primary_simulation/fleet/control.rs
@@ -4,6 +4,7 @@
 use pomelopin::{
     clock::Millis,
     fleet::{
+        evacuation::Evacuations,
         failover::{Action, Cx, Event, Failover},
         hosts::Hosts,
         inventory::Observed,
@@ -118,6 +119,7 @@
             targets: leader.registry.all().cloned().collect(),
             primaries: vec![Primary { service: service_name(), id: primary.clone(), changing }],
             successors: leader.failover.successors(&service_name(), &self.unfinished),
+            evacuated: self.evacuations.domains().cloned().collect(),
             ..FleetView::default()
         };
         if !changing {
@@ -128,7 +130,8 @@
         };
         let changed = sequences(&next) != sequences(&leader.view)
             || next.primaries != leader.view.primaries
-            || next.successors != leader.view.successors;
+            || next.successors != leader.view.successors
+            || next.evacuated != leader.view.evacuated;
         if changed || std::mem::take(&mut self.view_due) {
             leader.view = next;
             leader.view.revision.number += 1;
@@ -151,7 +154,8 @@
         let mut failover = std::mem::take(&mut leader.failover);
         let services = [service_name()].into_iter();
         let fenced = self.service.fenced;
-        let actions = failover.tick(&leader.cx(now, fenced), services, &self.unfinished);
+        let cx = leader.cx(now, fenced, &self.evacuations);
+        let actions = failover.tick(&cx, services, &self.unfinished);
         leader.failover = failover;
         self.leader = Some(leader);
         self.execute(actions);
@@ -162,7 +166,7 @@
         let Some(mut leader) = self.leader.take_if(|leader| leader.term == term) else { return };
         let mut failover = std::mem::take(&mut leader.failover);
         let fenced = self.service.fenced;
-        let cx = leader.cx(Millis(self.now), fenced);
+        let cx = leader.cx(Millis(self.now), fenced, &self.evacuations);
         let actions = failover.handle(&cx, &service_name(), event, &self.unfinished);
         leader.failover = failover;
         self.leader = Some(leader);
@@ -201,7 +205,12 @@
     }
 }
 impl Leader {
-    fn cx(&self, now: Millis, promotions_are_fenced: bool) -> Cx<'_> {
+    fn cx<'a>(
+        &'a self,
+        now: Millis,
+        promotions_are_fenced: bool,
+        evacuations: &'a Evacuations,
+    ) -> Cx<'a> {
         Cx {
             now,
             term: self.term,
@@ -210,6 +219,7 @@
             registry: &self.registry,
             hosts: &self.hosts,
             view_revision: self.view.revision,
+            evacuations,
         }
     }
 }
--- a/tests/primary_simulation/fleet/platform.rs
+++ b/tests/primary_simulation/fleet/platform.rs
@@ -7,10 +7,11 @@
         failover::{PromotionOutcome, TargetCommand},
         messages::{Announcement, TargetRole},
     },
+    ids::FailureDomain,
 };
 use rand::Rng;
 
-use super::{ANNOUNCE_INTERVAL_MS, CONTROL, Fleet, Message, service_name};
+use super::{ANNOUNCE_INTERVAL_MS, CONTROL, Fleet, Message, domain_name, service_name};
 use crate::targets::{Promotion, Target};
 
 /// Time after which a promotion is not sent any more.
@@ -226,12 +227,17 @@
         }
     }
 }
+/// Failure domain of the target `t0`, `t1` and so on.
+fn target_domain(id: &str) -> FailureDomain {
+    domain_name(id[1..].parse().expect("a numbered target"))
+}
+
 fn announcement(target: &Target, sequence: u64) -> Announcement {
     Announcement {
         id: target.id.as_str().into(),
         service: service_name(),
         addr: format!("{}:1", target.id),
-        domain: "a".into(),
+        domain: target_domain(&target.id),
         draining: target.draining,
         role: if target.is_primary { TargetRole::Primary } else { TargetRole::Replica },
         slots: 2,
--- a/tests/primary_simulation/main.rs
+++ b/tests/primary_simulation/main.rs
@@ -7,8 +7,10 @@
 mod targets;
 mod violations;
 
-use faults::{Faults, inject, inject_during_call, inject_platform_fault, kill_hosts};
-use fleet::{Counts, Fleet};
+use faults::{
+    Faults, inject, inject_during_call, inject_platform_fault, kill_hosts, order_evacuation,
+};
+use fleet::{Counts, DOMAINS, Fleet};
 use indexmap::IndexMap;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use violations::ViolationKind;
@@ -46,6 +48,9 @@
         if faults.kills_hosts && rng.random_bool(0.4) {
             kill_hosts(&mut fleet, &mut rng);
         }
+        if faults.evacuations && rng.random_bool(0.5) {
+            order_evacuation(&mut fleet, &mut rng);
+        }
         let ms = rng.random_range(100..2_500);
         if faults.platform {
             run_with_faults_during_calls(&mut fleet, &mut rng, ms);
@@ -96,8 +101,18 @@
     assert!(total.commits > 100 && total.proven_reads > 20 && promoted > 2, "{total:?}");
 }
 
-const KILLS: Faults =
-    Faults { kills_hosts: true, platform: false, pauses_fail: false, unknown_targets: false };
+const KILLS: Faults = Faults {
+    kills_hosts: true,
+    platform: false,
+    pauses_fail: false,
+    unknown_targets: false,
+    evacuations: false,
+};
+
+const EVACUATIONS: Faults = Faults { evacuations: true, ..KILLS };
+
+/// Time in which a primary leaves an evacuated domain if nothing fails.
+const EVACUATION_MS: u64 = 4_000;
 
 /// Runs that once failed: seed, number of targets, whether promotions are fenced. The comments
 /// tell what was found; a later change of the simulation may lead a seed elsewhere.
@@ -201,6 +216,45 @@
     check_platform_faults(Faults { platform: true, pauses_fail: true, ..Faults::default() });
 }
 
+/// Guards against commits that are lost, and reads at a replaced primary, when operators evacuate
+/// failure domains and withdraw that amid all other faults.
+#[test]
+fn evacuations_lose_no_commit() {
+    for fenced in [true, false] {
+        check_with(seeds(), 3, fenced, EVACUATIONS);
+        check_with(seeds(), 2, fenced, EVACUATIONS);
+        check_with(seeds(), 5, fenced, EVACUATIONS);
+    }
+}
+
+/// The same with all faults of the platform.
+#[test]
+fn evacuations_lose_no_commit_beside_late_promotions() {
+    check_platform_faults(Faults { platform: true, evacuations: true, ..Faults::default() });
+}
+
+/// Guards against a primary that stays in an evacuated domain, or comes back to one. The domains
+/// are evacuated one after the other while callers read and write.
+#[test]
+fn primary_leaves_each_evacuated_domain() {
+    for (seed, fenced) in seeds().zip([true, false].into_iter().cycle()) {
+        let mut fleet = Fleet::new(seed, 3, fenced);
+        fleet.run(START_MS);
+        for round in 0..2 * DOMAINS {
+            let domain = fleet.service.leader % DOMAINS;
+            fleet.set_evacuated(domain, true);
+            fleet.run(EVACUATION_MS);
+            let now = fleet.service.leader % DOMAINS;
+            assert_ne!(now, domain, "seed {seed}, round {round}");
+            fleet.set_evacuated(domain, false);
+            fleet.run(EVACUATION_MS);
+            assert_eq!(fleet.service.leader % DOMAINS, now, "seed {seed}: the primary stays");
+        }
+        assert!(!fleet.service.has_violation(), "{}", fleet.service.explain_violation());
+        assert_eq!(fleet.service.promoted, 2 * DOMAINS, "seed {seed}: one change per evacuation");
+    }
+}
+
 fn check_platform_faults(faults: Faults) {
     let mut outcome = Outcome::default();
     for (targets, fenced) in [(3, true), (3, false), (2, true), (2, false), (5, true), (5, false)] {
