--- a/src/fleet/config.rs
+++ b/src/fleet/config.rs
@@ -54,6 +54,11 @@
     pub max_connections: u32,
     /// Number of replicas that must hold a commit before it is acknowledged.
     pub sync_replicas: u32,
+    /// Time for which a target is cold after its failure domain was restored.
+    pub cold_time: Millis,
+    /// Statements per 1,000 seconds that a cold target may get from all hosts together; `None` if
+    /// they are not limited.
+    pub max_cold_rate_millis: Option<u64>,
 }
 
 /// Rate limit of a workspace over all hosts.
--- a/src/gateway/control_link.rs
+++ b/src/gateway/control_link.rs
@@ -368,6 +368,7 @@
             topology.set_view(view);
             topology.record_draining(cx.now());
         }
+        cx.apply_domains();
         cx.trim_pools();
     }
 }
--- a/src/gateway/cx.rs
+++ b/src/gateway/cx.rs
@@ -29,6 +29,7 @@
         primary_search::PrimarySearch,
         proof_rounds::Rounds,
         rate_limit::RateLimiter,
+        readmission::ColdTargets,
         statement::{Answer, ErrorCode, StatementError},
         topology::Topology,
     },
@@ -54,6 +55,13 @@
     /// Share of a statement's timeout that may be spent waiting for a target and a
     /// connection, in percent. A longer wait leaves no time for a retry elsewhere.
     pub max_wait_percent: u64,
+    /// Time after the acknowledgement of an evacuation from which no host sends statements to
+    /// the domain. If set, a host without contact to control sends none to any target.
+    pub max_evacuation_delay: Option<Millis>,
+    /// Factor by which statements to a cold target may exceed the rate of its service.
+    pub cold_overage: f64,
+    /// Statements by which they may exceed it at once.
+    pub cold_slack: u32,
 }
 
 impl Default for GatewaySettings {
@@ -63,6 +71,9 @@
             domain: FailureDomain::from("local"),
             bus_addr: String::new(),
             max_wait_percent: 40,
+            max_evacuation_delay: None,
+            cold_overage: 1.0,
+            cold_slack: 0,
         }
     }
 }
@@ -102,14 +113,19 @@
     /// Newest commit of each service that could not be confirmed, with the target that has run it,
     /// until the targets that must hold it do or another target leads.
     pub unconfirmed: RefCell<IndexMap<Service, (InstanceId, Mark)>>,
+    pub cold: RefCell<ColdTargets>,
     /// Number of open sessions.
     pub sessions: Cell<usize>,
+    /// Number of the newest session.
+    pub last_session: Cell<u64>,
     /// Limits the log lines on failed requests.
     pub request_log: RefCell<LogLimiter>,
     /// Limits the log lines on targets that do not answer.
     pub target_log: RefCell<LogLimiter>,
     /// Limits the log lines on the use of rate limits.
     pub limit_log: RefCell<LogLimiter>,
+    /// Limits the log lines on evacuated failure domains.
+    pub evacuation_log: RefCell<LogLimiter>,
     pub metrics: Arc<GatewayMetrics>,
     /// Searches for the primaries among the targets, by service.
     searches: RefCell<IndexMap<Service, Rc<Rounds<PrimarySearch>>>>,
@@ -138,10 +154,13 @@
             peers: PeerClients::default(),
             acknowledged: RefCell::default(),
             unconfirmed: RefCell::default(),
+            cold: RefCell::default(),
             sessions: Cell::new(0),
+            last_session: Cell::new(0),
             request_log: RefCell::default(),
             target_log: RefCell::default(),
             limit_log: RefCell::default(),
+            evacuation_log: RefCell::default(),
             metrics: GatewayMetrics::new(),
             searches: RefCell::default(),
             status_queries: RefCell::default(),
--- a/src/gateway/executor.rs
+++ b/src/gateway/executor.rs
@@ -106,6 +106,15 @@
     if held.is_none() && !cx.direct_health.borrow().is_usable(cx.now(), &target.id) {
         return Err(JobError::Unreachable);
     }
+    if let Some(refusal) = cx.job_refusal(&target, &job.kind) {
+        // Whoever ends the transaction has recorded why.
+        if !matches!(job.kind, JobKind::Rollback) {
+            cx.record_refusal(&target, refusal);
+        }
+        // Closing the connection rolls back.
+        *held = None;
+        return Err(refusal.owner_error());
+    }
     let _slot = acquire_slot(cx, &target, job, held.is_some()).await?;
     let mut checkout = match held.take() {
         Some(checkout) => checkout,
@@ -116,6 +125,17 @@
     };
     checkout.set_idle_in_transaction(false);
     let remaining = job.timeout.since(cx.now().since(arrived));
+    if let Err(error) = cx.admit_cold(&target, job, remaining).await {
+        if !job.kind.needs_transaction() {
+            checkout.release(cx.now());
+        }
+        return Err(error);
+    }
+    if let Some(refusal) = cx.job_refusal(&target, &job.kind) {
+        cx.record_refusal(&target, refusal);
+        return Err(refusal.owner_error());
+    }
+    let remaining = job.timeout.since(cx.now().since(arrived));
     let attempt = AttemptGuard::new(&cx.direct_health, cx.clock, &target.id);
     let result = run(cx, &mut checkout, job, remaining).await;
     attempt.end(&result);
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -76,6 +76,9 @@
     Busy,
     /// An earlier commit is not confirmed yet.
     Unconfirmed,
+    /// Failure domain of the primary is out of use. Never sent to other hosts, of which older
+    /// builds do not know it.
+    DomainOutOfUse,
 }
 
 impl RejectReason {
@@ -87,6 +90,7 @@
             Self::NoTarget => "no target can be used",
             Self::Busy => "the target has no free slot",
             Self::Unconfirmed => "an earlier commit is not confirmed yet",
+            Self::DomainOutOfUse => "the failure domain of the primary is out of use",
         }
     }
 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -16,7 +16,7 @@
         cx::Cx, ports::Targets, primary_search::PrimarySearch, statement::Answer,
         workspace_limit::LimitUse,
     },
-    ids::Workspace,
+    ids::{FailureDomain, Workspace},
 };
 
 /// Prefix of all metric names.
@@ -53,6 +53,12 @@
     outcome: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct DomainLabels {
+    domain: String,
+    reason: &'static str,
+}
+
 type LatencyHistogram = Family<RouteLabel, Histogram, fn() -> Histogram>;
 
 /// Metrics, shared with the HTTP listener that exposes them.
@@ -63,6 +69,9 @@
     limit_decisions: Family<LimitLabels, Counter>,
     primary_searches: Family<OutcomeLabel, Counter>,
     commit_confirmations: Family<OutcomeLabel, Counter>,
+    evacuated_statements: Family<DomainLabels, Counter>,
+    target_refusals: Family<DomainLabels, Counter>,
+    cold_statements: Family<OutcomeLabel, Counter>,
     primary_search_time: Histogram,
     sessions: Gauge,
     connections: Gauge,
@@ -75,6 +84,7 @@
     ready: Gauge,
     limited: Gauge,
     failing: Gauge,
+    evacuated: Gauge,
 }
 
 impl GatewayMetrics {
@@ -92,6 +102,7 @@
         let ready = gauge("ready", "1 while the host asks for new sessions");
         let limited = gauge("limited_workspaces", "Workspaces of which the host has an allocation");
         let failing = gauge("failing_targets", "Targets that do not answer");
+        let evacuated = gauge("evacuated_domains", "Failure domains that are evacuated");
         let requests = set.add("requests", "Requests by route and outcome");
         let latency = LatencyHistogram::new_with_constructor(|| Histogram::new(LATENCY_BUCKETS_S));
         let help = "Time from a request to its answer";
@@ -106,6 +117,17 @@
             "commit_confirmations",
             "Commits that waited for the positions of other targets, by outcome",
         );
+        let evacuated_statements = set.add(
+            "evacuated_statements",
+            "Statements to targets in evacuated failure domains, by domain and reason",
+        );
+        let target_refusals = set.add(
+            "target_refusals",
+            "Statements and transactions refused because of the target's failure domain or lost \
+             contact to control",
+        );
+        let cold_statements =
+            set.add("cold_statements", "Statements to cold targets of this host, by outcome");
         let primary_search_time = Histogram::new(LATENCY_BUCKETS_S);
         let help = "Time for which a statement waited for a search for the primary";
         set.add_with_unit("primary_search_time", help, Unit::Seconds, primary_search_time.clone());
@@ -116,6 +138,9 @@
             limit_decisions,
             primary_searches,
             commit_confirmations,
+            evacuated_statements,
+            target_refusals,
+            cold_statements,
             primary_search_time,
             sessions,
             connections,
@@ -128,6 +153,7 @@
             ready,
             limited,
             failing,
+            evacuated,
         })
     }
 
@@ -164,6 +190,24 @@
         self.commit_confirmations.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    /// Counts a statement to a target in an evacuated failure domain.
+    pub fn record_evacuated_use(&self, domain: &FailureDomain, reason: &'static str) {
+        let labels = DomainLabels { domain: domain.to_string(), reason };
+        self.evacuated_statements.get_or_create(&labels).inc();
+    }
+
+    /// Counts a statement or transaction that was refused because of its target.
+    pub fn record_refusal(&self, domain: &FailureDomain, reason: &'static str) {
+        let labels = DomainLabels { domain: domain.to_string(), reason };
+        self.target_refusals.get_or_create(&labels).inc();
+    }
+
+    /// Counts a statement to a cold target that was sent or refused.
+    pub fn record_cold(&self, sent: bool) {
+        let outcome = if sent { "sent" } else { "refused" };
+        self.cold_statements.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
     /// Counts decisions of the rate limits.
     pub fn record_limits(&self, uses: &[(Workspace, LimitUse)]) {
         for (workspace, used) in uses {
@@ -201,6 +245,7 @@
         set(&self.ready, u64::from(cx.is_ready()));
         set(&self.limited, cx.rate_limiter.borrow().allocated());
         set(&self.failing, cx.health.borrow().failing(now));
+        set(&self.evacuated, topology.evacuated.len());
     }
 
     /// Encodes all metrics in the text format.
--- a/src/gateway/operation.rs
+++ b/src/gateway/operation.rs
@@ -14,9 +14,11 @@
         primary_search::PrimarySearch,
         rate_admission,
         read_selection::ReadSelection,
+        readmission::ReadRestrictions,
         session::{Authorization, Session},
         statement::{Answer, ErrorCode, TransactionState},
         target_client::TargetClient,
+        target_use::Refusal,
     },
     ids::{InstanceId, Mark},
 };
@@ -147,6 +149,11 @@
             primary: primary.as_ref().map(|it| &it.id),
             required,
             tried,
+            restrictions: ReadRestrictions {
+                domains: &topology.evacuated,
+                cold: &self.cx.cold.borrow(),
+                session: self.session.hash,
+            },
         };
         selection.select(&service.targets).map(|it| (it.clone(), required))
     }
@@ -160,9 +167,15 @@
         tried: &mut Vec<InstanceId>,
     ) -> Result<SelectedTarget<T>, JobError> {
         loop {
+            if !self.cx.has_contact() {
+                return Err(Refusal::NoContact.error());
+            }
             let selected = match self.target_without_search(mode, tried) {
                 Some(selected) => Some(selected),
-                None if self.cx.trusts_primary(&self.auth.route.service) => None,
+                None if self.cx.trusts_primary(&self.auth.route.service) => {
+                    self.check_primary_in_use(mode)?;
+                    None
+                }
                 None => self.searched_primary(tried).await?,
             };
             if let Some(Selection { target, after, confirmed_at }) = selected {
@@ -190,6 +203,18 @@
         required.map(|after| Selection { target, after: Some(after), confirmed_at: None })
     }
 
+    /// Refuses what only the primary can run while its failure domain is out of use.
+    fn check_primary_in_use(&self, mode: AccessMode) -> Result<(), JobError> {
+        if mode == AccessMode::Read && self.required_position().is_some() {
+            return Ok(());
+        }
+        let topology = self.cx.topology.borrow();
+        match topology.primary_out_of_use(self.cx.now(), &self.auth.route.service) {
+            Some(primary) => Err(self.cx.refuse(&primary, Refusal::OutOfUse)),
+            None => Ok(()),
+        }
+    }
+
     /// Primary that a search among the targets proves.
     async fn searched_primary(&self, tried: &[InstanceId]) -> Result<Option<Selection>, JobError> {
         match self.search_primary().await {
@@ -197,6 +222,11 @@
                 let mut topology = self.cx.topology.borrow_mut();
                 topology.set_discovered_primary(&self.auth.route.service, &target, view);
                 let target = topology.target(&target);
+                if let Some(primary) = &target
+                    && topology.is_out_of_use(self.cx.now(), primary)
+                {
+                    return Err(self.cx.refuse(primary, Refusal::OutOfUse));
+                }
                 let usable = target.filter(|it| !tried.contains(&it.id));
                 let confirmed_at = Some(asked_at);
                 Ok(usable.map(|target| Selection { target, after: None, confirmed_at }))
@@ -211,9 +241,18 @@
 
     /// Executes a job and records the outcome in the target's health.
     pub async fn run(&self, client: &mut TargetClient<T>, job: &Job) -> Result<Answer, JobError> {
+        let target = client.target.clone();
+        if let Some(refusal) = self.cx.job_refusal(&target, &job.kind) {
+            return Err(self.cx.refuse(&target, refusal));
+        }
+        let (service, workspace) = (&self.auth.route.service, self.auth.workspace.as_ref());
+        self.cx.record_evacuated_use(&target, job, service, workspace);
         let attempt = AttemptGuard::new(&self.cx.health, self.cx.clock, &job.target);
         let result = client.run(self.cx, job).await;
         attempt.end(&result);
+        if let Err(JobError::Rejected(retry_after, _)) = &result {
+            self.cx.record_rejected(&target, *retry_after);
+        }
         result
     }
 
--- a/src/gateway/peer_server.rs
+++ b/src/gateway/peer_server.rs
@@ -1,7 +1,7 @@
 //! Server for other entry hosts: executes the jobs that they send to this host as the
 //! owner of a target.
 
-use std::{collections::HashMap, rc::Rc};
+use std::{collections::HashMap, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use tokio::sync::{Mutex, mpsc};
@@ -24,6 +24,9 @@
 /// Time for a rollback, after which the connection is closed instead.
 const ROLLBACK_TIMEOUT: Millis = Millis(300);
 
+/// Interval between checks whether the targets of open transactions are still in use.
+const TARGET_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Connection to a target that is held by the open transaction of a stream.
 type HeldConnection<C> = Rc<Mutex<Option<Checkout<C>>>>;
 
@@ -36,7 +39,16 @@
 /// Serves connections until `inbound` is closed.
 pub async fn run<T: Targets>(cx: Rc<Cx<T>>, mut inbound: mpsc::Receiver<Inbound>) {
     let mut peers: HashMap<ConnectionId, PeerConnection<T::Connection>> = HashMap::new();
-    while let Some(event) = inbound.recv().await {
+    let mut checks = tokio::time::interval(TARGET_CHECK_INTERVAL);
+    loop {
+        let event = tokio::select! {
+            event = inbound.recv() => event,
+            _ = checks.tick() => {
+                peers.values().for_each(|peer| peer.close_refused(&cx));
+                continue;
+            }
+        };
+        let Some(event) = event else { return };
         match event {
             Inbound::Opened { id, outgoing } => {
                 peers.insert(id, PeerConnection { outgoing, streams: HashMap::new() });
@@ -72,6 +84,19 @@
         }
     }
 
+    /// Closes the connections of idle transactions at targets that get no more statements.
+    fn close_refused<T: Targets<Connection = C>>(&self, cx: &Cx<T>) {
+        for held in self.streams.values() {
+            // A transaction that is not idle is checked before its statement is sent.
+            let Ok(mut held) = held.try_lock() else { continue };
+            if let Some(refusal) = held.as_ref().and_then(|it| cx.refusal(&it.target)) {
+                if let Some(checkout) = held.take() {
+                    cx.record_refusal(&checkout.target, refusal);
+                }
+            }
+        }
+    }
+
     fn call<T: Targets<Connection = C>>(
         &mut self,
         cx: &Rc<Cx<T>>,
--- a/src/gateway/read_selection.rs
+++ b/src/gateway/read_selection.rs
@@ -1,13 +1,17 @@
 //! Selection of the target for a read.
 //!
 //! Targets that are draining, failing or known to lag behind the required position are
-//! excluded. Of the others the one with the lowest expected latency is selected. The
+//! excluded. Of the others the one with the lowest expected latency is selected, after those that
+//! evacuations and their withdrawals keep reads from. The
 //! expected latency grows with the outstanding statements, which balances the load.
 
 use crate::{
     clock::Millis,
     fleet::messages::Announcement,
-    gateway::health::HealthTracker,
+    gateway::{
+        health::HealthTracker,
+        readmission::{ReadPreference, ReadRestrictions},
+    },
     ids::{FailureDomain, InstanceId, Mark},
 };
 
@@ -30,14 +34,23 @@
     pub required: Option<Mark>,
     /// Targets that were already tried.
     pub tried: &'a [InstanceId],
+    pub restrictions: ReadRestrictions<'a>,
 }
 
 impl ReadSelection<'_> {
-    /// Candidate with the lowest cost.
+    /// Candidate with the lowest cost among the most preferred ones.
     pub fn select<'t, T: AsRef<Announcement>>(&self, targets: &'t [T]) -> Option<&'t T> {
         let candidates = targets.iter().filter(|it| self.is_candidate((*it).as_ref()));
-        candidates
-            .min_by(|a, b| self.cost_ms((*a).as_ref()).total_cmp(&self.cost_ms((*b).as_ref())))
+        let ranked = candidates.filter_map(|it| Some((self.preference((*it).as_ref())?, it)));
+        let cost_ms = |target: &T| self.cost_ms(target.as_ref());
+        let selected = ranked
+            .min_by(|(a, x), (b, y)| a.cmp(b).then_with(|| cost_ms(x).total_cmp(&cost_ms(y))));
+        selected.map(|(_, target)| target)
+    }
+
+    fn preference(&self, target: &Announcement) -> Option<ReadPreference> {
+        let is_primary = Some(&target.id) == self.primary;
+        self.restrictions.preference(self.now, target, is_primary)
     }
 
     fn is_candidate(&self, target: &Announcement) -> bool {
--- a/src/gateway/runtime.rs
+++ b/src/gateway/runtime.rs
@@ -1,9 +1,9 @@
 //! Session loop and graceful stop of an entry host.
 
-use std::{future::Future, rc::Rc};
+use std::{future::Future, pin::pin, rc::Rc};
 
 use eyre::Result;
-use tokio::{sync::watch, time::timeout};
+use tokio::sync::watch;
 
 use crate::{
     clock::Millis,
@@ -14,6 +14,7 @@
         ports::{Caller, CallerMessage, Targets},
         prepare::ResolvedRequest,
         rate_admission,
+        readmission::SessionHash,
         session::Session,
         statement::{Answer, ErrorCode, Request, Statement, StatementError, TransactionState},
         transaction::{Transaction, apply_session_statement},
@@ -77,7 +78,10 @@
     else {
         return Ok(());
     };
-    let session = Session::new(startup);
+    let number = cx.last_session.get() + 1;
+    cx.last_session.set(number);
+    let mut session = Session::new(startup);
+    session.hash = SessionHash::new(&cx.settings.host, number);
     if let Err(error) = check_access(cx, &session) {
         spdlog::info!("session refused", kv: {database = session.database.as_str(), code = error.code.to_string().as_str()});
         return caller.refuse(&error).await;
@@ -179,15 +183,20 @@
             return until_phase(phases, Phase::Aborting, caller.next()).await.transpose();
         }
         let idle_timeout = self.cx.topology.borrow().config.transaction_idle_timeout;
-        let next = until_phase(phases, Phase::Aborting, caller.next());
-        match timeout(idle_timeout.duration(), next).await {
-            Ok(next) => next.transpose(),
-            Err(_) => {
+        let mut next = pin!(until_phase(phases, Phase::Aborting, caller.next()));
+        let refusal = tokio::select! {
+            biased;
+            next = &mut next => return next.transpose(),
+            refusal = transaction.end_of_idleness(&self.cx, idle_timeout) => refusal,
+        };
+        match refusal {
+            Some(refusal) => transaction.end(&self.cx, refusal).await,
+            None => {
                 spdlog::info!("transaction rolled back after the idle timeout", kv: {began_ms_ago = self.cx.now().since(transaction.began()).0});
                 transaction.abandon(&self.cx).await;
-                until_phase(phases, Phase::Aborting, caller.next()).await.transpose()
             }
         }
+        next.await.transpose()
     }
 
     async fn handle(&mut self, request: &Request) -> Answer {
@@ -199,6 +208,9 @@
         {
             return answer;
         }
+        if let Some(transaction) = &mut self.transaction {
+            transaction.end_if_refused(&self.cx).await;
+        }
         match self.transaction.take() {
             Some(transaction) => self.continue_transaction(transaction, request).await,
             None => self.begin_operation(request).await,
--- a/src/gateway/session.rs
+++ b/src/gateway/session.rs
@@ -8,6 +8,7 @@
     fleet::config::{FleetConfig, FleetRoute},
     gateway::{
         ports::StartupMessage,
+        readmission::SessionHash,
         statement::{ErrorCode, PreparedStatement, StatementError},
     },
     ids::{Mark, Service, Workspace},
@@ -20,6 +21,7 @@
     pub key: Option<String>,
     pub variables: IndexMap<String, String>,
     pub prepared: IndexMap<String, PreparedStatement>,
+    pub hash: SessionHash,
     /// Position of the session's last commit by service.
     marks: IndexMap<Service, Mark>,
 }
--- a/src/gateway/topology.rs
+++ b/src/gateway/topology.rs
@@ -10,7 +10,7 @@
         config::FleetConfig,
         messages::{Announcement, EntryHost, FleetView, TargetRole, ViewRevision},
     },
-    gateway::ownership::rank_owners,
+    gateway::{evacuation::EvacuatedDomains, ownership::rank_owners},
     ids::{InstanceId, Service},
 };
 
@@ -27,6 +27,7 @@
     discovered: IndexMap<Service, InstanceId>,
     /// Since when this host knows that a target is leaving.
     draining_since: IndexMap<InstanceId, Millis>,
+    pub evacuated: EvacuatedDomains,
     /// Cache of [`rank_owners`] by target.
     ranked_owners: IndexMap<InstanceId, Rc<[EntryHost]>>,
 }
@@ -95,6 +96,17 @@
         self.draining_since.get(target).is_some_and(|at| now.since(*at) >= MAX_DRAINING_TIME)
     }
 
+    /// Whether `target` gets no statements because its failure domain is evacuated.
+    pub fn is_out_of_use(&self, now: Millis, target: &Announcement) -> bool {
+        self.evacuated.is_out_of_use(now, &target.domain)
+    }
+
+    /// Known primary of `service`, if it gets no statements because its failure domain is
+    /// evacuated.
+    pub fn primary_out_of_use(&self, now: Millis, service: &Service) -> Option<Rc<Announcement>> {
+        self.known_primary(service).filter(|primary| self.is_out_of_use(now, primary))
+    }
+
     /// Hosts ordered by precedence as the owner of `target`.
     pub fn ranked_owners(&mut self, target: &Announcement) -> Rc<[EntryHost]> {
         if let Some(ranked) = self.ranked_owners.get(&target.id) {
@@ -152,7 +164,7 @@
     /// work.
     pub fn primary(&self, now: Millis, service: &Service) -> Option<Rc<Announcement>> {
         let primary = self.known_primary(service)?;
-        if self.has_drained(now, &primary.id) {
+        if self.has_drained(now, &primary.id) || self.is_out_of_use(now, &primary) {
             return None;
         }
         let refuted = self
--- a/src/gateway/transaction.rs
+++ b/src/gateway/transaction.rs
@@ -16,6 +16,7 @@
         rate_admission::Admission,
         session::{Authorization, Session},
         statement::{Answer, ErrorCode, LOCAL_SIGNATURE, Request, Statement, TransactionState},
+        target_use::Refusal,
     },
 };
 
@@ -25,6 +26,9 @@
 /// Attempts to begin at a target before the transaction fails.
 const MAX_BEGIN_ATTEMPTS: usize = 4;
 
+/// Interval between checks whether the target of an idle transaction is still in use.
+const TARGET_CHECK_INTERVAL: Millis = Millis(250);
+
 /// Open transaction of a caller.
 pub struct Transaction<T: Targets> {
     read_only: bool,
@@ -33,6 +37,8 @@
     selected: Option<SelectedTarget<T>>,
     wrote: bool,
     failed: bool,
+    /// Why the host has rolled back, until the caller is told.
+    refusal: Option<Refusal>,
     /// Token of the workspace, until a target begins the transaction.
     admission: Option<Admission<T>>,
 }
@@ -44,7 +50,16 @@
         arrived: Millis,
         admission: Option<Admission<T>>,
     ) -> Self {
-        Self { read_only, auth, arrived, selected: None, wrote: false, failed: false, admission }
+        Self {
+            read_only,
+            auth,
+            arrived,
+            selected: None,
+            wrote: false,
+            failed: false,
+            refusal: None,
+            admission,
+        }
     }
 
     pub fn holds_connection(&self) -> bool {
@@ -78,6 +93,10 @@
         session: &Session,
         resolved: ResolvedRequest<'_>,
     ) -> Answer {
+        if let Some(refusal) = self.refusal.take() {
+            let text = refusal.transaction_text();
+            return Answer::error(ErrorCode::Aborted, text, TransactionState::Failed);
+        }
         if self.failed {
             let text = "the transaction has failed";
             return Answer::error(ErrorCode::Malformed, text, TransactionState::Failed);
@@ -100,12 +119,11 @@
                 self.failed = answer.state != TransactionState::Open;
                 self.with_failed_state(answer)
             }
-            Err(_) => {
+            Err(error) => {
                 // COMMIT was not sent, so the target rolls back when the connection closes.
                 self.roll_back(cx).await;
                 self.failed = true;
-                let text = "connection to the target was lost; nothing is kept";
-                Answer::error(ErrorCode::Aborted, text, TransactionState::Failed)
+                Answer::error(ErrorCode::Aborted, rollback_text(error), TransactionState::Failed)
             }
         }
     }
@@ -167,7 +185,8 @@
     pub async fn commit(mut self, cx: &Cx<T>, session: &mut Session, request: &Request) -> Answer {
         if self.failed {
             self.roll_back(cx).await;
-            let text = "the transaction was rolled back";
+            let refused = self.refusal.map(Refusal::transaction_text);
+            let text = refused.unwrap_or("the transaction was rolled back");
             return Answer::error(ErrorCode::Aborted, text, TransactionState::Idle);
         }
         let arrived = cx.now();
@@ -191,7 +210,14 @@
             JobKind::Statement { request, prepared: None, after: None, in_transaction: true };
         let job = operation.job(&selected.client.target.id, kind, deadline);
         let result = operation.run(&mut selected.client, &job).await;
-        let answer = result.unwrap_or_else(|_| operation.unanswered());
+        let answer = match result {
+            Ok(answer) => answer,
+            // COMMIT was not sent.
+            Err(error @ (JobError::Rejected(..) | JobError::Unreachable)) => {
+                Answer::error(ErrorCode::Aborted, rollback_text(error), TransactionState::Idle)
+            }
+            Err(JobError::Lost) => operation.unanswered(),
+        };
         selected.client.close(cx).await;
         if self.wrote
             && answer.result.is_ok()
@@ -222,6 +248,43 @@
         self.refund();
     }
 
+    /// Waits until the transaction must be rolled back although its caller sends nothing: its target
+    /// gets no more statements, or `idle_timeout` has passed (`None`).
+    pub async fn end_of_idleness(&self, cx: &Cx<T>, idle_timeout: Millis) -> Option<Refusal> {
+        let idle_since = cx.now();
+        loop {
+            if let Some(refusal) = self.target_refusal(cx) {
+                return Some(refusal);
+            }
+            let left = idle_timeout.since(cx.now().since(idle_since));
+            tokio::time::sleep(left.min(TARGET_CHECK_INTERVAL).duration()).await;
+            if cx.now().since(idle_since) >= idle_timeout {
+                return None;
+            }
+        }
+    }
+
+    /// Rolls back the transaction if its target gets no more statements.
+    pub async fn end_if_refused(&mut self, cx: &Cx<T>) {
+        if let Some(refusal) = self.target_refusal(cx) {
+            self.end(cx, refusal).await;
+        }
+    }
+
+    /// Rolls back the transaction; the next statement's answer says why.
+    pub async fn end(&mut self, cx: &Cx<T>, refusal: Refusal) {
+        if let Some(selected) = &self.selected {
+            cx.record_refusal(&selected.client.target, refusal);
+        }
+        self.abandon(cx).await;
+        self.refusal = Some(refusal);
+    }
+
+    fn target_refusal(&self, cx: &Cx<T>) -> Option<Refusal> {
+        let selected = self.selected.as_ref()?;
+        cx.refusal(&selected.client.target)
+    }
+
     /// Gives the workspace's token back if no target has begun the transaction.
     fn refund(&mut self) {
         if let Some(admission) = self.admission.take() {
@@ -235,6 +298,15 @@
     }
 }
 
+/// Error message for a transaction that is rolled back because a job failed.
+fn rollback_text(error: JobError) -> String {
+    let cause = match error {
+        JobError::Rejected(_, reason) => reason.text(),
+        JobError::Unreachable | JobError::Lost => "connection to the target was lost",
+    };
+    format!("{cause}; nothing is kept")
+}
+
 /// Applies a statement that changes only the session; `None` for any other statement.
 pub fn apply_session_statement(
     session: &mut Session,
--- a/tests/gateway_reads.rs
+++ b/tests/gateway_reads.rs
@@ -5,7 +5,13 @@
 use pomelopin::{
     clock::Millis,
     fleet::messages::{Announcement, TargetRole},
-    gateway::{freshness::Freshness, health::HealthTracker, read_selection::ReadSelection},
+    gateway::{
+        evacuation::EvacuatedDomains,
+        freshness::Freshness,
+        health::HealthTracker,
+        read_selection::ReadSelection,
+        readmission::{ColdTargets, ReadRestrictions, SessionHash},
+    },
     ids::{InstanceId, Mark, Service},
 };
 use quickcheck::{TestResult, quickcheck};
@@ -149,6 +155,11 @@
             primary: Some(&"p".into()),
             required: case.required,
             tried: &tried,
+            restrictions: ReadRestrictions {
+                domains: &EvacuatedDomains::default(),
+                cold: &ColdTargets::default(),
+                session: SessionHash::default(),
+            },
         };
         let selected = selection.select(&targets).map(|it| it.id.as_str());
         assert_eq!(selected, case.expected, "{}", case.name);
