Close idle transactions of other hosts at targets out of use, and test it

Change: a connection is closed only if its target gets no more statements; a test holds a transaction of another host before and after that time.

--- a/src/gateway/peer_server.rs
+++ b/src/gateway/peer_server.rs
@@ -89,10 +89,12 @@
         for held in self.streams.values() {
             // A transaction that is not idle is checked before its statement is sent.
             let Ok(mut held) = held.try_lock() else { continue };
-            if let Some(refusal) = held.as_ref().and_then(|it| cx.refusal(&it.target)) {
-                if let Some(checkout) = held.take() {
-                    cx.record_refusal(&checkout.target, refusal);
-                }
+            let Some(target) = held.as_ref().map(|checkout| checkout.target.clone()) else {
+                continue;
+            };
+            if let Some(refusal) = cx.refusal(&target) {
+                cx.record_refusal(&target, refusal);
+                *held = None;
             }
         }
     }
--- a/tests/gateway_evacuation.rs
+++ b/tests/gateway_evacuation.rs
@@ -12,7 +12,8 @@
     fleet::{
         config::{Consistency, FleetConfig, FleetRoute, FleetWorkspace},
         failover::TargetStatus,
-        messages::{Announcement, FleetView, Primary, TargetRole, ViewRevision},
+        link::{ConnectionId, Inbound},
+        messages::{Announcement, FleetView, Frame, Primary, TargetRole, ViewRevision},
     },
     gateway::{
         cx::{Cx, GatewaySettings},
@@ -20,6 +21,7 @@
         executor::execute,
         health::HealthTracker,
         job::{Job, JobError, JobKind, RejectReason},
+        peer_server,
         ports::{
             Caller, CallerMessage, StartupMessage, TargetConnection, TargetFailure, TargetRequest,
             Targets,
@@ -31,7 +33,7 @@
     },
     ids::{FailureDomain, InstanceId, Mark, Workspace},
 };
-use tokio::{task::LocalSet, time::sleep};
+use tokio::{sync::mpsc, task::LocalSet, time::sleep};
 
 const DELAY: Millis = Millis(5_000);
 
@@ -426,6 +428,37 @@
     assert_eq!(restarted.targets.take(), ["p status"]);
 }
 
+/// Guards against transactions of other hosts that stay open at a target out of use while these
+/// hosts are silent, and against ones that are closed without need.
+#[tokio::test]
+async fn owner_closes_idle_transactions_of_other_hosts() {
+    let local = LocalSet::new();
+    local
+        .run_until(async {
+            let cx = host(Some(Millis(1_800)));
+            apply_view(&cx, 1, &[]);
+            let (events, inbound) = mpsc::channel(8);
+            let (outgoing, mut answers) = mpsc::channel(8);
+            tokio::task::spawn_local(peer_server::run(cx.clone(), inbound));
+            let id = ConnectionId(1);
+            let begin = job(JobKind::Begin { read_only: false, after: None });
+            let request = Frame::Request { request_id: 1, stream: 1, job: begin };
+            for event in [
+                Inbound::Opened { id, outgoing },
+                Inbound::Received { id, frame: Box::new(request) },
+            ] {
+                events.send(event).await.expect("server runs");
+            }
+            answers.recv().await.expect("answer");
+            apply_view(&cx, 2, &["a"]);
+            sleep(Duration::from_millis(600)).await;
+            assert_eq!(cx.targets.take(), ["p begin"], "the primary is still used");
+            sleep(Duration::from_millis(600)).await;
+            assert_eq!(cx.targets.take(), ["p closed"]);
+        })
+        .await;
+}
+
 /// Time after the last contact from which a host must send nothing.
 const MAX_SILENCE_MS: u64 = 6_000;
 
