--- a/src/gateway/topology.rs
+++ b/src/gateway/topology.rs
@@ -10,7 +10,10 @@
         config::FleetConfig,
         messages::{Announcement, EntryHost, FleetView, TargetRole, ViewRevision},
     },
-    gateway::ownership::{Shard, rank_owners, shard_count},
+    gateway::{
+        evacuation::EvacuatedDomains,
+        ownership::{Shard, rank_owners, shard_count},
+    },
     ids::{HostId, InstanceId, Service},
 };
 
@@ -27,6 +30,7 @@
     discovered: IndexMap<Service, InstanceId>,
     /// Since when this host knows that a target is leaving.
     draining_since: IndexMap<InstanceId, Millis>,
+    pub evacuated: EvacuatedDomains,
     /// Cache of [`rank_owners`] by target and shard.
     ranked_owners: IndexMap<(InstanceId, Shard), Rc<[EntryHost]>>,
 }
@@ -95,6 +99,17 @@
         self.draining_since.get(target).is_some_and(|at| now.since(*at) >= MAX_DRAINING_TIME)
     }
 
+    /// Whether `target` gets no statements because its failure domain is evacuated.
+    pub fn is_out_of_use(&self, now: Millis, target: &Announcement) -> bool {
+        self.evacuated.is_out_of_use(now, &target.domain)
+    }
+
+    /// Known primary of `service`, if it gets no statements because its failure domain is
+    /// evacuated.
+    pub fn primary_out_of_use(&self, now: Millis, service: &Service) -> Option<Rc<Announcement>> {
+        self.known_primary(service).filter(|primary| self.is_out_of_use(now, primary))
+    }
+
     /// Hosts ordered by precedence as the owner of a shard of `target`.
     pub fn ranked_owners(&mut self, target: &Announcement, shard: Shard) -> Rc<[EntryHost]> {
         let key = (target.id.clone(), shard);
@@ -168,7 +183,7 @@
     /// work.
     pub fn primary(&self, now: Millis, service: &Service) -> Option<Rc<Announcement>> {
         let primary = self.known_primary(service)?;
-        if self.has_drained(now, &primary.id) {
+        if self.has_drained(now, &primary.id) || self.is_out_of_use(now, &primary) {
             return None;
         }
         let refuted = self
