Share slot time instead of starts between priorities, test cancellation

A priority with long statements got more of the slots than its weight: at 1.2 times the capacity the second route was in time for 57 % of its requests.

--- a/src/gateway/class_queue.rs
+++ b/src/gateway/class_queue.rs
@@ -1,19 +1,22 @@
 //! Queue of requests that is shared between the priorities of the routes.
 //!
-//! Priorities share the slots by their weights, whatever the number of workspaces that use each;
-//! the requests of one priority are shared fairly between workspaces. A workspace on a priority
+//! Priorities share the time of the slots by their weights, whatever the number of workspaces that
+//! use each; a share of the starts would favour those with long statements. The requests of one priority are shared fairly between workspaces. A workspace on a priority
 //! without waiting requests therefore overtakes the queues of all others.
 
-use crate::pool::scheduler::{FairQueue, Flow, SchedulingPolicy, Ticket};
+use crate::{
+    gateway::service_time::ServiceTimes,
+    pool::scheduler::{FairQueue, Flow, SchedulingPolicy, Ticket},
+};
 
 /// Number of scheduling classes; routes with a higher `priority` number share the last one.
 pub const CLASSES: usize = 4;
 
 /// Scheduling weight of each class.
-const WEIGHTS: [u64; CLASSES] = [8, 4, 2, 1];
+const WEIGHTS: [f32; CLASSES] = [8.0, 4.0, 2.0, 1.0];
 
-/// Virtual time that a request of weight 1 takes; a multiple of all weights.
-const UNIT_COST: u64 = 8;
+/// Virtual time in which a class of weight 1 uses a slot for a millisecond.
+const UNITS_PER_MS: f32 = 1_000.0;
 
 /// Requests of one class and workspace have equal weight.
 const FLOW_WEIGHT: u32 = 1;
@@ -38,11 +41,11 @@
     }
 
     /// Takes the next request to run.
-    pub fn pop(&mut self) -> Option<Ticket> {
+    pub fn pop(&mut self, times: &ServiceTimes) -> Option<Ticket> {
         let waiting = (0..CLASSES).filter(|class| !self.classes[*class].is_empty());
         let class = waiting.min_by_key(|class| self.start_tag(*class))?;
         self.virtual_time = self.start_tag(class);
-        self.finish_tags[class] = self.virtual_time + cost(class);
+        self.finish_tags[class] = self.virtual_time + cost(times, class);
         self.classes[class].pop()
     }
 
@@ -60,14 +63,14 @@
     }
 
     /// Waiting requests of each class that run before a request that arrives now.
-    pub fn ahead_of(&self, class: usize, flow: &Flow) -> [usize; CLASSES] {
+    pub fn ahead_of(&self, times: &ServiceTimes, class: usize, flow: &Flow) -> [usize; CLASSES] {
         let own = self.classes[class].ahead_of(flow);
-        let start = self.start_tag(class) + own as u64 * cost(class);
+        let start = self.start_tag(class) + own as u64 * cost(times, class);
         let mut ahead = [0; CLASSES];
         for (other, count) in ahead.iter_mut().enumerate() {
             // Of requests with the same start tag, that of the lower class runs first.
             let last = if other < class { start + 1 } else { start };
-            let before = last.saturating_sub(self.start_tag(other)).div_ceil(cost(other));
+            let before = last.saturating_sub(self.start_tag(other)).div_ceil(cost(times, other));
             *count = if other == class { own } else { self.len(other).min(before as usize) };
         }
         ahead
@@ -80,6 +83,7 @@
     }
 }
 
-fn cost(class: usize) -> u64 {
-    UNIT_COST / WEIGHTS[class]
+/// Virtual time that a request takes.
+fn cost(times: &ServiceTimes, class: usize) -> u64 {
+    ((times.of(class) * UNITS_PER_MS / WEIGHTS[class]) as u64).max(1)
 }
--- a/src/gateway/urgency.rs
+++ b/src/gateway/urgency.rs
@@ -147,7 +147,7 @@
             Level::InTime => (&self.in_time, &self.in_time_shares),
             Level::Late => (&self.late, &self.late_shares),
         };
-        let ahead = queue.ahead_of(class, flow);
+        let ahead = queue.ahead_of(&self.service_times, class, flow);
         let own_level = self.service_times.of_all(&ahead);
         let other_level = match level {
             Level::InTime => {
@@ -166,7 +166,8 @@
         let is_late_due = self.starts_since_late + 1 >= LATE_INTERVAL && !self.late.is_empty();
         let is_late = is_late_due || self.in_time.is_empty();
         let counts_before = [counts(&self.in_time), counts(&self.late)];
-        let ticket = self.queue(if is_late { Level::Late } else { Level::InTime }).pop()?;
+        let queue = if is_late { &mut self.late } else { &mut self.in_time };
+        let ticket = queue.pop(&self.service_times)?;
         self.starts_since_late = if is_late { 0 } else { self.starts_since_late + 1 };
         let started = self.forget(ticket)?;
         let shares = [&mut self.in_time_shares, &mut self.late_shares];
--- a/tests/admission_urgency.rs
+++ b/tests/admission_urgency.rs
@@ -168,6 +168,8 @@
     offered: u32,
     in_time: u32,
     answered: u32,
+    /// In time since the caller's first request.
+    at_first: u32,
 }
 
 impl Total {
@@ -194,6 +196,7 @@
             if is_answered && measured.contains(&caller.first) {
                 let total = &mut totals[caller.route];
                 total.answered += 1;
+                total.at_first += u32::from(now - caller.first <= route.target_ms);
                 total.in_time += u32::from(now - caller.arrived <= route.target_ms);
             }
             !is_over
--- a/tests/gateway_cancellation.rs
+++ b/tests/gateway_cancellation.rs
@@ -8,7 +8,7 @@
 use pomelopin::{
     clock::Millis,
     fleet::{
-        config::FleetConfig,
+        config::{FleetConfig, FleetService},
         failover::TargetStatus,
         link,
         messages::{Announcement, FleetView, TargetRole, ViewRevision},
@@ -75,22 +75,17 @@
 }
 
 /// Starts the owner of target `t`; returns its address.
-fn start_owner(targets: RecordingTargets) -> String {
+async fn start_owner(targets: RecordingTargets) -> String {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
     let addr = listener.local_addr().expect("the listener has an address");
     drop(listener);
     let cx = Rc::new(Cx::new(GatewaySettings::default(), targets));
-    let service = FleetConfig::default();
+    let service = FleetService { max_connections: 64, sync_replicas: 0 };
     let mut topology = cx.topology.borrow_mut();
     topology.set_config(FleetConfig {
         version: 1,
-        services: [(
-            "ledger".into(),
-            pomelopin::fleet::config::FleetService { max_connections: 16, sync_replicas: 0 },
-        )]
-        .into_iter()
-        .collect(),
-        ..service
+        services: [("ledger".into(), service)].into_iter().collect(),
+        ..FleetConfig::default()
     });
     topology.set_view(FleetView {
         revision: ViewRevision { term: 1, number: 1 },
@@ -112,6 +107,9 @@
     let (events, inbound) = mpsc::channel(64);
     tokio::task::spawn_local(async move { link::listen(addr, events).await });
     tokio::task::spawn_local(peer_server::run(cx, inbound));
+    while tokio::net::TcpStream::connect(addr).await.is_err() {
+        tokio::task::yield_now().await;
+    }
     addr.to_string()
 }
 
@@ -148,11 +146,11 @@
 async fn cancelled_job_never_runs() {
     let targets = RecordingTargets::default();
     let check = async {
-        let addr = start_owner(targets.clone());
+        let addr = start_owner(targets.clone()).await;
         let peers = Rc::new(PeerClients::default());
         occupy(&peers, &addr).await;
-        let given_up = write_job("given up");
-        let (kept, given_up) = tokio::join!(peers.call(&addr, 0, &write_job("kept")), async {
+        let (kept, given_up) = (write_job("kept"), write_job("given up"));
+        let (kept, given_up) = tokio::join!(peers.call(&addr, 0, &kept), async {
             timeout(Duration::from_millis(40), peers.call(&addr, 0, &given_up)).await
         });
         assert!(kept.is_ok());
@@ -170,7 +168,7 @@
 async fn queued_jobs_of_a_lost_host_never_run() {
     let targets = RecordingTargets::default();
     let check = async {
-        let addr = start_owner(targets.clone());
+        let addr = start_owner(targets.clone()).await;
         let lost = LocalSet::new();
         let peers = Rc::new(PeerClients::default());
         let queued = lost.run_until(async {
@@ -194,7 +192,7 @@
 async fn cancellation_after_the_job_was_sent_has_no_effect() {
     let targets = RecordingTargets::default();
     let check = async {
-        let addr = start_owner(targets.clone());
+        let addr = start_owner(targets.clone()).await;
         let peers = PeerClients::default();
         assert!(peers.call(&addr, 0, &write_job("first")).await.is_ok());
         let job = write_job("sent");
