--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -55,6 +55,15 @@
     pub max_wait: Millis,
 }
 
+/// End of a request that held a slot.
+#[derive(Debug, Clone, Copy)]
+pub struct Released {
+    /// Priority of the request's route.
+    pub priority: u32,
+    /// Time for which the slot was held; `None` if the target gave no answer.
+    pub answered_after: Option<Millis>,
+}
+
 /// Refusal of a request that has not run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Refusal {
@@ -99,7 +108,7 @@
     /// Requests a slot.
     pub fn acquire(&mut self, now: Millis, request: &SlotRequest<'_>) -> Admission {
         self.expire(now);
-        let place = match self.queue.push(now, self.capacity, request) {
+        let place = match self.queue.push(now, self.capacity, self.stall(now), request) {
             Ok(place) => place,
             Err(too_long) => {
                 self.counts.refused += 1;
@@ -166,18 +175,23 @@
         self.retry_after(now, priority)
     }
 
-    /// Releases the slot of a request of a route with `priority` that held it for `held`; `queued`
-    /// if it came from the queue.
-    pub fn release(&mut self, now: Millis, priority: u32, held: Millis, queued: bool) {
+    /// Releases the slot of a request that came from the queue.
+    pub fn release(&mut self, now: Millis, released: Released) {
         self.running = self.running.saturating_sub(1);
-        if queued {
-            self.occupied = self.occupied.saturating_sub(1);
-            self.last_release = now;
+        self.occupied = self.occupied.saturating_sub(1);
+        self.last_release = now;
+        // Statements without an answer would hide how fast the target is when it answers again.
+        if let Released { priority, answered_after: Some(held) } = released {
             self.queue.record_service_time(priority, held);
         }
         self.grant_slots(now);
     }
 
+    /// Releases what [`Self::acquire_unqueued`] took.
+    pub fn release_unqueued(&mut self) {
+        self.running = self.running.saturating_sub(1);
+    }
+
     /// Releases a slot from the queue that was granted but not used.
     pub fn release_unused(&mut self, now: Millis) {
         self.running = self.running.saturating_sub(1);
@@ -187,7 +201,16 @@
 
     /// Whether all slots are in use and none has become free for some time.
     pub fn is_stalled(&self, now: Millis) -> bool {
-        self.occupied >= self.capacity && now.since(self.last_release) >= STALL_THRESHOLD
+        self.stall(now) >= STALL_THRESHOLD
+    }
+
+    /// Time for which no slot is expected to become free. A target that has freed none for longer
+    /// than usual is expected to go on for as long again.
+    fn stall(&self, now: Millis) -> Millis {
+        if self.occupied < self.capacity {
+            return Millis(0);
+        }
+        now.since(self.last_release).since(self.queue.service_time())
     }
 
     /// Delay after which a caller should try again whose request got no connection.
--- a/src/gateway/executor.rs
+++ b/src/gateway/executor.rs
@@ -8,7 +8,7 @@
     clock::{Clock, Millis, SystemClock},
     fleet::messages::Announcement,
     gateway::{
-        admission::{Admission, AdmissionQueue, QueuedSlot},
+        admission::{Admission, AdmissionQueue, QueuedSlot, Released},
         attempt::AttemptGuard,
         cancellation::Cancellation,
         cx::Cx,
@@ -39,6 +39,7 @@
     priority: u32,
     acquired_at: Millis,
     queued: bool,
+    is_answered: bool,
     clock: SystemClock,
 }
 
@@ -46,7 +47,13 @@
     fn drop(&mut self) {
         let now = self.clock.now();
         if let Some(queue) = self.admission.borrow_mut().get_mut(&self.target) {
-            queue.release(now, self.priority, now.since(self.acquired_at), self.queued);
+            if !self.queued {
+                queue.release_unqueued();
+                return;
+            }
+            let held = now.since(self.acquired_at);
+            let answered_after = self.is_answered.then_some(held);
+            queue.release(now, Released { priority: self.priority, answered_after });
         }
     }
 }
@@ -124,7 +131,7 @@
     let Some(slot) = cancellation.unless_cancelled(slot).await else {
         return Err(cancelled(cx));
     };
-    let _slot = slot?;
+    let mut slot = slot?;
     let mut checkout = match held.take() {
         Some(checkout) => checkout,
         None if matches!(job.kind, JobKind::Rollback) => {
@@ -144,6 +151,7 @@
     let attempt = AttemptGuard::new(&cx.direct_health, cx.clock, &target.id);
     let result = run(cx, &mut checkout, job, remaining).await;
     attempt.end(&result);
+    slot.is_answered = result.is_ok();
     if let Ok(answer) = &result {
         match answer.state {
             TransactionState::Idle => checkout.release(cx.now()),
@@ -174,6 +182,7 @@
         priority: job.priority,
         acquired_at: cx.now(),
         queued,
+        is_answered: false,
         clock: cx.clock,
     };
     let decision = {
--- a/src/gateway/service_time.rs
+++ b/src/gateway/service_time.rs
@@ -27,7 +27,7 @@
 }
 
 impl ServiceTimes {
-    /// Records the time for which a request held its slot.
+    /// Records the time for which an answered request held its slot.
     pub fn record(&mut self, class: usize, held: Millis) {
         for mean in [&mut self.by_class[class], &mut self.overall] {
             let held_ms = held.0 as f32;
--- a/src/gateway/urgency.rs
+++ b/src/gateway/urgency.rs
@@ -104,11 +104,13 @@
 }
 
 impl UrgencyQueue {
-    /// Queues a request at a target with `capacity` slots.
+    /// Queues a request at a target with `capacity` slots. No slot is expected to become free
+    /// within `stall`.
     pub fn push(
         &mut self,
         now: Millis,
         capacity: u32,
+        stall: Millis,
         request: &SlotRequest<'_>,
     ) -> Result<Place, TooLong> {
         let class = class_of(request.priority);
@@ -117,13 +119,13 @@
         let service_time = Millis(self.service_times.of(class) as u64);
         let allowed_wait = request.max_wait.min(urgency.time_left.since(service_time));
         let latency_wait = urgency.latency_left.since(service_time);
-        let expected = self.expected_wait(Level::InTime, class, &flow, capacity);
+        let expected = stall + self.expected_wait(Level::InTime, class, &flow, capacity);
         let is_in_time = urgency.latency_left > service_time && expected <= latency_wait;
         let level = if is_in_time { Level::InTime } else { Level::Late };
         let expected_wait = if is_in_time {
             expected
         } else {
-            self.expected_wait(Level::Late, class, &flow, capacity)
+            stall + self.expected_wait(Level::Late, class, &flow, capacity)
         };
         let is_full = self.waiting.len() >= self.limits.total
             || self.waiting_per_flow.get(&flow).is_some_and(|it| *it >= self.limits.per_workspace);
@@ -212,11 +214,16 @@
         true
     }
 
-    /// Records the time for which a request held its slot.
+    /// Records the time for which an answered request held its slot.
     pub fn record_service_time(&mut self, priority: u32, held: Millis) {
         self.service_times.record(class_of(priority), held);
     }
 
+    /// Mean time for which a request holds its slot.
+    pub fn service_time(&self) -> Millis {
+        Millis(self.service_times.overall() as u64)
+    }
+
     /// Expected time between two starts at a target with `capacity` slots that are all in use,
     /// in milliseconds.
     pub fn start_interval_ms(&self, capacity: u32) -> f32 {
