--- a/tests/gateway_cancellation.rs
+++ b/tests/gateway_cancellation.rs
@@ -74,12 +74,8 @@
     }
 }
 
-/// Starts the owner of target `t`; returns its address.
-async fn start_owner(targets: RecordingTargets) -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    let addr = listener.local_addr().expect("the listener has an address");
-    drop(listener);
-    let cx = Rc::new(Cx::new(GatewaySettings::default(), targets));
+/// Makes `cx` know target `t`.
+fn set_topology(cx: &Cx<RecordingTargets>) {
     let service = FleetService { max_connections: 64, sync_replicas: 0 };
     let mut topology = cx.topology.borrow_mut();
     topology.set_config(FleetConfig {
@@ -103,7 +99,15 @@
         }],
         ..FleetView::default()
     });
-    drop(topology);
+}
+
+/// Starts the owner of target `t`; returns its address.
+async fn start_owner(targets: RecordingTargets) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let addr = listener.local_addr().expect("the listener has an address");
+    drop(listener);
+    let cx = Rc::new(Cx::new(GatewaySettings::default(), targets));
+    set_topology(&cx);
     let (events, inbound) = mpsc::channel(64);
     tokio::task::spawn_local(async move { link::listen(addr, events).await });
     tokio::task::spawn_local(peer_server::run(cx, inbound));
