--- a/src/gateway/admission.rs
+++ b/src/gateway/admission.rs
@@ -36,7 +36,8 @@
     occupied: u32,
     /// All running requests.
     running: u32,
-    last_release: Millis,
+    /// When a slot was last granted or released.
+    last_change: Millis,
 }
 
 /// Decision on a request for a slot.
@@ -94,7 +95,7 @@
             capacity: 1,
             occupied: 0,
             running: 0,
-            last_release: Millis(0),
+            last_change: Millis(0),
         }
     }
 }
@@ -142,14 +143,12 @@
         while self.occupied < self.capacity
             && let Some(ticket) = self.queue.pop()
         {
-            if self.occupied == 0 {
-                self.last_release = now;
-            }
             let sent = self.notify.remove(&ticket).map(|notify| notify.send(()));
             // The receiver of the newest ticket is still held by `acquire`.
             if matches!(sent, Some(Ok(()))) {
                 self.running += 1;
                 self.occupied += 1;
+                self.last_change = now;
             }
         }
     }
@@ -179,7 +178,7 @@
     pub fn release(&mut self, now: Millis, released: Released) {
         self.running = self.running.saturating_sub(1);
         self.occupied = self.occupied.saturating_sub(1);
-        self.last_release = now;
+        self.last_change = now;
         // Statements without an answer would hide how fast the target is when it answers again.
         if let Released { priority, answered_after: Some(held) } = released {
             self.queue.record_service_time(priority, held);
@@ -196,6 +195,7 @@
     pub fn release_unused(&mut self, now: Millis) {
         self.running = self.running.saturating_sub(1);
         self.occupied = self.occupied.saturating_sub(1);
+        self.last_change = now;
         self.grant_slots(now);
     }
 
@@ -210,7 +210,7 @@
         if self.occupied < self.capacity {
             return Millis(0);
         }
-        now.since(self.last_release).since(self.queue.service_time())
+        now.since(self.last_change).since(self.queue.service_time())
     }
 
     /// Delay after which a caller should try again whose request got no connection.
--- a/src/gateway/cx.rs
+++ b/src/gateway/cx.rs
@@ -53,8 +53,9 @@
     pub domain: FailureDomain,
     /// Address at which other entry hosts connect.
     pub bus_addr: String,
-    /// Share of a statement's timeout that may be spent waiting for a target and a
-    /// connection, in percent. A longer wait leaves no time for a retry elsewhere.
+    /// Share of a statement's timeout that may be spent waiting for a target, and for a slot
+    /// and a connection if another target could serve the statement, in percent. A longer wait
+    /// leaves no time for a retry elsewhere.
     pub max_wait_percent: u64,
 }
 
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -41,7 +41,8 @@
     pub variables: IndexMap<String, String>,
     /// Priority of the route; 0 is served first.
     pub priority: u32,
-    /// Longest wait for a slot and for a connection.
+    /// Longest wait for a slot and for a connection; all of the timeout if no other target
+    /// could run the job.
     pub max_wait: Millis,
     /// Longest time until the answer.
     pub timeout: Millis,
