--- a/src/gateway/cx.rs
+++ b/src/gateway/cx.rs
@@ -30,6 +30,8 @@
         proof_rounds::Rounds,
         rate_limit::RateLimiter,
         readmission::ColdTargets,
+        retry_budget::RetryBudgets,
+        return_time::UnavailableServices,
         statement::{Answer, ErrorCode, StatementError},
         topology::Topology,
     },
@@ -52,8 +54,9 @@
     pub domain: FailureDomain,
     /// Address at which other entry hosts connect.
     pub bus_addr: String,
-    /// Share of a statement's timeout that may be spent waiting for a target and a
-    /// connection, in percent. A longer wait leaves no time for a retry elsewhere.
+    /// Share of a statement's timeout that may be spent waiting for a target, and for a slot
+    /// and a connection if another target could serve the statement, in percent. A longer wait
+    /// leaves no time for a retry elsewhere.
     pub max_wait_percent: u64,
     /// Time after the acknowledgement of an evacuation from which no host sends statements to
     /// the domain. If set, a host without contact to control sends none to any target.
@@ -104,6 +107,8 @@
     pub direct_health: RefCell<HealthTracker>,
     pub owners: RefCell<OwnerTracker>,
     pub rate_limiter: RefCell<RateLimiter>,
+    pub retry_budgets: RefCell<RetryBudgets>,
+    pub unavailable: RefCell<UnavailableServices>,
     pub lenders: RefCell<Lenders>,
     pub pools: Rc<Pools<T::Connection>>,
     pub admission: AdmissionQueues,
@@ -148,6 +153,8 @@
             direct_health: RefCell::default(),
             owners: RefCell::default(),
             rate_limiter: RefCell::default(),
+            retry_budgets: RefCell::default(),
+            unavailable: RefCell::default(),
             lenders: RefCell::default(),
             pools: Rc::new(Pools::default()),
             admission: AdmissionQueues::default(),
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -5,7 +5,10 @@
 
 use crate::{
     clock::Millis,
-    gateway::statement::{PreparedStatement, Request},
+    gateway::{
+        statement::{PreparedStatement, Request, Statement},
+        urgency::Urgency,
+    },
     ids::{InstanceId, Mark, Workspace},
 };
 
@@ -38,14 +41,28 @@
     pub variables: IndexMap<String, String>,
     /// Priority of the route; 0 is served first.
     pub priority: u32,
-    /// Longest wait for a slot and for a connection.
+    /// Longest wait for a slot and for a connection; all of the timeout if no other target
+    /// could run the job.
     pub max_wait: Millis,
     /// Longest time until the answer.
     pub timeout: Millis,
     pub kind: JobKind,
+    /// `None` from a host whose build does not send it.
+    #[serde(skip)]
+    pub urgency: Option<Urgency>,
 }
 
 impl JobKind {
+    /// Whether only the primary can run the job.
+    pub fn needs_primary(&self) -> bool {
+        match self {
+            Self::Statement { prepared: Some(prepared), .. } => prepared.writes,
+            Self::Statement { request, .. } => request.statement == Statement::Write,
+            Self::Begin { read_only, .. } => !read_only,
+            Self::Rollback | Self::Status => false,
+        }
+    }
+
     /// Whether the job may run only on the connection of an open transaction.
     pub fn needs_transaction(&self) -> bool {
         matches!(self, Self::Statement { in_transaction: true, .. })
