Compare late hosts and primaries with the others

Cause: at a load peak all answers take 0.3 to 1 s. A fixed silence timeout of 350 ms then counts most entry hosts as lost, failed searches repeat every 150 ms, and hosts' reports of unanswered statements replace healthy primaries.

Change: a silent host is late, not lost, unless it is 3 times as silent as the others are late (gateway::suspicion); reconnects back off and need an answered ping. Searches that query targets in vain back off to 600 ms. If more than a quarter of the services fail, reports of hosts that are busy or see most primaries fail need the leader's own queries as confirmation (fleet::failure_evidence). Hosts measure the delay of their event loop, report it, and refuse the least urgent work first.

--- a/src/fleet/failover.rs
+++ b/src/fleet/failover.rs
@@ -38,6 +38,7 @@
 use crate::{
     clock::Millis,
     fleet::{
+        failure_evidence::Overview,
         hosts::Hosts,
         messages::{Successor, TargetRole, ViewRevision},
         primary_change::PrimaryChange,
@@ -160,13 +161,17 @@
 pub struct Failover {
     services: IndexMap<Service, ServiceState>,
     promotions_sent: u64,
+    /// When the primaries were last checked.
+    checked_at: Option<Millis>,
+    /// Primary changes that were withheld for lack of evidence.
+    withheld: u64,
 }
 
 impl Failover {
     /// State of a leader that has lost what it knew and goes on in its term: its fencing tokens
     /// continue after those that it has used.
     pub fn reset(&self) -> Self {
-        Self { services: IndexMap::new(), promotions_sent: self.promotions_sent }
+        Self { promotions_sent: self.promotions_sent, ..Self::default() }
     }
 
     /// Primary of `service` that hosts may use, and whether it may change at any time: a
@@ -241,12 +246,15 @@
         unfinished: &UnfinishedPromotions,
     ) -> Vec<Action> {
         let mut out = Vec::new();
+        let overview = Overview::new(cx, &self.services, self.checked_at.replace(cx.now));
         for service in services {
             let state = self.services.entry(service.clone()).or_default();
             state.update_replicas(cx, &service);
             state.end_completed(cx, &service, &mut out);
+            let withheld = state.gather_evidence(cx, &service, &overview, &mut out);
+            self.withheld += u64::from(withheld);
             if state.change.is_none()
-                && let Some(reason) = state.reason_to_change(cx, &service, unfinished)
+                && let Some(reason) = state.reason_to_change(cx, &service, unfinished, &overview)
             {
                 spdlog::warn!("primary change started", kv: {service = service.as_str(), reason = format!("{reason:?}").as_str(), primary = state.primary.as_ref().map_or("none", |id| id.as_str())});
                 state.disputed = false;
@@ -267,6 +275,11 @@
         out
     }
 
+    /// Takes the number of primary changes that were withheld for lack of evidence.
+    pub fn take_withheld(&mut self) -> u64 {
+        std::mem::take(&mut self.withheld)
+    }
+
     /// Handles an event of `service`.
     pub fn handle(
         &mut self,
@@ -281,6 +294,7 @@
         if let Event::CommandCompleted { target, sent_at, status: Some(status), .. } = &event {
             state.deposed.record(target, status);
             state.record_evidence(target, *sent_at, status);
+            state.failure.record_answer(cx.now, state.primary.as_ref(), target, *sent_at);
         }
         if let Event::PromotionCompleted { token, outcome } = event {
             state.calls.record_outcome(token, outcome, cx.promotions_are_fenced);
--- a/src/fleet/hosts.rs
+++ b/src/fleet/hosts.rs
@@ -1,11 +1,11 @@
 //! Leader's table of entry hosts: leases and target health reports.
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::{
     clock::Millis,
     fleet::messages::{EntryHost, Health, HostReport, ViewRevision},
-    gateway::primary_proof::MAX_VIEW_AGE,
+    gateway::{load_signal::LoadReport, primary_proof::MAX_VIEW_AGE},
     ids::{FailureDomain, HostId, Incarnation, InstanceId, Mark, Service},
 };
 
@@ -38,6 +38,7 @@
     lease_until: Millis,
     view_revision: ViewRevision,
     health: IndexMap<InstanceId, Health>,
+    load: Option<LoadReport>,
 }
 
 /// Entry hosts that have reported to this leader.
@@ -86,6 +87,7 @@
             lease_until: now,
             view_revision: ViewRevision::default(),
             health: IndexMap::new(),
+            load: None,
         }
     }
 }
@@ -142,6 +144,7 @@
         host.view_revision = report.view_revision;
         host.config_version = report.config_version;
         host.health = report.targets.iter().map(|it| (it.id.clone(), it.health)).collect();
+        host.load = report.load;
         self.record_acknowledged(report);
         changed
     }
@@ -275,4 +278,34 @@
         }
         summary
     }
+
+    /// Hosts that lately reported being busy, or that most of the primaries which they use do
+    /// not answer: the cause may be the host.
+    pub fn doubtful(
+        &self,
+        now: Millis,
+        is_primary: impl Fn(&InstanceId) -> bool,
+    ) -> IndexSet<HostId> {
+        let is_doubtful = |host: &Host| {
+            let primaries = || host.health.iter().filter(|(id, _)| is_primary(id));
+            let failing = primaries().filter(|(_, health)| **health != Health::Answering).count();
+            failing * 2 > primaries().count() || host.load.is_some_and(LoadReport::is_busy)
+        };
+        let fresh = self.hosts.iter().filter(|(_, host)| now.since(host.heard_at) < MAX_HEALTH_AGE);
+        fresh.filter(|(_, host)| is_doubtful(host)).map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Number of hosts, except for those in `excluded`, that lately reported a target as failing.
+    pub fn count_failing(
+        &self,
+        now: Millis,
+        target: &InstanceId,
+        excluded: &IndexSet<HostId>,
+    ) -> usize {
+        let is_failing = |host: &Host| {
+            now.since(host.heard_at) < MAX_HEALTH_AGE
+                && matches!(host.health.get(target), Some(Health::Failing(_)))
+        };
+        self.hosts.iter().filter(|(id, host)| is_failing(host) && !excluded.contains(*id)).count()
+    }
 }
--- a/src/fleet/leader.rs
+++ b/src/fleet/leader.rs
@@ -50,6 +50,7 @@
             let mut failover = mem::take(&mut leader.failover);
             let cx = leader.failover_cx(now, fenced);
             let actions = failover.tick(&cx, services.into_iter(), &self.state.promotions);
+            self.metrics.withheld_promotions.inc_by(failover.take_withheld());
             leader.failover = failover;
             self.execute_actions(actions);
             self.load.record_failover(began);
--- a/src/fleet/link.rs
+++ b/src/fleet/link.rs
@@ -22,7 +22,11 @@
 };
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
-use crate::fleet::messages::{ConfigStatus, FleetView, Frame, HostReport, HostUpdate};
+use crate::{
+    clock::Millis,
+    fleet::messages::{ConfigStatus, FleetView, Frame, HostReport, HostUpdate, TokenGrant},
+    gateway::load_signal::LoadReport,
+};
 
 /// Time to establish a connection; allows several round trips between distant failure
 /// domains.
@@ -54,6 +58,10 @@
 /// First byte of a compressed frame.
 const DEFLATED: u8 = 1;
 
+/// Stands before the load in an answer to a ping without a request. No request has the id 0, so
+/// that older builds ignore it.
+const NO_GRANT: TokenGrant = TokenGrant { request_id: 0, tokens: 0, retry_after: Millis(0) };
+
 /// Encodes a frame, compressed if that makes it smaller.
 pub fn encode(frame: &Frame) -> Bytes {
     match try_encode(frame) {
@@ -79,16 +87,35 @@
 /// Appends the fields of `frame` that older builds do not know and ignore.
 fn append_extension(frame: &Frame, buf: Vec<u8>) -> postcard::Result<Vec<u8>> {
     match frame {
-        Frame::Report(HostReport { limits: Some(limits), .. }) => postcard::to_extend(limits, buf),
+        Frame::Report(HostReport { limits: Some(limits), load, .. }) => {
+            append_load(*load, postcard::to_extend(limits, buf)?)
+        }
         Frame::Update(update @ HostUpdate { limits: Some(limits), .. }) => {
             append_update_extension(update, postcard::to_extend(limits, buf)?)
         }
         Frame::Ping { tokens: Some(req) } => postcard::to_extend(req, buf),
-        Frame::Pong { tokens: Some(grant) } => postcard::to_extend(grant, buf),
+        Frame::Pong { tokens: Some(grant), load } => {
+            append_load(*load, postcard::to_extend(grant, buf)?)
+        }
+        Frame::Pong { tokens: None, load: load @ Some(_) } => {
+            append_load(*load, postcard::to_extend(&NO_GRANT, buf)?)
+        }
         _ => Ok(buf),
     }
 }
 
+/// Appends the sender's load, if there is one to tell.
+fn append_load(load: Option<LoadReport>, buf: Vec<u8>) -> postcard::Result<Vec<u8>> {
+    match load {
+        Some(load) => postcard::to_extend(&load, buf),
+        None => Ok(buf),
+    }
+}
+
+fn decode_load(extension: &[u8]) -> postcard::Result<Option<LoadReport>> {
+    if extension.is_empty() { Ok(None) } else { postcard::from_bytes(extension).map(Some) }
+}
+
 /// Appends what follows the limits of an update: the status of the configuration, then the
 /// successors and the evacuated failure domains in the view. An update with a view extends no
 /// lease, and the status counts only with one, so any status may stand before them.
@@ -127,7 +154,11 @@
         return Ok(frame);
     }
     match &mut frame {
-        Frame::Report(report) => report.limits = Some(postcard::from_bytes(extension)?),
+        Frame::Report(report) => {
+            let (limits, rest) = postcard::take_from_bytes(extension)?;
+            report.limits = Some(limits);
+            report.load = decode_load(rest)?;
+        }
         Frame::Update(update) => {
             let (limits, rest) = postcard::take_from_bytes(extension)?;
             update.limits = Some(limits);
@@ -145,7 +176,11 @@
             }
         }
         Frame::Ping { tokens } => *tokens = Some(postcard::from_bytes(extension)?),
-        Frame::Pong { tokens } => *tokens = Some(postcard::from_bytes(extension)?),
+        Frame::Pong { tokens, load } => {
+            let (grant, rest) = postcard::take_from_bytes(extension)?;
+            *tokens = Some(grant).filter(|grant| *grant != NO_GRANT);
+            *load = decode_load(rest)?;
+        }
         _ => {}
     }
     Ok(frame)
--- a/src/fleet/messages.rs
+++ b/src/fleet/messages.rs
@@ -12,6 +12,7 @@
     fleet::allocation::Fraction,
     gateway::{
         job::{Job, JobError},
+        load_signal::LoadReport,
         statement::Answer,
     },
     ids::{FailureDomain, HostId, Incarnation, InstanceId, Mark, Service, Workspace},
@@ -48,6 +49,9 @@
     Pong {
         #[serde(skip)]
         tokens: Option<TokenGrant>,
+        /// Load of a busy host; `None` from one that is not, or whose build does not tell.
+        #[serde(skip)]
+        load: Option<LoadReport>,
     },
 }
 
@@ -83,6 +87,10 @@
     /// Allocations that the host applies; `None` if its build knows no allocations.
     #[serde(skip)]
     pub limits: Option<LimitReport>,
+    /// Load of a busy host; `None` from one that is not, or whose build does not tell. It is
+    /// only sent with the limits.
+    #[serde(skip)]
+    pub load: Option<LoadReport>,
 }
 
 /// Entry host's state of its allocations.
--- a/src/fleet/metrics.rs
+++ b/src/fleet/metrics.rs
@@ -36,6 +36,7 @@
     targets: Gauge,
     changing_services: Gauge,
     pub promotions: Counter,
+    pub withheld_promotions: Counter,
     pub announcements: Counter,
     pub stale_announcements: Counter,
     pub allocation_batches: Counter,
@@ -56,6 +57,10 @@
         let changing_services = gauge("changing_services", "Services whose primary is changing");
         let counter = |name, help| set.counter(name, help);
         let promotions = counter("promotions", "Calls that promote a target");
+        let withheld_promotions = counter(
+            "withheld_promotions",
+            "Primary changes that were withheld for lack of evidence",
+        );
         let announcements = counter("announcements", "Announcements of targets");
         let stale_announcements =
             counter("stale_announcements", "Announcements that were older than what was known");
@@ -73,6 +78,7 @@
             targets,
             changing_services,
             promotions,
+            withheld_promotions,
             announcements,
             stale_announcements,
             allocation_batches,
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -17,6 +17,7 @@
 pub mod document;
 pub mod failover;
 mod failover_log;
+mod failure_evidence;
 pub mod group_io;
 pub mod hosts;
 pub mod inventory;
--- a/src/fleet/primary_change.rs
+++ b/src/fleet/primary_change.rs
@@ -21,7 +21,7 @@
 const SILENT_AFTER_MISSED: u64 = 4;
 
 /// Percentage of reporting hosts that must see a primary fail before it is replaced.
-const FAILING_HOSTS_PERCENT: usize = 30;
+pub(super) const FAILING_HOSTS_PERCENT: usize = 30;
 
 /// Interval between status queries to the targets during a change.
 pub(super) const STATUS_QUERY_INTERVAL: Millis = Millis(100);
@@ -294,9 +294,14 @@
     let summary = cx.hosts.health_summary(cx.now, id);
     let total = summary.answering + summary.failing;
     if total == 0 {
-        let max_silence = Millis(cx.registry.interval().0 * SILENT_AFTER_MISSED);
-        return cx.registry.silence(cx.now, id).is_some_and(|span| span > max_silence);
+        return is_silent(cx, id);
     }
     summary.failing * 100 >= total * FAILING_HOSTS_PERCENT
         && summary.longest_failure >= MIN_FAILING_TIME
 }
+
+/// Whether a target has missed several announcements.
+pub(super) fn is_silent(cx: &Cx<'_>, id: &InstanceId) -> bool {
+    let max_silence = Millis(cx.registry.interval().0 * SILENT_AFTER_MISSED);
+    cx.registry.silence(cx.now, id).is_some_and(|span| span > max_silence)
+}
--- a/src/fleet/service_failover.rs
+++ b/src/fleet/service_failover.rs
@@ -10,6 +10,7 @@
         commit_evidence::CommitEvidence,
         deposed::DeposedPrimaries,
         failover::{Action, Cx, Reason, TargetStatus},
+        failure_evidence::{FailureEvidence, Overview},
         messages::{TargetRole, ViewRevision},
         outstanding_calls::OutstandingCalls,
         primary_change::{
@@ -47,6 +48,7 @@
     pub(super) deposed: DeposedPrimaries,
     pub(super) calls: OutstandingCalls,
     pub(super) evidence: CommitEvidence,
+    pub(super) failure: FailureEvidence,
     /// Targets of the unfinished promotions that this leader has logged.
     logged: IndexSet<InstanceId>,
     /// A call may have been sent for one of the unfinished promotions.
@@ -64,6 +66,7 @@
         cx: &Cx<'_>,
         service: &Service,
         unfinished: &UnfinishedPromotions,
+        overview: &Overview,
     ) -> Option<Reason> {
         let is_unfinished = unfinished.newest(service).is_some_and(|id| !self.is_completed(id));
         if self.disputed && !is_unfinished {
@@ -91,7 +94,8 @@
             .registry
             .of_service(service)
             .any(|it| it.id != primary.id && !it.draining && is_reachable(cx, &it.id));
-        (has_better && is_failing(cx, &primary.id)).then_some(Reason::Failing)
+        let is_failing = has_better && self.failure.suffices(cx, service, &primary.id, overview);
+        is_failing.then_some(Reason::Failing)
     }
 
     pub(super) fn advance(
@@ -367,6 +371,9 @@
             acknowledged = cx.hosts.acknowledged(service).unwrap_or_default().to_string().as_str()
         });
         let replaced = self.primary.replace(candidate.clone()).filter(|id| *id != candidate);
+        if change.reason == Reason::Failing && replaced.is_some() {
+            self.failure.record_promotion(cx.now);
+        }
         let claimants = change
             .statuses
             .iter()
--- a/src/gateway/control_link.rs
+++ b/src/gateway/control_link.rs
@@ -8,7 +8,7 @@
 use eyre::{Result, bail, eyre};
 use futures::{SinkExt, StreamExt};
 use indexmap::IndexMap;
-use tokio::time::{Instant, interval, timeout_at};
+use tokio::time::{Instant, MissedTickBehavior, interval, timeout_at};
 
 use crate::{
     clock::Millis,
@@ -168,13 +168,15 @@
     async fn run_connection(&mut self, addr: &str) -> Result<()> {
         let (mut reader, mut writer) = split_framed(connect(addr).await?);
         let mut reports = interval(REPORT_INTERVAL);
+        reports.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut last_received = Instant::now();
         let mut is_first = true;
         let mut confirmed = self.versions();
         let mut phases = self.cx.subscribe_phase();
         loop {
             tokio::select! {
-                _ = reports.tick() => {
+                due = reports.tick() => {
+                    self.record_loop_delay(due);
                     self.report(&mut writer, is_first).await?;
                     is_first = false;
                 }
@@ -206,6 +208,16 @@
         }
     }
 
+    /// Records the delay of the event loop at a timer that was due at `due`. Targets could not be
+    /// heard meanwhile.
+    fn record_loop_delay(&self, due: Instant) {
+        let now = self.cx.now();
+        let delay = Millis(due.elapsed().as_millis() as u64);
+        self.cx.load.borrow_mut().record(now, delay);
+        self.cx.health.borrow_mut().record_stall(now, delay);
+        self.cx.direct_health.borrow_mut().record_stall(now, delay);
+    }
+
     /// Silence after which the host gives the current connection up.
     fn silence_timeout(&self) -> Duration {
         if self.in_contact { SILENCE_TIMEOUT } else { self.first_answer_timeout }
@@ -270,6 +282,7 @@
                 acknowledged: self.acknowledged(full),
                 known_targets: if full { topology.known_targets() } else { Vec::new() },
                 limits: Some(rate_limiter.report(cx.now())),
+                load: cx.load.borrow_mut().busy_report(cx.now()),
             }
         };
         writer.send(encode(&Frame::Report(report))).await?;
@@ -368,6 +381,7 @@
             topology.set_view(view);
             topology.record_draining(cx.now());
         }
+        cx.reset_searches();
         cx.trim_pools();
     }
 }
--- a/src/gateway/cx.rs
+++ b/src/gateway/cx.rs
@@ -20,6 +20,7 @@
         job::JobError,
         lease::ControlLease,
         lenders::Lenders,
+        load_signal::LoadSignal,
         log_limit::{LogDecision, LogLimiter},
         metrics::GatewayMetrics,
         ownership::{OwnerRole, OwnerTracker, connection_quota},
@@ -29,6 +30,7 @@
         primary_search::PrimarySearch,
         proof_rounds::Rounds,
         rate_limit::RateLimiter,
+        search_backoff::SearchBackoff,
         statement::{Answer, ErrorCode, StatementError},
         topology::Topology,
     },
@@ -97,6 +99,8 @@
     pub pools: Rc<Pools<T::Connection>>,
     pub admission: AdmissionQueues,
     pub peers: PeerClients,
+    /// Load of this process.
+    pub load: Rc<RefCell<LoadSignal>>,
     /// Newest acknowledged commit of each service.
     pub acknowledged: RefCell<IndexMap<Service, Mark>>,
     /// Newest commit of each service that could not be confirmed, with the target that has run it,
@@ -113,6 +117,8 @@
     pub metrics: Arc<GatewayMetrics>,
     /// Searches for the primaries among the targets, by service.
     searches: RefCell<IndexMap<Service, Rc<Rounds<PrimarySearch>>>>,
+    /// Delays of failing searches by service.
+    search_backoffs: RefCell<IndexMap<Service, SearchBackoff>>,
     /// Status queries to targets that this host owns.
     status_queries: RefCell<IndexMap<InstanceId, Rc<StatusRounds>>>,
     phase: watch::Sender<Phase>,
@@ -121,6 +127,7 @@
 impl<T: Targets> Cx<T> {
     /// State of a host that has neither a configuration nor a view yet.
     pub fn new(settings: GatewaySettings, targets: T) -> Self {
+        let (metrics, load) = (GatewayMetrics::new(), Rc::<RefCell<LoadSignal>>::default());
         Self {
             clock: SystemClock::default(),
             settings,
@@ -135,15 +142,17 @@
             lenders: RefCell::default(),
             pools: Rc::new(Pools::default()),
             admission: AdmissionQueues::default(),
-            peers: PeerClients::default(),
+            peers: PeerClients::new(metrics.clone(), load.clone()),
+            load,
             acknowledged: RefCell::default(),
             unconfirmed: RefCell::default(),
             sessions: Cell::new(0),
             request_log: RefCell::default(),
             target_log: RefCell::default(),
             limit_log: RefCell::default(),
-            metrics: GatewayMetrics::new(),
+            metrics,
             searches: RefCell::default(),
+            search_backoffs: RefCell::default(),
             status_queries: RefCell::default(),
             phase: watch::Sender::new(Phase::Serving),
         }
@@ -198,6 +207,24 @@
         rounds(&self.searches, service, MIN_SEARCH_INTERVAL)
     }
 
+    /// Changes the delay between failing searches for the primary of `service`.
+    pub fn with_search_backoff<R>(
+        &self,
+        service: &Service,
+        change: impl FnOnce(&mut SearchBackoff) -> R,
+    ) -> R {
+        let mut backoffs = self.search_backoffs.borrow_mut();
+        change(backoffs.entry(service.clone()).or_default())
+    }
+
+    /// Lets searches for the primaries begin at once: there is a new view.
+    pub fn reset_searches(&self) {
+        self.search_backoffs.borrow_mut().clear();
+        for rounds in self.searches.borrow().values() {
+            rounds.end_delay();
+        }
+    }
+
     /// Status queries to `target`.
     pub fn status_rounds(&self, target: &InstanceId) -> Rc<StatusRounds> {
         rounds(&self.status_queries, target, MIN_STATUS_INTERVAL)
--- a/src/gateway/health.rs
+++ b/src/gateway/health.rs
@@ -25,6 +25,9 @@
 /// Age of the last answer from which a failing target is reported as such.
 const SILENCE_THRESHOLD: Millis = Millis(300);
 
+/// Delay of the event loop that does not count as a stall.
+const MIN_STALL: Millis = Millis(100);
+
 /// Health of all targets.
 #[derive(Debug, Default)]
 pub struct HealthTracker {
@@ -131,6 +134,16 @@
         state.failing_since.get_or_insert(now);
     }
 
+    /// Records that this process could not read answers for `span`.
+    pub fn record_stall(&mut self, now: Millis, span: Millis) {
+        if span < MIN_STALL {
+            return;
+        }
+        for state in self.targets.values_mut() {
+            state.last_answer = (state.last_answer + span).min(now);
+        }
+    }
+
     /// Whether the target should be used: it answers, or the next probe is due.
     pub fn is_usable(&self, now: Millis, id: &InstanceId) -> bool {
         self.targets.get(id).is_none_or(|state| {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -53,6 +53,43 @@
     outcome: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct EventLabel {
+    event: &'static str,
+}
+
+/// Event of the connection to another entry host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PeerEvent {
+    /// The host answers later than usual.
+    Late,
+    Lost,
+    Returned,
+    /// The host has told that it is busy.
+    Busy,
+}
+
+impl PeerEvent {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Late => "late",
+            Self::Lost => "lost",
+            Self::Returned => "returned",
+            Self::Busy => "busy",
+        }
+    }
+
+    /// Event for the log.
+    pub fn text(self) -> &'static str {
+        match self {
+            Self::Late => "entry host is late",
+            Self::Lost => "entry host is unreachable",
+            Self::Returned => "entry host is reachable again",
+            Self::Busy => "entry host is busy",
+        }
+    }
+}
+
 type LatencyHistogram = Family<RouteLabel, Histogram, fn() -> Histogram>;
 
 /// Metrics, shared with the HTTP listener that exposes them.
@@ -64,6 +101,9 @@
     primary_searches: Family<OutcomeLabel, Counter>,
     commit_confirmations: Family<OutcomeLabel, Counter>,
     primary_search_time: Histogram,
+    peer_events: Family<EventLabel, Counter>,
+    load_refusals: Counter,
+    loop_delay: Gauge,
     sessions: Gauge,
     connections: Gauge,
     waiting: Gauge,
@@ -109,6 +149,10 @@
         let primary_search_time = Histogram::new(LATENCY_BUCKETS_S);
         let help = "Time for which a statement waited for a search for the primary";
         set.add_with_unit("primary_search_time", help, Unit::Seconds, primary_search_time.clone());
+        let peer_events = set.add("peer_events", "Events of other entry hosts");
+        let help = "Operations that were refused because the host is busy";
+        let load_refusals = set.counter("load_refusals", help);
+        let loop_delay = gauge("loop_delay_ms", "Average delay of the event loop in milliseconds");
         Arc::new(Self {
             set,
             requests,
@@ -117,6 +161,9 @@
             primary_searches,
             commit_confirmations,
             primary_search_time,
+            peer_events,
+            load_refusals,
+            loop_delay,
             sessions,
             connections,
             waiting,
@@ -158,6 +205,16 @@
         self.primary_search_time.observe(took.0 as f64 / SECOND_MS);
     }
 
+    /// Counts an event of another entry host.
+    pub fn record_peer(&self, event: PeerEvent) {
+        self.peer_events.get_or_create(&EventLabel { event: event.label() }).inc();
+    }
+
+    /// Counts an operation that was refused because the host is busy.
+    pub fn record_load_refusal(&self) {
+        self.load_refusals.inc();
+    }
+
     /// Counts a commit that was acknowledged after other targets had confirmed it, or could not be.
     pub fn record_commit_confirmation(&self, confirmed: bool) {
         let outcome = if confirmed { "confirmed" } else { "unconfirmed" };
@@ -200,6 +257,7 @@
         set(&self.leased, u64::from(cx.lease.borrow().is_valid(now)));
         set(&self.ready, u64::from(cx.is_ready()));
         set(&self.limited, cx.rate_limiter.borrow().allocated());
+        set(&self.loop_delay, cx.load.borrow_mut().report(now).loop_delay.0);
         set(&self.failing, cx.health.borrow().failing(now));
     }
 
--- a/src/gateway/peer_client.rs
+++ b/src/gateway/peer_client.rs
@@ -1,14 +1,16 @@
 //! Calls to other entry hosts, which execute jobs on the targets that they own.
 //!
-//! There is one connection to each host. While calls are outstanding, a silent host is
-//! pinged; if it does not answer, it is marked as unusable and the outstanding calls are
-//! lost. Reconnecting happens in the background, so that no job waits for a connection
-//! attempt that fails.
+//! There is one connection to each host. While a host owes an answer, it is pinged if it is
+//! silent, and [`suspicion`](crate::gateway::suspicion) judges whether it is late or lost. The
+//! outstanding calls of a late host keep their connection; those of a lost one are lost.
+//! Reconnecting happens in the background, so that no job waits for a connection attempt that
+//! fails, and a lost host is used again once it has answered a ping.
 
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
     rc::Rc,
+    sync::Arc,
     time::Duration,
 };
 
@@ -17,17 +19,22 @@
 use futures::{SinkExt, StreamExt};
 use tokio::{
     sync::{mpsc, oneshot},
-    time::{Instant, interval},
+    time::{Instant, MissedTickBehavior, interval, timeout},
 };
 
 use crate::{
+    clock::{Clock, Millis, SystemClock},
     fleet::{
         link::{FrameReader, FrameWriter, connect, decode, encode, split_framed},
         messages::{Frame, TokenGrant, TokenRequest},
     },
     gateway::{
         job::{Job, JobError},
+        load_signal::LoadSignal,
+        log_limit::{LogDecision, LogLimiter},
+        metrics::{GatewayMetrics, PeerEvent},
         statement::Answer,
+        suspicion::{Suspicion, Verdict},
     },
     ids::Workspace,
 };
@@ -36,14 +43,14 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Silence after which a host is pinged.
-const PING_AFTER: Duration = Duration::from_millis(100);
+const PING_AFTER: Millis = Millis(100);
 
-/// Silence after which a connection counts as lost; long enough for the retransmission of
-/// a lost packet.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(350);
+/// Interval between pings to a silent host. The connection is reliable, so that further ones only
+/// replace answers that the host has dropped.
+const PING_INTERVAL: Millis = Millis(400);
 
-/// Delay before the next attempt to reconnect.
-const RECONNECT_DELAY: Duration = Duration::from_millis(400);
+/// Part of a reconnect delay that is chosen at random, in percent.
+const JITTER_PERCENT: u64 = 25;
 
 /// Time without demand after which reconnecting to a lost host is given up.
 const RECONNECT_TIMEOUT: Duration = Duration::from_secs(5);
@@ -75,18 +82,25 @@
 }
 
 /// Connections to other entry hosts by address.
-#[derive(Debug, Default)]
 pub struct PeerClients {
     peers: RefCell<HashMap<String, Rc<PeerConnection>>>,
     last_id: Cell<u64>,
+    shared: Rc<Shared>,
+}
+
+/// State of all connections to other hosts.
+struct Shared {
+    clock: SystemClock,
+    suspicion: RefCell<Suspicion>,
+    load: Rc<RefCell<LoadSignal>>,
+    metrics: Arc<GatewayMetrics>,
+    log: RefCell<LogLimiter>,
 }
 
 /// Connection to one host.
 #[derive(Debug)]
 struct PeerConnection {
     queue: mpsc::Sender<Message>,
-    /// Whether the host should be used.
-    usable: Cell<bool>,
     /// When the host was last considered for a job.
     last_wanted: Cell<Instant>,
 }
@@ -97,18 +111,52 @@
     Notice(Bytes),
 }
 
+impl Shared {
+    /// Counts an event of a host, and logs it subject to the rate limit of the log.
+    fn record(&self, addr: &str, event: PeerEvent, outstanding: usize, detail: &str) {
+        self.metrics.record_peer(event);
+        let now = self.clock.now();
+        let LogDecision::Write { suppressed } = self.log.borrow_mut().check(now) else { return };
+        spdlog::info!("{}", event.text(), kv: {addr, outstanding, error = detail, left_out = suppressed});
+    }
+
+    /// Records an answer of a host; `is_busy` if it tells that the host is.
+    fn record_answer(&self, addr: &str, is_busy: bool, owes_more: bool) {
+        let now = self.clock.now();
+        let mut suspicion = self.suspicion.borrow_mut();
+        suspicion.record_answer(now, addr, owes_more);
+        if is_busy {
+            suspicion.record_busy(now, addr);
+            self.metrics.record_peer(PeerEvent::Busy);
+        }
+    }
+}
+
 impl PeerClients {
+    /// No connections yet; the delays of their timers are recorded in `load`.
+    pub fn new(metrics: Arc<GatewayMetrics>, load: Rc<RefCell<LoadSignal>>) -> Self {
+        let shared = Shared {
+            clock: SystemClock::default(),
+            suspicion: RefCell::default(),
+            load,
+            metrics,
+            log: RefCell::default(),
+        };
+        Self { peers: RefCell::default(), last_id: Cell::default(), shared: Rc::new(shared) }
+    }
+
     /// Id that is unique among the calls and streams of this host.
     pub fn next_id(&self) -> u64 {
         self.last_id.set(self.last_id.get() + 1);
         self.last_id.get()
     }
 
-    /// Whether the host at `addr` should be used.
+    /// Whether new work that has an alternative should go to the host at `addr`.
     pub fn is_usable(&self, addr: &str) -> bool {
         self.peers.borrow().get(addr).is_none_or(|peer| {
             peer.last_wanted.set(Instant::now());
-            peer.usable.get() || peer.queue.is_closed()
+            let now = self.shared.clock.now();
+            peer.queue.is_closed() || self.shared.suspicion.borrow().may_use(now, addr)
         })
     }
 
@@ -144,7 +192,7 @@
     /// Queues a call; returns whether the host may be reached.
     fn send(&self, addr: &str, message: Message) -> bool {
         let peer = self.peer(addr);
-        if !peer.usable.get() {
+        if self.shared.suspicion.borrow().is_lost(addr) {
             return false;
         }
         let is_queued = peer.queue.try_send(message).is_ok();
@@ -169,40 +217,138 @@
             return peer.clone();
         }
         let (queue, messages) = mpsc::channel(MAX_QUEUED_FRAMES);
-        let (usable, last_wanted) = (Cell::new(true), Cell::new(Instant::now()));
-        let peer = Rc::new(PeerConnection { queue, usable, last_wanted });
-        tokio::task::spawn_local(run(addr.to_owned(), peer.clone(), messages));
+        let peer = Rc::new(PeerConnection { queue, last_wanted: Cell::new(Instant::now()) });
+        let link = Link { addr: addr.to_owned(), shared: self.shared.clone() };
+        tokio::task::spawn_local(link.run(peer.clone(), messages));
         peers.insert(addr.to_owned(), peer.clone());
         peer
     }
 }
 
-/// Maintains a connection and reopens it after a failure while the host is wanted.
-async fn run(addr: String, peer: Rc<PeerConnection>, mut messages: mpsc::Receiver<Message>) {
-    let mut outstanding = HashMap::new();
-    loop {
-        let result = match connect(&addr).await {
-            Ok(stream) => {
-                if !peer.usable.replace(true) {
-                    spdlog::info!("entry host is reachable again", kv: {addr = addr.as_str()});
-                }
-                let (reader, writer) = split_framed(stream);
-                exchange(reader, writer, &mut messages, &mut outstanding).await
+/// Maintains the connection to one host.
+struct Link {
+    addr: String,
+    shared: Rc<Shared>,
+}
+
+impl Link {
+    /// Maintains a connection and reopens it after a failure while the host is wanted.
+    async fn run(self, peer: Rc<PeerConnection>, mut messages: mpsc::Receiver<Message>) {
+        let (addr, shared) = (self.addr.as_str(), &*self.shared);
+        let mut outstanding = HashMap::new();
+        while let Err(error) = self.run_connection(&mut messages, &mut outstanding).await {
+            let was_lost = shared.suspicion.borrow().is_lost(addr);
+            let jitter = rand::random_range(0..=JITTER_PERCENT);
+            let delay = shared.suspicion.borrow_mut().record_loss(shared.clock.now(), addr, jitter);
+            if !was_lost {
+                shared.record(addr, PeerEvent::Lost, outstanding.len(), &format!("{error:#}"));
+            }
+            fail_all(&mut messages, &mut outstanding);
+            tokio::time::sleep(delay.duration()).await;
+            if peer.last_wanted.get().elapsed() >= RECONNECT_TIMEOUT {
+                break;
             }
-            Err(error) => Err(error),
-        };
-        let was_usable = peer.usable.replace(false);
-        if let Err(error) = &result
-            && was_usable
-        {
-            spdlog::info!("entry host is unreachable", kv: {addr = addr.as_str(), outstanding = outstanding.len(), error = format!("{error:#}").as_str()});
         }
+        messages.close();
         fail_all(&mut messages, &mut outstanding);
-        tokio::time::sleep(RECONNECT_DELAY).await;
-        if result.is_ok() || peer.last_wanted.get().elapsed() >= RECONNECT_TIMEOUT {
-            messages.close();
-            fail_all(&mut messages, &mut outstanding);
-            return;
+        shared.suspicion.borrow_mut().remove(addr);
+    }
+
+    async fn run_connection(
+        &self,
+        messages: &mut mpsc::Receiver<Message>,
+        outstanding: &mut HashMap<u64, Reply>,
+    ) -> Result<()> {
+        let (mut reader, mut writer) = split_framed(connect(&self.addr).await?);
+        if self.shared.suspicion.borrow().is_lost(&self.addr) {
+            self.try_out(&mut reader, &mut writer).await?;
+        }
+        self.exchange(reader, writer, messages, outstanding).await
+    }
+
+    /// Waits until a host that was lost answers a ping.
+    async fn try_out(&self, reader: &mut FrameReader, writer: &mut FrameWriter) -> Result<()> {
+        let (addr, shared) = (self.addr.as_str(), &*self.shared);
+        let began = shared.clock.now();
+        let max_silence = shared.suspicion.borrow().loss_timeout(began, addr);
+        writer.send(encode(&Frame::Ping { tokens: None })).await?;
+        let Ok(answer) = timeout(max_silence.duration(), reader.next()).await else {
+            bail!("no answer to the first ping for {max_silence}");
+        };
+        let Some(bytes) = answer else { bail!("connection closed") };
+        let frame = decode(&bytes?)?;
+        shared.suspicion.borrow_mut().record_return(shared.clock.now(), addr);
+        shared.record_answer(addr, tells_busy(&frame), false);
+        shared.record(addr, PeerEvent::Returned, 0, "");
+        Ok(())
+    }
+
+    async fn exchange(
+        &self,
+        mut reader: FrameReader,
+        mut writer: FrameWriter,
+        messages: &mut mpsc::Receiver<Message>,
+        outstanding: &mut HashMap<u64, Reply>,
+    ) -> Result<()> {
+        let (addr, shared) = (self.addr.as_str(), &*self.shared);
+        let mut checks = interval(CHECK_INTERVAL);
+        checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut owes_answer = false;
+        let mut pinged_at = None;
+        let mut is_late = false;
+        loop {
+            tokio::select! {
+                // After a stall of this process, answers that have arrived are read before the
+                // host's silence is judged.
+                biased;
+                read = reader.next() => {
+                    let Some(bytes) = read else { bail!("connection closed") };
+                    let frame = decode(&bytes?)?;
+                    let is_busy = tells_busy(&frame);
+                    deliver(frame, outstanding);
+                    owes_answer = !outstanding.is_empty();
+                    shared.record_answer(addr, is_busy, owes_answer);
+                    pinged_at = None;
+                    is_late = false;
+                }
+                message = messages.recv() => match message {
+                    Some(Message::Request { request_id, frame, reply }) => {
+                        if !owes_answer {
+                            owes_answer = true;
+                            shared.suspicion.borrow_mut().record_wait(shared.clock.now(), addr);
+                            checks.reset();
+                        }
+                        outstanding.insert(request_id, reply);
+                        writer.send(frame).await?;
+                    }
+                    Some(Message::Notice(frame)) => writer.send(frame).await?,
+                    None => return Ok(()),
+                },
+                due = checks.tick(), if owes_answer => {
+                    outstanding.retain(|_, reply| !reply.is_closed());
+                    let now = shared.clock.now();
+                    let delay = Millis(due.elapsed().as_millis() as u64);
+                    shared.load.borrow_mut().record(now, delay);
+                    let verdict = shared.suspicion.borrow_mut().check(now, addr, delay);
+                    let silence =
+                        shared.suspicion.borrow().silence(now, addr).unwrap_or_default();
+                    match verdict {
+                        Verdict::Lost => bail!("no answer for {silence}"),
+                        Verdict::Late if !is_late => {
+                            is_late = true;
+                            let detail = format!("no answer for {silence}");
+                            shared.record(addr, PeerEvent::Late, outstanding.len(), &detail);
+                        }
+                        Verdict::Late | Verdict::Usual => {}
+                    }
+                    let may_ping = pinged_at.is_none_or(|at| now.since(at) >= PING_INTERVAL);
+                    if silence >= PING_AFTER && may_ping {
+                        pinged_at = Some(now);
+                        shared.suspicion.borrow_mut().record_ping(now, addr);
+                        writer.send(encode(&Frame::Ping { tokens: None })).await?;
+                    }
+                }
+            }
         }
     }
 }
@@ -220,6 +366,11 @@
     }
 }
 
+/// Whether a host tells in `frame` that it is busy.
+fn tells_busy(frame: &Frame) -> bool {
+    matches!(frame, Frame::Pong { load: Some(load), .. } if load.is_busy())
+}
+
 /// Passes an answer to the call that waits for it. The receiver is gone if the call timed
 /// out.
 fn deliver(frame: Frame, outstanding: &mut HashMap<u64, Reply>) {
@@ -229,7 +380,7 @@
                 let _ = reply.send(result);
             }
         }
-        Frame::Pong { tokens: Some(grant) } => {
+        Frame::Pong { tokens: Some(grant), .. } => {
             if let Some(Reply::Tokens(reply)) = outstanding.remove(&grant.request_id) {
                 let _ = reply.send(grant);
             }
@@ -237,43 +388,3 @@
         _ => {}
     }
 }
-
-async fn exchange(
-    mut reader: FrameReader,
-    mut writer: FrameWriter,
-    messages: &mut mpsc::Receiver<Message>,
-    outstanding: &mut HashMap<u64, Reply>,
-) -> Result<()> {
-    let mut checks = interval(CHECK_INTERVAL);
-    let mut last_received = Instant::now();
-    loop {
-        tokio::select! {
-            message = messages.recv() => match message {
-                Some(Message::Request { request_id, frame, reply }) => {
-                    if outstanding.is_empty() {
-                        last_received = Instant::now();
-                    }
-                    outstanding.insert(request_id, reply);
-                    writer.send(frame).await?;
-                }
-                Some(Message::Notice(frame)) => writer.send(frame).await?,
-                None => return Ok(()),
-            },
-            read = reader.next() => {
-                let Some(bytes) = read else { bail!("connection closed") };
-                last_received = Instant::now();
-                deliver(decode(&bytes?)?, outstanding);
-            }
-            _ = checks.tick(), if !outstanding.is_empty() => {
-                outstanding.retain(|_, reply| !reply.is_closed());
-                let silence = last_received.elapsed();
-                if silence >= SILENCE_TIMEOUT {
-                    bail!("no answer for {} ms", silence.as_millis());
-                }
-                if silence >= PING_AFTER {
-                    writer.send(encode(&Frame::Ping { tokens: None })).await?;
-                }
-            }
-        }
-    }
-}
--- a/src/gateway/peer_server.rs
+++ b/src/gateway/peer_server.rs
@@ -63,10 +63,14 @@
                     tokio::task::spawn_local(roll_back(cx.clone(), held));
                 }
             }
-            Frame::Ping { tokens: None } => send(&self.outgoing, &Frame::Pong { tokens: None }),
+            Frame::Ping { tokens: None } => {
+                let load = cx.load.borrow_mut().busy_report(cx.now());
+                send(&self.outgoing, &Frame::Pong { tokens: None, load });
+            }
             Frame::Ping { tokens: Some(req) } => {
+                let load = cx.load.borrow_mut().busy_report(cx.now());
                 let grant = cx.rate_limiter.borrow_mut().lend(cx.now(), &req);
-                send(&self.outgoing, &Frame::Pong { tokens: Some(grant) });
+                send(&self.outgoing, &Frame::Pong { tokens: Some(grant), load });
             }
             _ => spdlog::debug!("ignoring unexpected frame from entry host"),
         }
--- a/src/gateway/primary_search.rs
+++ b/src/gateway/primary_search.rs
@@ -17,6 +17,7 @@
         operation::Operation,
         ports::{TargetConnection, Targets},
         primary_proof::{MAX_VIEW_AGE, PrimaryProof},
+        search_backoff::SearchFailure,
         target_client::TargetClient,
     },
     ids::InstanceId,
@@ -25,16 +26,12 @@
 /// Longest time for which a search waits for the targets' answers.
 const SEARCH_TIMEOUT: Millis = Millis(250);
 
-/// Delay before the next search after one that found no primary. Searches of hundreds of hosts
-/// would take the targets' slots from statements.
-const FAILED_SEARCH_DELAY: Millis = Millis(150);
-
 /// Time for which searches must have failed before statements no longer wait for the next one.
 const MIN_FAILING_TIME: Millis = Millis(500);
 
-/// Time from one failed search to the next from which the outage of the first one counts as
-/// ended. It is longer than a search and the delay after it.
-const MAX_SEARCH_GAP: Millis = Millis(600);
+/// Time from the end of the delay after a failed search to the next search from which the outage
+/// of the first one counts as ended. It is longer than a search.
+const MAX_SEARCH_GAP: Millis = Millis(450);
 
 /// Priority of the status queries of a search: statements wait for them.
 const SEARCH_PRIORITY: u32 = 0;
@@ -77,35 +74,45 @@
     /// Searches, and delays the next search if this one fails.
     async fn run_search(&self) -> PrimarySearch {
         let searches = self.cx.searches(&self.auth.route.service);
-        let now = self.cx.now();
+        let (cx, service) = (self.cx, &self.auth.route.service);
+        let now = cx.now();
+        let delay = cx.with_search_backoff(service, |backoff| backoff.delay());
         let failing_since = match searches.last() {
             Some(PrimarySearch::Unproven { since, asked_at })
-                if now.since(asked_at) < MAX_SEARCH_GAP =>
+                if now.since(asked_at) < MAX_SEARCH_GAP + delay =>
             {
                 since
             }
             _ => now,
         };
-        let found = self.query_targets(failing_since).await;
-        if matches!(found, PrimarySearch::Unproven { .. }) {
-            searches.delay_until(self.cx.now() + FAILED_SEARCH_DELAY);
+        let revision = cx.topology.borrow().revision();
+        match self.query_targets(now).await {
+            Ok(found) => {
+                cx.with_search_backoff(service, |backoff| backoff.reset());
+                found
+            }
+            Err(failure) => {
+                // A view that has arrived meanwhile allows the next search at once.
+                if cx.topology.borrow().revision() == revision {
+                    let delay =
+                        cx.with_search_backoff(service, |backoff| backoff.record_failure(failure));
+                    searches.delay_until(cx.now() + delay);
+                }
+                PrimarySearch::Unproven { since: failing_since, asked_at: now }
+            }
         }
-        found
     }
 
-    async fn query_targets(&self, failing_since: Millis) -> PrimarySearch {
+    async fn query_targets(&self, asked_at: Millis) -> Result<PrimarySearch, SearchFailure> {
         let (cx, service) = (self.cx, &self.auth.route.service);
-        let asked_at = cx.now();
         let view_age = asked_at.since(cx.lease.borrow().contact_at());
         if view_age >= MAX_VIEW_AGE {
-            self.log_search("view is too old", view_age, 0, 0);
-            return PrimarySearch::Unproven { since: failing_since, asked_at };
+            return Err(self.log_search(SearchFailure::OldView, view_age, 0, 0));
         }
         let revision = cx.topology.borrow().revision();
         let view = cx.topology.borrow().service(service).cloned().unwrap_or_default();
         if view.primary.is_none() {
-            self.log_search("control has withdrawn the primary", view_age, 0, 0);
-            return PrimarySearch::Unproven { since: failing_since, asked_at };
+            return Err(self.log_search(SearchFailure::Withdrawn, view_age, 0, 0));
         }
         let targets = view.targets;
         let known_primary = cx.topology.borrow().primary(asked_at, service);
@@ -122,22 +129,20 @@
                 Err(JobError::Rejected(retry, reason))
                     if known_primary.as_ref().is_some_and(|it| it.id == target.id) =>
                 {
-                    return PrimarySearch::Rejected(retry, reason);
+                    return Ok(PrimarySearch::Rejected(retry, reason));
                 }
                 Err(_) => {}
             }
         }
         match proof.primary() {
             Some(target) if cx.topology.borrow().has_drained(asked_at, target) => {
-                self.log_search("the primary is leaving", view_age, targets.len(), answered);
-                PrimarySearch::Unproven { since: failing_since, asked_at }
+                Err(self.log_search(SearchFailure::Leaving, view_age, targets.len(), answered))
             }
             Some(target) => {
-                PrimarySearch::Proven { target: target.clone(), asked_at, view: revision }
+                Ok(PrimarySearch::Proven { target: target.clone(), asked_at, view: revision })
             }
             None => {
-                self.log_search("answers prove no primary", view_age, targets.len(), answered);
-                PrimarySearch::Unproven { since: failing_since, asked_at }
+                Err(self.log_search(SearchFailure::Unproven, view_age, targets.len(), answered))
             }
         }
     }
@@ -158,11 +163,18 @@
         T::Connection::status(&answer).ok_or(JobError::Lost)
     }
 
-    fn log_search(&self, reason: &str, view_age: Millis, targets: usize, answered: usize) {
+    fn log_search(
+        &self,
+        failure: SearchFailure,
+        view_age: Millis,
+        targets: usize,
+        answered: usize,
+    ) -> SearchFailure {
         self.cx.log_primary_search(
             &self.auth.route.service,
-            reason,
+            failure.text(),
             &format!("view_age={view_age} targets={targets} answered={answered}"),
         );
+        failure
     }
 }
--- a/src/gateway/proof_rounds.rs
+++ b/src/gateway/proof_rounds.rs
@@ -78,6 +78,11 @@
         state.next_at = state.next_at.max(at);
     }
 
+    /// Lets the next round begin at once.
+    pub fn end_delay(&self) {
+        self.state.borrow_mut().next_at = Millis(0);
+    }
+
     /// Outcome of the last round.
     pub fn last(&self) -> Option<A> {
         self.state.borrow().completed.as_ref().map(|(_, outcome)| outcome.clone())
--- a/src/gateway/runtime.rs
+++ b/src/gateway/runtime.rs
@@ -9,6 +9,7 @@
     clock::Millis,
     gateway::{
         cx::{Cx, Phase},
+        load_signal,
         log_limit::LogDecision,
         operation::Operation,
         ports::{Caller, CallerMessage, Targets},
@@ -277,6 +278,10 @@
             Ok(auth) => auth,
             Err(error) => return Answer::error(error.code, error.text, idle),
         };
+        if load_refuses(&self.cx, auth.route.priority) {
+            let text = format!("the host is busy; retry after {}", load_signal::RETRY_AFTER);
+            return Answer::error(ErrorCode::Busy, text, idle);
+        }
         let admission = match &auth.workspace {
             Some(workspace) => match rate_admission::admit(&self.cx, workspace).await {
                 Ok(admission) => Some(admission),
@@ -318,6 +323,17 @@
     }
 }
 
+/// Whether the load of this process makes it refuse a new operation of `priority`.
+fn load_refuses<T: Targets>(cx: &Cx<T>, priority: u32) -> bool {
+    let topology = cx.topology.borrow();
+    let priorities = topology.config.routes.values().map(|route| route.priority);
+    let refuses = cx.load.borrow_mut().refuses(cx.now(), priority, priorities);
+    if refuses {
+        cx.metrics.record_load_refusal();
+    }
+    refuses
+}
+
 fn refusal(error: StatementError, state: TransactionState) -> Answer {
     Answer::error(error.code, error.text, state)
 }
--- a/tests/config_simulation/fleet.rs
+++ b/tests/config_simulation/fleet.rs
@@ -431,5 +431,6 @@
         acknowledged: Vec::new(),
         known_targets: Vec::new(),
         limits: None,
+        load: None,
     }
 }
--- a/tests/fleet_failover/harness.rs
+++ b/tests/fleet_failover/harness.rs
@@ -159,6 +159,7 @@
                 acknowledged: vec![(service(), self.acknowledged)],
                 known_targets: Vec::new(),
                 limits: None,
+                load: None,
             },
         );
     }
--- a/tests/fleet_fixture/mod.rs
+++ b/tests/fleet_fixture/mod.rs
@@ -109,6 +109,7 @@
         acknowledged: Vec::new(),
         known_targets: Vec::new(),
         limits: Some(LimitReport::default()),
+        load: None,
     };
     writer.send(encode(&Frame::Report(report))).await.expect("open connection");
 }
--- a/tests/fleet_hosts.rs
+++ b/tests/fleet_hosts.rs
@@ -28,6 +28,7 @@
         acknowledged: Vec::new(),
         known_targets: Vec::new(),
         limits: None,
+        load: None,
     }
 }
 
--- a/tests/fleet_messages.rs
+++ b/tests/fleet_messages.rs
@@ -15,6 +15,7 @@
         },
         state::{Applied, FleetCommand, FleetState, LogEntry, allocation_entry},
     },
+    gateway::load_signal::LoadReport,
     ids::Incarnation,
 };
 
@@ -35,6 +36,7 @@
         acknowledged: Vec::new(),
         known_targets: Vec::new(),
         limits,
+        load: None,
     }
 }
 
@@ -81,8 +83,8 @@
         frame => panic!("{frame:?}"),
     }
     let grant = TokenGrant { request_id: 1, tokens: 1, retry_after: Millis(0) };
-    match decode(&encode(&Frame::Pong { tokens: Some(grant.clone()) })).unwrap() {
-        Frame::Pong { tokens } => assert_eq!(tokens, Some(grant)),
+    match decode(&encode(&Frame::Pong { tokens: Some(grant.clone()), load: None })).unwrap() {
+        Frame::Pong { tokens, load } => assert_eq!((tokens, load), (Some(grant), None)),
         frame => panic!("{frame:?}"),
     }
 }
@@ -202,7 +204,7 @@
 #[test]
 fn frames_of_older_builds_are_read() {
     for (frame, bytes) in
-        [(Frame::Ping { tokens: None }, [0, 7]), (Frame::Pong { tokens: None }, [0, 8])]
+        [(Frame::Ping { tokens: None }, [0, 7]), (Frame::Pong { tokens: None, load: None }, [0, 8])]
     {
         assert_eq!(*encode(&frame), bytes);
     }
@@ -270,3 +272,29 @@
     let known_to_older: FleetState = postcard::from_bytes(&bytes).unwrap();
     assert_eq!(known_to_older.promotions.newest(&service), Some(&"r3".into()));
 }
+
+/// Guards against a host's load that is lost on the way, or that older builds take for a grant of
+/// tokens that they wait for.
+#[test]
+fn load_follows_the_known_extensions() {
+    let load = Some(LoadReport { loop_delay: Millis(90) });
+    let limits = LimitReport { revision: REVISION, released: Vec::new() };
+    let sent = HostReport { load, ..report(Some(limits.clone())) };
+    match decode(&encode(&Frame::Report(sent))).unwrap() {
+        Frame::Report(report) => assert_eq!((report.limits, report.load), (Some(limits), load)),
+        frame => panic!("{frame:?}"),
+    }
+    let grant = TokenGrant { request_id: 1, tokens: 1, retry_after: Millis(0) };
+    for tokens in [None, Some(grant)] {
+        let bytes = encode(&Frame::Pong { tokens: tokens.clone(), load });
+        let (_, extension): (Frame, _) = postcard::take_from_bytes(&bytes[1..]).unwrap();
+        let read_by_older_build: TokenGrant = postcard::from_bytes(extension).unwrap();
+        assert_eq!(read_by_older_build.request_id, tokens.as_ref().map_or(0, |it| it.request_id));
+        match decode(&bytes).unwrap() {
+            Frame::Pong { tokens: received, load: told } => {
+                assert_eq!((received, told), (tokens, load));
+            }
+            frame => panic!("{frame:?}"),
+        }
+    }
+}
--- a/tests/primary_simulation/fleet/hosts.rs
+++ b/tests/primary_simulation/fleet/hosts.rs
@@ -50,6 +50,7 @@
             acknowledged: vec![(service_name(), host.acknowledged)],
             known_targets: Vec::new(),
             limits: None,
+            load: None,
         };
         self.post(Message::Report { host: index, sent: now, report: Box::new(report) });
     }
