--- a/tests/fleet_failure_evidence.rs
+++ b/tests/fleet_failure_evidence.rs
@@ -146,11 +146,11 @@
             if self.load.frozen.contains(&(self.now - START)) {
                 continue;
             }
-            if self.now % 1_000 == 0 {
+            if self.now.is_multiple_of(1_000) {
                 self.announce();
             }
             for host in 0..HOSTS {
-                if (self.now + host * STEP_MS) % REPORT_MS == 0 {
+                if (self.now + host * STEP_MS).is_multiple_of(REPORT_MS) {
                     self.report(host);
                 }
             }
@@ -252,7 +252,7 @@
 
 /// Most hosts see most primaries fail: 3 of 4 pairs of host and service at any time.
 fn slow(host: u64, service: u64, at: u64) -> Option<u64> {
-    let is_slow = at >= 400 && (host * 3 + service * 5 + at / 400) % 4 != 0;
+    let is_slow = at >= 400 && !(host * 3 + service * 5 + at / 400).is_multiple_of(4);
     is_slow.then_some(400 + (host * 7 + service) % 6 * 100)
 }
 
@@ -273,7 +273,7 @@
         dead: vec![3],
         answer_ms: 300,
         failing: slow,
-        busy: |host| host % 2 == 0,
+        busy: |host| host.is_multiple_of(2),
         frozen: 1_000..2_000,
     };
     let fleet = Fleet::new(load).run(8_000);
--- a/tests/gateway_suspicion.rs
+++ b/tests/gateway_suspicion.rs
@@ -69,7 +69,7 @@
                     let next = delay(host, now.0).map_or(Millis(u64::MAX), |it| now + Millis(it));
                     self.calls[host] = (now, next);
                     self.lost_by_timeout += usize::from(silence >= FIXED_TIMEOUT);
-                } else if silence.0 > 0 && silence.0 % CHECK_MS == 0 {
+                } else if silence.0 > 0 && silence.0.is_multiple_of(CHECK_MS) {
                     self.suspicion.record_ping(now, &name);
                     if self.suspicion.check(now, &name, Millis(0)) == Verdict::Lost {
                         self.lost.push((host, silence));
