--- a/src/fleet/change_reason.rs
+++ b/src/fleet/change_reason.rs
@@ -10,6 +10,7 @@
     clock::Millis,
     fleet::{
         failover::{Cx, Reason},
+        failure_evidence::Overview,
         messages::{Announcement, TargetRole},
         primary_change::{
             PrimaryChange, SILENT_REPLICA_TIMEOUT, has_non_draining, is_failing, is_reachable,
@@ -39,6 +40,7 @@
         cx: &Cx<'_>,
         service: &Service,
         unfinished: &UnfinishedPromotions,
+        overview: &Overview,
     ) -> Option<Reason> {
         let is_unfinished = unfinished.newest(service).is_some_and(|id| !self.is_completed(id));
         if self.disputed && !is_unfinished {
@@ -57,7 +59,9 @@
         if primary.draining {
             return has_non_draining(cx, service).then_some(Reason::Draining);
         }
-        if has_better(cx, service, primary) && is_failing(cx, &primary.id) {
+        if has_better(cx, service, primary)
+            && self.failure.suffices(cx, service, &primary.id, overview)
+        {
             return Some(Reason::Failing);
         }
         // A call without an answer may still replace the primary.
@@ -142,6 +146,7 @@
     services: &[Service],
     states: &IndexMap<Service, ServiceState>,
     unfinished: &UnfinishedPromotions,
+    overview: &Overview,
 ) -> Vec<Service> {
     if cx.evacuations.is_empty() {
         return Vec::new();
@@ -151,7 +156,8 @@
     let mut due: Vec<(&Service, &ServiceState)> = known
         .filter(|(service, state)| {
             state.change.is_none()
-                && state.reason_to_change(cx, service, unfinished) == Some(Reason::Evacuated)
+                && state.reason_to_change(cx, service, unfinished, overview)
+                    == Some(Reason::Evacuated)
         })
         .collect();
     due.sort_by_key(|(_, state)| state.last_change_ended);
--- a/src/fleet/metrics.rs
+++ b/src/fleet/metrics.rs
@@ -42,6 +42,7 @@
     evacuated_primaries: Gauge,
     pending_evacuations: Gauge,
     pub promotions: Counter,
+    pub withheld_promotions: Counter,
     pub announcements: Counter,
     pub stale_announcements: Counter,
     pub allocation_batches: Counter,
@@ -70,6 +71,10 @@
             gauge("pending_evacuations", "Committed evacuations that are not yet acknowledged");
         let counter = |name, help| set.counter(name, help);
         let promotions = counter("promotions", "Calls that promote a target");
+        let withheld_promotions = counter(
+            "withheld_promotions",
+            "Primary changes that were withheld for lack of evidence",
+        );
         let announcements = counter("announcements", "Announcements of targets");
         let stale_announcements =
             counter("stale_announcements", "Announcements that were older than what was known");
@@ -92,6 +97,7 @@
             evacuated_primaries,
             pending_evacuations,
             promotions,
+            withheld_promotions,
             announcements,
             stale_announcements,
             allocation_batches,
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -21,6 +21,7 @@
 pub mod evacuation_rollout;
 pub mod failover;
 mod failover_log;
+mod failure_evidence;
 pub mod group_io;
 pub mod hosts;
 pub mod inventory;
--- a/src/fleet/service_failover.rs
+++ b/src/fleet/service_failover.rs
@@ -12,6 +12,7 @@
         commit_evidence::CommitEvidence,
         deposed::DeposedPrimaries,
         failover::{Action, Cx, Reason, TargetStatus},
+        failure_evidence::FailureEvidence,
         messages::{TargetRole, ViewRevision},
         outstanding_calls::OutstandingCalls,
         primary_change::{PROMOTION_RETRY_INTERVAL, PrimaryChange, SILENT_REPLICA_TIMEOUT, Step},
@@ -35,6 +36,7 @@
     pub(super) deposed: DeposedPrimaries,
     pub(super) calls: OutstandingCalls,
     pub(super) evidence: CommitEvidence,
+    pub(super) failure: FailureEvidence,
     /// Targets of the unfinished promotions that this leader has logged.
     pub(super) logged: IndexSet<InstanceId>,
     /// A call may have been sent for one of the unfinished promotions.
@@ -319,6 +321,9 @@
             acknowledged = cx.hosts.acknowledged(service).unwrap_or_default().to_string().as_str()
         });
         let replaced = self.primary.replace(candidate.clone()).filter(|id| *id != candidate);
+        if change.reason == Reason::Failing && replaced.is_some() {
+            self.failure.record_promotion(cx.now);
+        }
         let claimants = change
             .statuses
             .iter()
--- a/tests/fleet_evacuation.rs
+++ b/tests/fleet_evacuation.rs
@@ -145,6 +145,7 @@
         acknowledged: Vec::new(),
         known_targets: Vec::new(),
         limits: None,
+        load: None,
     }
 }
 
--- a/tests/fleet_fixture/mod.rs
+++ b/tests/fleet_fixture/mod.rs
@@ -123,6 +123,7 @@
         acknowledged: Vec::new(),
         known_targets: Vec::new(),
         limits: Some(LimitReport::default()),
+        load: None,
     };
     writer.send(encode(&Frame::Report(report))).await.expect("open connection");
 }
--- a/tests/gateway_evacuation.rs
+++ b/tests/gateway_evacuation.rs
@@ -399,6 +399,7 @@
         max_wait: Millis(100),
         timeout: Millis(500),
         kind,
+        urgency: None,
     }
 }
 
--- a/tests/gateway_readmission.rs
+++ b/tests/gateway_readmission.rs
@@ -298,6 +298,7 @@
         max_wait: Millis(100),
         timeout: Millis(1_000),
         kind,
+        urgency: None,
     }
 }
 
