Count a repeated evacuation from the first view that names the domain

A repeated order waited for the newest view, so that an operator who repeats orders while views change waited for each of them. The leader keeps the first view of its term that names each domain.

--- a/src/fleet/evacuation_acknowledgement.rs
+++ b/src/fleet/evacuation_acknowledgement.rs
@@ -104,7 +104,12 @@
             (Ok(_), None) => ControlResponse::Unavailable,
             (Ok(_), Some(leader)) => {
                 let (now, domain) = (self.clock.now(), order.domain.clone());
-                let rollout = EvacuationRollout::new(now, domain, &leader.view);
+                let rollout = EvacuationRollout::new(
+                    now,
+                    domain,
+                    &leader.named_domains,
+                    leader.view.revision,
+                );
                 self.pending_evacuations.push(PendingEvacuation { rollout, reply });
                 return;
             }
--- a/src/fleet/evacuation_rollout.rs
+++ b/src/fleet/evacuation_rollout.rs
@@ -12,6 +12,8 @@
 //!
 //! [`MAX_VIEW_AGE`]: crate::gateway::primary_proof::MAX_VIEW_AGE
 
+use indexmap::IndexMap;
+
 use crate::{
     clock::Millis,
     fleet::{
@@ -25,6 +27,20 @@
 /// expired.
 const MAX_COUNTED_DELAY: Millis = Millis(VIEW_EXPIRY.0 - LEASE_EXPIRY.0);
 
+/// First view of a leader that names each evacuated domain; later ones name it as well.
+#[derive(Debug, Default)]
+pub struct NamedDomains(IndexMap<FailureDomain, ViewRevision>);
+
+impl NamedDomains {
+    /// Records a new view.
+    pub fn record(&mut self, view: &FleetView) {
+        self.0.retain(|domain, _| view.evacuated.contains(domain));
+        for domain in &view.evacuated {
+            self.0.entry(domain.clone()).or_insert(view.revision);
+        }
+    }
+}
+
 /// Evacuation that waits for its acknowledgement.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct EvacuationRollout {
@@ -36,11 +52,15 @@
 }
 
 impl EvacuationRollout {
-    /// Rollout of an evacuation that is committed while `view` is the newest view.
-    pub fn new(now: Millis, domain: FailureDomain, view: &FleetView) -> Self {
-        let ViewRevision { term, number } = view.revision;
-        let is_named = view.evacuated.contains(&domain);
-        let revision = ViewRevision { term, number: number + u64::from(!is_named) };
+    /// Rollout of an evacuation that is committed while `newest` is the newest view.
+    pub fn new(
+        now: Millis,
+        domain: FailureDomain,
+        named: &NamedDomains,
+        newest: ViewRevision,
+    ) -> Self {
+        let next = ViewRevision { number: newest.number + 1, ..newest };
+        let revision = named.0.get(&domain).copied().unwrap_or(next);
         Self { domain, committed_at: now, revision }
     }
 
--- a/src/fleet/leader.rs
+++ b/src/fleet/leader.rs
@@ -262,6 +262,7 @@
             successors: leader.successors(&self.state.promotions),
             evacuated: self.state.evacuations.domains().cloned().collect(),
         };
+        leader.named_domains.record(&next);
         leader.view = next;
         self.send_updates(now);
     }
--- a/src/fleet/leader_state.rs
+++ b/src/fleet/leader_state.rs
@@ -6,6 +6,7 @@
     clock::Millis,
     fleet::{
         config_rollout::ConfigHistory,
+        evacuation_rollout::NamedDomains,
         failover::Failover,
         hosts::Hosts,
         link::ConnectionId,
@@ -46,6 +47,7 @@
     pub(super) inventory_compared_at: Millis,
     pub(super) limits_logged_at: Millis,
     pub(super) config_history: ConfigHistory,
+    pub(super) named_domains: NamedDomains,
 }
 
 /// Connection of an entry host, with what was last sent on it.
@@ -82,6 +84,7 @@
             inventory_compared_at: now,
             limits_logged_at: now,
             config_history: ConfigHistory::new(config),
+            named_domains: NamedDomains::default(),
         }
     }
 
