Test that evacuations in the leader's views take effect

Cause: no test went through the control link, where the last contact before a view bounds the time for which primaries are used. Change: a leader on loopback sends views and leases as the real one does, and names a domain from the third view on.

--- a/tests/gateway_evacuation.rs
+++ b/tests/gateway_evacuation.rs
@@ -5,6 +5,7 @@
 use std::{cell::RefCell, collections::VecDeque, rc::Rc, sync::Arc, time::Duration};
 
 use eyre::Result;
+use futures::{SinkExt, StreamExt};
 use gateway_fixture::{config, configure, target};
 use indexmap::IndexMap;
 use pomelopin::{
@@ -12,10 +13,14 @@
     fleet::{
         config::{Consistency, FleetConfig, FleetRoute, FleetWorkspace},
         failover::TargetStatus,
-        link::{ConnectionId, Inbound},
-        messages::{Announcement, FleetView, Frame, Primary, TargetRole, ViewRevision},
+        link::{ConnectionId, Inbound, decode, encode, split_framed},
+        messages::{
+            Announcement, FleetView, Frame, HostUpdate, LimitUpdate, Primary, TargetRole,
+            ViewRevision,
+        },
     },
     gateway::{
+        control_link::{self, ControlHosts},
         cx::{Cx, GatewaySettings},
         evacuation::{EvacuatedDomains, ViewReceipt, has_contact},
         executor::execute,
@@ -31,9 +36,9 @@
         runtime::serve,
         statement::{Answer, ErrorCode, Request, Statement, StatementError, TransactionState},
     },
-    ids::{FailureDomain, InstanceId, Mark, Workspace},
+    ids::{FailureDomain, Incarnation, InstanceId, Mark, Workspace},
 };
-use tokio::{sync::mpsc, task::LocalSet, time::sleep};
+use tokio::{net::TcpListener, sync::mpsc, task::LocalSet, time::sleep};
 
 const DELAY: Millis = Millis(5_000);
 
@@ -284,10 +289,10 @@
     cx
 }
 
-fn apply_view(cx: &HostCx, number: u64, evacuated: &[&str]) {
+fn view(number: u64, evacuated: &[&str]) -> FleetView {
     let in_domain =
         |id, role, domain: &str| Announcement { domain: domain.into(), ..target(id, role) };
-    cx.topology.borrow_mut().set_view(FleetView {
+    FleetView {
         revision: ViewRevision { term: 1, number },
         targets: vec![
             in_domain("p", TargetRole::Primary, "a"),
@@ -301,7 +306,11 @@
         }],
         evacuated: domains(evacuated),
         ..FleetView::default()
-    });
+    }
+}
+
+fn apply_view(cx: &HostCx, number: u64, evacuated: &[&str]) {
+    cx.topology.borrow_mut().set_view(view(number, evacuated));
     cx.apply_domains();
     cx.freshness.borrow_mut().observe(&"ledger".into(), cx.now(), Mark::new(1, 1));
 }
@@ -459,6 +468,60 @@
         .await;
 }
 
+/// Leader whose views name an evacuated domain from the third one on: the host confirms the first
+/// one at once, and sends the third report 400 ms later.
+async fn lead(listener: TcpListener) {
+    let (stream, _) = listener.accept().await.expect("connection of the host");
+    let (mut reader, mut writer) = split_framed(stream);
+    let mut number = 0;
+    while let Some(Ok(bytes)) = reader.next().await {
+        let Ok(Frame::Report(report)) = decode(&bytes) else { panic!("no report") };
+        number += 1;
+        let evacuated: &[&str] = if number < 3 { &[] } else { &["a"] };
+        let limits = Some(LimitUpdate::default());
+        let view = Some(view(number, evacuated));
+        let (echo, lease) = (report.sent_at, Millis(1_500));
+        // As the leader does: the view first, in an update that extends no lease.
+        for update in [
+            HostUpdate { view, limits: limits.clone(), ..HostUpdate::default() },
+            HostUpdate { echo, lease, limits, ..HostUpdate::default() },
+        ] {
+            writer.send(encode(&Frame::Update(update))).await.expect("open connection");
+        }
+    }
+}
+
+/// Guards against evacuations that reach a host in a view and have no effect.
+#[tokio::test]
+async fn views_of_the_leader_evacuate() {
+    let local = LocalSet::new();
+    local
+        .run_until(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("free port");
+            let addr = listener.local_addr().expect("bound").to_string();
+            tokio::task::spawn_local(lead(listener));
+            // Primaries are used for 300 ms after the evacuation.
+            let cx = host(Some(Millis(1_300)));
+            let control_hosts = Rc::new(RefCell::new(ControlHosts::new(vec![addr])));
+            tokio::task::spawn_local(control_link::run(cx.clone(), control_hosts, Incarnation(1)));
+            let mut used = Vec::new();
+            let mut evacuated = Vec::new();
+            for _ in 0..40 {
+                sleep(Duration::from_millis(50)).await;
+                let primary = target("p", TargetRole::Primary);
+                let primary = Announcement { domain: "a".into(), ..primary };
+                used.push(cx.refusal(&primary).is_none());
+                evacuated.push(cx.topology.borrow().evacuated.contains(&"a".into()));
+            }
+            let (first, last) = (evacuated.first(), evacuated.last());
+            assert_eq!((first, last), (Some(&false), Some(&true)), "{evacuated:?}");
+            let learned = evacuated.iter().position(|it| *it).unwrap_or(evacuated.len());
+            assert!(used[learned], "{used:?}");
+            assert_eq!(used.last(), Some(&false), "{used:?}");
+        })
+        .await;
+}
+
 /// Time after the last contact from which a host must send nothing.
 const MAX_SILENCE_MS: u64 = 6_000;
 
