--- a/tests/gateway_cancellation.rs
+++ b/tests/gateway_cancellation.rs
@@ -16,6 +16,7 @@
     gateway::{
         cx::{Cx, GatewaySettings},
         job::{Job, JobError, JobKind},
+        metrics::GatewayMetrics,
         peer_client::PeerClients,
         peer_server,
         ports::{TargetConnection, TargetFailure, TargetRequest, Targets},
@@ -151,7 +152,7 @@
     let targets = RecordingTargets::default();
     let check = async {
         let addr = start_owner(targets.clone()).await;
-        let peers = Rc::new(PeerClients::default());
+        let peers = Rc::new(PeerClients::new(GatewayMetrics::new(), Rc::default()));
         occupy(&peers, &addr).await;
         let (kept, given_up) = (write_job("kept"), write_job("given up"));
         let (kept, given_up) = tokio::join!(peers.call(&addr, 0, &kept), async {
@@ -174,7 +175,7 @@
     let check = async {
         let addr = start_owner(targets.clone()).await;
         let lost = LocalSet::new();
-        let peers = Rc::new(PeerClients::default());
+        let peers = Rc::new(PeerClients::new(GatewayMetrics::new(), Rc::default()));
         let queued = lost.run_until(async {
             occupy(&peers, &addr).await;
             let queued = [write_job("queued1"), write_job("queued2")];
@@ -197,7 +198,7 @@
     let targets = RecordingTargets::default();
     let check = async {
         let addr = start_owner(targets.clone()).await;
-        let peers = PeerClients::default();
+        let peers = PeerClients::new(GatewayMetrics::new(), Rc::default());
         assert!(peers.call(&addr, 0, &write_job("first")).await.is_ok());
         let job = write_job("sent");
         let result = timeout(SERVICE_TIME / 2, peers.call(&addr, 0, &job)).await;
