--- a/src/gateway/executor.rs
+++ b/src/gateway/executor.rs
@@ -139,13 +139,14 @@
         }
         None => {
             let checkout = cancellation.unless_cancelled(check_out(cx, &target, job)).await;
-            checkout.unwrap_or_else(|| Err(cancelled(cx)))?
+            let checkout = checkout.unwrap_or_else(|| Err(cancelled(cx)))?;
+            if cancellation.is_cancelled() {
+                checkout.release(cx.now());
+                return Err(cancelled(cx));
+            }
+            checkout
         }
     };
-    if cancellation.is_cancelled() {
-        checkout.release(cx.now());
-        return Err(cancelled(cx));
-    }
     checkout.set_idle_in_transaction(false);
     let remaining = job.timeout.since(cx.now().since(arrived));
     let attempt = AttemptGuard::new(&cx.direct_health, cx.clock, &target.id);
