Send the first statement of a transaction with its begin

Cause: the begin made a round trip of its own between the caller's host and the owner of the target. Change: the job that begins a transaction carries the first statement; the owner sends it once the target has answered the begin. Owners of older builds ignore it and get the statement separately.

--- a/src/fleet/messages.rs
+++ b/src/fleet/messages.rs
@@ -37,6 +37,9 @@
     Response {
         request_id: u64,
         result: Result<Answer, JobError>,
+        /// Result of the statement that the job carries.
+        #[serde(skip)]
+        then: Option<Result<Answer, JobError>>,
     },
     /// Last message of the stream; an open transaction is rolled back. Stream 0 has none: its
     /// message cancels a request.
--- a/src/gateway/executor.rs
+++ b/src/gateway/executor.rs
@@ -12,7 +12,7 @@
         attempt::AttemptGuard,
         cancellation::Cancellation,
         cx::Cx,
-        job::{Job, JobError, JobKind, RejectReason},
+        job::{Execution, Job, JobError, JobKind, RejectReason},
         pool::{Checkout, Grant, PoolDecision, PoolRequest, PooledConnection},
         ports::{TargetConnection, TargetFailure, TargetRequest, Targets},
         prepare::ConnectionState,
@@ -100,6 +100,25 @@
     }
 }
 
+/// Executes a job as [`execute_cancellable`] does, and then the statement that it carries if it has
+/// begun a transaction. The statement is not sent before the target has answered, since it would
+/// run outside of a transaction that the target refuses.
+pub async fn execute_with_next<T: Targets>(
+    cx: &Cx<T>,
+    held: &mut Option<Checkout<T::Connection>>,
+    job: &Job,
+    cancellation: &Cancellation,
+) -> Execution {
+    let arrived = cx.now();
+    let result = execute_cancellable(cx, held, job, cancellation).await;
+    let has_begun = result.as_ref().is_ok_and(|answer| answer.state == TransactionState::Open);
+    let Some(kind) = job.then.as_deref().filter(|_| has_begun) else { return result.into() };
+    let timeout = job.timeout.since(cx.now().since(arrived));
+    let next = Job { kind: kind.clone(), then: None, timeout, ..job.clone() };
+    let then = execute_cancellable(cx, held, &next, cancellation).await;
+    Execution { result, then: Some(then) }
+}
+
 /// Queries the target's status. Hosts that ask at the same time share a query.
 async fn query_status<T: Targets>(cx: &Cx<T>, job: &Job) -> Result<Answer, JobError> {
     let rounds = cx.status_rounds(&job.target);
@@ -136,8 +155,7 @@
         *held = None;
         return Err(refusal.owner_error());
     }
-    let in_transaction = held.is_some();
-    let slot = acquire_slot(cx, &target, job, in_transaction);
+    let slot = acquire_slot(cx, &target, job, held.is_some());
     let Some(slot) = cancellation.unless_cancelled(slot).await else {
         return Err(cancelled(cx));
     };
@@ -149,16 +167,14 @@
         }
         None => {
             let checkout = cancellation.unless_cancelled(check_out(cx, &target, job)).await;
-            checkout.unwrap_or_else(|| Err(cancelled(cx)))?
+            let checkout = checkout.unwrap_or_else(|| Err(cancelled(cx)))?;
+            if cancellation.is_cancelled() {
+                checkout.release(cx.now());
+                return Err(cancelled(cx));
+            }
+            checkout
         }
     };
-    if cancellation.is_cancelled() {
-        // Closing the connection rolls back an open transaction.
-        if !in_transaction {
-            checkout.release(cx.now());
-        }
-        return Err(cancelled(cx));
-    }
     checkout.set_idle_in_transaction(false);
     let remaining = job.timeout.since(cx.now().since(arrived));
     if let Err(error) = cx.admit_cold(&target, job, remaining).await {
--- a/src/gateway/peer_server.rs
+++ b/src/gateway/peer_server.rs
@@ -15,8 +15,8 @@
     gateway::{
         cancellation::CancellableJobs,
         cx::Cx,
-        executor::{execute, execute_cancellable},
-        job::{Job, JobKind},
+        executor::{execute, execute_with_next},
+        job::{Execution, Job, JobKind},
         pool::Checkout,
         ports::Targets,
     },
@@ -126,9 +126,10 @@
         let (jobs, cancellation) = (self.jobs.clone(), self.jobs.add(request_id));
         tokio::task::spawn_local(async move {
             let mut held = held.lock().await;
-            let result = execute_cancellable(&cx, &mut held, &job, &cancellation).await;
+            let Execution { result, then } =
+                execute_with_next(&cx, &mut held, &job, &cancellation).await;
             jobs.remove(request_id);
-            send(&outgoing, &Frame::Response { request_id, result });
+            send(&outgoing, &Frame::Response { request_id, result, then });
         });
     }
 }
@@ -160,5 +161,6 @@
         timeout: ROLLBACK_TIMEOUT,
         kind: JobKind::Rollback,
         urgency: None,
+        then: None,
     }
 }
--- a/tests/fleet_messages.rs
+++ b/tests/fleet_messages.rs
@@ -15,7 +15,12 @@
         },
         state::{Applied, FleetCommand, FleetState, LogEntry, allocation_entry},
     },
-    gateway::{job::Job, load_signal::LoadReport, peer_server::rollback_job, urgency::Urgency},
+    gateway::{
+        job::{Job, JobError, JobKind},
+        load_signal::LoadReport,
+        peer_server::rollback_job,
+        urgency::Urgency,
+    },
     ids::Incarnation,
 };
 
@@ -139,6 +144,28 @@
     assert!(matches!(older, Frame::EndStream { stream: 0, cancelled: None }));
 }
 
+/// Guards against a statement that is lost on the way with the begin that carries it, or its result,
+/// and against frames that older builds reject.
+#[test]
+fn begin_carries_a_statement() {
+    let urgency = Some(Urgency { latency_left: Millis(80), time_left: Millis(700) });
+    let then = Some(Box::new(JobKind::Status));
+    let job = Job { urgency, then, ..rollback_job("t".into()) };
+    let sent = Frame::Request { request_id: 4, stream: 2, job: job.clone() };
+    assert!(matches!(decode(&encode(&sent)).unwrap(), Frame::Request { job: it, .. } if it == job));
+    match decode_without_extensions(&sent) {
+        Frame::Request { job: received, .. } => assert_eq!(received.then, None),
+        frame => panic!("{frame:?}"),
+    }
+    let result = Err(JobError::Lost);
+    let sent =
+        Frame::Response { request_id: 4, result: result.clone(), then: Some(result.clone()) };
+    let received = decode(&encode(&sent)).unwrap();
+    assert!(matches!(received, Frame::Response { then: Some(it), .. } if it == result));
+    let older = decode_without_extensions(&sent);
+    assert!(matches!(older, Frame::Response { then: None, .. }));
+}
+
 /// Guards against a status of the configuration that is lost on the way, that a build which
 /// knows only limits rejects, or that this one expects from such a build.
 #[test]
--- a/tests/gateway_cancellation.rs
+++ b/tests/gateway_cancellation.rs
@@ -129,13 +129,14 @@
         timeout: Millis(2_000),
         kind: JobKind::Statement { request, prepared: None, after: None, in_transaction: false },
         urgency: Some(Urgency { latency_left: Millis(1_000), time_left: Millis(2_000) }),
+        then: None,
     }
 }
 
 /// Opens the connection, then occupies all slots.
 async fn occupy(peers: &Rc<PeerClients>, addr: &str) {
     let first = write_job("first");
-    assert!(peers.call(addr, 0, &first).await.is_ok());
+    assert!(peers.call(addr, 0, &first).await.result.is_ok());
     for number in 0..CAPACITY {
         let (peers, addr) = (peers.clone(), addr.to_owned());
         tokio::task::spawn_local(async move {
@@ -158,7 +159,7 @@
         let (kept, given_up) = tokio::join!(peers.call(&addr, 0, &kept), async {
             timeout(Duration::from_millis(40), peers.call(&addr, 0, &given_up)).await
         });
-        assert!(kept.is_ok());
+        assert!(kept.result.is_ok());
         assert!(given_up.is_err());
         tokio::time::sleep(2 * SERVICE_TIME).await;
     };
@@ -199,11 +200,12 @@
     let check = async {
         let addr = start_owner(targets.clone()).await;
         let peers = PeerClients::new(GatewayMetrics::new(), Rc::default());
-        assert!(peers.call(&addr, 0, &write_job("first")).await.is_ok());
+        assert!(peers.call(&addr, 0, &write_job("first")).await.result.is_ok());
         let job = write_job("sent");
         let result = timeout(SERVICE_TIME / 2, peers.call(&addr, 0, &job)).await;
         assert!(result.is_err(), "no answer is delivered");
-        let after: Result<Answer, JobError> = peers.call(&addr, 0, &write_job("after")).await;
+        let after: Result<Answer, JobError> =
+            peers.call(&addr, 0, &write_job("after")).await.result;
         assert!(after.is_ok(), "the slot and the connection are in order");
     };
     LocalSet::new().run_until(check).await;
--- a/tests/gateway_evacuation.rs
+++ b/tests/gateway_evacuation.rs
@@ -409,6 +409,7 @@
         timeout: Millis(500),
         kind,
         urgency: None,
+        then: None,
     }
 }
 
--- a/tests/gateway_readmission.rs
+++ b/tests/gateway_readmission.rs
@@ -299,6 +299,7 @@
         timeout: Millis(1_000),
         kind,
         urgency: None,
+        then: None,
     }
 }
 
