Limit what callers and HTTP clients of the platform's hosts hold

Cause: a host kept any number of incomplete messages, unread answers, session values, HTTP bodies and connections, and ran out of memory or descriptors under a small crowd of slow clients.

A byte budget counts callers' messages, requests, answers and stored values and the bodies of HTTP; a part is left for small holders, and the largest is closed first.

--- a/src/gateway/cx.rs
+++ b/src/gateway/cx.rs
@@ -29,10 +29,12 @@
         primary_search::PrimarySearch,
         proof_rounds::Rounds,
         rate_limit::RateLimiter,
+        session_limits::SessionEnd,
         statement::{Answer, ErrorCode, StatementError},
         topology::Topology,
     },
     ids::{FailureDomain, HostId, InstanceId, Mark, Service},
+    settings::session_limits::SessionLimits,
 };
 
 /// Shortest time between two searches for the primary of one service.
@@ -54,6 +56,7 @@
     /// Share of a statement's timeout that may be spent waiting for a target and a
     /// connection, in percent. A longer wait leaves no time for a retry elsewhere.
     pub max_wait_percent: u64,
+    pub session_limits: SessionLimits,
 }
 
 impl Default for GatewaySettings {
@@ -63,6 +66,7 @@
             domain: FailureDomain::from("local"),
             bus_addr: String::new(),
             max_wait_percent: 40,
+            session_limits: SessionLimits::default(),
         }
     }
 }
@@ -250,6 +254,16 @@
         spdlog::info!("target did not answer", kv: {target = target.as_str(), event, detail, left_out = suppressed});
     }
 
+    /// Counts a session that the host has ended, and logs it subject to the rate limit of the log.
+    pub fn record_session_end(&self, end: SessionEnd) {
+        self.metrics.record_session_end(end);
+        let LogDecision::Write { suppressed } = self.request_log.borrow_mut().check(self.now())
+        else {
+            return;
+        };
+        spdlog::info!("session ended by the host", kv: {reason = end.label(), sessions = self.sessions.get(), left_out = suppressed});
+    }
+
     /// Logs a search for the primary of `service` that found none, subject to the rate limit
     /// of the log.
     pub fn log_primary_search(&self, service: &Service, reason: &str, answers: &str) {
--- a/src/gateway/executor.rs
+++ b/src/gateway/executor.rs
@@ -121,6 +121,7 @@
     attempt.end(&result);
     if let Ok(answer) = &result {
         match answer.state {
+            TransactionState::Idle if checkout.is_large() => drop(checkout),
             TransactionState::Idle => checkout.release(cx.now()),
             TransactionState::Open | TransactionState::Failed => {
                 checkout.set_idle_in_transaction(true);
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -13,8 +13,8 @@
     clock::Millis,
     fleet::config::Consistency,
     gateway::{
-        cx::Cx, ports::Targets, primary_search::PrimarySearch, statement::Answer,
-        workspace_limit::LimitUse,
+        cx::Cx, ports::Targets, primary_search::PrimarySearch, session_limits::SessionEnd,
+        statement::Answer, workspace_limit::LimitUse,
     },
     ids::Workspace,
 };
@@ -53,6 +53,11 @@
     outcome: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReasonLabel {
+    reason: &'static str,
+}
+
 type LatencyHistogram = Family<RouteLabel, Histogram, fn() -> Histogram>;
 
 /// Metrics, shared with the HTTP listener that exposes them.
@@ -64,6 +69,7 @@
     primary_searches: Family<OutcomeLabel, Counter>,
     commit_confirmations: Family<OutcomeLabel, Counter>,
     primary_search_time: Histogram,
+    session_ends: Family<ReasonLabel, Counter>,
     sessions: Gauge,
     connections: Gauge,
     waiting: Gauge,
@@ -106,6 +112,8 @@
             "commit_confirmations",
             "Commits that waited for the positions of other targets, by outcome",
         );
+        let session_ends =
+            set.add("session_ends", "Sessions that the host has ended or refused, by reason");
         let primary_search_time = Histogram::new(LATENCY_BUCKETS_S);
         let help = "Time for which a statement waited for a search for the primary";
         set.add_with_unit("primary_search_time", help, Unit::Seconds, primary_search_time.clone());
@@ -117,6 +125,7 @@
             primary_searches,
             commit_confirmations,
             primary_search_time,
+            session_ends,
             sessions,
             connections,
             waiting,
@@ -164,6 +173,11 @@
         self.commit_confirmations.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    /// Counts a session that the host has ended or refused.
+    pub fn record_session_end(&self, end: SessionEnd) {
+        self.session_ends.get_or_create(&ReasonLabel { reason: end.label() }).inc();
+    }
+
     /// Counts decisions of the rate limits.
     pub fn record_limits(&self, uses: &[(Workspace, LimitUse)]) {
         for (workspace, used) in uses {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -35,6 +35,7 @@
 pub mod read_selection;
 pub mod runtime;
 pub mod session;
+pub mod session_limits;
 pub mod statement;
 pub mod target_client;
 pub mod topology;
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -258,6 +258,11 @@
         self.pooled = Some(pooled);
     }
 
+    /// Whether the state of the connection is too large for an idle one.
+    pub fn is_large(&self) -> bool {
+        self.pooled.as_ref().is_some_and(|pooled| pooled.state.is_large())
+    }
+
     pub fn pooled(&mut self) -> Option<&mut PooledConnection<C>> {
         self.pooled.as_mut()
     }
--- a/src/gateway/ports.rs
+++ b/src/gateway/ports.rs
@@ -5,6 +5,7 @@
 use eyre::Result;
 
 use crate::{
+    adapters::byte_budget::ByteHolder,
     fleet::{config::FleetConfig, failover::TargetStatus, messages::Announcement},
     gateway::statement::{Answer, PreparedStatement, Request, StatementError},
     ids::{Mark, Workspace},
@@ -40,6 +41,11 @@
     fn next(&mut self) -> impl Future<Output = Result<CallerMessage>>;
 
     fn answer(&mut self, answer: &Answer) -> impl Future<Output = Result<()>>;
+
+    /// Bytes that the process holds for the caller; `None` if they are not counted.
+    fn bytes(&self) -> Option<&ByteHolder> {
+        None
+    }
 }
 
 /// Message to a target.
--- a/src/gateway/prepare.rs
+++ b/src/gateway/prepare.rs
@@ -12,6 +12,14 @@
 /// Prepared statements on one connection above which it is reset.
 const MAX_PREPARED_STATEMENTS: usize = 200;
 
+/// Size of the variables and prepared statements of one connection above which it is reset.
+/// Those of one session fit.
+const MAX_STATE_BYTES: usize = 4 * 1024 * 1024;
+
+/// Size of the variables and prepared statements above which a connection is closed after the
+/// statement, so that idle connections hold little memory.
+const MAX_IDLE_STATE_BYTES: usize = 256 * 1024;
+
 /// Variables and prepared statements of a connection.
 #[derive(Debug, Default)]
 pub struct ConnectionState {
@@ -19,6 +27,8 @@
     /// Names of the prepared statements on this connection.
     names: IndexMap<PreparedStatement, u32>,
     next_name: u32,
+    /// Size of the variables and prepared statements.
+    bytes: usize,
 }
 
 impl ConnectionState {
@@ -30,14 +40,17 @@
         requests: &mut Vec<TargetRequest<'a>>,
     ) {
         let has_extra = self.variables.keys().any(|name| !variables.contains_key(name));
-        if has_extra || self.names.len() > MAX_PREPARED_STATEMENTS {
+        let is_full = self.names.len() > MAX_PREPARED_STATEMENTS || self.bytes > MAX_STATE_BYTES;
+        if has_extra || is_full {
             requests.push(TargetRequest::Reset);
             *self = Self { next_name: self.next_name, ..Self::default() };
         }
         for (name, value) in variables {
             if self.variables.get(name) != Some(value) {
                 requests.push(TargetRequest::Set { name, value });
-                self.variables.insert(name.clone(), value.clone());
+                let replaced = self.variables.insert(name.clone(), value.clone());
+                self.bytes += name.len() + value.len();
+                self.bytes -= replaced.map_or(0, |old| name.len() + old.len());
             }
         }
     }
@@ -53,11 +66,17 @@
             return *name;
         }
         self.next_name += 1;
+        self.bytes += statement.text.len();
         self.names.insert(statement.clone(), self.next_name);
         requests.push(TargetRequest::Prepare { name: self.next_name, statement });
         self.next_name
     }
 
+    /// Whether the variables and prepared statements are too large for an idle connection.
+    pub fn is_large(&self) -> bool {
+        self.bytes > MAX_IDLE_STATE_BYTES
+    }
+
     /// Number of variables to change for a session, as an estimate.
     pub fn changes_needed(&self, variables: &IndexMap<String, String>) -> usize {
         let differs = |(name, value): (&String, &String)| variables.get(name) != Some(value);
--- a/src/gateway/runtime.rs
+++ b/src/gateway/runtime.rs
@@ -6,6 +6,7 @@
 use tokio::{sync::watch, time::timeout};
 
 use crate::{
+    adapters::byte_budget::ByteHolder,
     clock::Millis,
     gateway::{
         cx::{Cx, Phase},
@@ -15,6 +16,7 @@
         prepare::ResolvedRequest,
         rate_admission,
         session::Session,
+        session_limits::{self, SessionEnd, StoredBytes},
         statement::{Answer, ErrorCode, Request, Statement, StatementError, TransactionState},
         transaction::{Transaction, apply_session_statement},
     },
@@ -65,7 +67,10 @@
 pub async fn serve<T: Targets, C: Caller>(cx: Rc<Cx<T>>, mut caller: C) {
     cx.sessions.set(cx.sessions.get() + 1);
     if let Err(error) = run_session(&cx, &mut caller).await {
-        spdlog::debug!("session failed: {error:#}");
+        match error.downcast_ref::<SessionEnd>() {
+            Some(end) => cx.record_session_end(*end),
+            None => spdlog::debug!("session failed: {error:#}"),
+        }
     }
     cx.sessions.set(cx.sessions.get() - 1);
 }
@@ -83,7 +88,9 @@
         return caller.refuse(&error).await;
     }
     caller.accept().await?;
-    let mut handler = SessionHandler { cx: cx.clone(), session, transaction: None };
+    let bytes = caller.bytes().cloned();
+    let stored = StoredBytes::default();
+    let mut handler = SessionHandler { cx: cx.clone(), session, transaction: None, bytes, stored };
     let result = handler.run(caller, &mut phases).await;
     if let Some(transaction) = &mut handler.transaction {
         transaction.roll_back(cx).await;
@@ -113,6 +120,10 @@
     cx: Rc<Cx<T>>,
     session: Session,
     transaction: Option<Transaction<T>>,
+    /// Bytes that the process holds for the caller.
+    bytes: Option<ByteHolder>,
+    /// Part of `bytes` that the session's values and prepared statements take.
+    stored: StoredBytes,
 }
 
 impl<T: Targets> SessionHandler<T> {
@@ -125,8 +136,14 @@
             let Some(message) = self.next_message(caller, phases).await? else { return Ok(()) };
             let CallerMessage::Request(request) = message else { return Ok(()) };
             let arrived = self.cx.now();
-            let answer = self.handle(&request).await;
+            let reserved =
+                session_limits::reserve_request(self.bytes.as_ref(), &self.session, &request).await;
+            let answer = match &reserved {
+                Ok(_) => self.handle(&request).await,
+                Err(_) => session_limits::no_memory(self.state()),
+            };
             self.record_answer(&request, &answer, arrived);
+            drop((request, reserved));
             caller.answer(&answer).await?;
         }
     }
@@ -194,9 +211,7 @@
         if let Some(refusal) = self.refuse_unauthorized(request).await {
             return refusal;
         }
-        let state = self.transaction.as_ref().map_or(TransactionState::Idle, Transaction::state);
-        if let Some(answer) = apply_session_statement(&mut self.session, &request.statement, state)
-        {
+        if let Some(answer) = self.apply_to_session(&request.statement).await {
             return answer;
         }
         match self.transaction.take() {
@@ -205,6 +220,25 @@
         }
     }
 
+    fn state(&self) -> TransactionState {
+        self.transaction.as_ref().map_or(TransactionState::Idle, Transaction::state)
+    }
+
+    /// Applies a statement that changes only the session, within the session's limits.
+    async fn apply_to_session(&mut self, statement: &Statement) -> Option<Answer> {
+        let state = self.state();
+        let limits = &self.cx.settings.session_limits;
+        if let Err(error) = session_limits::check_stored(&self.session, statement, limits) {
+            return Some(refusal(error, state));
+        }
+        if self.stored.reserve(self.bytes.as_ref(), statement).await.is_err() {
+            return Some(session_limits::no_memory(state));
+        }
+        let answer = apply_session_statement(&mut self.session, statement, state)?;
+        self.stored.settle(self.bytes.as_ref(), &self.session);
+        Some(answer)
+    }
+
     /// Refuses a request if the session's key was withdrawn, or was given to another workspace
     /// during the transaction, or if the host's configuration is too old to know. What the
     /// transaction has done is rolled back.
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -15,5 +15,6 @@
 pub mod retry;
 pub mod routing;
 pub mod session;
+pub mod session_limits;
 pub mod target;
 pub mod timing;
