Merge limits on what clients may hold; ask the near lender for tokens

Callers saw: most operations of small workspaces waited for a token from a host in another failure domain, and often for a second one; refused callers were always told to come back after 1,000 ms. Cause: all hosts asked the two lenders in the same order, so that the first one ran out; a host without an allocation of its own reported its longest delay, whatever the lenders expected. Change: the lender in the own failure domain is asked first, otherwise the hosts divide; the time to come back is that of the first token expected.

--- a/src/gateway/cx.rs
+++ b/src/gateway/cx.rs
@@ -12,7 +12,10 @@
 
 use crate::{
     clock::{Clock, Millis, SystemClock},
-    fleet::{config::FleetConfig, messages::Announcement},
+    fleet::{
+        config::FleetConfig,
+        messages::{Announcement, EntryHost},
+    },
     gateway::{
         executor::AdmissionQueues,
         freshness::Freshness,
@@ -34,10 +37,12 @@
         retry_budget::RetryBudgets,
         return_time::UnavailableServices,
         search_backoff::SearchBackoff,
+        session_limits::SessionEnd,
         statement::{Answer, ErrorCode, StatementError},
         topology::Topology,
     },
     ids::{FailureDomain, HostId, InstanceId, Mark, Service, Workspace},
+    settings::session_limits::SessionLimits,
 };
 
 /// Shortest time between two searches for the primary of one service.
@@ -67,6 +72,7 @@
     pub cold_overage: f64,
     /// Statements by which they may exceed it at once.
     pub cold_slack: u32,
+    pub session_limits: SessionLimits,
 }
 
 impl Default for GatewaySettings {
@@ -79,6 +85,7 @@
             max_evacuation_delay: None,
             cold_overage: 1.0,
             cold_slack: 0,
+            session_limits: SessionLimits::default(),
         }
     }
 }
@@ -265,6 +272,15 @@
         self.status_queries.borrow_mut().retain(|id, _| exists(id));
     }
 
+    /// This host as others see it.
+    pub fn as_entry_host(&self) -> EntryHost {
+        EntryHost {
+            id: self.settings.host.clone(),
+            addr: self.settings.bus_addr.clone(),
+            domain: self.settings.domain.clone(),
+        }
+    }
+
     /// Shard of `target` whose owner works for a workspace. Work without a workspace is spread
     /// by the host that sends it. A cold target has one owner, which keeps its limit.
     pub fn shard(&self, target: &Announcement, workspace: Option<&Workspace>) -> Shard {
@@ -322,6 +338,16 @@
         spdlog::info!("target did not answer", kv: {target = target.as_str(), event, detail, left_out = suppressed});
     }
 
+    /// Counts a session that the host has ended, and logs it subject to the rate limit of the log.
+    pub fn record_session_end(&self, end: SessionEnd) {
+        self.metrics.record_session_end(end);
+        let LogDecision::Write { suppressed } = self.request_log.borrow_mut().check(self.now())
+        else {
+            return;
+        };
+        spdlog::info!("session ended by the host", kv: {reason = end.label(), sessions = self.sessions.get(), left_out = suppressed});
+    }
+
     /// Logs a search for the primary of `service` that found none, subject to the rate limit
     /// of the log.
     pub fn log_primary_search(&self, service: &Service, reason: &str, answers: &str) {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -14,7 +14,7 @@
     fleet::config::Consistency,
     gateway::{
         admission::AdmissionCounts, cx::Cx, ports::Targets, primary_search::PrimarySearch,
-        statement::Answer, workspace_limit::LimitUse,
+        session_limits::SessionEnd, statement::Answer, workspace_limit::LimitUse,
     },
     ids::{FailureDomain, Workspace},
 };
@@ -101,6 +101,11 @@
     }
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReasonLabel {
+    reason: &'static str,
+}
+
 type LatencyHistogram = Family<RouteLabel, Histogram, fn() -> Histogram>;
 
 /// Metrics, shared with the HTTP listener that exposes them.
@@ -120,6 +125,7 @@
     peer_events: Family<EventLabel, Counter>,
     load_refusals: Counter,
     loop_delay: Gauge,
+    session_ends: Family<ReasonLabel, Counter>,
     sessions: Gauge,
     connections: Gauge,
     waiting: Gauge,
@@ -175,6 +181,8 @@
         );
         let cold_statements =
             set.add("cold_statements", "Statements to cold targets of this host, by outcome");
+        let session_ends =
+            set.add("session_ends", "Sessions that the host has ended or refused, by reason");
         let primary_search_time = Histogram::new(LATENCY_BUCKETS_S);
         let help = "Time for which a statement waited for a search for the primary";
         set.add_with_unit("primary_search_time", help, Unit::Seconds, primary_search_time.clone());
@@ -204,6 +212,7 @@
             peer_events,
             load_refusals,
             loop_delay,
+            session_ends,
             sessions,
             connections,
             waiting,
@@ -298,6 +307,11 @@
         }
     }
 
+    /// Counts a session that the host has ended or refused.
+    pub fn record_session_end(&self, end: SessionEnd) {
+        self.session_ends.get_or_create(&ReasonLabel { reason: end.label() }).inc();
+    }
+
     /// Counts decisions of the rate limits.
     pub fn record_limits(&self, uses: &[(Workspace, LimitUse)]) {
         for (workspace, used) in uses {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -44,6 +44,7 @@
 pub mod search_backoff;
 pub mod service_time;
 pub mod session;
+pub mod session_limits;
 pub mod statement;
 pub mod suspicion;
 pub mod target_client;
--- a/src/gateway/rate_admission.rs
+++ b/src/gateway/rate_admission.rs
@@ -82,7 +82,7 @@
         }
         let exhausted_until = rate_limiter.exhausted_until(now, workspace);
         if exhausted_until > now {
-            return Err(exhausted_until.since(now).max(rate_limiter.retry_after(now, workspace)));
+            return Err(rate_limiter.return_after(now, workspace, exhausted_until.since(now)));
         }
     }
     let refused = match borrow(cx, workspace).await {
@@ -94,13 +94,12 @@
     }
     let now = cx.now();
     let mut rate_limiter = cx.rate_limiter.borrow_mut();
-    let own = rate_limiter.retry_after(now, workspace);
     let Some(retry_after) = refused else {
         rate_limiter.record_no_lender(now, workspace);
-        return Err(own);
+        return Err(rate_limiter.retry_after(now, workspace));
     };
     rate_limiter.record_exhausted(now, workspace, retry_after);
-    Err(retry_after.max(own))
+    Err(rate_limiter.return_after(now, workspace, retry_after))
 }
 
 /// Borrows a token. The error holds the time after which a lender expects another one, if
@@ -127,7 +126,8 @@
 /// Addresses of the other hosts that lend tokens of `workspace`.
 fn lender_addrs<T: Targets>(cx: &Cx<T>, workspace: &Workspace) -> Vec<String> {
     let lenders = cx.lenders.borrow();
-    let others = lenders.of(cx.now(), workspace).filter(|host| host.id != cx.settings.host);
+    let own = cx.as_entry_host();
+    let others = lenders.of(cx.now(), workspace, &own).filter(|host| host.id != own.id);
     others.map(|host| host.addr.clone()).filter(|addr| cx.peers.is_usable(addr)).collect()
 }
 
--- a/src/gateway/rate_limit.rs
+++ b/src/gateway/rate_limit.rs
@@ -240,6 +240,18 @@
         next.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
     }
 
+    /// Time after which a refused operation may be tried again, if lenders expect a token after
+    /// `lenders_in`: then, or with the next token of this host, whichever is first.
+    pub fn return_after(
+        &mut self,
+        now: Millis,
+        workspace: &Workspace,
+        lenders_in: Millis,
+    ) -> Millis {
+        let own = self.time_until_token(now, workspace).unwrap_or(MAX_RETRY_AFTER);
+        own.min(lenders_in).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
+    }
+
     /// Ends the time in which an operation that was admitted with a token of this host may
     /// be refunded. Returns the token if no target ran the operation: callers retry such
     /// operations, and their retries would use up the rate while a service is unavailable.
