--- a/tests/fleet_link.rs
+++ b/tests/fleet_link.rs
@@ -9,15 +9,15 @@
 };
 
 /// Writes to `stream` until its peer, which does not read, blocks it; returns the bytes written.
-async fn fill(stream: &TcpStream) -> usize {
+async fn fill(stream: &TcpStream) -> std::io::Result<usize> {
     let chunk = vec![0; 64 * 1024];
     let mut written = 0;
     loop {
-        stream.writable().await.unwrap();
+        stream.writable().await?;
         match stream.try_write(&chunk) {
             Ok(count) => written += count,
-            Err(error) if error.kind() == ErrorKind::WouldBlock => return written,
-            Err(error) => panic!("{error}"),
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(written),
+            Err(error) => return Err(error),
         }
     }
 }
@@ -29,7 +29,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let stream = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
     let (mut accepted, _) = listener.accept().await.unwrap();
-    let written = fill(&stream).await;
+    let written = fill(&stream).await.unwrap();
     discard_on_close(&stream);
     let (reader, writer) = stream.into_split();
     drop((writer, reader));
