--- a/src/fleet/link.rs
+++ b/src/fleet/link.rs
@@ -22,7 +22,11 @@
 };
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
-use crate::fleet::messages::{ConfigStatus, Frame, HostReport, HostUpdate};
+use crate::{
+    clock::Millis,
+    fleet::messages::{ConfigStatus, FleetView, Frame, HostReport, HostUpdate, TokenGrant},
+    gateway::{job::Job, load_signal::LoadReport},
+};
 
 /// Time to establish a connection; allows several round trips between distant failure
 /// domains.
@@ -54,6 +58,10 @@
 /// First byte of a compressed frame.
 const DEFLATED: u8 = 1;
 
+/// Stands before the load in an answer to a ping without a request. No request has the id 0, so
+/// that older builds ignore it.
+const NO_GRANT: TokenGrant = TokenGrant { request_id: 0, tokens: 0, retry_after: Millis(0) };
+
 /// Encodes a frame, compressed if that makes it smaller.
 pub fn encode(frame: &Frame) -> Bytes {
     match try_encode(frame) {
@@ -79,28 +87,61 @@
 /// Appends the fields of `frame` that older builds do not know and ignore.
 fn append_extension(frame: &Frame, buf: Vec<u8>) -> postcard::Result<Vec<u8>> {
     match frame {
-        Frame::Report(HostReport { limits: Some(limits), .. }) => postcard::to_extend(limits, buf),
+        Frame::Report(HostReport { limits: Some(limits), load, .. }) => {
+            append_load(*load, postcard::to_extend(limits, buf)?)
+        }
         Frame::Update(update @ HostUpdate { limits: Some(limits), .. }) => {
             append_update_extension(update, postcard::to_extend(limits, buf)?)
         }
         Frame::Ping { tokens: Some(req) } => postcard::to_extend(req, buf),
-        Frame::Pong { tokens: Some(grant) } => postcard::to_extend(grant, buf),
+        Frame::Request { job: Job { urgency: Some(urgency), then, .. }, .. } => {
+            let buf = postcard::to_extend(urgency, buf)?;
+            match then {
+                Some(then) => postcard::to_extend(&**then, buf),
+                None => Ok(buf),
+            }
+        }
+        Frame::Response { then: Some(then), .. } => postcard::to_extend(then, buf),
+        Frame::EndStream { cancelled: Some(request_id), .. } => {
+            postcard::to_extend(request_id, buf)
+        }
+        Frame::Pong { tokens: Some(grant), load } => {
+            append_load(*load, postcard::to_extend(grant, buf)?)
+        }
+        Frame::Pong { tokens: None, load: load @ Some(_) } => {
+            append_load(*load, postcard::to_extend(&NO_GRANT, buf)?)
+        }
         _ => Ok(buf),
     }
 }
 
-/// Appends what follows the limits of an update: the status of the configuration, and the
-/// successors in the view. An update with a view extends no lease, and the status counts only
-/// with one, so any status may stand before the successors.
+/// Appends the sender's load, if there is one to tell.
+fn append_load(load: Option<LoadReport>, buf: Vec<u8>) -> postcard::Result<Vec<u8>> {
+    match load {
+        Some(load) => postcard::to_extend(&load, buf),
+        None => Ok(buf),
+    }
+}
+
+fn decode_load(extension: &[u8]) -> postcard::Result<Option<LoadReport>> {
+    if extension.is_empty() { Ok(None) } else { postcard::from_bytes(extension).map(Some) }
+}
+
+/// Appends what follows the limits of an update: the status of the configuration, then the
+/// successors and the evacuated failure domains in the view. An update with a view extends no
+/// lease, and the status counts only with one, so any status may stand before them.
 fn append_update_extension(update: &HostUpdate, buf: Vec<u8>) -> postcard::Result<Vec<u8>> {
-    let view = update.view.as_ref().filter(|view| !view.successors.is_empty());
+    let has_extension = |it: &&FleetView| !it.successors.is_empty() || !it.evacuated.is_empty();
+    let view = update.view.as_ref().filter(has_extension);
     let status = update.config_status.or(view.map(|_| ConfigStatus::Outdated));
     let Some(status) = status else { return Ok(buf) };
     let buf = postcard::to_extend(&status, buf)?;
-    match view {
-        Some(view) => postcard::to_extend(&view.successors, buf),
-        None => Ok(buf),
+    let Some(view) = view else { return Ok(buf) };
+    let buf = postcard::to_extend(&view.successors, buf)?;
+    if view.evacuated.is_empty() {
+        return Ok(buf);
     }
+    postcard::to_extend(&view.evacuated, buf)
 }
 
 /// Decodes a frame.
@@ -124,7 +165,11 @@
         return Ok(frame);
     }
     match &mut frame {
-        Frame::Report(report) => report.limits = Some(postcard::from_bytes(extension)?),
+        Frame::Report(report) => {
+            let (limits, rest) = postcard::take_from_bytes(extension)?;
+            report.limits = Some(limits);
+            report.load = decode_load(rest)?;
+        }
         Frame::Update(update) => {
             let (limits, rest) = postcard::take_from_bytes(extension)?;
             update.limits = Some(limits);
@@ -134,11 +179,28 @@
             let (status, rest) = postcard::take_from_bytes(rest)?;
             update.config_status = Some(status);
             if let (Some(view), false) = (&mut update.view, rest.is_empty()) {
-                view.successors = postcard::from_bytes(rest)?;
+                let (successors, rest) = postcard::take_from_bytes(rest)?;
+                view.successors = successors;
+                if !rest.is_empty() {
+                    view.evacuated = postcard::from_bytes(rest)?;
+                }
             }
         }
         Frame::Ping { tokens } => *tokens = Some(postcard::from_bytes(extension)?),
-        Frame::Pong { tokens } => *tokens = Some(postcard::from_bytes(extension)?),
+        Frame::Pong { tokens, load } => {
+            let (grant, rest) = postcard::take_from_bytes(extension)?;
+            *tokens = Some(grant).filter(|grant| *grant != NO_GRANT);
+            *load = decode_load(rest)?;
+        }
+        Frame::Request { job, .. } => {
+            let (urgency, rest) = postcard::take_from_bytes(extension)?;
+            job.urgency = Some(urgency);
+            if !rest.is_empty() {
+                job.then = Some(Box::new(postcard::from_bytes(rest)?));
+            }
+        }
+        Frame::Response { then, .. } => *then = Some(postcard::from_bytes(extension)?),
+        Frame::EndStream { cancelled, .. } => *cancelled = Some(postcard::from_bytes(extension)?),
         _ => {}
     }
     Ok(frame)
@@ -161,6 +223,15 @@
     }
 }
 
+/// Makes the close of a connection that is given up discard what was not delivered. Otherwise the
+/// system goes on sending it, and a frame may arrive many seconds after its sender gave up.
+pub fn discard_on_close(stream: &TcpStream) {
+    let linger = Some(Duration::ZERO);
+    if let Err(error) = rustix::net::sockopt::set_socket_linger(stream, linger) {
+        spdlog::debug!("cannot set SO_LINGER: {error}");
+    }
+}
+
 /// Splits a connection into its framed halves.
 pub fn split_framed(stream: TcpStream) -> (FrameReader, FrameWriter) {
     let codec = || LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
--- a/src/fleet/messages.rs
+++ b/src/fleet/messages.rs
@@ -12,6 +12,7 @@
     fleet::allocation::Fraction,
     gateway::{
         job::{Job, JobError},
+        load_signal::LoadReport,
         statement::Answer,
     },
     ids::{FailureDomain, HostId, Incarnation, InstanceId, Mark, Service, Workspace},
@@ -36,10 +37,17 @@
     Response {
         request_id: u64,
         result: Result<Answer, JobError>,
+        /// Result of the statement that the job carries.
+        #[serde(skip)]
+        then: Option<Result<Answer, JobError>>,
     },
-    /// Last message of the stream; an open transaction is rolled back.
+    /// Last message of the stream; an open transaction is rolled back. Stream 0 has none: its
+    /// message cancels a request.
     EndStream {
         stream: u64,
+        /// Request whose answer the sender no longer waits for.
+        #[serde(skip)]
+        cancelled: Option<u64>,
     },
     Ping {
         #[serde(skip)]
@@ -48,6 +56,9 @@
     Pong {
         #[serde(skip)]
         tokens: Option<TokenGrant>,
+        /// Load of a busy host; `None` from one that is not, or whose build does not tell.
+        #[serde(skip)]
+        load: Option<LoadReport>,
     },
 }
 
@@ -83,6 +94,10 @@
     /// Allocations that the host applies; `None` if its build knows no allocations.
     #[serde(skip)]
     pub limits: Option<LimitReport>,
+    /// Load of a busy host; `None` from one that is not, or whose build does not tell. It is
+    /// only sent with the limits.
+    #[serde(skip)]
+    pub load: Option<LoadReport>,
 }
 
 /// Entry host's state of its allocations.
@@ -231,6 +246,9 @@
     /// Targets that may be promoted at any time.
     #[serde(skip)]
     pub successors: Vec<Successor>,
+    /// Failure domains that are out of use: their targets get no statements.
+    #[serde(skip)]
+    pub evacuated: Vec<FailureDomain>,
 }
 
 /// Target that may be promoted at any time: a commit of its service is acknowledged only once it
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -5,7 +5,10 @@
 
 use crate::{
     clock::Millis,
-    gateway::statement::{PreparedStatement, Request},
+    gateway::{
+        statement::{Answer, PreparedStatement, Request},
+        urgency::Urgency,
+    },
     ids::{InstanceId, Mark, Workspace},
 };
 
@@ -43,6 +46,27 @@
     /// Longest time until the answer.
     pub timeout: Millis,
     pub kind: JobKind,
+    /// `None` from a host whose build does not send it.
+    #[serde(skip)]
+    pub urgency: Option<Urgency>,
+    /// First statement of the transaction that the job begins, to be run if it has begun. Saves
+    /// a round trip to the owner; only sent with the urgency.
+    #[serde(skip)]
+    pub then: Option<Box<JobKind>>,
+}
+
+/// Results of a job, and of the statement that it carries; the latter is `None` if the job has
+/// not begun a transaction, or if the owner's build does not run it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Execution {
+    pub result: Result<Answer, JobError>,
+    pub then: Option<Result<Answer, JobError>>,
+}
+
+impl From<Result<Answer, JobError>> for Execution {
+    fn from(result: Result<Answer, JobError>) -> Self {
+        Self { result, then: None }
+    }
 }
 
 impl JobKind {
@@ -76,6 +100,9 @@
     Busy,
     /// An earlier commit is not confirmed yet.
     Unconfirmed,
+    /// Failure domain of the primary is out of use. Never sent to other hosts, of which older
+    /// builds do not know it.
+    DomainOutOfUse,
 }
 
 impl RejectReason {
@@ -87,6 +114,7 @@
             Self::NoTarget => "no target can be used",
             Self::Busy => "the target has no free slot",
             Self::Unconfirmed => "an earlier commit is not confirmed yet",
+            Self::DomainOutOfUse => "the failure domain of the primary is out of use",
         }
     }
 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -13,10 +13,10 @@
     clock::Millis,
     fleet::config::Consistency,
     gateway::{
-        cx::Cx, ports::Targets, primary_search::PrimarySearch, statement::Answer,
-        workspace_limit::LimitUse,
+        admission::AdmissionCounts, cx::Cx, ports::Targets, primary_search::PrimarySearch,
+        session_limits::SessionEnd, statement::Answer, workspace_limit::LimitUse,
     },
-    ids::Workspace,
+    ids::{FailureDomain, Workspace},
 };
 
 /// Prefix of all metric names.
@@ -53,6 +53,59 @@
     outcome: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct DomainLabels {
+    domain: String,
+    reason: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct DecisionLabel {
+    decision: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct EventLabel {
+    event: &'static str,
+}
+
+/// Event of the connection to another entry host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PeerEvent {
+    /// The host answers later than usual.
+    Late,
+    Lost,
+    Returned,
+    /// The host has told that it is busy.
+    Busy,
+}
+
+impl PeerEvent {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Late => "late",
+            Self::Lost => "lost",
+            Self::Returned => "returned",
+            Self::Busy => "busy",
+        }
+    }
+
+    /// Event for the log.
+    pub fn text(self) -> &'static str {
+        match self {
+            Self::Late => "entry host is late",
+            Self::Lost => "entry host is unreachable",
+            Self::Returned => "entry host is reachable again",
+            Self::Busy => "entry host is busy",
+        }
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReasonLabel {
+    reason: &'static str,
+}
+
 type LatencyHistogram = Family<RouteLabel, Histogram, fn() -> Histogram>;
 
 /// Metrics, shared with the HTTP listener that exposes them.
@@ -63,7 +116,16 @@
     limit_decisions: Family<LimitLabels, Counter>,
     primary_searches: Family<OutcomeLabel, Counter>,
     commit_confirmations: Family<OutcomeLabel, Counter>,
+    evacuated_statements: Family<DomainLabels, Counter>,
+    target_refusals: Family<DomainLabels, Counter>,
+    cold_statements: Family<OutcomeLabel, Counter>,
     primary_search_time: Histogram,
+    slot_requests: Family<DecisionLabel, Counter>,
+    cancelled_jobs: Counter,
+    peer_events: Family<EventLabel, Counter>,
+    load_refusals: Counter,
+    loop_delay: Gauge,
+    session_ends: Family<ReasonLabel, Counter>,
     sessions: Gauge,
     connections: Gauge,
     waiting: Gauge,
@@ -75,6 +137,7 @@
     ready: Gauge,
     limited: Gauge,
     failing: Gauge,
+    evacuated: Gauge,
 }
 
 impl GatewayMetrics {
@@ -92,6 +155,7 @@
         let ready = gauge("ready", "1 while the host asks for new sessions");
         let limited = gauge("limited_workspaces", "Workspaces of which the host has an allocation");
         let failing = gauge("failing_targets", "Targets that do not answer");
+        let evacuated = gauge("evacuated_domains", "Failure domains that are evacuated");
         let requests = set.add("requests", "Requests by route and outcome");
         let latency = LatencyHistogram::new_with_constructor(|| Histogram::new(LATENCY_BUCKETS_S));
         let help = "Time from a request to its answer";
@@ -106,9 +170,32 @@
             "commit_confirmations",
             "Commits that waited for the positions of other targets, by outcome",
         );
+        let evacuated_statements = set.add(
+            "evacuated_statements",
+            "Statements to targets in evacuated failure domains, by domain and reason",
+        );
+        let target_refusals = set.add(
+            "target_refusals",
+            "Statements and transactions refused because of the target's failure domain or lost \
+             contact to control",
+        );
+        let cold_statements =
+            set.add("cold_statements", "Statements to cold targets of this host, by outcome");
+        let session_ends =
+            set.add("session_ends", "Sessions that the host has ended or refused, by reason");
         let primary_search_time = Histogram::new(LATENCY_BUCKETS_S);
         let help = "Time for which a statement waited for a search for the primary";
         set.add_with_unit("primary_search_time", help, Unit::Seconds, primary_search_time.clone());
+        let slot_requests = set.add(
+            "slot_requests",
+            "Requests that did not get a slot of a target at once, by what became of them",
+        );
+        let cancelled_jobs =
+            set.add("cancelled_jobs", "Jobs dropped because their host no longer waits for them");
+        let peer_events = set.add("peer_events", "Events of other entry hosts");
+        let help = "Operations that were refused because the host is busy";
+        let load_refusals = set.counter("load_refusals", help);
+        let loop_delay = gauge("loop_delay_ms", "Average delay of the event loop in milliseconds");
         Arc::new(Self {
             set,
             requests,
@@ -116,7 +203,16 @@
             limit_decisions,
             primary_searches,
             commit_confirmations,
+            evacuated_statements,
+            target_refusals,
+            cold_statements,
             primary_search_time,
+            slot_requests,
+            cancelled_jobs,
+            peer_events,
+            load_refusals,
+            loop_delay,
+            session_ends,
             sessions,
             connections,
             waiting,
@@ -128,6 +224,7 @@
             ready,
             limited,
             failing,
+            evacuated,
         })
     }
 
@@ -158,12 +255,63 @@
         self.primary_search_time.observe(took.0 as f64 / SECOND_MS);
     }
 
+    /// Counts an event of another entry host.
+    pub fn record_peer(&self, event: PeerEvent) {
+        self.peer_events.get_or_create(&EventLabel { event: event.label() }).inc();
+    }
+
+    /// Counts an operation that was refused because the host is busy.
+    pub fn record_load_refusal(&self) {
+        self.load_refusals.inc();
+    }
+
     /// Counts a commit that was acknowledged after other targets had confirmed it, or could not be.
     pub fn record_commit_confirmation(&self, confirmed: bool) {
         let outcome = if confirmed { "confirmed" } else { "unconfirmed" };
         self.commit_confirmations.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    /// Counts a statement to a target in an evacuated failure domain.
+    pub fn record_evacuated_use(&self, domain: &FailureDomain, reason: &'static str) {
+        let labels = DomainLabels { domain: domain.to_string(), reason };
+        self.evacuated_statements.get_or_create(&labels).inc();
+    }
+
+    /// Counts a statement or transaction that was refused because of its target.
+    pub fn record_refusal(&self, domain: &FailureDomain, reason: &'static str) {
+        let labels = DomainLabels { domain: domain.to_string(), reason };
+        self.target_refusals.get_or_create(&labels).inc();
+    }
+
+    /// Counts a statement to a cold target that was sent or refused.
+    pub fn record_cold(&self, sent: bool) {
+        let outcome = if sent { "sent" } else { "refused" };
+        self.cold_statements.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
+    /// Counts a job that was cancelled before it was sent to its target.
+    pub fn record_cancelled_job(&self) {
+        self.cancelled_jobs.inc();
+    }
+
+    /// Counts decisions on requests for slots.
+    fn record_slot_requests(&self, counts: AdmissionCounts) {
+        let decisions = [
+            ("queued_in_time", counts.queued_in_time),
+            ("queued_late", counts.queued_late),
+            ("refused", counts.refused),
+            ("expired", counts.expired),
+        ];
+        for (decision, count) in decisions.into_iter().filter(|(_, count)| *count > 0) {
+            self.slot_requests.get_or_create(&DecisionLabel { decision }).inc_by(count);
+        }
+    }
+
+    /// Counts a session that the host has ended or refused.
+    pub fn record_session_end(&self, end: SessionEnd) {
+        self.session_ends.get_or_create(&ReasonLabel { reason: end.label() }).inc();
+    }
+
     /// Counts decisions of the rate limits.
     pub fn record_limits(&self, uses: &[(Workspace, LimitUse)]) {
         for (workspace, used) in uses {
@@ -185,7 +333,10 @@
     pub fn update<T: Targets>(&self, cx: &Cx<T>) {
         let now = cx.now();
         let (connections, _) = cx.pools.usage();
-        let admission = cx.admission.borrow();
+        let mut admission = cx.admission.borrow_mut();
+        for queue in admission.values_mut() {
+            self.record_slot_requests(queue.take_counts());
+        }
         let usage = admission.values().map(|queue| queue.usage());
         let (waiting, running) =
             usage.fold((0, 0), |sum, queue| (sum.0 + queue.0, sum.1 + queue.1));
@@ -200,7 +351,9 @@
         set(&self.leased, u64::from(cx.lease.borrow().is_valid(now)));
         set(&self.ready, u64::from(cx.is_ready()));
         set(&self.limited, cx.rate_limiter.borrow().allocated());
+        set(&self.loop_delay, cx.load.borrow_mut().report(now).loop_delay.0);
         set(&self.failing, cx.health.borrow().failing(now));
+        set(&self.evacuated, topology.evacuated.len());
     }
 
     /// Encodes all metrics in the text format.
--- a/src/gateway/operation.rs
+++ b/src/gateway/operation.rs
@@ -8,15 +8,19 @@
     gateway::{
         attempt::AttemptGuard,
         cx::Cx,
-        job::{Job, JobError, JobKind, RejectReason},
+        job::{Execution, Job, JobError, JobKind, RejectReason},
         ports::Targets,
         prepare::ResolvedRequest,
         primary_search::PrimarySearch,
         rate_admission,
         read_selection::ReadSelection,
+        readmission::ReadRestrictions,
+        retry_budget::is_costly,
         session::{Authorization, Session},
         statement::{Answer, ErrorCode, TransactionState},
         target_client::TargetClient,
+        target_use::Refusal,
+        urgency::Urgency,
     },
     ids::{InstanceId, Mark},
 };
@@ -96,14 +100,23 @@
     /// Job for `target` with the session's state, to be answered by `deadline`.
     pub fn job(&self, target: &InstanceId, kind: JobKind, deadline: Millis) -> Job {
         let now = self.cx.now();
+        let timeout = deadline.since(now);
+        // Other statements share the answer to a status query.
+        let is_shared = matches!(kind, JobKind::Status);
+        let latency_left = (self.arrived + self.auth.route.target_latency).since(now);
+        let urgency = Urgency { latency_left, time_left: timeout };
         Job {
             target: target.clone(),
             workspace: self.auth.workspace.clone(),
             variables: self.session.variables.clone(),
             priority: self.auth.route.priority,
+            // Below the time from which an unanswered statement counts against a target: work that
+            // only waits for a slot must not make a busy primary look lost.
             max_wait: self.wait_deadline().since(now),
-            timeout: deadline.since(now),
+            timeout,
             kind,
+            urgency: (!is_shared).then_some(urgency),
+            then: None,
         }
     }
 
@@ -147,10 +160,26 @@
             primary: primary.as_ref().map(|it| &it.id),
             required,
             tried,
+            restrictions: ReadRestrictions {
+                domains: &topology.evacuated,
+                cold: &self.cx.cold.borrow(),
+                session: self.session.hash,
+            },
         };
         selection.select(&service.targets).map(|it| (it.clone(), required))
     }
 
+    /// Whether a statement for `target` tests whether it answers again; the number of tests is
+    /// bounded by itself.
+    pub(super) fn is_probe(&self, target: &InstanceId) -> bool {
+        self.cx.health.borrow().is_failing(self.cx.now(), target)
+    }
+
+    /// Takes a token for a further attempt; returns whether there was one.
+    pub(super) fn may_retry(&self) -> bool {
+        self.cx.retry_budgets.borrow_mut().take(&self.auth.route.service)
+    }
+
     /// Selects a target, and waits for one if none is usable. Targets in `tried` are
     /// skipped as long as there are others.
     pub async fn select_target(
@@ -160,13 +189,20 @@
         tried: &mut Vec<InstanceId>,
     ) -> Result<SelectedTarget<T>, JobError> {
         loop {
+            if !self.cx.has_contact() {
+                return Err(Refusal::NoContact.error());
+            }
             let selected = match self.target_without_search(mode, tried) {
                 Some(selected) => Some(selected),
-                None if self.cx.trusts_primary(&self.auth.route.service) => None,
+                None if self.cx.trusts_primary(&self.auth.route.service) => {
+                    self.check_primary_in_use(mode)?;
+                    None
+                }
                 None => self.searched_primary(tried).await?,
             };
             if let Some(Selection { target, after, confirmed_at }) = selected {
-                let client = TargetClient::new(self.cx, target, transactional);
+                let shard = self.cx.shard(&target, self.auth.workspace.as_ref());
+                let client = TargetClient::new(self.cx, target, shard, transactional);
                 return Ok(SelectedTarget { client, after, confirmed_at });
             }
             if self.cx.now() >= self.wait_deadline() {
@@ -190,6 +226,18 @@
         required.map(|after| Selection { target, after: Some(after), confirmed_at: None })
     }
 
+    /// Refuses what only the primary can run while its failure domain is out of use.
+    fn check_primary_in_use(&self, mode: AccessMode) -> Result<(), JobError> {
+        if mode == AccessMode::Read && self.required_position().is_some() {
+            return Ok(());
+        }
+        let topology = self.cx.topology.borrow();
+        match topology.primary_out_of_use(self.cx.now(), &self.auth.route.service) {
+            Some(primary) => Err(self.cx.refuse(&primary, Refusal::OutOfUse)),
+            None => Ok(()),
+        }
+    }
+
     /// Primary that a search among the targets proves.
     async fn searched_primary(&self, tried: &[InstanceId]) -> Result<Option<Selection>, JobError> {
         match self.search_primary().await {
@@ -197,6 +245,11 @@
                 let mut topology = self.cx.topology.borrow_mut();
                 topology.set_discovered_primary(&self.auth.route.service, &target, view);
                 let target = topology.target(&target);
+                if let Some(primary) = &target
+                    && topology.is_out_of_use(self.cx.now(), primary)
+                {
+                    return Err(self.cx.refuse(primary, Refusal::OutOfUse));
+                }
                 let usable = target.filter(|it| !tried.contains(&it.id));
                 let confirmed_at = Some(asked_at);
                 Ok(usable.map(|target| Selection { target, after: None, confirmed_at }))
@@ -211,24 +264,39 @@
 
     /// Executes a job and records the outcome in the target's health.
     pub async fn run(&self, client: &mut TargetClient<T>, job: &Job) -> Result<Answer, JobError> {
+        self.run_with_next(client, job).await.result
+    }
+
+    /// Executes a job, and the statement that it carries, as [`Self::run`] does.
+    pub async fn run_with_next(&self, client: &mut TargetClient<T>, job: &Job) -> Execution {
+        let target = client.target.clone();
+        if let Some(refusal) = self.cx.job_refusal(&target, &job.kind) {
+            return Err(self.cx.refuse(&target, refusal)).into();
+        }
+        let (service, workspace) = (&self.auth.route.service, self.auth.workspace.as_ref());
+        self.cx.record_evacuated_use(&target, job, service, workspace);
         let attempt = AttemptGuard::new(&self.cx.health, self.cx.clock, &job.target);
-        let result = client.run(self.cx, job).await;
-        attempt.end(&result);
-        result
+        let execution = client.run(self.cx, job).await;
+        attempt.end(execution.then.as_ref().unwrap_or(&execution.result));
+        if let Err(JobError::Rejected(retry_after, _)) = &execution.result {
+            self.cx.record_rejected(&target, *retry_after);
+        }
+        execution
     }
 
     /// Runs a read outside of transactions. Each attempt after one that may have run takes
     /// another token of the workspace.
     pub async fn read(&self, resolved: ResolvedRequest<'_>) -> Outcome {
         let mut tried = Vec::new();
-        let mut last: Option<Answer> = None;
+        let mut last: Option<Result<Answer, JobError>> = None;
         let mut may_have_run = false;
         let mut is_charged = true;
+        self.cx.retry_budgets.borrow_mut().record_first_attempt(&self.auth.route.service);
         while self.cx.now() < self.deadline() {
             let mut selected = match self.select_target(AccessMode::Read, false, &mut tried).await {
                 Ok(selected) => selected,
                 Err(error) => {
-                    let answer = last.unwrap_or_else(|| self.error_answer(&error));
+                    let answer = self.outcome(last.unwrap_or(Err(error)));
                     return Outcome { answer, may_have_run };
                 }
             };
@@ -239,12 +307,15 @@
             let id = selected.client.target.id.clone();
             let kind = Self::statement(resolved, selected.after);
             let job = self.job(&id, kind, self.read_attempt_deadline());
-            match self.run(&mut selected.client, &job).await {
+            let is_probe = self.is_probe(&id);
+            let result = self.run(&mut selected.client, &job).await;
+            let takes_token = !is_probe && is_costly(&result);
+            match result {
                 Ok(answer) => {
                     self.observe(&selected, &answer);
                     match answer.code() {
                         Some(ErrorCode::Lagging | ErrorCode::Busy | ErrorCode::NoStatement) => {
-                            last = Some(Answer { state: TransactionState::Idle, ..answer });
+                            last = Some(Ok(Answer { state: TransactionState::Idle, ..answer }));
                         }
                         _ => return Outcome { answer, may_have_run: true },
                     }
@@ -255,12 +326,23 @@
                 Err(error) => {
                     is_charged = error != JobError::Lost;
                     may_have_run |= error == JobError::Lost;
-                    last = Some(self.error_answer(&error));
+                    last = Some(match error {
+                        JobError::Lost => Ok(self.unanswered()),
+                        error => Err(error),
+                    });
                 }
             }
+            if takes_token && !self.may_retry() {
+                break;
+            }
             tried.push(id);
         }
-        Outcome { answer: last.unwrap_or_else(|| self.unanswered()), may_have_run }
+        let answer = last.map_or_else(|| self.unanswered(), |last| self.outcome(last));
+        Outcome { answer, may_have_run }
+    }
+
+    fn outcome(&self, result: Result<Answer, JobError>) -> Answer {
+        result.unwrap_or_else(|error| self.error_answer(&error))
     }
 
     /// Takes a token for a further attempt; returns whether there was one.
@@ -349,10 +431,22 @@
             JobError::Unreachable => (RETRY_AFTER_NO_TARGET, RejectReason::NoTarget),
             JobError::Lost => return self.unanswered(),
         };
+        let retry = match reason {
+            RejectReason::NoTarget => self.book_return(retry),
+            _ => retry,
+        };
         let text = format!("{}; retry after {retry}", reason.text());
         Answer::error(ErrorCode::Busy, text, TransactionState::Idle)
     }
 
+    /// Delay for a caller that is refused because no target is usable before `usable_after`.
+    fn book_return(&self, usable_after: Millis) -> Millis {
+        let hosts = self.cx.topology.borrow().view.hosts.len();
+        let (now, route) = (self.cx.now(), &self.auth.route);
+        let mut unavailable = self.cx.unavailable.borrow_mut();
+        unavailable.book(now, &route.service, route.priority, usable_after, hosts)
+    }
+
     /// Answer to a statement that may or may not have run.
     pub fn unanswered(&self) -> Answer {
         let late = self.cx.now() >= self.deadline();
--- a/src/gateway/runtime.rs
+++ b/src/gateway/runtime.rs
@@ -1,20 +1,24 @@
 //! Session loop and graceful stop of an entry host.
 
-use std::{future::Future, rc::Rc};
+use std::{future::Future, pin::pin, rc::Rc};
 
 use eyre::Result;
-use tokio::{sync::watch, time::timeout};
+use tokio::sync::watch;
 
 use crate::{
+    adapters::byte_budget::ByteHolder,
     clock::Millis,
     gateway::{
         cx::{Cx, Phase},
+        load_signal,
         log_limit::LogDecision,
         operation::Operation,
         ports::{Caller, CallerMessage, Targets},
         prepare::ResolvedRequest,
         rate_admission,
+        readmission::SessionHash,
         session::Session,
+        session_limits::{self, SessionEnd, StoredBytes},
         statement::{Answer, ErrorCode, Request, Statement, StatementError, TransactionState},
         transaction::{Transaction, apply_session_statement},
     },
@@ -65,7 +69,10 @@
 pub async fn serve<T: Targets, C: Caller>(cx: Rc<Cx<T>>, mut caller: C) {
     cx.sessions.set(cx.sessions.get() + 1);
     if let Err(error) = run_session(&cx, &mut caller).await {
-        spdlog::debug!("session failed: {error:#}");
+        match error.downcast_ref::<SessionEnd>() {
+            Some(end) => cx.record_session_end(*end),
+            None => spdlog::debug!("session failed: {error:#}"),
+        }
     }
     cx.sessions.set(cx.sessions.get() - 1);
 }
@@ -77,13 +84,18 @@
     else {
         return Ok(());
     };
-    let session = Session::new(startup);
+    let number = cx.last_session.get() + 1;
+    cx.last_session.set(number);
+    let mut session = Session::new(startup);
+    session.hash = SessionHash::new(&cx.settings.host, number);
     if let Err(error) = check_access(cx, &session) {
         spdlog::info!("session refused", kv: {database = session.database.as_str(), code = error.code.to_string().as_str()});
         return caller.refuse(&error).await;
     }
     caller.accept().await?;
-    let mut handler = SessionHandler { cx: cx.clone(), session, transaction: None };
+    let bytes = caller.bytes().cloned();
+    let stored = StoredBytes::default();
+    let mut handler = SessionHandler { cx: cx.clone(), session, transaction: None, bytes, stored };
     let result = handler.run(caller, &mut phases).await;
     if let Some(transaction) = &mut handler.transaction {
         transaction.roll_back(cx).await;
@@ -113,6 +125,10 @@
     cx: Rc<Cx<T>>,
     session: Session,
     transaction: Option<Transaction<T>>,
+    /// Bytes that the process holds for the caller.
+    bytes: Option<ByteHolder>,
+    /// Part of `bytes` that the session's values and prepared statements take.
+    stored: StoredBytes,
 }
 
 impl<T: Targets> SessionHandler<T> {
@@ -125,8 +141,14 @@
             let Some(message) = self.next_message(caller, phases).await? else { return Ok(()) };
             let CallerMessage::Request(request) = message else { return Ok(()) };
             let arrived = self.cx.now();
-            let answer = self.handle(&request).await;
+            let reserved =
+                session_limits::reserve_request(self.bytes.as_ref(), &self.session, &request).await;
+            let answer = match &reserved {
+                Ok(_) => self.handle(&request).await,
+                Err(_) => session_limits::no_memory(self.state()),
+            };
             self.record_answer(&request, &answer, arrived);
+            drop((request, reserved));
             caller.answer(&answer).await?;
         }
     }
@@ -179,32 +201,57 @@
             return until_phase(phases, Phase::Aborting, caller.next()).await.transpose();
         }
         let idle_timeout = self.cx.topology.borrow().config.transaction_idle_timeout;
-        let next = until_phase(phases, Phase::Aborting, caller.next());
-        match timeout(idle_timeout.duration(), next).await {
-            Ok(next) => next.transpose(),
-            Err(_) => {
+        let mut next = pin!(until_phase(phases, Phase::Aborting, caller.next()));
+        let refusal = tokio::select! {
+            biased;
+            next = &mut next => return next.transpose(),
+            refusal = transaction.end_of_idleness(&self.cx, idle_timeout) => refusal,
+        };
+        match refusal {
+            Some(refusal) => transaction.end(&self.cx, refusal).await,
+            None => {
                 spdlog::info!("transaction rolled back after the idle timeout", kv: {began_ms_ago = self.cx.now().since(transaction.began()).0});
                 transaction.abandon(&self.cx).await;
-                until_phase(phases, Phase::Aborting, caller.next()).await.transpose()
             }
         }
+        next.await.transpose()
     }
 
     async fn handle(&mut self, request: &Request) -> Answer {
         if let Some(refusal) = self.refuse_unauthorized(request).await {
             return refusal;
         }
-        let state = self.transaction.as_ref().map_or(TransactionState::Idle, Transaction::state);
-        if let Some(answer) = apply_session_statement(&mut self.session, &request.statement, state)
-        {
+        if let Some(answer) = self.apply_to_session(&request.statement).await {
             return answer;
         }
+        if let Some(transaction) = &mut self.transaction {
+            transaction.end_if_refused(&self.cx).await;
+        }
         match self.transaction.take() {
             Some(transaction) => self.continue_transaction(transaction, request).await,
             None => self.begin_operation(request).await,
         }
     }
 
+    fn state(&self) -> TransactionState {
+        self.transaction.as_ref().map_or(TransactionState::Idle, Transaction::state)
+    }
+
+    /// Applies a statement that changes only the session, within the session's limits.
+    async fn apply_to_session(&mut self, statement: &Statement) -> Option<Answer> {
+        let state = self.state();
+        let limits = &self.cx.settings.session_limits;
+        if let Err(error) = session_limits::check_stored(&self.session, statement, limits) {
+            return Some(refusal(error, state));
+        }
+        if self.stored.reserve(self.bytes.as_ref(), statement).await.is_err() {
+            return Some(session_limits::no_memory(state));
+        }
+        let answer = apply_session_statement(&mut self.session, statement, state)?;
+        self.stored.settle(self.bytes.as_ref(), &self.session);
+        Some(answer)
+    }
+
     /// Refuses a request if the session's key was withdrawn, or was given to another workspace
     /// during the transaction, or if the host's configuration is too old to know. What the
     /// transaction has done is rolled back.
@@ -277,6 +324,10 @@
             Ok(auth) => auth,
             Err(error) => return Answer::error(error.code, error.text, idle),
         };
+        if load_refuses(&self.cx, auth.route.priority) {
+            let text = format!("the host is busy; retry after {}", load_signal::RETRY_AFTER);
+            return Answer::error(ErrorCode::Busy, text, idle);
+        }
         let admission = match &auth.workspace {
             Some(workspace) => match rate_admission::admit(&self.cx, workspace).await {
                 Ok(admission) => Some(admission),
@@ -318,6 +369,17 @@
     }
 }
 
+/// Whether the load of this process makes it refuse a new operation of `priority`.
+fn load_refuses<T: Targets>(cx: &Cx<T>, priority: u32) -> bool {
+    let topology = cx.topology.borrow();
+    let priorities = topology.config.routes.values().map(|route| route.priority);
+    let refuses = cx.load.borrow_mut().refuses(cx.now(), priority, priorities);
+    if refuses {
+        cx.metrics.record_load_refusal();
+    }
+    refuses
+}
+
 fn refusal(error: StatementError, state: TransactionState) -> Answer {
     Answer::error(error.code, error.text, state)
 }
--- a/tests/fleet_limits/simulation.rs
+++ b/tests/fleet_limits/simulation.rs
@@ -393,7 +393,7 @@
 
     /// Other hosts that lend tokens, according to the view.
     fn lenders(&self, id: &HostId) -> Vec<HostId> {
-        let lenders = self.lenders.of(Millis(self.now), &workspace());
+        let lenders = self.lenders.of(Millis(self.now), &workspace(), &entry_host(id));
         lenders.map(|host| host.id.clone()).filter(|lender| lender != id).collect()
     }
 
--- a/tests/fleet_messages.rs
+++ b/tests/fleet_messages.rs
@@ -15,6 +15,12 @@
         },
         state::{Applied, FleetCommand, FleetState, LogEntry, allocation_entry},
     },
+    gateway::{
+        job::{Job, JobError, JobKind},
+        load_signal::LoadReport,
+        peer_server::rollback_job,
+        urgency::Urgency,
+    },
     ids::Incarnation,
 };
 
@@ -35,6 +41,7 @@
         acknowledged: Vec::new(),
         known_targets: Vec::new(),
         limits,
+        load: None,
     }
 }
 
@@ -81,8 +88,8 @@
         frame => panic!("{frame:?}"),
     }
     let grant = TokenGrant { request_id: 1, tokens: 1, retry_after: Millis(0) };
-    match decode(&encode(&Frame::Pong { tokens: Some(grant.clone()) })).unwrap() {
-        Frame::Pong { tokens } => assert_eq!(tokens, Some(grant)),
+    match decode(&encode(&Frame::Pong { tokens: Some(grant.clone()), load: None })).unwrap() {
+        Frame::Pong { tokens, load } => assert_eq!((tokens, load), (Some(grant), None)),
         frame => panic!("{frame:?}"),
     }
 }
@@ -118,6 +125,47 @@
     assert!(matches!(ping, Frame::Ping { tokens: None }));
 }
 
+/// Guards against requests whose urgency or cancellation is lost on the way, and against frames
+/// that older builds reject or take for the end of a transaction.
+#[test]
+fn urgency_and_cancellation_reach_the_owner() {
+    let urgency = Urgency { latency_left: Millis(80), time_left: Millis(700) };
+    let job = Job { urgency: Some(urgency), ..rollback_job("t".into()) };
+    let sent = Frame::Request { request_id: 4, stream: 0, job: job.clone() };
+    assert!(matches!(decode(&encode(&sent)).unwrap(), Frame::Request { job: it, .. } if it == job));
+    match decode_without_extensions(&sent) {
+        Frame::Request { job: received, .. } => assert_eq!(received, Job { urgency: None, ..job }),
+        frame => panic!("{frame:?}"),
+    }
+    let sent = Frame::EndStream { stream: 0, cancelled: Some(4) };
+    let received = decode(&encode(&sent)).unwrap();
+    assert!(matches!(received, Frame::EndStream { stream: 0, cancelled: Some(4) }));
+    let older = decode_without_extensions(&sent);
+    assert!(matches!(older, Frame::EndStream { stream: 0, cancelled: None }));
+}
+
+/// Guards against a statement that is lost on the way with the begin that carries it, or its result,
+/// and against frames that older builds reject.
+#[test]
+fn begin_carries_a_statement() {
+    let urgency = Some(Urgency { latency_left: Millis(80), time_left: Millis(700) });
+    let then = Some(Box::new(JobKind::Status));
+    let job = Job { urgency, then, ..rollback_job("t".into()) };
+    let sent = Frame::Request { request_id: 4, stream: 2, job: job.clone() };
+    assert!(matches!(decode(&encode(&sent)).unwrap(), Frame::Request { job: it, .. } if it == job));
+    match decode_without_extensions(&sent) {
+        Frame::Request { job: received, .. } => assert_eq!(received.then, None),
+        frame => panic!("{frame:?}"),
+    }
+    let result = Err(JobError::Lost);
+    let sent =
+        Frame::Response { request_id: 4, result: result.clone(), then: Some(result.clone()) };
+    let received = decode(&encode(&sent)).unwrap();
+    assert!(matches!(received, Frame::Response { then: Some(it), .. } if it == result));
+    let older = decode_without_extensions(&sent);
+    assert!(matches!(older, Frame::Response { then: None, .. }));
+}
+
 /// Guards against a status of the configuration that is lost on the way, that a build which
 /// knows only limits rejects, or that this one expects from such a build.
 #[test]
@@ -182,11 +230,27 @@
     assert_eq!(postcard::from_bytes::<ConfigStatus>(rest).unwrap(), ConfigStatus::Outdated);
 }
 
+/// Guards against hosts that use the targets of a failure domain which is out of use, because the
+/// list was lost on the way, with and without successors before it.
+#[test]
+fn evacuated_domains_reach_the_host() {
+    for successors in [&["r1"][..], &[]] {
+        let mut sent = view_update(successors);
+        if let Some(view) = &mut sent.view {
+            view.evacuated = vec!["midrand".into(), "isando".into()];
+        }
+        match decode(&encode(&Frame::Update(sent.clone()))).unwrap() {
+            Frame::Update(update) => assert_eq!(update.view, sent.view),
+            frame => panic!("{frame:?}"),
+        }
+    }
+}
+
 /// Guards against frames of older builds that this one rejects or encodes differently.
 #[test]
 fn frames_of_older_builds_are_read() {
     for (frame, bytes) in
-        [(Frame::Ping { tokens: None }, [0, 7]), (Frame::Pong { tokens: None }, [0, 8])]
+        [(Frame::Ping { tokens: None }, [0, 7]), (Frame::Pong { tokens: None, load: None }, [0, 8])]
     {
         assert_eq!(*encode(&frame), bytes);
     }
@@ -219,7 +283,10 @@
 fn log_entries_of_older_builds_are_read() {
     let command = FleetCommand::Inventory(InventoryDelta::default());
     let bytes = postcard::to_allocvec(&command).unwrap();
-    assert_eq!(LogEntry::decode(&bytes).unwrap(), LogEntry { command, allocations: None });
+    assert_eq!(
+        LogEntry::decode(&bytes).unwrap(),
+        LogEntry { command, allocations: None, evacuation: None }
+    );
 }
 
 /// Guards against allocations that a restored control host does not know, and against
@@ -254,3 +321,29 @@
     let known_to_older: FleetState = postcard::from_bytes(&bytes).unwrap();
     assert_eq!(known_to_older.promotions.newest(&service), Some(&"r3".into()));
 }
+
+/// Guards against a host's load that is lost on the way, or that older builds take for a grant of
+/// tokens that they wait for.
+#[test]
+fn load_follows_the_known_extensions() {
+    let load = Some(LoadReport { loop_delay: Millis(90) });
+    let limits = LimitReport { revision: REVISION, released: Vec::new() };
+    let sent = HostReport { load, ..report(Some(limits.clone())) };
+    match decode(&encode(&Frame::Report(sent))).unwrap() {
+        Frame::Report(report) => assert_eq!((report.limits, report.load), (Some(limits), load)),
+        frame => panic!("{frame:?}"),
+    }
+    let grant = TokenGrant { request_id: 1, tokens: 1, retry_after: Millis(0) };
+    for tokens in [None, Some(grant)] {
+        let bytes = encode(&Frame::Pong { tokens: tokens.clone(), load });
+        let (_, extension): (Frame, _) = postcard::take_from_bytes(&bytes[1..]).unwrap();
+        let read_by_older_build: TokenGrant = postcard::from_bytes(extension).unwrap();
+        assert_eq!(read_by_older_build.request_id, tokens.as_ref().map_or(0, |it| it.request_id));
+        match decode(&bytes).unwrap() {
+            Frame::Pong { tokens: received, load: told } => {
+                assert_eq!((received, told), (tokens, load));
+            }
+            frame => panic!("{frame:?}"),
+        }
+    }
+}
