--- a/src/fleet/link.rs
+++ b/src/fleet/link.rs
@@ -94,9 +94,14 @@
             append_update_extension(update, postcard::to_extend(limits, buf)?)
         }
         Frame::Ping { tokens: Some(req) } => postcard::to_extend(req, buf),
-        Frame::Request { job: Job { urgency: Some(urgency), .. }, .. } => {
-            postcard::to_extend(urgency, buf)
+        Frame::Request { job: Job { urgency: Some(urgency), then, .. }, .. } => {
+            let buf = postcard::to_extend(urgency, buf)?;
+            match then {
+                Some(then) => postcard::to_extend(&**then, buf),
+                None => Ok(buf),
+            }
         }
+        Frame::Response { then: Some(then), .. } => postcard::to_extend(then, buf),
         Frame::EndStream { cancelled: Some(request_id), .. } => {
             postcard::to_extend(request_id, buf)
         }
@@ -187,7 +192,14 @@
             *tokens = Some(grant).filter(|grant| *grant != NO_GRANT);
             *load = decode_load(rest)?;
         }
-        Frame::Request { job, .. } => job.urgency = Some(postcard::from_bytes(extension)?),
+        Frame::Request { job, .. } => {
+            let (urgency, rest) = postcard::take_from_bytes(extension)?;
+            job.urgency = Some(urgency);
+            if !rest.is_empty() {
+                job.then = Some(Box::new(postcard::from_bytes(rest)?));
+            }
+        }
+        Frame::Response { then, .. } => *then = Some(postcard::from_bytes(extension)?),
         Frame::EndStream { cancelled, .. } => *cancelled = Some(postcard::from_bytes(extension)?),
         _ => {}
     }
--- a/src/gateway/job.rs
+++ b/src/gateway/job.rs
@@ -6,7 +6,7 @@
 use crate::{
     clock::Millis,
     gateway::{
-        statement::{PreparedStatement, Request, Statement},
+        statement::{Answer, PreparedStatement, Request},
         urgency::Urgency,
     },
     ids::{InstanceId, Mark, Workspace},
@@ -41,8 +41,7 @@
     pub variables: IndexMap<String, String>,
     /// Priority of the route; 0 is served first.
     pub priority: u32,
-    /// Longest wait for a slot and for a connection; all of the timeout if no other target
-    /// could run the job.
+    /// Longest wait for a slot and for a connection.
     pub max_wait: Millis,
     /// Longest time until the answer.
     pub timeout: Millis,
@@ -50,19 +49,27 @@
     /// `None` from a host whose build does not send it.
     #[serde(skip)]
     pub urgency: Option<Urgency>,
+    /// First statement of the transaction that the job begins, to be run if it has begun. Saves
+    /// a round trip to the owner; only sent with the urgency.
+    #[serde(skip)]
+    pub then: Option<Box<JobKind>>,
 }
 
-impl JobKind {
-    /// Whether only the primary can run the job.
-    pub fn needs_primary(&self) -> bool {
-        match self {
-            Self::Statement { prepared: Some(prepared), .. } => prepared.writes,
-            Self::Statement { request, .. } => request.statement == Statement::Write,
-            Self::Begin { read_only, .. } => !read_only,
-            Self::Rollback | Self::Status => false,
-        }
+/// Results of a job, and of the statement that it carries; the latter is `None` if the job has
+/// not begun a transaction, or if the owner's build does not run it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Execution {
+    pub result: Result<Answer, JobError>,
+    pub then: Option<Result<Answer, JobError>>,
+}
+
+impl From<Result<Answer, JobError>> for Execution {
+    fn from(result: Result<Answer, JobError>) -> Self {
+        Self { result, then: None }
     }
+}
 
+impl JobKind {
     /// Whether the job may run only on the connection of an open transaction.
     pub fn needs_transaction(&self) -> bool {
         matches!(self, Self::Statement { in_transaction: true, .. })
--- a/src/gateway/operation.rs
+++ b/src/gateway/operation.rs
@@ -8,7 +8,7 @@
     gateway::{
         attempt::AttemptGuard,
         cx::Cx,
-        job::{Job, JobError, JobKind, RejectReason},
+        job::{Execution, Job, JobError, JobKind, RejectReason},
         ports::Targets,
         prepare::ResolvedRequest,
         primary_search::PrimarySearch,
@@ -105,17 +105,18 @@
         let is_shared = matches!(kind, JobKind::Status);
         let latency_left = (self.arrived + self.auth.route.target_latency).since(now);
         let urgency = Urgency { latency_left, time_left: timeout };
-        // A wait at the only target leaves no less time for a retry than a refusal.
-        let max_wait = if kind.needs_primary() { timeout } else { self.wait_deadline().since(now) };
         Job {
             target: target.clone(),
             workspace: self.auth.workspace.clone(),
             variables: self.session.variables.clone(),
             priority: self.auth.route.priority,
-            max_wait,
+            // Below the time from which an unanswered statement counts against a target: work that
+            // only waits for a slot must not make a busy primary look lost.
+            max_wait: self.wait_deadline().since(now),
             timeout,
             kind,
             urgency: (!is_shared).then_some(urgency),
+            then: None,
         }
     }
 
@@ -168,11 +169,6 @@
         selection.select(&service.targets).map(|it| (it.clone(), required))
     }
 
-    /// Whether a read that `target` refuses could run at another one.
-    fn has_alternative(&self, target: &InstanceId) -> bool {
-        self.usable_target(AccessMode::Read, std::slice::from_ref(target)).is_some()
-    }
-
     /// Whether a statement for `target` tests whether it answers again; the number of tests is
     /// bounded by itself.
     pub(super) fn is_probe(&self, target: &InstanceId) -> bool {
@@ -268,19 +264,24 @@
 
     /// Executes a job and records the outcome in the target's health.
     pub async fn run(&self, client: &mut TargetClient<T>, job: &Job) -> Result<Answer, JobError> {
+        self.run_with_next(client, job).await.result
+    }
+
+    /// Executes a job, and the statement that it carries, as [`Self::run`] does.
+    pub async fn run_with_next(&self, client: &mut TargetClient<T>, job: &Job) -> Execution {
         let target = client.target.clone();
         if let Some(refusal) = self.cx.job_refusal(&target, &job.kind) {
-            return Err(self.cx.refuse(&target, refusal));
+            return Err(self.cx.refuse(&target, refusal)).into();
         }
         let (service, workspace) = (&self.auth.route.service, self.auth.workspace.as_ref());
         self.cx.record_evacuated_use(&target, job, service, workspace);
         let attempt = AttemptGuard::new(&self.cx.health, self.cx.clock, &job.target);
-        let result = client.run(self.cx, job).await;
-        attempt.end(&result);
-        if let Err(JobError::Rejected(retry_after, _)) = &result {
+        let execution = client.run(self.cx, job).await;
+        attempt.end(execution.then.as_ref().unwrap_or(&execution.result));
+        if let Err(JobError::Rejected(retry_after, _)) = &execution.result {
             self.cx.record_rejected(&target, *retry_after);
         }
-        result
+        execution
     }
 
     /// Runs a read outside of transactions. Each attempt after one that may have run takes
@@ -305,11 +306,7 @@
             is_charged = true;
             let id = selected.client.target.id.clone();
             let kind = Self::statement(resolved, selected.after);
-            let mut job = self.job(&id, kind, self.read_attempt_deadline());
-            // A second target that refuses the read is the last one.
-            if !tried.is_empty() || !self.has_alternative(&id) {
-                job.max_wait = job.timeout;
-            }
+            let job = self.job(&id, kind, self.read_attempt_deadline());
             let is_probe = self.is_probe(&id);
             let result = self.run(&mut selected.client, &job).await;
             let takes_token = !is_probe && is_costly(&result);
--- a/src/gateway/peer_client.rs
+++ b/src/gateway/peer_client.rs
@@ -30,11 +30,10 @@
     },
     gateway::{
         cancellation::AbandonGuard,
-        job::{Job, JobError},
+        job::{Execution, Job, JobError},
         load_signal::LoadSignal,
         log_limit::{LogDecision, LogLimiter},
         metrics::{GatewayMetrics, PeerEvent},
-        statement::Answer,
         suspicion::{Suspicion, Verdict},
     },
     ids::Workspace,
@@ -62,7 +61,7 @@
 /// Channel for the answer to a call.
 #[derive(Debug)]
 enum Reply {
-    Job(oneshot::Sender<Result<Answer, JobError>>),
+    Job(oneshot::Sender<Execution>),
     Tokens(oneshot::Sender<TokenGrant>),
 }
 
@@ -77,7 +76,7 @@
     /// Reports that the call has failed. The receiver is gone if the call timed out.
     fn fail(self, error: JobError) {
         if let Self::Job(reply) = self {
-            let _ = reply.send(Err(error));
+            let _ = reply.send(Err(error).into());
         }
     }
 }
@@ -162,12 +161,12 @@
     }
 
     /// Executes `job` at the host at `addr`.
-    pub async fn call(&self, addr: &str, stream: u64, job: &Job) -> Result<Answer, JobError> {
+    pub async fn call(&self, addr: &str, stream: u64, job: &Job) -> Execution {
         let request_id = self.next_id();
         let frame = encode(&Frame::Request { request_id, stream, job: job.clone() });
         let (reply, outcome) = oneshot::channel();
         if !self.send(addr, Message::Request { request_id, frame, reply: Reply::Job(reply) }) {
-            return Err(JobError::Unreachable);
+            return Err(JobError::Unreachable).into();
         }
         // The other host applies the same timeout; the margin allows for the round trip.
         let timeout = job.timeout.duration() + CHECK_INTERVAL;
@@ -175,9 +174,9 @@
         match tokio::time::timeout(timeout, outcome).await {
             Ok(outcome) => {
                 abandoned.disarm();
-                outcome.unwrap_or(Err(JobError::Lost))
+                outcome.unwrap_or(Err(JobError::Lost).into())
             }
-            Err(_) => Err(JobError::Lost),
+            Err(_) => Err(JobError::Lost).into(),
         }
     }
 
@@ -397,9 +396,9 @@
 /// out.
 fn deliver(frame: Frame, outstanding: &mut HashMap<u64, Reply>) {
     match frame {
-        Frame::Response { request_id, result } => {
+        Frame::Response { request_id, result, then } => {
             if let Some(Reply::Job(reply)) = outstanding.remove(&request_id) {
-                let _ = reply.send(result);
+                let _ = reply.send(Execution { result, then });
             }
         }
         Frame::Pong { tokens: Some(grant), .. } => {
--- a/src/gateway/target_client.rs
+++ b/src/gateway/target_client.rs
@@ -7,14 +7,14 @@
     clock::Millis,
     fleet::messages::{Announcement, EntryHost},
     gateway::{
+        cancellation::Cancellation,
         cx::Cx,
-        executor::execute,
-        job::{Job, JobError, JobKind},
+        executor::{execute, execute_with_next},
+        job::{Execution, Job, JobError, JobKind},
         ownership::{OwnerSelection, Shard},
         peer_server::rollback_job,
         pool::Checkout,
         ports::Targets,
-        statement::Answer,
     },
     ids::HostId,
 };
@@ -47,33 +47,35 @@
 
     /// Executes a job. A job that has not reached the target is tried over another
     /// transport.
-    pub async fn run(&mut self, cx: &Cx<T>, job: &Job) -> Result<Answer, JobError> {
+    pub async fn run(&mut self, cx: &Cx<T>, job: &Job) -> Execution {
         let started = cx.now();
         let mut tried: Vec<HostId> = Vec::new();
         let timeout = job.timeout;
         let mut job = Cow::Borrowed(job);
         loop {
-            let result = match &mut self.transport {
-                Transport::Local(held) => execute(cx, held, &job).await,
+            let execution = match &mut self.transport {
+                Transport::Local(held) => {
+                    execute_with_next(cx, held, &job, &Cancellation::default()).await
+                }
                 Transport::Remote { host, stream } => {
                     cx.peers.call(&host.addr, *stream, &job).await
                 }
             };
             let is_initial = matches!(job.kind, JobKind::Begin { .. } | JobKind::Status);
             let may_switch = is_initial || !self.transactional;
-            if result != Err(JobError::Unreachable) || !may_switch {
-                return result;
+            if execution.result != Err(JobError::Unreachable) || !may_switch {
+                return execution;
             }
             tried.push(self.record_failure(cx));
             let remaining = timeout.since(cx.now().since(started));
             if tried.len() == MAX_ATTEMPTS || remaining == Millis(0) {
-                return result;
+                return execution;
             }
             job.to_mut().timeout = remaining;
             self.transport =
                 select_transport(cx, &self.target, self.shard, self.transactional, &tried);
             if matches!(self.transport, Transport::Local(_)) && tried.contains(&cx.settings.host) {
-                return result;
+                return execution;
             }
         }
     }
--- a/src/gateway/transaction.rs
+++ b/src/gateway/transaction.rs
@@ -9,7 +9,7 @@
     fleet::config::FleetConfig,
     gateway::{
         cx::Cx,
-        job::{JobError, JobKind, RejectReason},
+        job::{Execution, Job, JobError, JobKind, RejectReason},
         operation::{AccessMode, Operation, SelectedTarget},
         ports::Targets,
         prepare::ResolvedRequest,
@@ -103,19 +103,28 @@
             return Answer::error(ErrorCode::Malformed, text, TransactionState::Failed);
         }
         let arrived = cx.now();
-        if let Err(answer) = self.begin(cx, session, arrived).await {
-            self.failed = true;
-            self.refund();
-            return Answer { state: TransactionState::Failed, ..answer };
-        }
+        let (request, prepared) = (resolved.request.clone(), resolved.prepared.cloned());
+        let kind = JobKind::Statement { request, prepared, after: None, in_transaction: true };
+        let first = match self.begin(cx, session, arrived, Some(&kind)).await {
+            Ok(first) => first,
+            Err(answer) => {
+                self.failed = true;
+                self.refund();
+                return Answer { state: TransactionState::Failed, ..answer };
+            }
+        };
         self.wrote |= resolved.writes();
         let operation = Operation { cx, session, auth: &self.auth, arrived };
         let deadline = arrived + self.auth.route.statement_timeout;
         let Some(selected) = &mut self.selected else { return operation.unanswered() };
-        let (request, prepared) = (resolved.request.clone(), resolved.prepared.cloned());
-        let kind = JobKind::Statement { request, prepared, after: None, in_transaction: true };
-        let job = operation.job(&selected.client.target.id, kind, deadline);
-        match operation.run(&mut selected.client, &job).await {
+        let result = match first {
+            Some(result) => result,
+            None => {
+                let job = operation.job(&selected.client.target.id, kind, deadline);
+                operation.run(&mut selected.client, &job).await
+            }
+        };
+        match result {
             Ok(answer) => {
                 self.failed = answer.state != TransactionState::Open;
                 self.with_failed_state(answer)
@@ -133,15 +142,17 @@
         if self.failed { Answer { state: TransactionState::Failed, ..answer } } else { answer }
     }
 
-    /// Begins the transaction at a target unless it has begun.
+    /// Begins the transaction at a target unless it has begun. The begin carries the statement
+    /// `first`; returns its result, or `None` if it is still to be run.
     async fn begin(
         &mut self,
         cx: &Cx<T>,
         session: &Session,
         arrived: Millis,
-    ) -> Result<(), Answer> {
+        first: Option<&JobKind>,
+    ) -> Result<Option<Result<Answer, JobError>>, Answer> {
         if self.selected.is_some() {
-            return Ok(());
+            return Ok(None);
         }
         let operation = Operation { cx, session, auth: &self.auth, arrived };
         let mode = if self.read_only { AccessMode::Read } else { AccessMode::Write };
@@ -156,15 +167,17 @@
             let target = selected.client.target.clone();
             let kind = JobKind::Begin { read_only: self.read_only, after: selected.after };
             let deadline = arrived + self.auth.route.statement_timeout;
-            let job = operation.job(&target.id, kind, deadline);
+            let then = first.cloned().map(Box::new);
+            let job = Job { then, ..operation.job(&target.id, kind, deadline) };
             let is_probe = operation.is_probe(&target.id);
-            let result = operation.run(&mut selected.client, &job).await;
+            let Execution { result, then } =
+                operation.run_with_next(&mut selected.client, &job).await;
             let takes_token = !is_probe && is_costly(&result);
             match result {
                 Ok(answer) if answer.result.is_ok() => {
                     self.selected = Some(selected);
                     self.admission = None;
-                    return Ok(());
+                    return Ok(then);
                 }
                 Ok(answer) => {
                     if answer.code() == Some(ErrorCode::ReadOnly) {
@@ -200,7 +213,7 @@
             return Answer::error(ErrorCode::Aborted, text, TransactionState::Idle);
         }
         let arrived = cx.now();
-        if let Err(answer) = self.begin(cx, session, arrived).await {
+        if let Err(answer) = self.begin(cx, session, arrived, None).await {
             return Answer { state: TransactionState::Idle, ..answer };
         }
         let Some(mut selected) = self.selected.take() else {
--- a/tests/gateway_executor.rs
+++ b/tests/gateway_executor.rs
@@ -90,6 +90,7 @@
         timeout: Millis(500),
         kind: JobKind::Statement { request, prepared: None, after: None, in_transaction },
         urgency: None,
+        then: None,
     }
 }
 
