--- a/src/adapters/byte_budget.rs
+++ b/src/adapters/byte_budget.rs
@@ -54,7 +54,7 @@
     closing: Sums,
 }
 
-/// State of a reservation.
+/// Result of an attempt to reserve bytes that has not failed.
 enum Attempt {
     Reserved,
     /// Bytes of holders that are being closed are needed.
--- a/src/fleet/change_reason.rs
+++ b/src/fleet/change_reason.rs
@@ -126,8 +126,8 @@
             && usable_others(cx, service, primary).any(answered)
     }
 
-    /// Whether the change may promote `target`. One that moves the primary out of an evacuated
-    /// domain has no use for other targets that are about to go.
+    /// Whether the change may promote `target`. A change that moves the primary out of an evacuated
+    /// domain promotes no target that is about to leave or is in an evacuated domain.
     pub(super) fn may_lead(&self, cx: &Cx<'_>, target: &Announcement) -> bool {
         self.reason != Reason::Evacuated || is_usable(cx, target)
     }
@@ -191,8 +191,8 @@
     others.filter(|it| is_usable(cx, it) && is_reachable(cx, &it.id))
 }
 
-/// Whether a target is a better primary than one that fails. One that the hosts cannot reach, or
-/// may not use, is none.
+/// Whether another target can replace a primary that fails: it is not draining, hosts can reach it,
+/// and it is outside of evacuated domains unless the primary is in one as well.
 fn has_better(cx: &Cx<'_>, service: &Service, primary: &Announcement) -> bool {
     cx.registry.of_service(service).any(|it| {
         it.id != primary.id
--- a/src/fleet/evacuation_acknowledgement.rs
+++ b/src/fleet/evacuation_acknowledgement.rs
@@ -82,8 +82,8 @@
         }
     }
 
-    /// Gives up the evacuations of a domain that was readmitted meanwhile, whose promise does not
-    /// hold any more.
+    /// Answers the pending evacuations of a readmitted domain with `Unavailable`, because hosts may
+    /// send statements to its targets again.
     fn give_up_evacuations(&mut self, withdrawal: &EvacuationOrder) {
         let is_withdrawn = |it: &mut PendingEvacuation| it.rollout.domain == withdrawal.domain;
         for pending in self.pending_evacuations.extract_if(.., is_withdrawn) {
--- a/src/fleet/evacuation_rollout.rs
+++ b/src/fleet/evacuation_rollout.rs
@@ -7,8 +7,8 @@
 //! have stopped using any older view within the promised delay.
 //!
 //! A host may go on for a part of the delay after it learned of the evacuation, while the primary
-//! is replaced, if it had a lease by then. A host that the leader has counted as expired may learn of
-//! it only after the acknowledgement, but has no lease then, because of [`MAX_COUNTED_DELAY`].
+//! is replaced, if it had a lease by then. A host that the leader has counted as expired may learn
+//! of it only after the acknowledgement, but has no lease then, because of [`MAX_COUNTED_DELAY`].
 //!
 //! [`MAX_VIEW_AGE`]: crate::gateway::primary_proof::MAX_VIEW_AGE
 
@@ -23,8 +23,8 @@
     ids::FailureDomain,
 };
 
-/// Part of the delay on which the leader counts: with more, hosts whose lease is valid would count as
-/// expired.
+/// Longest delay that the leader assumes when it decides on an acknowledgement. With a longer one,
+/// hosts whose lease is still valid would count as expired.
 const MAX_COUNTED_DELAY: Millis = Millis(VIEW_EXPIRY.0 - LEASE_EXPIRY.0);
 
 /// First view of a leader that names each evacuated domain; later ones name it as well.
--- a/src/fleet/leadership.rs
+++ b/src/fleet/leadership.rs
@@ -1,4 +1,4 @@
-//! Begin and end of a control host's time as the leader, and its state in the metrics.
+//! Start and end of a control host's leadership, and the metrics of its state.
 
 use crate::{
     clock::{Clock, Millis},
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -1,8 +1,8 @@
 //! Control plane of a fleet whose entry hosts and targets are discovered at run time.
 //!
-//! The control group replicates the configuration, unfinished promotions, the inventory of
-//! targets and hosts, the allocations of the rate limits and evacuations in its log. The leases of entry
-//! hosts are kept only in the leader's memory, and are rebuilt after a leader change.
+//! The control group replicates the configuration, unfinished promotions, the inventory of targets
+//! and hosts, the allocations of the rate limits and the evacuations in its log. The leases of
+//! entry hosts are kept only in the leader's memory, and are rebuilt after a leader change.
 
 mod allocated_host;
 pub mod allocation;
--- a/src/gateway/class_queue.rs
+++ b/src/gateway/class_queue.rs
@@ -1,8 +1,9 @@
 //! Queue of requests that is shared between the priorities of the routes.
 //!
-//! Priorities share the time of the slots by their weights, whatever the number of workspaces that
-//! use each; a share of the starts would favour those with long statements. The requests of one priority are shared fairly between workspaces. A workspace on a priority
-//! without waiting requests therefore overtakes the queues of all others.
+//! Priorities share slot time by weight, independently of the number of workspaces that use each.
+//! Sharing the number of starts instead would favour priorities with long statements. Within one
+//! priority, workspaces share fairly, so a workspace with no waiting requests is served ahead of
+//! the queues of the others.
 
 use crate::{
     gateway::service_time::ServiceTimes,
--- a/src/gateway/executor.rs
+++ b/src/gateway/executor.rs
@@ -147,7 +147,7 @@
         return Err(JobError::Unreachable);
     }
     if let Some(refusal) = cx.job_refusal(&target, &job.kind) {
-        // Whoever ends the transaction has recorded why.
+        // The refusal is recorded where the transaction is ended.
         if !matches!(job.kind, JobKind::Rollback) {
             cx.record_refusal(&target, refusal);
         }
--- a/src/gateway/health.rs
+++ b/src/gateway/health.rs
@@ -25,7 +25,7 @@
 /// Age of the last answer from which a failing target is reported as such.
 const SILENCE_THRESHOLD: Millis = Millis(300);
 
-/// Delay of the event loop that does not count as a stall.
+/// Shortest delay of the event loop that counts as a stall.
 const MIN_STALL: Millis = Millis(100);
 
 /// Health of all targets.
--- a/src/gateway/ownership.rs
+++ b/src/gateway/ownership.rs
@@ -87,7 +87,7 @@
 /// Role of a host for a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OwnerRole {
-    /// First in the ranking of so many shards.
+    /// First in the ranking of owners for this number of shards.
     Owner(u32),
     /// Used by other hosts because the owner is unusable to them.
     Fallback,
--- a/src/gateway/primary_search.rs
+++ b/src/gateway/primary_search.rs
@@ -42,8 +42,8 @@
 pub enum PrimarySearch {
     /// `target` was the primary at `asked_at`, when the host had the view `view`.
     Proven { target: InstanceId, asked_at: Millis, view: ViewRevision },
-    /// No target that may get new work was proven to be the primary by the search of `asked_at`, nor
-    /// by those before it since `since`.
+    /// No target that may get new work was proven to be the primary by the search of `asked_at`,
+    /// nor by those before it since `since`.
     Unproven { since: Millis, asked_at: Millis },
     /// The owner of the primary in the view rejected the query.
     Rejected(Millis, RejectReason),
--- a/src/gateway/read_selection.rs
+++ b/src/gateway/read_selection.rs
@@ -1,9 +1,9 @@
 //! Selection of the target for a read.
 //!
-//! Targets that are draining, failing or known to lag behind the required position are
-//! excluded. Of the others the one with the lowest expected latency is selected, after those that
-//! evacuations and their withdrawals keep reads from. The
-//! expected latency grows with the outstanding statements, which balances the load.
+//! Targets that are draining, failing or known to lag behind the required position are excluded.
+//! Targets that reads should avoid because of an evacuation or its withdrawal come last. Of the
+//! others, the one with the lowest expected latency is selected. The expected latency grows with
+//! the outstanding statements, which balances the load.
 
 use crate::{
     clock::Millis,
--- a/src/gateway/retry_budget.rs
+++ b/src/gateway/retry_budget.rs
@@ -17,8 +17,8 @@
 /// Tokens that a first attempt adds.
 const TOKENS_PER_FIRST_ATTEMPT: f32 = 0.1;
 
-/// Most tokens of a service. A target that is lost takes about as many outstanding requests of one
-/// host with it.
+/// Maximum number of tokens of a service: about the number of outstanding requests that one host
+/// loses with a target.
 const MAX_TOKENS: f32 = 20.0;
 
 /// Whether an attempt with this result may have put load on a target or its queue, so that a
--- a/src/gateway/suspicion.rs
+++ b/src/gateway/suspicion.rs
@@ -1,19 +1,19 @@
 //! Suspicion of other entry hosts that do not answer.
 //!
-//! Handles the load at which all hosts answer late for a moment: a fixed silence timeout then counts
-//! most of them as lost, and their work moves to hosts that are as late. Here a silent host is
-//! compared with its own usual delay and with the other hosts at the same time, and silence in
+//! Handles the load at which all hosts answer late for a moment: a fixed silence timeout then
+//! counts most of them as lost, and their work moves to hosts that are as late. Here a silent host
+//! is compared with its own usual delay and with the other hosts at the same time, and silence in
 //! which this process itself was stalled does not count.
 //!
 //! A host that is silent for longer than the timeout, but not for longer than the comparison
-//! allows, is *late*: it keeps its calls, and new work goes elsewhere within a budget. A *lost* host
-//! loses its calls; it is used again after a successful trial.
+//! allows, is *late*: it keeps its calls, and new work goes elsewhere within a budget. A *lost*
+//! host loses its calls; it is used again after a successful trial.
 
 use indexmap::IndexMap;
 
 use crate::clock::Millis;
 
-/// Loop delay that does not count as a stall of this process.
+/// Shortest loop delay that counts as a stall of this process.
 const MIN_STALL: Millis = Millis(20);
 
 /// Weight of the newest sample in the moving average of a host's delay.
--- a/src/gateway/target_use.rs
+++ b/src/gateway/target_use.rs
@@ -197,14 +197,15 @@
         spdlog::info!("statement sent to an evacuated domain", kv: {domain = target.domain.as_str(), target = target.id.as_str(), service = service.as_str(), workspace = workspace.map_or("none", |it| it.as_str()), reason, evacuated_ms = evacuated_for.0, left_out = suppressed});
     }
 
-    /// Error for a statement of this host's session, which is counted; the log line on the failed
-    /// request tells the rest.
+    /// Counts a refused statement of this host's session, and returns its error. It writes no log
+    /// line, because the failed request is logged.
     pub fn refuse(&self, target: &Announcement, refusal: Refusal) -> JobError {
         self.metrics.record_refusal(&target.domain, refusal.label());
         refusal.error()
     }
 
-    /// Counts and logs a refused job of another host or a transaction that ends, subject to the rate limit of the log.
+    /// Counts a refused job of another host, or a transaction that ends because of a refusal, and
+    /// logs it subject to the rate limit of the log.
     pub fn record_refusal(&self, target: &Announcement, refusal: Refusal) {
         self.metrics.record_refusal(&target.domain, refusal.label());
         let now = self.now();
--- a/src/gateway/transaction.rs
+++ b/src/gateway/transaction.rs
@@ -271,7 +271,7 @@
         self.refund();
     }
 
-    /// Waits until the transaction must be rolled back although its caller sends nothing: its target
+    /// Waits until the transaction must be rolled back while its caller sends nothing: its target
     /// gets no more statements, or `idle_timeout` has passed (`None`).
     pub async fn end_of_idleness(&self, cx: &Cx<T>, idle_timeout: Millis) -> Option<Refusal> {
         let idle_since = cx.now();
--- a/src/gateway/urgency.rs
+++ b/src/gateway/urgency.rs
@@ -21,7 +21,7 @@
     settings::owner::QueueSettings,
 };
 
-/// While late requests wait, one of so many starts is theirs.
+/// While late requests wait, one of this many starts is reserved for them.
 const LATE_INTERVAL: u32 = 8;
 
 /// How urgent a request is when it is sent to the owner of its target.
