Mend what the review of the joined parts found

Callers could see a refusal although an earlier attempt may have run; a full queue to another host lost the end of a transaction, which stayed open there; a replica that answered control late delayed the replacement of a dead primary. Change: a read whose earlier attempt may have run gives that attempt's answer; the end of a stream waits for room in the queue, which stays with its connection; answers to control are measured from their own query.

--- a/src/fleet/failure_evidence.rs
+++ b/src/fleet/failure_evidence.rs
@@ -106,11 +106,13 @@
         target: &InstanceId,
         sent_at: Millis,
     ) {
-        let Some(asked_at) = self.asked_at.filter(|at| sent_at >= *at) else { return };
+        if self.asked_at.is_none_or(|at| sent_at < at) {
+            return;
+        }
         if primary == Some(target) {
             self.restart();
         } else {
-            self.answers.entry(target.clone()).or_insert(now.since(asked_at));
+            self.answers.entry(target.clone()).or_insert(now.since(sent_at));
         }
     }
 
--- a/src/gateway/operation.rs
+++ b/src/gateway/operation.rs
@@ -320,6 +320,8 @@
                         _ => return Outcome { answer, may_have_run: true },
                     }
                 }
+                // After an attempt that may have run, a refusal would not be true.
+                Err(JobError::Rejected(..)) if may_have_run => break,
                 Err(error @ JobError::Rejected(..)) if !tried.is_empty() => {
                     return Outcome { answer: self.error_answer(&error), may_have_run };
                 }
--- a/src/gateway/peer_client.rs
+++ b/src/gateway/peer_client.rs
@@ -18,7 +18,10 @@
 use eyre::{Result, bail};
 use futures::{SinkExt, StreamExt};
 use tokio::{
-    sync::{mpsc, oneshot},
+    sync::{
+        mpsc::{self, error::TrySendError},
+        oneshot,
+    },
     time::{Instant, MissedTickBehavior, interval, timeout},
 };
 
@@ -208,23 +211,17 @@
         if self.shared.suspicion.borrow().is_lost(addr) {
             return false;
         }
-        let is_queued = peer.queue.try_send(message).is_ok();
-        if !is_queued {
-            self.peers.borrow_mut().remove(addr);
-        }
-        is_queued
+        peer.queue.try_send(message).is_ok()
     }
 
-    /// Ends `stream` at the host at `addr`, which rolls back its open transaction.
+    /// Ends `stream` at the host at `addr`, which rolls back its open transaction. The message
+    /// waits for room in the queue: without it the transaction would stay open at the other host.
     pub fn end(&self, addr: &str, stream: u64) {
-        let peer = self.peer(addr);
-        if peer
-            .queue
-            .try_send(Message::Notice(encode(&Frame::EndStream { stream, cancelled: None })))
-            .is_err()
-        {
-            // The other host rolls back when the connection closes.
-            self.peers.borrow_mut().remove(addr);
+        let queue = self.peer(addr).queue.clone();
+        let message = Message::Notice(encode(&Frame::EndStream { stream, cancelled: None }));
+        if let Err(TrySendError::Full(message)) = queue.try_send(message) {
+            // If the connection ends meanwhile, the other host rolls back as well.
+            tokio::task::spawn_local(async move { queue.send(message).await });
         }
     }
 
