Log who votes, why a control host does not serve, and what its disk waits for

The landed log could not tell the hypotheses on the incident apart: no line named the voters or why they changed, why a host answered no request, or that it waited for its disk; a removed host wrote 680 lines in 8 s.

- "log restored" at the start: term, vote, last entry, number of voters.
- "voters changed" on every host, "changing the voters" with the reason and the responding voters on the leader.
- "requests cannot be served" after 1 s and then every 5 s, with the first thing that the host lacks (`Node::service_state`, which also decides `is_serving`).
- "the disk has not synced a write" after 1 s and then every 5 s.
- The reported removal at most every 5 s, on both paths.
- Gauges responding_voters, votes, disk_wait_ms on both paths.

Decisions are unchanged.

--- a/src/control/driver.rs
+++ b/src/control/driver.rs
@@ -1,12 +1,14 @@
 //! Handling of [`Node`] outputs that is common to all kinds of control hosts: writes to
 //! the disk, and messages that depend on them.
 
+use std::collections::VecDeque;
+
 use eyre::{Result, WrapErr};
 use serde::{Serialize, de::DeserializeOwned};
 
 use crate::{
     adapters::disk_queue::DiskQueue,
-    clock::{Clock, SystemClock},
+    clock::{Clock, Millis, SystemClock},
     control::{
         deferred::DeferredMessages,
         node::{Input, Node, Output, Proposal},
@@ -19,6 +21,8 @@
     clock: SystemClock,
     disk: DiskQueue,
     deferred: DeferredMessages,
+    /// When each write that is not synced was queued.
+    unsynced: VecDeque<Millis>,
     /// Commands to propose after the current batch, with one sync for all of them.
     proposals: Vec<Proposal>,
     last_proposal_id: u64,
@@ -27,7 +31,15 @@
 impl Driver {
     pub fn new(node: Node, clock: SystemClock, disk: DiskQueue) -> Self {
         let deferred = DeferredMessages::default();
-        Self { node, clock, disk, deferred, proposals: Vec::new(), last_proposal_id: 0 }
+        Self {
+            node,
+            clock,
+            disk,
+            deferred,
+            unsynced: VecDeque::new(),
+            proposals: Vec::new(),
+            last_proposal_id: 0,
+        }
     }
 
     /// Processes an input and returns the outputs that the caller must execute, in order.
@@ -38,6 +50,7 @@
             match output {
                 Output::Persist(write) => {
                     self.deferred.record_write();
+                    self.unsynced.push_back(self.clock.now());
                     writes.push(write);
                 }
                 Output::Send { addr, message } if self.deferred.must_defer(&message) => {
@@ -56,6 +69,7 @@
     /// outputs.
     pub fn confirm(&mut self) -> Result<Vec<Output>> {
         self.deferred.record_sync();
+        self.unsynced.pop_front();
         let mut remaining = self.step(Input::Persisted)?;
         while let Some((addr, message)) = self.deferred.pop_ready() {
             remaining.push(Output::Send { addr, message });
@@ -63,6 +77,16 @@
         Ok(remaining)
     }
 
+    /// When the oldest write that is not synced was queued.
+    pub fn unsynced_since(&self) -> Option<Millis> {
+        self.unsynced.front().copied()
+    }
+
+    /// Number of writes that are not synced.
+    pub fn unsynced_writes(&self) -> usize {
+        self.unsynced.len()
+    }
+
     /// Queues a command for the next batch of proposals and returns its proposal id.
     pub fn propose<C: Serialize>(&mut self, command: &C) -> u64 {
         self.last_proposal_id += 1;
--- a/src/control/event_loop.rs
+++ b/src/control/event_loop.rs
@@ -18,6 +18,7 @@
     clock::{Clock, Millis, SystemClock},
     control::{
         driver::Driver,
+        group_log::GroupLog,
         leases::LeaseTable,
         metrics::Metrics,
         node::{Input, Node},
@@ -80,8 +81,7 @@
     pub(super) has_unsent_changes: bool,
     /// Earliest time of the next push of updates.
     next_push_at: Millis,
-    /// When the removal of this host from the group was last logged.
-    pub(super) removal_logged_at: Option<Millis>,
+    pub(super) group_log: GroupLog,
     /// Time of the last message from each control host, by name.
     last_contact: BTreeMap<String, Millis>,
     metrics: Arc<Metrics>,
@@ -114,7 +114,7 @@
             apply_requests: ApplyRequests::default(),
             has_unsent_changes: false,
             next_push_at: Millis(0),
-            removal_logged_at: None,
+            group_log: GroupLog::default(),
             last_contact: BTreeMap::new(),
             metrics,
         }
@@ -153,6 +153,7 @@
         self.step(Input::Tick)?;
         self.reconnect();
         let now = self.clock.now();
+        self.group_log.record(now, &self.group);
         if !self.group.node.is_serving(now) {
             return Ok(());
         }
@@ -214,12 +215,7 @@
         if let Some(input) = self.group.compaction(SNAPSHOT_ENTRIES, &self.state)? {
             self.step(input)?;
         }
-        self.metrics.update(
-            self.clock.now(),
-            &self.group.node,
-            &self.state,
-            self.leadership.as_ref(),
-        );
+        self.metrics.update(self.clock.now(), &self.group, &self.state, self.leadership.as_ref());
         Ok(())
     }
 
--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -6,7 +6,7 @@
     clock::Millis,
     control::{
         membership::MAX_VOTERS,
-        node::{Node, Output, Proposal, State},
+        node::{Node, Output, Proposal, State, VoterChange, VoterChangeReason},
         replication::{Progress, Replication},
         snapshot::SnapshotTransfer,
     },
@@ -35,18 +35,22 @@
     pub(super) replication: Replication,
     elected_at: Millis,
     /// Index of the leader's first entry.
-    first_index: u64,
+    pub(super) first_index: u64,
 }
 
 impl Node {
-    /// Whether this host may serve requests: it is the leader, all entries of earlier
-    /// leaders are committed, a majority has confirmed it within its lease, and the
-    /// group has enough voters.
-    pub fn is_serving(&self, now: Millis) -> bool {
-        let State::Leader(state) = &self.state else { return false };
-        self.commit_index >= state.first_index
-            && self.has_majority(now, self.settings.timing.leader_lease())
-            && self.members().0.len() >= self.settings.group.len().min(MIN_VOTERS)
+    /// Whether the group has as many voters as it needs before it serves.
+    pub(super) fn has_enough_voters(&self) -> bool {
+        self.members().0.len() >= self.settings.group.len().min(MIN_VOTERS)
+    }
+
+    /// Number of voters that respond to this host, including itself; 0 unless it leads.
+    pub fn responding_voters(&self, now: Millis) -> usize {
+        let State::Leader(state) = &self.state else { return 0 };
+        let timeout = self.settings.timing.replace_after;
+        let hosts = &state.replication.hosts;
+        let responds = |id| hosts.get(id).is_none_or(|p| now.since(p.last_contact) < timeout);
+        self.members().0.keys().filter(|id| responds(id)).count()
     }
 
     /// Whether a majority has responded to messages that were sent within the last `span`.
@@ -300,18 +304,30 @@
         let unresponsive = self.unresponsive_voter(now);
         let State::Leader(state) = &mut self.state else { return };
         let mut next = self.history.current().clone();
-        if let Some(id) = next.replaced().cloned().or(unresponsive) {
+        if let Some(id) = next.replaced().cloned() {
             next.0.remove(&id);
             // Otherwise the removed host would count as a learner.
             state.replication.hosts.remove(&id);
+            self.report_voter_change(now, id, VoterChangeReason::Replaced);
+        } else if let Some(id) = unresponsive {
+            next.0.remove(&id);
+            state.replication.hosts.remove(&id);
+            self.report_voter_change(now, id, VoterChangeReason::Unresponsive);
         } else if let Some((id, member)) = self.caught_up_learner(now) {
-            next.0.insert(id, member);
+            next.0.insert(id.clone(), member);
+            self.report_voter_change(now, id, VoterChangeReason::CaughtUp);
         } else {
             return;
         }
         self.append_as_leader(now, vec![Payload::Members(next)]);
     }
 
+    fn report_voter_change(&mut self, now: Millis, host: ControlId, reason: VoterChangeReason) {
+        let (voters, responding) = (self.members().0.len(), self.responding_voters(now));
+        let change = VoterChange { host, reason, voters, responding };
+        self.outputs.push(Output::VotersChanging(change));
+    }
+
     /// Voter to remove because it does not respond, with dynamic membership. The other
     /// voters must have a majority without it.
     fn unresponsive_voter(&self, now: Millis) -> Option<ControlId> {
--- a/src/control/metrics.rs
+++ b/src/control/metrics.rs
@@ -12,10 +12,7 @@
 use crate::{
     adapters::bus::{Bus, BusCounters},
     clock::Millis,
-    control::{
-        event_loop::Leadership,
-        node::{Node, Role},
-    },
+    control::{driver::Driver, event_loop::Leadership, node::Role},
     state::model::ClusterState,
 };
 
@@ -37,6 +34,9 @@
     commit_index: Gauge,
     last_index: Gauge,
     voters: Gauge,
+    responding_voters: Gauge,
+    votes: Gauge,
+    disk_wait: Gauge,
     revision: Gauge,
     version: Gauge,
     hosts: Gauge,
@@ -60,6 +60,9 @@
             commit_index: gauge("commit_index", "Index of the last committed entry"),
             last_index: gauge("last_index", "Index of the last entry"),
             voters: gauge("voters", "Control hosts with a vote"),
+            responding_voters: gauge("responding_voters", "Voters that respond to this leader"),
+            votes: gauge("votes", "Whether this host has a vote"),
+            disk_wait: gauge("disk_wait_ms", "Age of the oldest write that is not synced"),
             revision: gauge("revision", "Revision of the cluster state"),
             version: gauge("version", "Version of the accepted file"),
             hosts: gauge("hosts", "Live entry hosts"),
@@ -75,10 +78,11 @@
     pub(super) fn update(
         &self,
         now: Millis,
-        node: &Node,
+        group: &Driver,
         state: &ClusterState,
         leadership: Option<&Leadership>,
     ) {
+        let node = &group.node;
         let role = node.role();
         let serving = node.is_serving(now);
         let follows = role.role == Role::Follower && role.leader.is_some();
@@ -89,6 +93,9 @@
         set_gauge(&self.commit_index, node.commit_index());
         set_gauge(&self.last_index, node.last().index);
         set_gauge(&self.voters, node.members().0.len() as u64);
+        set_gauge(&self.responding_voters, node.responding_voters(now) as u64);
+        self.votes.set(i64::from(node.members().0.contains_key(node.id())));
+        set_gauge(&self.disk_wait, group.unsynced_since().map_or(0, |at| now.since(at).0));
         set_gauge(&self.revision, state.view.revision.0);
         set_gauge(&self.version, state.view.version);
         set_gauge(&self.hosts, state.view.hosts.len() as u64);
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -122,6 +122,8 @@
         leader: Option<ControlId>,
     },
     RoleChanged(RoleChange),
+    /// This host, the leader, begins to change the voters.
+    VotersChanging(VoterChange),
     /// The process did not run for `gap`.
     Frozen {
         gap: Millis,
@@ -132,6 +134,29 @@
     },
 }
 
+/// Change of the voters that a leader begins.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct VoterChange {
+    /// Host that is added or removed.
+    pub host: ControlId,
+    pub reason: VoterChangeReason,
+    /// Number of voters before the change.
+    pub voters: usize,
+    /// Number of voters that respond to the leader, including itself.
+    pub responding: usize,
+}
+
+/// Why a leader changes the voters.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum VoterChangeReason {
+    #[display("adding a host that has caught up")]
+    CaughtUp,
+    #[display("removing a host whose successor of the same name votes")]
+    Replaced,
+    #[display("removing a host that does not respond")]
+    Unresponsive,
+}
+
 /// Role of a host in its group.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Display)]
 pub enum Role {
@@ -257,6 +282,11 @@
         RoleChange { role, term: self.vote.term, leader: self.leader.clone() }
     }
 
+    /// Term and vote of this host.
+    pub fn vote(&self) -> &Vote {
+        &self.vote
+    }
+
     /// Index of the last committed entry.
     pub fn commit_index(&self) -> u64 {
         self.commit_index
--- a/src/control/outputs.rs
+++ b/src/control/outputs.rs
@@ -4,15 +4,15 @@
 use eyre::{Result, WrapErr};
 
 use crate::{
-    clock::{Clock, Millis},
+    clock::Clock,
     control::{
         driver::decode_state,
         event_loop::{EventLoop, HISTORY_CHANGES, Leadership},
+        group_log::log_voter_change,
         leases::LeaseTable,
         node::{Input, Output, Role, RoleChange},
         promotions::Promotions,
     },
-    ids::ControlId,
     promotion::state_machine::Action,
     settings::promotion::PromotionSettings,
     state::{
@@ -25,10 +25,6 @@
     },
 };
 
-/// Interval between log lines about the removal of this host. A removed host keeps
-/// requesting votes, and each answer reports the removal again.
-const REMOVAL_LOG_INTERVAL: Millis = Millis(10_000);
-
 impl EventLoop {
     pub(super) fn step(&mut self, input: Input) -> Result<()> {
         for output in self.group.step(input)? {
@@ -67,19 +63,12 @@
                     leadership.leases.extend_all(self.clock.now());
                 }
             }
-            Output::Removed { by } => self.log_removal(&by),
+            Output::VotersChanging(change) => log_voter_change(&change),
+            Output::Removed { by } => self.group_log.record_removal(self.clock.now(), &by),
         }
         Ok(())
     }
 
-    fn log_removal(&mut self, by: &ControlId) {
-        let now = self.clock.now();
-        if self.removal_logged_at.is_none_or(|at| now.since(at) >= REMOVAL_LOG_INTERVAL) {
-            self.removal_logged_at = Some(now);
-            spdlog::warn!("control host {by} reports that this host was removed from the group");
-        }
-    }
-
     fn send_group(&self, addr: &str, message: GroupMessage) -> Result<()> {
         let body = postcard::to_stdvec(&ControlMessage::Group(message))?;
         self.bus.send(addr, &body);
--- a/src/control/runtime.rs
+++ b/src/control/runtime.rs
@@ -25,6 +25,7 @@
     control::{
         driver::decode_state,
         event_loop::{Event, EventLoop, Parts},
+        group_log::log_start,
         metrics::Metrics,
         node::{GroupPolicy, Node, NodeSettings},
     },
@@ -88,6 +89,7 @@
     let entries = stored.entries.len();
     spdlog::info!("opened the data folder", kv: {id = id.as_str(), entries, revision = state.view.revision.0});
     let node = Node::new(node_settings(settings, id), stored, clock.now());
+    log_start(&node);
     let settings = settings.clone();
     let (disk, confirmations) = DiskQueue::start(disk)?;
     let parts = Parts { settings, clock, node, disk, bus, fencing, state, metrics };
--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -12,6 +12,7 @@
     clock::{Clock, Millis, SystemClock},
     control::{
         driver::Driver,
+        group_log::GroupLog,
         node::{Input, Node},
     },
     fleet::{
@@ -97,6 +98,7 @@
 pub struct ControlLoop<P> {
     pub(super) clock: SystemClock,
     pub(super) group: Driver,
+    pub(super) group_log: GroupLog,
     pub(super) lease_holder: String,
     pub(super) links: Links,
     /// When each other control host was last heard, by name.
@@ -171,6 +173,7 @@
         Self {
             clock,
             group: Driver::new(node, clock, disk),
+            group_log: GroupLog::default(),
             lease_holder,
             links: Links::default(),
             peers_heard_at: HashMap::new(),
@@ -245,6 +248,7 @@
     fn tick(&mut self) -> Result<()> {
         self.step(Input::Tick)?;
         self.reconnect();
+        self.group_log.record(self.clock.now(), &self.group);
         if self.group.node.is_serving(self.clock.now()) {
             self.leader_tick();
         }
--- a/src/fleet/group_io.rs
+++ b/src/fleet/group_io.rs
@@ -5,7 +5,10 @@
 
 use crate::{
     clock::{Clock, Millis},
-    control::node::{Input, Output},
+    control::{
+        group_log::log_voter_change,
+        node::{Input, Output},
+    },
     fleet::{
         control::{ControlLoop, ControlResponse, PendingCommit},
         document::decode_config,
@@ -69,9 +72,8 @@
                 self.change_role(change.role, change.term.0);
             }
             Output::Frozen { gap } => self.reset_after_pause(gap),
-            Output::Removed { by } => {
-                spdlog::warn!("other control hosts consider this one removed from the group", kv: {by = by.as_str()});
-            }
+            Output::VotersChanging(change) => log_voter_change(&change),
+            Output::Removed { by } => self.group_log.record_removal(self.clock.now(), &by),
         }
         Ok(())
     }
--- a/src/fleet/leadership.rs
+++ b/src/fleet/leadership.rs
@@ -61,7 +61,8 @@
     }
 
     pub(super) fn update_metrics(&self) {
-        let role = self.group.node.role();
+        let (now, node) = (self.clock.now(), &self.group.node);
+        let role = node.role();
         let leader = self.leader_state.as_ref();
         let count_changing = |leader: &LeaderState| {
             let services = leader.failover.services().map(|(service, _)| service);
@@ -75,10 +76,13 @@
         };
         self.metrics.update(ControlState {
             is_leader: role.role == Role::Leader,
-            serving: self.group.node.is_serving(self.clock.now()),
+            serving: node.is_serving(now),
             term: role.term.0,
-            commit_index: self.group.node.commit_index(),
-            voters: self.group.node.members().0.len(),
+            commit_index: node.commit_index(),
+            voters: node.members().0.len(),
+            responding_voters: node.responding_voters(now),
+            votes: node.members().0.contains_key(node.id()),
+            disk_wait: self.group.unsynced_since().map_or(Millis(0), |at| now.since(at)),
             config_version: self.state.config.version,
             hosts: leader.map_or(0, |leader| leader.hosts.len()),
             targets: leader.map_or(0, |leader| leader.registry.all().count()),
--- a/src/fleet/metrics.rs
+++ b/src/fleet/metrics.rs
@@ -4,7 +4,7 @@
 
 use prometheus_client::metrics::{counter::Counter, gauge::Gauge};
 
-use crate::adapters::metric_set::MetricSet;
+use crate::{adapters::metric_set::MetricSet, clock::Millis};
 
 /// Prefix of all metric names.
 const PREFIX: &str = "pomelopin_control";
@@ -17,6 +17,9 @@
     pub term: u64,
     pub commit_index: u64,
     pub voters: usize,
+    pub responding_voters: usize,
+    pub votes: bool,
+    pub disk_wait: Millis,
     pub config_version: u64,
     pub hosts: usize,
     pub targets: usize,
@@ -34,6 +37,9 @@
     term: Gauge,
     commit_index: Gauge,
     voters: Gauge,
+    responding_voters: Gauge,
+    votes: Gauge,
+    disk_wait: Gauge,
     config_version: Gauge,
     hosts: Gauge,
     targets: Gauge,
@@ -58,6 +64,10 @@
         let term = gauge("term", "Term of the group");
         let commit_index = gauge("commit", "Last committed entry of the log");
         let voters = gauge("voters", "Voters of the group");
+        let responding_voters =
+            gauge("responding_voters", "Voters that respond to this leader, including itself");
+        let votes = gauge("votes", "1 while this host has a vote");
+        let disk_wait = gauge("disk_wait_ms", "Age of the oldest write that is not synced");
         let config_version = gauge("config_version", "Version of the configuration in force");
         let hosts = gauge("hosts", "Entry hosts that report to this leader");
         let targets = gauge("targets", "Targets that this leader knows");
@@ -89,6 +99,9 @@
             term,
             commit_index,
             voters,
+            responding_voters,
+            votes,
+            disk_wait,
             config_version,
             hosts,
             targets,
@@ -113,6 +126,9 @@
         self.term.set(signed(state.term));
         self.commit_index.set(signed(state.commit_index));
         self.voters.set(signed(state.voters as u64));
+        self.responding_voters.set(signed(state.responding_voters as u64));
+        self.votes.set(i64::from(state.votes));
+        self.disk_wait.set(signed(state.disk_wait.0));
         self.config_version.set(signed(state.config_version));
         self.hosts.set(signed(state.hosts as u64));
         self.targets.set(signed(state.targets as u64));
--- a/src/fleet/runtime.rs
+++ b/src/fleet/runtime.rs
@@ -11,7 +11,10 @@
         disk_queue::DiskQueue,
     },
     clock::{Clock, Millis, SystemClock},
-    control::node::{GroupPolicy, Node, NodeSettings},
+    control::{
+        group_log::log_start,
+        node::{GroupPolicy, Node, NodeSettings},
+    },
     fleet::{
         config::FleetConfig,
         control::{Components, ControlLoop, ControlRequest, ControlResponse, Event},
@@ -189,6 +192,7 @@
     };
     spdlog::info!("data folder opened", kv: {id = id.as_str(), entries = stored.entries.len(), version = state.config.version});
     let node = Node::new(node_settings(settings, id), stored, clock.now());
+    log_start(&node);
     let (disk, confirmations) = DiskQueue::start(disk)?;
     let (events_tx, events) = mpsc::channel(EVENT_QUEUE_LEN);
     let (inbound_tx, inbound) = mpsc::channel(EVENT_QUEUE_LEN);
