Keep as many voters as the tolerated losses need

Callers saw: after a split of 14 s that had healed, two lost disks ended the control group for good; changes got no answer, the configuration could not be read back, and no entry host was served.

Cause: a leader removed each voter that was silent for 8 s, down to three, whatever the deployment has to bear. Four voters of seven were left, quorum three, though nine hosts ran. `faultTolerance.machines` was not read.

Change: `control::voter_changes` decides on every change, without I/O. A silent voter leaves only while 2f + 1 others respond and hold the log; a host that has caught up enters before a silent one leaves, also in a full group; a host under the name of a voter enters at any size (a group of seven had no room for it); no change without a responding majority. A group without data waits up to 10 s for 2f + 1 voters.

--- a/src/control/group_log.rs
+++ b/src/control/group_log.rs
@@ -6,10 +6,7 @@
 
 use crate::{
     clock::Millis,
-    control::{
-        driver::Driver,
-        node::{Node, VoterChange},
-    },
+    control::{driver::Driver, node::Node, voter_changes::VoterChange},
     ids::ControlId,
     wire::group::Members,
 };
@@ -124,10 +121,15 @@
 }
 
 /// Logs a change of the voters that this host, the leader, begins.
-pub fn log_voter_change(change: &VoterChange) {
-    let VoterChange { host, reason, voters, responding } = change;
-    let (voters, responding) = (*voters, *responding);
-    spdlog::info!("changing the voters: {reason}", kv: {host = host.as_str(), voters, responding});
+pub fn log_voter_change(change: &VoterChange, voters: usize, responding: usize) {
+    match change {
+        VoterChange::Add { host, .. } => {
+            spdlog::info!("adding a voter: the host has caught up", kv: {host = host.as_str(), voters, responding});
+        }
+        VoterChange::Remove { host, reason } => {
+            spdlog::warn!("removing a voter: {reason}", kv: {host = host.as_str(), voters, responding});
+        }
+    }
 }
 
 /// IDs of the voters that are not in `others`, separated by blanks.
--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -5,10 +5,12 @@
 use crate::{
     clock::Millis,
     control::{
-        membership::MAX_VOTERS,
-        node::{Node, Output, Proposal, State, VoterChange, VoterChangeReason},
+        node::{Node, Output, Proposal, State},
         replication::{Progress, Replication},
         snapshot::SnapshotTransfer,
+        voter_changes::{
+            HostState, RemovalReason, VoterChange, VoterChangeSettings, next_voter_change,
+        },
     },
     ids::ControlId,
     wire::group::{
@@ -28,7 +30,11 @@
 
 /// Number of voters that a group needs before it serves, unless fewer are configured.
 /// During bootstrap, data that only the first host holds would be lost with its disk.
-const MIN_VOTERS: usize = 3;
+pub(super) const MIN_VOTERS: usize = 3;
+
+/// Time for which a leader of a group without data waits for all the voters that the tolerated
+/// losses require. After that it serves with [`MIN_VOTERS`]: there may be no more hosts.
+const FORMATION_TIMEOUT: Millis = Millis(10_000);
 
 /// State of a leader.
 pub(super) struct LeaderState {
@@ -39,9 +45,18 @@
 }
 
 impl Node {
-    /// Whether the group has as many voters as it needs before it serves.
-    pub(super) fn has_enough_voters(&self) -> bool {
-        self.members().0.len() >= self.settings.group.len().min(MIN_VOTERS)
+    /// Whether the group has as many voters as it needs before it serves. Once it holds data,
+    /// the rules in [`voter_changes`](crate::control::voter_changes) keep their number.
+    pub(super) fn has_enough_voters(&self, now: Millis) -> bool {
+        let State::Leader(state) = &self.state else { return false };
+        let is_forming = !self.holds_commands && now.since(state.elected_at) < FORMATION_TIMEOUT;
+        let required =
+            if is_forming { self.voter_change_settings().min_voters() } else { MIN_VOTERS };
+        // With dynamic membership, the configured hosts are only the first ones, unless there
+        // are very few.
+        let configured = self.settings.group.len();
+        let is_complete = !self.settings.policy.dynamic_membership || configured < MIN_VOTERS;
+        self.members().0.len() >= if is_complete { required.min(configured) } else { required }
     }
 
     /// Number of voters that respond to this host, including itself; 0 unless it leads.
@@ -129,7 +144,7 @@
             return;
         }
         self.remove_unresponsive_learners(now);
-        self.change_members(now);
+        self.change_voters(now);
         for id in self.followers() {
             let progress = self.progress(&id);
             let is_due = |progress: &Progress| {
@@ -293,75 +308,63 @@
         });
     }
 
-    /// Adds a learner that has caught up, or removes a voter that was replaced or does
-    /// not respond. The last change and an entry of the current term must be committed
-    /// first; otherwise two majorities without a common host could exist.
-    fn change_members(&mut self, now: Millis) {
+    /// Begins the next change of the voters. The last change and an entry of the current term
+    /// must be committed first; otherwise two majorities without a common host could exist.
+    fn change_voters(&mut self, now: Millis) {
         let State::Leader(state) = &self.state else { return };
         if self.commit_index < state.first_index.max(self.history.last_change()) {
             return;
         }
-        let unresponsive = self.unresponsive_voter(now);
-        let State::Leader(state) = &mut self.state else { return };
-        let mut next = self.history.current().clone();
-        if let Some(id) = next.replaced().cloned() {
-            next.0.remove(&id);
-            // Otherwise the removed host would count as a learner.
-            state.replication.hosts.remove(&id);
-            self.report_voter_change(now, id, VoterChangeReason::Replaced);
-        } else if let Some(id) = unresponsive {
-            next.0.remove(&id);
-            state.replication.hosts.remove(&id);
-            self.report_voter_change(now, id, VoterChangeReason::Unresponsive);
-        } else if let Some((id, member)) = self.caught_up_learner(now) {
-            next.0.insert(id.clone(), member);
-            self.report_voter_change(now, id, VoterChangeReason::CaughtUp);
-        } else {
+        let (settings, voters) = (self.voter_change_settings(), self.members());
+        let hosts = self.host_states(now);
+        let Some(change) = next_voter_change(&settings, &self.settings.id, voters, &hosts) else {
             return;
+        };
+        let mut next = voters.clone();
+        match change.clone() {
+            VoterChange::Add { host, member } => {
+                let added_index = self.log.last().index + 1;
+                next.0.insert(host, Member { added_index, ..member });
+            }
+            VoterChange::Remove { host, reason } => {
+                next.0.remove(&host);
+                self.stop_replication(&host, reason);
+            }
         }
+        let (voters, responding) = (self.members().0.len(), self.responding_voters(now));
+        self.outputs.push(Output::VotersChanging { change, voters, responding });
         self.append_as_leader(now, vec![Payload::Members(next)]);
     }
 
-    fn report_voter_change(&mut self, now: Millis, host: ControlId, reason: VoterChangeReason) {
-        let (voters, responding) = (self.members().0.len(), self.responding_voters(now));
-        let change = VoterChange { host, reason, voters, responding };
-        self.outputs.push(Output::VotersChanging(change));
+    /// Stops replication to a removed voter, which would otherwise count as a learner. A host
+    /// that is only one too many goes on as one.
+    fn stop_replication(&mut self, host: &ControlId, reason: RemovalReason) {
+        let State::Leader(state) = &mut self.state else { return };
+        if reason != RemovalReason::Surplus {
+            state.replication.hosts.remove(host);
+        }
     }
 
-    /// Voter to remove because it does not respond, with dynamic membership. The other
-    /// voters must have a majority without it.
-    fn unresponsive_voter(&self, now: Millis) -> Option<ControlId> {
-        let State::Leader(state) = &self.state else { return None };
+    fn voter_change_settings(&self) -> VoterChangeSettings {
         let policy = &self.settings.policy;
-        let voters = &self.members().0;
-        if !policy.dynamic_membership || voters.len() <= MIN_VOTERS {
-            return None;
+        VoterChangeSettings {
+            tolerated_losses: policy.tolerated_losses,
+            respond_timeout: self.settings.timing.replace_after,
+            remove_after: policy.dynamic_membership.then_some(policy.remove_after),
         }
-        let silence = |id: &ControlId| {
-            state.replication.hosts.get(id).map_or(Millis(0), |p| now.since(p.last_contact))
-        };
-        let live =
-            voters.keys().filter(|id| silence(id) < self.settings.timing.replace_after).count();
-        let quorum_after = (voters.len() - 1) / 2 + 1;
-        let is_new = now.since(state.elected_at) < policy.remove_after;
-        if is_new || live < quorum_after {
-            return None;
-        }
-        voters.keys().find(|id| silence(id) >= policy.remove_after).cloned()
     }
 
-    /// Learner that holds nearly all entries and responds.
-    fn caught_up_learner(&self, now: Millis) -> Option<(ControlId, Member)> {
-        let State::Leader(state) = &self.state else { return None };
-        let (members, last) = (self.members(), self.log.last().index);
-        let timeout = self.settings.timing.replace_after;
-        let mut learners = state.replication.hosts.iter();
-        let (id, progress) = learners.find(|(id, progress)| {
-            !members.0.contains_key(*id)
-                && progress.is_caught_up(last)
-                && now.since(progress.last_contact) < timeout
-        })?;
-        let member = Member { added_index: last + 1, ..progress.member.clone() };
-        (members.0.len() < MAX_VOTERS).then(|| (id.clone(), member))
+    /// What this leader knows of the hosts that it replicates to. Silence counts from its
+    /// election or from the end of a freeze, because it could hear nobody before.
+    fn host_states(&self, now: Millis) -> BTreeMap<ControlId, HostState> {
+        let State::Leader(state) = &self.state else { return BTreeMap::new() };
+        let last = self.log.last().index;
+        let host_state = |progress: &Progress| HostState {
+            member: progress.member.clone(),
+            silence: now.since(progress.last_contact.max(state.replication.lease_floor)),
+            holds_log: progress.is_caught_up(last),
+        };
+        let hosts = state.replication.hosts.iter();
+        hosts.map(|(id, progress)| (id.clone(), host_state(progress))).collect()
     }
 }
--- a/src/control/membership.rs
+++ b/src/control/membership.rs
@@ -18,10 +18,15 @@
 /// Time for which the reply to a hello is valid.
 const HELLO_LIFETIME: Millis = Millis(2_000);
 
+/// Number of hosts in the smallest majority of `voters`.
+pub fn quorum_of(voters: usize) -> usize {
+    voters / 2 + 1
+}
+
 impl Members {
     /// Number of hosts in the smallest majority.
     pub fn quorum(&self) -> usize {
-        self.0.len() / 2 + 1
+        quorum_of(self.0.len())
     }
 
     /// Voter with the configured `name`; the oldest if there are two.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -24,4 +24,5 @@
 pub mod snapshot;
 pub mod status;
 pub mod storage;
+pub mod voter_changes;
 pub mod voting;
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -22,6 +22,7 @@
         persistence::NO_ENTRY,
         snapshot::SnapshotAssembly,
         storage::{Snapshot, StoredState, Vote, Write},
+        voter_changes::VoterChange,
         voting::PreVoteResponse,
     },
     ids::ControlId,
@@ -51,8 +52,10 @@
     pub dynamic_membership: bool,
     /// Whether a host without a log may create a new group.
     pub may_bootstrap: bool,
-    /// Time without contact after which a voter is removed, with dynamic membership.
+    /// Time without contact after which a voter may be removed, with dynamic membership.
     pub remove_after: Millis,
+    /// Number of disks that may be lost at the same time without a loss of data.
+    pub tolerated_losses: usize,
     /// Number of entries before a snapshot that remain in the log, so that a host that
     /// is slightly behind does not need the snapshot.
     pub tail_entries: u64,
@@ -64,6 +67,7 @@
             dynamic_membership: false,
             may_bootstrap: true,
             remove_after: Millis(8_000),
+            tolerated_losses: 1,
             tail_entries: 500,
         }
     }
@@ -123,7 +127,13 @@
     },
     RoleChanged(RoleChange),
     /// This host, the leader, begins to change the voters.
-    VotersChanging(VoterChange),
+    VotersChanging {
+        change: VoterChange,
+        /// Number of voters before the change.
+        voters: usize,
+        /// Number of voters that respond to the leader, including itself.
+        responding: usize,
+    },
     /// The process did not run for `gap`.
     Frozen {
         gap: Millis,
@@ -134,29 +144,6 @@
     },
 }
 
-/// Change of the voters that a leader begins.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct VoterChange {
-    /// Host that is added or removed.
-    pub host: ControlId,
-    pub reason: VoterChangeReason,
-    /// Number of voters before the change.
-    pub voters: usize,
-    /// Number of voters that respond to the leader, including itself.
-    pub responding: usize,
-}
-
-/// Why a leader changes the voters.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
-pub enum VoterChangeReason {
-    #[display("adding a host that has caught up")]
-    CaughtUp,
-    #[display("removing a host whose successor of the same name votes")]
-    Replaced,
-    #[display("removing a host that does not respond")]
-    Unresponsive,
-}
-
 /// Role of a host in its group.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Display)]
 pub enum Role {
@@ -199,6 +186,8 @@
     pub(super) hello_replies: HelloReplies,
     /// Whether this host is creating the group with itself as the first voter.
     pub(super) bootstrapping: bool,
+    /// Whether the committed part of the log holds a command.
+    pub(super) holds_commands: bool,
     /// Whether a committed entry has listed this host as a voter.
     pub(super) was_member: bool,
     /// First log index that each unconfirmed write changes.
@@ -228,6 +217,7 @@
         let timer = ElectionTimer::new(now, settings.seed, &settings.timing);
         let mut node = Self {
             was_member: history.at(last.index).0.contains_key(&settings.id),
+            holds_commands: stored.snapshot.is_some(),
             settings,
             vote: stored.vote,
             log,
@@ -423,6 +413,7 @@
             self.commit_index += 1;
             match &entry.payload {
                 Payload::Command(bytes) => {
+                    self.holds_commands = true;
                     let (index, term, bytes) = (self.commit_index, entry.term, bytes.clone());
                     self.outputs.push(Output::Committed { index, term, bytes });
                 }
--- a/src/control/outputs.rs
+++ b/src/control/outputs.rs
@@ -63,7 +63,9 @@
                     leadership.leases.extend_all(self.clock.now());
                 }
             }
-            Output::VotersChanging(change) => log_voter_change(&change),
+            Output::VotersChanging { change, voters, responding } => {
+                log_voter_change(&change, voters, responding);
+            }
             Output::Removed { by } => self.group_log.record_removal(self.clock.now(), &by),
         }
         Ok(())
--- a/src/control/runtime.rs
+++ b/src/control/runtime.rs
@@ -109,7 +109,10 @@
         group: settings.control_hosts.clone(),
         seed: rand::random(),
         timing: settings.group_timing.clone(),
-        policy: GroupPolicy::default(),
+        policy: GroupPolicy {
+            tolerated_losses: settings.control_hosts.len().saturating_sub(1) / 2,
+            ..GroupPolicy::default()
+        },
     }
 }
 
--- a/src/control/service_state.rs
+++ b/src/control/service_state.rs
@@ -52,7 +52,7 @@
             ServiceState::NoMajority
         } else if self.commit_index < state.first_index {
             ServiceState::Uncommitted
-        } else if !self.has_enough_voters() {
+        } else if !self.has_enough_voters(now) {
             ServiceState::TooFewVoters
         } else {
             ServiceState::Serving
--- /dev/null
+++ b/src/control/voter_changes.rs
@@ -0,0 +1,186 @@
+//! Which change of the voters a leader begins next.
+//!
+//! The group must bear the loss of `tolerated_losses` disks (`f` below) at any moment while
+//! enough hosts are there: nothing acknowledged is lost, and the hosts that are left elect a
+//! leader. An acknowledged entry is on a majority of the voters. So what counts is the number
+//! of voters that hold the log, not how many are on the list:
+//!
+//! 1. *A voter that is only silent may come back, or may be lost for good; a leader cannot tell
+//!    which.* Its removal must be right in both cases. It is if `2f + 1` other voters respond
+//!    and hold the log: when `f` of them lose their disks, `f + 1` are left, which is a majority
+//!    of them and holds every acknowledged entry. A silent voter stays as long as there are
+//!    fewer, because it may be the one that is needed after the next loss.
+//! 2. *A host enters before another one leaves.* Silence of `remove_after` makes room for a host
+//!    that has caught up, even if the list is full; the silent voter leaves by rule 1. The
+//!    number of voters that hold the log therefore never falls by a change.
+//! 3. *A host that comes under the name of a voter has replaced it*: the identity of the voter
+//!    was on the disk that is gone, so it never votes again. It leaves as soon as its successor
+//!    votes, whatever else is missing.
+//! 4. *Each change leaves a majority that responds.* Otherwise the change itself could not be
+//!    committed.
+//! 5. *More than [`MAX_VOTERS`] that are present are too many*, after silent ones came back.
+//!    The youngest leaves and follows as a learner.
+//!
+//! One host is added or removed at a time, and only after the last change and an entry of the
+//! leader's own term are committed: see [`membership`](crate::control::membership). A loss of
+//! power in the middle of a change leaves either list, and majorities of both overlap.
+//!
+//! Rule 1 asks for hosts that ask to join; who may ask whom is in
+//! [`bootstrap`](crate::control::bootstrap).
+
+use std::collections::BTreeMap;
+
+use derive_more::Display;
+
+use crate::{
+    clock::Millis,
+    control::{
+        leader::MIN_VOTERS,
+        membership::{MAX_VOTERS, quorum_of},
+    },
+    ids::ControlId,
+    wire::group::{Member, Members},
+};
+
+/// Settings of the decision.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct VoterChangeSettings {
+    /// Number of disks that may be lost at the same time.
+    pub tolerated_losses: usize,
+    /// Silence from which a host does not respond.
+    pub respond_timeout: Millis,
+    /// Silence after which a voter may be removed; `None` if only its successor under the same
+    /// name replaces it.
+    pub remove_after: Option<Millis>,
+}
+
+impl Default for VoterChangeSettings {
+    fn default() -> Self {
+        Self { tolerated_losses: 1, respond_timeout: Millis(1_000), remove_after: None }
+    }
+}
+
+impl VoterChangeSettings {
+    /// Number of voters that bear the tolerated losses.
+    pub fn min_voters(&self) -> usize {
+        (2 * self.tolerated_losses + 1).clamp(MIN_VOTERS, MAX_VOTERS)
+    }
+}
+
+/// What the leader knows of a host that it replicates to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HostState {
+    pub member: Member,
+    /// Time since the last response.
+    pub silence: Millis,
+    /// Whether the host holds nearly all entries.
+    pub holds_log: bool,
+}
+
+/// Change of the voters by one host.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum VoterChange {
+    Add { host: ControlId, member: Member },
+    Remove { host: ControlId, reason: RemovalReason },
+}
+
+/// Why a voter is removed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum RemovalReason {
+    #[display("its successor of the same name votes")]
+    Replaced,
+    #[display("it does not respond, and enough others do")]
+    Unresponsive,
+    #[display("more hosts vote than are needed")]
+    Surplus,
+}
+
+/// Next change of `voters`, if one is due. `hosts` are all hosts that the leader `own`
+/// replicates to.
+pub fn next_voter_change(
+    settings: &VoterChangeSettings,
+    own: &ControlId,
+    voters: &Members,
+    hosts: &BTreeMap<ControlId, HostState>,
+) -> Option<VoterChange> {
+    let group = GroupState { settings, own, voters, hosts };
+    group.removal().or_else(|| group.addition())
+}
+
+/// Voters with what the leader knows of them.
+struct GroupState<'a> {
+    settings: &'a VoterChangeSettings,
+    own: &'a ControlId,
+    voters: &'a Members,
+    hosts: &'a BTreeMap<ControlId, HostState>,
+}
+
+impl GroupState<'_> {
+    fn removal(&self) -> Option<VoterChange> {
+        let replaced = || Some((self.voters.replaced()?, RemovalReason::Replaced));
+        let unresponsive = || Some((self.unresponsive()?, RemovalReason::Unresponsive));
+        let surplus = || Some((self.surplus()?, RemovalReason::Surplus));
+        let (host, reason) = replaced().or_else(unresponsive).or_else(surplus)?;
+        let responding = self.count(|id| id != host && self.responds(id));
+        let quorum = quorum_of(self.voters.0.len() - 1);
+        let host = host.clone();
+        (responding >= quorum).then_some(VoterChange::Remove { host, reason })
+    }
+
+    /// Voter that has been silent for long, if enough others respond and hold the log.
+    fn unresponsive(&self) -> Option<&ControlId> {
+        let remove_after = self.settings.remove_after?;
+        let holding = self.count(|id| self.responds(id) && self.holds_log(id));
+        let is_silent = |id: &&ControlId| self.silence(id) >= remove_after;
+        let silent = self.voters.0.keys().find(is_silent)?;
+        (holding >= self.settings.min_voters()).then_some(silent)
+    }
+
+    /// Voter added last, if more are present than the group may have.
+    fn surplus(&self) -> Option<&ControlId> {
+        if self.present() <= MAX_VOTERS {
+            return None;
+        }
+        let others = self.voters.0.iter().filter(|(id, _)| *id != self.own);
+        others.max_by_key(|(_, member)| member.added_index).map(|(id, _)| id)
+    }
+
+    /// Host that has caught up and for which there is room.
+    fn addition(&self) -> Option<VoterChange> {
+        let responding = self.count(|id| self.responds(id));
+        if responding + 1 < quorum_of(self.voters.0.len() + 1) {
+            return None;
+        }
+        let has_room = self.present() < MAX_VOTERS;
+        let mut learners = self.hosts.iter().filter(|(id, _)| !self.voters.0.contains_key(*id));
+        let (host, state) = learners.find(|(id, host)| {
+            let replaces_voter = self.voters.named(&host.member.name).is_some();
+            (has_room || replaces_voter) && host.holds_log && self.responds(id)
+        })?;
+        Some(VoterChange::Add { host: host.clone(), member: state.member.clone() })
+    }
+
+    /// Number of voters that have not been silent for so long that they may be removed.
+    fn present(&self) -> usize {
+        self.settings.remove_after.map_or(self.voters.0.len(), |remove_after| {
+            self.count(|id| self.silence(id) < remove_after)
+        })
+    }
+
+    fn count(&self, is_counted: impl Fn(&ControlId) -> bool) -> usize {
+        self.voters.0.keys().filter(|id| is_counted(id)).count()
+    }
+
+    fn responds(&self, id: &ControlId) -> bool {
+        self.silence(id) < self.settings.respond_timeout
+    }
+
+    /// Time since the last response of a host; zero for the leader itself.
+    fn silence(&self, id: &ControlId) -> Millis {
+        self.hosts.get(id).map_or(Millis(0), |host| host.silence)
+    }
+
+    fn holds_log(&self, id: &ControlId) -> bool {
+        self.hosts.get(id).is_none_or(|host| host.holds_log)
+    }
+}
--- a/src/fleet/group_io.rs
+++ b/src/fleet/group_io.rs
@@ -72,7 +72,9 @@
                 self.change_role(change.role, change.term.0);
             }
             Output::Frozen { gap } => self.reset_after_pause(gap),
-            Output::VotersChanging(change) => log_voter_change(&change),
+            Output::VotersChanging { change, voters, responding } => {
+                log_voter_change(&change, voters, responding);
+            }
             Output::Removed { by } => self.group_log.record_removal(self.clock.now(), &by),
         }
         Ok(())
--- a/src/fleet/runtime.rs
+++ b/src/fleet/runtime.rs
@@ -104,6 +104,8 @@
     /// Whether the host may form a new group: the system starts for the first time.
     pub may_bootstrap: bool,
     pub data_folder: PathBuf,
+    /// Number of disks of control hosts that may be lost at the same time.
+    pub tolerated_losses: usize,
     pub timing: GroupTiming,
     /// Name of the host in promotion requests to the platform.
     pub lease_holder: String,
@@ -242,8 +244,9 @@
         policy: GroupPolicy {
             dynamic_membership: true,
             may_bootstrap: settings.may_bootstrap,
-            remove_after: Millis(8_000),
+            tolerated_losses: settings.tolerated_losses,
             tail_entries: TAIL_ENTRIES,
+            ..GroupPolicy::default()
         },
     }
 }
--- a/tests/control_dynamic_membership.rs
+++ b/tests/control_dynamic_membership.rs
@@ -7,9 +7,15 @@
 use pomelopin::{clock::Millis, control::node::GroupPolicy};
 
 fn dynamic_group(seed: u64) -> Group {
+    dynamic_group_with(seed, GroupPolicy { dynamic_membership: true, ..GroupPolicy::default() })
+}
+
+fn dynamic_group_with(seed: u64, policy: GroupPolicy) -> Group {
     let mut group = Group::formed(3, seed);
+    // A group without data waits for further voters before it serves.
+    group.commit(1);
     group.configured = group.names();
-    group.policy = GroupPolicy { dynamic_membership: true, ..GroupPolicy::default() };
+    group.policy = policy;
     for name in group.names() {
         group.kill(&name);
         group.start(&name);
@@ -86,3 +92,37 @@
     group.run(15_000);
     assert_eq!(group.voter_count(), 3);
 }
+
+/// Guards against a split that costs the group its voters: later all hosts are back, two disks
+/// are lost, and no majority is left.
+#[test]
+fn group_survives_lost_disks_after_a_long_split() {
+    for seed in 0..8 {
+        let policy =
+            GroupPolicy { dynamic_membership: true, tolerated_losses: 2, ..GroupPolicy::default() };
+        let mut group = dynamic_group_with(seed, policy);
+        for number in 4..=9 {
+            add_host(&mut group, &format!("c{number}"));
+        }
+        group.run_until("seven hosts vote", 10_000, |group| group.voter_count() == 7);
+        group.commit(2);
+        // The hosts that all others know from their settings, the leader among them.
+        group.partitioned.extend(["c1", "c2", "c3"].map(str::to_owned));
+        group.run(14_000);
+        group.partitioned.clear();
+        group.run(6_000);
+        group.commit(1);
+        for name in group.voters().into_iter().take(2) {
+            group.lose_disk(&name);
+        }
+        for name in group.names() {
+            group.kill(&name);
+        }
+        group.run(500);
+        for name in group.names() {
+            group.start(&name);
+        }
+        group.run_until("a leader", 5_000, |group| group.leader().is_some());
+        group.commit(1);
+    }
+}
--- a/tests/group/mod.rs
+++ b/tests/group/mod.rs
@@ -167,8 +167,14 @@
     }
 
     pub fn voter_count(&self) -> usize {
+        self.voters().len()
+    }
+
+    /// Names of the voters according to the leader.
+    pub fn voters(&self) -> Vec<String> {
         let leader = self.leader().and_then(|name| self.hosts[&name].node.as_ref());
-        leader.map_or(0, |node| node.members().0.len())
+        let members = leader.map(|node| node.members().0.values());
+        members.into_iter().flatten().map(|member| member.name.clone()).collect()
     }
 
     /// Whether all hosts run and know that all are voters and their logs are committed.
--- /dev/null
+++ b/tests/voter_changes.rs
@@ -0,0 +1,193 @@
+//! Changes of the voters: who enters, who leaves, and in which order.
+
+#![allow(clippy::unwrap_used, reason = "helper functions of tests")]
+
+use std::collections::BTreeMap;
+
+use pomelopin::{
+    clock::Millis,
+    control::{
+        membership::MAX_VOTERS,
+        voter_changes::{
+            HostState, RemovalReason, VoterChange, VoterChangeSettings, next_voter_change,
+        },
+    },
+    ids::ControlId,
+    wire::group::{Member, Members},
+};
+
+const REMOVE_AFTER: Millis = Millis(8_000);
+const LEADER: &str = "v1.a";
+
+/// Leader `v1` with further hosts, of which those in `voters` vote.
+struct Group {
+    settings: VoterChangeSettings,
+    voters: Members,
+    hosts: BTreeMap<ControlId, HostState>,
+}
+
+fn member(name: &str, added_index: u64) -> Member {
+    Member { name: name.to_owned(), bus_addr: name.to_owned(), added_index, ..Member::default() }
+}
+
+impl Group {
+    fn new(voters: usize, tolerated_losses: usize) -> Self {
+        let settings = VoterChangeSettings {
+            tolerated_losses,
+            remove_after: Some(REMOVE_AFTER),
+            ..VoterChangeSettings::default()
+        };
+        let mut group = Self { settings, voters: Members::default(), hosts: BTreeMap::new() };
+        for number in 1..=voters {
+            let (id, member) =
+                (format!("v{number}.a"), member(&format!("v{number}"), number as u64));
+            group.voters.0.insert(ControlId::from(id.as_str()), member.clone());
+            if id != LEADER {
+                group.add_host(&id, member);
+            }
+        }
+        group
+    }
+
+    fn add_host(&mut self, id: &str, member: Member) {
+        let state = HostState { member, silence: Millis(50), holds_log: true };
+        self.hosts.insert(ControlId::from(id), state);
+    }
+
+    fn add_learner(&mut self, id: &str) {
+        self.add_host(id, member(id.split('.').next().unwrap(), 0));
+    }
+
+    fn silence(&mut self, numbers: impl IntoIterator<Item = usize>, silence: Millis) {
+        for number in numbers {
+            self.hosts.get_mut(&ControlId::from(format!("v{number}.a"))).unwrap().silence = silence;
+        }
+    }
+
+    fn next(&self) -> Option<VoterChange> {
+        next_voter_change(&self.settings, &ControlId::from(LEADER), &self.voters, &self.hosts)
+    }
+
+    /// Makes changes until none is due; returns them in short form.
+    fn settle(&mut self) -> Vec<String> {
+        let mut changes = Vec::new();
+        while let Some(change) = self.next() {
+            assert!(changes.len() < 20, "changes without end: {changes:?}");
+            match change {
+                VoterChange::Add { host, member } => {
+                    changes.push(format!("+{host}"));
+                    let added_index = 100 + changes.len() as u64;
+                    self.voters.0.insert(host, Member { added_index, ..member });
+                }
+                VoterChange::Remove { host, reason } => {
+                    changes.push(format!("-{host}"));
+                    self.voters.0.remove(&host);
+                    if reason != RemovalReason::Surplus {
+                        self.hosts.remove(&host);
+                    }
+                }
+            }
+        }
+        changes
+    }
+}
+
+/// Guards against a group that a split leaves with fewer voters than the tolerated losses
+/// need, although no host is lost.
+#[test]
+fn cut_off_voters_stay_while_too_few_others_respond() {
+    let mut group = Group::new(7, 2);
+    group.silence([5, 6, 7], Millis(30_000));
+    assert_eq!(group.settle(), [""; 0]);
+}
+
+/// Guards against lost hosts that remain voters for ever.
+#[test]
+fn silent_voters_leave_while_enough_others_respond() {
+    let mut group = Group::new(7, 2);
+    group.silence([6, 7], Millis(8_000));
+    assert_eq!(group.settle(), ["-v6.a", "-v7.a"]);
+    let mut group = Group::new(5, 1);
+    group.silence([4, 5], Millis(8_000));
+    assert_eq!(group.settle(), ["-v4.a", "-v5.a"]);
+}
+
+/// Guards against a removal that counts voters which respond and lack the log: what is
+/// acknowledged would be on fewer disks than may be lost.
+#[test]
+fn voters_that_lack_entries_do_not_count_for_a_removal() {
+    let mut group = Group::new(6, 2);
+    group.silence([6], Millis(8_000));
+    group.hosts.get_mut(&ControlId::from("v2.a")).unwrap().holds_log = false;
+    assert_eq!(group.next(), None);
+}
+
+/// Guards against a full list of voters that keeps live hosts out while some voters are lost.
+#[test]
+fn hosts_enter_in_place_of_silent_voters_before_these_leave() {
+    let mut group = Group::new(7, 2);
+    group.silence([5, 6, 7], Millis(8_000));
+    group.add_learner("l1.a");
+    assert_eq!(group.settle(), ["+l1.a", "-v5.a", "-v6.a", "-v7.a"]);
+}
+
+/// Guards against a host that is let in on the first short silence of a voter.
+#[test]
+fn short_silence_makes_no_room() {
+    let mut group = Group::new(7, 2);
+    group.silence([7], Millis(7_900));
+    group.add_learner("l1.a");
+    assert_eq!(group.next(), None);
+}
+
+/// Guards against a host that lost its disk and finds the list of voters full, under its old
+/// name, with and without dynamic membership.
+#[test]
+fn successor_of_the_same_name_enters_a_full_group() {
+    for remove_after in [Some(REMOVE_AFTER), None] {
+        let mut group = Group::new(MAX_VOTERS, 2);
+        group.settings.remove_after = remove_after;
+        group.silence([7], Millis(1_500));
+        group.add_learner("v7.b");
+        assert_eq!(group.settle(), ["+v7.b", "-v7.a"]);
+    }
+}
+
+/// Guards against two lost disks whose hosts can't both come back.
+#[test]
+fn two_hosts_that_lost_their_disks_return() {
+    let mut group = Group::new(5, 2);
+    group.silence([4, 5], Millis(1_500));
+    group.add_learner("v4.b");
+    group.add_learner("v5.b");
+    assert_eq!(group.settle(), ["+v4.b", "-v4.a", "+v5.b", "-v5.a"]);
+}
+
+/// Guards against a change that the hosts which respond can't commit.
+#[test]
+fn change_needs_a_majority_that_responds() {
+    let mut group = Group::new(4, 1);
+    group.silence([3, 4], Millis(30_000));
+    group.add_learner("l1.a");
+    assert_eq!(group.settle(), ["+l1.a", "-v3.a", "-v4.a"]);
+    let mut group = Group::new(5, 1);
+    group.silence([3, 4, 5], Millis(30_000));
+    group.add_learner("l1.a");
+    assert_eq!(group.next(), None);
+}
+
+/// Guards against a group that keeps more voters than allowed after silent ones came back.
+#[test]
+fn youngest_voter_leaves_a_group_that_is_too_large() {
+    let mut group = Group::new(MAX_VOTERS + 2, 2);
+    assert_eq!(group.settle(), ["-v9.a", "-v8.a"]);
+}
+
+/// Guards against hosts with static membership that lose their vote by silence.
+#[test]
+fn configured_voters_are_not_removed_by_silence() {
+    let mut group = Group::new(5, 1);
+    group.settings.remove_after = None;
+    group.silence([5], Millis(600_000));
+    assert_eq!(group.next(), None);
+}
