Count the responding voters before a removal

"removing a voter" counted the host that it names among those that respond: replication to it had already been stopped.

--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -321,7 +321,9 @@
             return;
         };
         let mut next = voters.clone();
-        match change.clone() {
+        let (voters, responding) = (voters.0.len(), self.responding_voters(now));
+        self.outputs.push(Output::VotersChanging { change: change.clone(), voters, responding });
+        match change {
             VoterChange::Add { host, member } => {
                 let added_index = self.log.last().index + 1;
                 next.0.insert(host, Member { added_index, ..member });
@@ -331,8 +333,6 @@
                 self.stop_replication(&host, reason);
             }
         }
-        let (voters, responding) = (self.members().0.len(), self.responding_voters(now));
-        self.outputs.push(Output::VotersChanging { change, voters, responding });
         self.append_as_leader(now, vec![Payload::Members(next)]);
     }
 
