Ask every learned address to join the control group

Hosts that the leader had removed during a split never came back if they were the configured seeds of each other: they asked only these, although the voters of their log and the senders of the "removed" answers could let them in. A group of nine hosts ended without a leader for ever.

--- a/src/control/bootstrap.rs
+++ b/src/control/bootstrap.rs
@@ -13,24 +13,21 @@
 };
 
 impl Node {
-    /// Bootstraps the group if this host may do so, and otherwise sends hellos to the
-    /// configured hosts. Only a host that never was a voter does this: the name of a
-    /// removed host may belong to its replacement.
+    /// Bootstraps the group if this host may do so, and otherwise asks other hosts to let it in.
     pub(super) fn join_or_bootstrap(&mut self, now: Millis) {
-        let allowed = self.is_uninitialized() && self.settings.policy.may_bootstrap;
         let group = &self.settings.group;
-        if allowed && self.hello_replies.may_bootstrap(now, &self.settings.member.name, group) {
+        if self.may_bootstrap()
+            && self.hello_replies.may_bootstrap(now, &self.settings.member.name, group)
+        {
             self.bootstrap_group(now);
             return;
         }
-        if now.since(self.hello_sent_at) < self.settings.timing.hello_interval {
-            return;
-        }
-        self.hello_sent_at = now;
-        let others = group.iter().filter(|(name, _)| **name != self.settings.member.name);
-        for addr in others.map(|(_, addr)| addr.clone()).collect::<Vec<_>>() {
-            self.send_hello(addr, None, true, self.settings.seed);
-        }
+        self.ask_to_join(now);
+    }
+
+    /// Whether this host creates the group if all configured hosts have no log either.
+    pub(super) fn may_bootstrap(&self) -> bool {
+        self.is_uninitialized() && self.settings.policy.may_bootstrap
     }
 
     pub(super) fn on_hello(&mut self, now: Millis, from: ControlId, hello: Hello) {
@@ -53,7 +50,7 @@
         self.outputs.push(Output::Send { addr, message });
     }
 
-    fn send_hello(
+    pub(super) fn send_hello(
         &mut self,
         addr: String,
         to: Option<ControlId>,
--- a/src/control/follower.rs
+++ b/src/control/follower.rs
@@ -137,6 +137,7 @@
         }
         self.history = MembershipHistory::new(last.index, snapshot.members.clone());
         self.history.append(last.index + 1, &self.log.after(last));
+        self.learn_voters();
         self.commit_index = last.index;
         self.was_member |= snapshot.members.0.contains_key(&self.settings.id);
         let data = snapshot.data.clone();
--- a/src/control/membership.rs
+++ b/src/control/membership.rs
@@ -74,6 +74,11 @@
         self.changes.drain(..covered);
     }
 
+    /// Voters of all entries, the earliest first.
+    pub fn voters(&self) -> impl Iterator<Item = (&ControlId, &Member)> {
+        self.changes.iter().flat_map(|(_, members)| &members.0)
+    }
+
     /// Voters according to the last entry.
     pub fn current(&self) -> &Members {
         self.changes.last().map_or(&self.empty, |(_, members)| members)
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -2,10 +2,12 @@
 
 pub mod bootstrap;
 pub mod deferred;
+pub mod discovery;
 pub mod driver;
 pub mod election;
 pub mod event_loop;
 pub mod follower;
+pub mod joining;
 pub mod leader;
 pub mod leases;
 pub mod log;
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -14,6 +14,7 @@
 use crate::{
     clock::Millis,
     control::{
+        discovery::Discovery,
         election::{ElectionTimer, PreVoteTally, VoteTally},
         follower::PendingAck,
         leader::LeaderState,
@@ -172,6 +173,8 @@
     pub(super) timer: ElectionTimer,
     pub(super) snapshot_assembly: SnapshotAssembly,
     pub(super) hello_replies: HelloReplies,
+    /// Addresses to ask for the group.
+    pub(super) discovery: Discovery,
     /// Whether this host is creating the group with itself as the first voter.
     pub(super) bootstrapping: bool,
     /// Whether a committed entry has listed this host as a voter.
@@ -203,6 +206,7 @@
         let timer = ElectionTimer::new(now, settings.seed, &settings.timing);
         let mut node = Self {
             was_member: history.at(last.index).0.contains_key(&settings.id),
+            discovery: Discovery::new(&settings.member.bus_addr, settings.group.values().cloned()),
             settings,
             vote: stored.vote,
             log,
@@ -224,6 +228,7 @@
             outputs: Vec::new(),
         };
         node.last_reported = node.role();
+        node.learn_voters();
         node
     }
 
@@ -294,7 +299,11 @@
 
     fn receive(&mut self, now: Millis, message: GroupMessage) {
         let GroupMessage { from, to, term, body } = message;
-        if from == self.settings.id || to.as_ref().is_some_and(|to| *to != self.settings.id) {
+        if from == self.settings.id {
+            return;
+        }
+        self.learn_sender(&from);
+        if to.as_ref().is_some_and(|to| *to != self.settings.id) {
             return;
         }
         match body {
@@ -383,6 +392,9 @@
     pub(super) fn append_entries(&mut self, entries: Vec<LogEntry>) {
         let first = self.log.last().index + 1;
         self.history.append(first, &entries);
+        if entries.iter().any(|entry| matches!(entry.payload, Payload::Members(_))) {
+            self.learn_voters();
+        }
         self.log.append(entries.iter().cloned());
         self.persist(first, Write::Entries(entries));
     }
--- a/src/control/voting.rs
+++ b/src/control/voting.rs
@@ -192,7 +192,8 @@
         }
     }
 
-    fn address_of(&self, id: &ControlId) -> Option<String> {
+    /// Bus address of a host. With dynamic membership, the name in its id is the address.
+    pub(super) fn address_of(&self, id: &ControlId) -> Option<String> {
         let member = self.members().0.get(id).map(|member| self.bus_addr(member));
         member.or_else(|| {
             let name = id.as_str().rsplit_once('.').map(|(name, _)| name)?;
--- /dev/null
+++ b/tests/control_joining.rs
@@ -0,0 +1,105 @@
+//! Hosts outside a control group with dynamic membership find their way in.
+
+#![allow(clippy::unwrap_used, reason = "helper functions of tests")]
+
+mod group;
+
+use std::collections::BTreeSet;
+
+use group::{Group, Host};
+use pomelopin::control::node::GroupPolicy;
+
+/// Group with the seeds c1 to c3 and `size` hosts, of which up to seven are voters.
+fn dynamic_group(size: usize, seed: u64) -> Group {
+    let mut group = Group::formed(3, seed);
+    group.configured = group.names();
+    group.policy =
+        GroupPolicy { dynamic_membership: true, may_bootstrap: false, ..GroupPolicy::default() };
+    for name in group.names() {
+        group.kill(&name);
+        group.start(&name);
+    }
+    group.run_until("a leader", 3_000, |group| group.leader().is_some());
+    for number in 4..=size {
+        add_host(&mut group, &format!("c{number:02}"));
+        let wanted = number.min(7);
+        group.run_until("the new host is a voter", 8_000, |it| it.voter_count() == wanted);
+    }
+    group.commit(1);
+    group.run(500);
+    group
+}
+
+fn add_host(group: &mut Group, name: &str) {
+    group.hosts.insert(name.to_owned(), Host::default());
+    group.start(name);
+}
+
+/// Adds a host that is down for ever.
+fn add_dead_host(group: &mut Group, name: &str) {
+    group.hosts.insert(name.to_owned(), Host::default());
+}
+
+fn seeds(names: &[&str]) -> Vec<String> {
+    names.iter().map(|name| (*name).to_owned()).collect()
+}
+
+fn cut(group: &mut Group, first: &str, second: &str) {
+    let pair = (first.min(second).to_owned(), first.max(second).to_owned());
+    group.cut_links.insert(pair);
+}
+
+/// Whether the leader counts the running process of `name` as a voter.
+fn is_voter(group: &Group, name: &str) -> bool {
+    let Some(leader) = group.leader() else { return false };
+    let id = group.hosts[name].node.as_ref().unwrap().id();
+    group.hosts[&leader].node.as_ref().unwrap().members().0.contains_key(id)
+}
+
+fn term(group: &Group) -> u64 {
+    let leader = group.leader().unwrap();
+    group.hosts[&leader].node.as_ref().unwrap().role().term.0
+}
+
+/// Guards against removed hosts that ask only each other to let them in, because they are all of
+/// the configured seeds: with nine hosts, the group lost its leader for ever with the next two.
+/// They must not disturb the group meanwhile.
+#[test]
+fn removed_seeds_rejoin() {
+    for seed in 0..5 {
+        let mut group = dynamic_group(7, seed);
+        group.partitioned = ["c1", "c2", "c3"].map(str::to_owned).into();
+        group.run(14_000);
+        group.run_until("a leader", 3_000, |group| group.leader().is_some());
+        let before = term(&group);
+        group.partitioned.clear();
+        group.run_until("all hosts are voters again", 30_000, |it| it.voter_count() == 7);
+        assert_eq!(term(&group), before, "seed {seed}: the removed hosts caused an election");
+        group.commit(2);
+    }
+}
+
+/// Guards against a host with an empty disk that knows only dead seeds, although the leader's
+/// messages to its earlier id reach it.
+#[test]
+fn host_without_disk_and_seeds_finds_the_leader_that_sends_to_its_earlier_id() {
+    let mut group = dynamic_group(4, 1);
+    group.lose_disk("c04");
+    add_dead_host(&mut group, "dead");
+    group.configured = seeds(&["dead"]);
+    group.start("c04");
+    group.run_until("the host is a voter", 7_000, |it| is_voter(it, "c04"));
+}
+
+/// Mean and largest number of hellos a second that a host sends, including replies and hellos
+/// that it passes on.
+fn hello_rates(group: &mut Group) -> (f64, f64) {
+    const SECONDS: u64 = 10;
+    group.hellos_sent.clear();
+    group.run(SECONDS * 1_000);
+    let rate = |sent: &u64| *sent as f64 / SECONDS as f64;
+    let rates: Vec<f64> = group.hellos_sent.values().map(rate).collect();
+    let largest = rates.iter().copied().fold(0.0, f64::max);
+    let running = group.hosts.values().filter(|host| host.node.is_some()).count();
+    (rates.iter().sum::<f64>() / running as f64, largest)
+}
--- /dev/null
+++ b/tests/control_outsider.rs
@@ -0,0 +1,181 @@
+//! Single control host that is no voter, or that others take for none.
+
+#![allow(clippy::unwrap_used, reason = "helper functions of tests")]
+
+use pomelopin::{
+    clock::Millis,
+    control::{
+        node::{GroupPolicy, Input, Node, NodeSettings, Output, Role},
+        storage::{StoredState, Vote},
+    },
+    ids::ControlId,
+    settings::timing::GroupTiming,
+    wire::group::{
+        Append, GroupBody, GroupMessage, GroupTerm, Hello, LogEntry, LogId, Member, Members,
+        Payload, PreVoteResult,
+    },
+};
+
+const TICK: Millis = Millis(25);
+
+/// Id of the host under test.
+const OWN: &str = "a.1";
+
+fn id(name: &str) -> ControlId {
+    ControlId::from(format!("{name}.1"))
+}
+
+fn member(name: &str) -> Member {
+    Member { name: name.to_owned(), bus_addr: name.to_owned(), ..Member::default() }
+}
+
+fn members(names: &[&str]) -> LogEntry {
+    let members = names.iter().map(|name| (id(name), member(name))).collect();
+    LogEntry { term: GroupTerm(1), payload: Payload::Members(Members(members)) }
+}
+
+fn noop(term: u64) -> LogEntry {
+    LogEntry { term: GroupTerm(term), payload: Payload::Noop }
+}
+
+fn log_id(term: u64, index: u64) -> LogId {
+    LogId { term: GroupTerm(term), index }
+}
+
+/// Host `a` with dynamic membership, which is configured with the seeds `s` and `t`.
+fn host(entries: Vec<LogEntry>) -> Node {
+    let settings = NodeSettings {
+        id: ControlId::from(OWN),
+        member: member("a"),
+        group: ["s", "t"].map(|name| (name.to_owned(), name.to_owned())).into(),
+        seed: 1,
+        timing: GroupTiming::default(),
+        policy: GroupPolicy {
+            dynamic_membership: true,
+            may_bootstrap: false,
+            ..GroupPolicy::default()
+        },
+    };
+    let vote = Vote { term: GroupTerm(1), voted_for: None };
+    Node::new(settings, StoredState { vote, entries, ..StoredState::default() }, Millis(0))
+}
+
+fn message(sender: &str, to: Option<&str>, term: u64, body: GroupBody) -> Input {
+    let to = to.map(ControlId::from);
+    Input::Message(GroupMessage { from: id(sender), to, term: GroupTerm(term), body })
+}
+
+fn append(previous: LogId, entries: Vec<LogEntry>, commit: u64) -> GroupBody {
+    GroupBody::Append(Append { previous, entries, commit, sent_at: Millis(0) })
+}
+
+fn hello(sender: &str, reply_requested: bool) -> GroupBody {
+    GroupBody::Hello(Hello { member: member(sender), initialized: true, reply_requested, nonce: 9 })
+}
+
+/// Ticks from `from` until `until` and returns the time and each output.
+fn run(node: &mut Node, from: Millis, until: Millis) -> Vec<(Millis, Output)> {
+    let mut outputs = Vec::new();
+    let mut now = from;
+    while now < until {
+        now += TICK;
+        outputs.extend(node.step(now, Input::Tick).into_iter().map(|output| (now, output)));
+    }
+    outputs
+}
+
+/// Addresses that were asked to let the host in.
+fn asked(outputs: &[(Millis, Output)]) -> Vec<String> {
+    let addr = |(_, output): &(Millis, Output)| match output {
+        Output::Send { addr, message: GroupMessage { body: GroupBody::Hello(hello), .. } } => {
+            hello.reply_requested.then(|| addr.clone())
+        }
+        _ => None,
+    };
+    outputs.iter().filter_map(addr).collect()
+}
+
+/// Destinations of the hellos of `sender` that the host passes on.
+fn passed_on(outputs: &[Output], sender: &str) -> Vec<(String, Option<ControlId>)> {
+    let destination = |output: &Output| match output {
+        Output::Send { addr, message } if message.from == id(sender) => {
+            Some((addr.clone(), message.to.clone()))
+        }
+        _ => None,
+    };
+    outputs.iter().filter_map(destination).collect()
+}
+
+fn pre_vote_response(outputs: &[Output]) -> Option<PreVoteResult> {
+    outputs.iter().find_map(|output| match output {
+        Output::Send { message, .. } => match message.body {
+            GroupBody::PreVoteResponse { result, .. } => Some(result),
+            _ => None,
+        },
+        _ => None,
+    })
+}
+
+/// Guards against a host with an empty disk that knows only wrong seeds, although the leader's
+/// heartbeats to the id before the loss of the disk reach it.
+#[test]
+fn sender_of_a_message_to_an_earlier_id_is_asked() {
+    let mut node = host(Vec::new());
+    node.step(Millis(10), message("b", Some("a.0"), 3, append(log_id(3, 9), Vec::new(), 9)));
+    let asked = asked(&run(&mut node, Millis(10), Millis(1_000)));
+    assert!(asked.contains(&"b".to_owned()), "asked {asked:?}");
+    assert!(asked.contains(&"s".to_owned()), "asked {asked:?}");
+    assert_eq!(node.role().leader, None);
+}
+
+/// Guards against a host that asks only its seeds although its log names other hosts.
+#[test]
+fn earlier_voters_of_the_log_are_asked() {
+    let entries = vec![members(&["b", "c", "d"]), members(&["c", "d", "e"])];
+    let asked = asked(&run(&mut host(entries), Millis(0), Millis(3_000)));
+    for addr in ["b", "c", "d", "e", "s", "t"] {
+        assert!(asked.iter().any(|it| it == addr), "{addr} is not asked: {asked:?}");
+    }
+}
+
+/// Guards against a removed host that asks only its seeds, although a host that can let it in has
+/// told it of the removal.
+#[test]
+fn sender_of_a_removal_is_asked() {
+    let mut node = host(vec![members(&["a", "b", "c"])]);
+    run(&mut node, Millis(0), Millis(1_000));
+    let removed = PreVoteResult::Removed;
+    let body = GroupBody::PreVoteResponse { result: removed, round: 1, process: 3 };
+    node.step(Millis(1_000), message("x", Some(OWN), 1, body));
+    let asked = asked(&run(&mut node, Millis(1_000), Millis(2_000)));
+    assert!(asked.contains(&"x".to_owned()), "asked {asked:?}");
+}
+
+fn pre_vote_round(output: &Output) -> Option<u64> {
+    match output {
+        Output::Send { message, .. } => match message.body {
+            GroupBody::PreVote { round, .. } => Some(round),
+            _ => None,
+        },
+        _ => None,
+    }
+}
+
+/// Runs a host of which each pre-vote is answered with `result` by three of four other voters;
+/// returns the rounds and the reported removals.
+fn run_rounds(node: &mut Node, until: Millis, result: PreVoteResult) -> (usize, usize) {
+    let (mut rounds, mut removals) = (0, 0);
+    let mut now = Millis(0);
+    while now < until {
+        now += TICK;
+        let outputs = node.step(now, Input::Tick);
+        let Some(round) = outputs.iter().find_map(pre_vote_round) else { continue };
+        rounds += 1;
+        for sender in ["b", "c", "d"] {
+            let body = GroupBody::PreVoteResponse { result, round, process: 3 };
+            let outputs = node.step(now, message(sender, Some(OWN), 1, body));
+            removals += outputs.iter().filter(|it| matches!(it, Output::Removed { .. })).count();
+        }
+    }
+    (rounds, removals)
+}
--- a/tests/group/mod.rs
+++ b/tests/group/mod.rs
@@ -14,7 +14,7 @@
     },
     ids::ControlId,
     settings::timing::GroupTiming,
-    wire::group::{GroupMessage, GroupTerm, Member},
+    wire::group::{GroupBody, GroupMessage, GroupTerm, Member},
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
@@ -61,6 +61,8 @@
     pub policy: GroupPolicy,
     /// Configured hosts of hosts that are started; all hosts if empty.
     pub configured: Vec<String>,
+    /// Number of hellos that each host has sent.
+    pub hellos_sent: BTreeMap<String, u64>,
     messages: Vec<(Millis, String, String, GroupMessage)>,
     /// First committed command at each index and the resulting state.
     committed: BTreeMap<u64, (GroupTerm, Bytes, (u64, u64))>,
@@ -84,6 +86,7 @@
             compact_after_entries: u64::MAX,
             policy: GroupPolicy::default(),
             configured: Vec::new(),
+            hellos_sent: BTreeMap::new(),
             messages: Vec::new(),
             committed: BTreeMap::new(),
             leaders: BTreeMap::new(),
@@ -353,6 +356,9 @@
     }
 
     fn send(&mut self, from: &str, to: String, message: GroupMessage) {
+        if matches!(message.body, GroupBody::Hello(_)) {
+            *self.hellos_sent.entry(from.to_owned()).or_default() += 1;
+        }
         let delay = Millis(self.rng.random_range(1..=self.max_delay_ms));
         if self.rng.random_range(0..100) >= self.drop_percent {
             self.messages.push((self.now + delay, from.to_owned(), to, message));
