Let a voter without a leader ask to join

A host stayed outside its group for ever in two cases. A voter of its own log asked nobody until another host told it of its removal, although all voters of that log could be gone. And a host that had learned of its removal was marked as a voter again by the older entries that list it, so it neither stood for election nor asked.

With dynamic membership, a host now also asks if the committed log does not list it, or if it has had no leader for 2 s.

Both tests failed on the code before: no hello was sent.

--- a/src/control/follower.rs
+++ b/src/control/follower.rs
@@ -74,6 +74,7 @@
 
     fn follow_leader(&mut self, now: Millis, term: GroupTerm, leader: &ControlId) {
         self.become_follower(now, term, Some(leader.clone()));
+        self.leader_heard_at = now;
         self.timer.record_leader_contact(now, &self.settings.timing);
     }
 
--- a/src/control/joining.rs
+++ b/src/control/joining.rs
@@ -7,7 +7,26 @@
 /// Number of addresses asked at a time. With 16 hosts, each is asked within 1.4 s.
 const ASKED_AT_A_TIME: usize = 3;
 
+/// Time without a leader after which a voter asks to join. Its group may have removed it, and the
+/// voters of its log may be gone; an election usually takes less.
+const VOTER_PATIENCE: Millis = Millis(2_000);
+
 impl Node {
+    /// Whether this host asks to join. An uncommitted entry that lists it may be lost with its
+    /// leader, so it goes on asking until such an entry is committed.
+    ///
+    /// Without dynamic membership, a host that was a voter never asks: its name may belong to
+    /// its replacement.
+    pub(super) fn asks_to_join(&self, now: Millis) -> bool {
+        if !self.was_member || !self.settings.policy.dynamic_membership {
+            return !self.was_member;
+        }
+        let voters = self.history.at(self.commit_index);
+        let waits_for_leader = self.leader.is_none();
+        !voters.0.contains_key(&self.settings.id)
+            || (waits_for_leader && now.since(self.leader_heard_at) >= VOTER_PATIENCE)
+    }
+
     /// Asks the next hosts to let this one in.
     pub(super) fn ask_to_join(&mut self, now: Millis) {
         if now.since(self.hello_sent_at) < self.settings.timing.hello_interval {
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -170,6 +170,8 @@
     pub(super) commit_index: u64,
     pub(super) state: State,
     pub(super) leader: Option<ControlId>,
+    /// Time of the last message from a leader, or of the start.
+    pub(super) leader_heard_at: Millis,
     pub(super) timer: ElectionTimer,
     pub(super) snapshot_assembly: SnapshotAssembly,
     pub(super) hello_replies: HelloReplies,
@@ -215,6 +217,7 @@
             commit_index: last.index,
             state: State::Follower,
             leader: None,
+            leader_heard_at: now,
             timer,
             snapshot_assembly: SnapshotAssembly::default(),
             hello_replies: HelloReplies::default(),
@@ -290,9 +293,7 @@
         if self.is_voter() && self.timer.is_due(now) {
             self.start_pre_vote(now);
         }
-        // An uncommitted entry that lists this host may be lost with its leader, so the
-        // host keeps asking to join until such an entry is committed.
-        if !self.was_member {
+        if self.asks_to_join(now) {
             self.join_or_bootstrap(now);
         }
     }
--- a/tests/control_outsider.rs
+++ b/tests/control_outsider.rs
@@ -151,6 +151,28 @@
     assert!(asked.contains(&"x".to_owned()), "asked {asked:?}");
 }
 
+/// Guards against a voter that waits for the voters of its log for ever, although all of them are
+/// gone and the group has removed it: it asked nobody until one of them told it so.
+#[test]
+fn voter_without_a_leader_asks_to_join() {
+    let mut node = host(vec![members(&["a", "b", "c"])]);
+    node.step(Millis(0), message("b", Some(OWN), 1, append(log_id(1, 1), Vec::new(), 1)));
+    assert_eq!(asked(&run(&mut node, Millis(0), Millis(800))), Vec::<String>::new());
+    let asked = asked(&run(&mut node, Millis(800), Millis(5_000)));
+    assert!(asked.contains(&"s".to_owned()), "asked {asked:?}");
+}
+
+/// Guards against a removed host that learns the log up to its removal and loses the leader then:
+/// the older entries that list it made it stop asking.
+#[test]
+fn host_whose_log_ends_with_its_removal_asks_to_join() {
+    let mut node = host(Vec::new());
+    let entries = vec![members(&["a", "b", "c", "d"]), members(&["b", "c", "d"])];
+    node.step(Millis(10), message("b", Some(OWN), 1, append(LogId::default(), entries, 2)));
+    let asked = asked(&run(&mut node, Millis(10), Millis(3_000)));
+    assert!(!asked.is_empty(), "the host does not ask");
+}
+
 fn pre_vote_round(output: &Output) -> Option<u64> {
     match output {
         Output::Send { message, .. } => match message.body {
