Pass a hello on without knowing a leader

A new host that knew only a follower without a leader, for example one whose link to the leader was cut, never joined: a hello was forwarded to the leader or not at all. It was also dropped if the log did not name the leader yet.

A host without a leader passes a hello on to two voters of its log, in turn. It is addressed to their ids, so it is not passed on again, and their replies tell the asking host their addresses. The format of messages is unchanged.

--- a/src/control/bootstrap.rs
+++ b/src/control/bootstrap.rs
@@ -4,12 +4,9 @@
 
 use crate::{
     clock::Millis,
-    control::{
-        membership::MembershipHistory,
-        node::{Node, Output},
-    },
+    control::{membership::MembershipHistory, node::Node},
     ids::ControlId,
-    wire::group::{GroupBody, GroupMessage, GroupTerm, Hello, Member, Members},
+    wire::group::{GroupBody, Hello, Member, Members},
 };
 
 impl Node {
@@ -39,17 +36,6 @@
         }
     }
 
-    /// Forwards a hello to the leader, because a joining host may know only followers.
-    pub(super) fn forward_hello(&mut self, from: &ControlId, term: GroupTerm, hello: &Hello) {
-        let Some(leader) = self.leader.clone().filter(|id| *id != self.settings.id) else { return };
-        let Some(addr) = self.members().0.get(&leader).map(|member| self.bus_addr(member)) else {
-            return;
-        };
-        let body = GroupBody::Hello(hello.clone());
-        let message = GroupMessage { from: from.clone(), to: Some(leader), term, body };
-        self.outputs.push(Output::Send { addr, message });
-    }
-
     pub(super) fn send_hello(
         &mut self,
         addr: String,
--- a/src/control/joining.rs
+++ b/src/control/joining.rs
@@ -2,11 +2,19 @@
 
 use std::collections::BTreeSet;
 
-use crate::{clock::Millis, control::node::Node, ids::ControlId};
+use crate::{
+    clock::Millis,
+    control::node::{Node, Output},
+    ids::ControlId,
+    wire::group::{GroupBody, GroupMessage, GroupTerm, Hello},
+};
 
 /// Number of addresses asked at a time. With 16 hosts, each is asked within 1.4 s.
 const ASKED_AT_A_TIME: usize = 3;
 
+/// Number of voters to which a host without a leader passes a hello on.
+const PASSED_ON_AT_A_TIME: usize = 2;
+
 /// Time without a leader after which a voter asks to join. Its group may have removed it, and the
 /// voters of its log may be gone; an election usually takes less.
 const VOTER_PATIENCE: Millis = Millis(2_000);
@@ -48,6 +56,34 @@
         addrs
     }
 
+    /// Passes on the hello of a host that may know only this one: to the leader, or to voters if
+    /// no leader is known. It is addressed to an id, so it is not passed on again.
+    pub(super) fn pass_on_hello(&mut self, from: &ControlId, term: GroupTerm, hello: &Hello) {
+        for id in self.hello_receivers(from) {
+            let Some(addr) = self.address_of(&id) else { continue };
+            let body = GroupBody::Hello(hello.clone());
+            let message = GroupMessage { from: from.clone(), to: Some(id), term, body };
+            self.outputs.push(Output::Send { addr, message });
+        }
+    }
+
+    fn hello_receivers(&mut self, from: &ControlId) -> Vec<ControlId> {
+        let own = &self.settings.id;
+        if let Some(leader) = &self.leader {
+            return Some(leader).filter(|id| *id != own).cloned().into_iter().collect();
+        }
+        if !self.settings.policy.dynamic_membership {
+            return Vec::new();
+        }
+        let voters = self.history.voters().map(|(id, _)| id);
+        let others: BTreeSet<&ControlId> = voters.filter(|id| *id != own && *id != from).collect();
+        let count = others.len().min(PASSED_ON_AT_A_TIME);
+        let next = others.iter().cycle().skip(self.passed_on_hellos % others.len().max(1));
+        let next = next.take(count).map(|id| (*id).clone()).collect();
+        self.passed_on_hellos = self.passed_on_hellos.wrapping_add(count);
+        next
+    }
+
     /// Remembers the address of a sender. The voters' are known from the log.
     pub(super) fn learn_sender(&mut self, from: &ControlId) {
         if self.members().0.contains_key(from) {
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -177,6 +177,8 @@
     pub(super) hello_replies: HelloReplies,
     /// Addresses to ask for the group.
     pub(super) discovery: Discovery,
+    /// Number of hellos passed on to voters, which are taken in turn.
+    pub(super) passed_on_hellos: usize,
     /// Whether this host is creating the group with itself as the first voter.
     pub(super) bootstrapping: bool,
     /// Whether a committed entry has listed this host as a voter.
@@ -221,6 +223,7 @@
             timer,
             snapshot_assembly: SnapshotAssembly::default(),
             hello_replies: HelloReplies::default(),
+            passed_on_hellos: 0,
             bootstrapping: false,
             unsynced: VecDeque::new(),
             pending_ack: None,
@@ -310,7 +313,7 @@
         match body {
             GroupBody::Hello(hello) => {
                 if hello.reply_requested && to.is_none() {
-                    self.forward_hello(&from, term, &hello);
+                    self.pass_on_hello(&from, term, &hello);
                 }
                 self.on_hello(now, from, hello);
             }
--- a/tests/control_joining.rs
+++ b/tests/control_joining.rs
@@ -91,6 +91,18 @@
     group.run_until("the host is a voter", 7_000, |it| is_voter(it, "c04"));
 }
 
+/// Guards against a new host that knows only a host without a leader.
+#[test]
+fn host_joins_through_a_leaderless_follower() {
+    let mut group = dynamic_group(4, 2);
+    let (leader, follower) = (group.leader().unwrap(), group.followers().remove(0));
+    cut(&mut group, &leader, &follower);
+    group.run(3_000);
+    group.configured = vec![follower];
+    add_host(&mut group, "new");
+    group.run_until("the new host is a voter", 5_000, |it| is_voter(it, "new"));
+}
+
 /// Mean and largest number of hellos a second that a host sends, including replies and hellos
 /// that it passes on.
 fn hello_rates(group: &mut Group) -> (f64, f64) {
--- a/tests/control_outsider.rs
+++ b/tests/control_outsider.rs
@@ -173,6 +173,43 @@
     assert!(!asked.is_empty(), "the host does not ask");
 }
 
+/// Guards against a host that knows no leader and leaves a host that asks it without help.
+#[test]
+fn leaderless_host_passes_a_hello_on() {
+    let mut node = host(vec![members(&["a", "b", "c", "x"])]);
+    let mut destinations = Vec::new();
+    for round in 0..4 {
+        let now = Millis(round * 200);
+        let passed = passed_on(&node.step(now, message("x", None, 1, hello("x", true))), "x");
+        assert!(passed.len() <= 2, "passed on to {passed:?}");
+        destinations.extend(passed);
+    }
+    destinations.sort();
+    destinations.dedup();
+    assert_eq!(destinations, ["b", "c"].map(|name| (name.to_owned(), Some(id(name)))));
+}
+
+/// Guards against a hello that travels for ever between hosts that know no leader, and against
+/// replies that are passed on.
+#[test]
+fn hello_is_passed_on_only_once() {
+    let mut node = host(vec![members(&["a", "b", "c"])]);
+    let passed = node.step(Millis(10), message("x", Some(OWN), 1, hello("x", true)));
+    assert!(passed_on(&passed, "x").is_empty());
+    let reply = node.step(Millis(10), message("x", Some(OWN), 1, hello("x", false)));
+    assert!(passed_on(&reply, "x").is_empty());
+}
+
+/// Guards against a hello that is lost at a host which follows a leader without having received
+/// the entry that names it.
+#[test]
+fn hello_reaches_a_leader_that_the_log_does_not_name() {
+    let mut node = host(Vec::new());
+    node.step(Millis(10), message("b", Some(OWN), 3, append(log_id(3, 9), Vec::new(), 9)));
+    let outputs = node.step(Millis(20), message("x", None, 1, hello("x", true)));
+    assert_eq!(passed_on(&outputs, "x"), [("b".to_owned(), Some(id("b")))]);
+}
+
 fn pre_vote_round(output: &Output) -> Option<u64> {
     match output {
         Output::Send { message, .. } => match message.body {
