Let the leader look for hosts that it misses

A host that had lost its disk was never found if all of its seeds were gone and the leader had removed its earlier id: nothing was sent to its address any more, and it knew no other.

The leader sends one hello a second, in turn, to the learned addresses whose hosts it does not replicate to. The host learns the leader's address from it and asks to join.

--- a/src/control/joining.rs
+++ b/src/control/joining.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     clock::Millis,
-    control::node::{Node, Output},
+    control::node::{Node, Output, State},
     ids::ControlId,
     wire::group::{GroupBody, GroupMessage, GroupTerm, Hello},
 };
@@ -15,6 +15,9 @@
 /// Number of voters to which a host without a leader passes a hello on.
 const PASSED_ON_AT_A_TIME: usize = 2;
 
+/// Interval between two hellos of a leader to hosts that it does not replicate to.
+const SEEK_INTERVAL: Millis = Millis(1_000);
+
 /// Time without a leader after which a voter asks to join. Its group may have removed it, and the
 /// voters of its log may be gone; an election usually takes less.
 const VOTER_PATIENCE: Millis = Millis(2_000);
@@ -84,6 +87,22 @@
         next
     }
 
+    /// As the leader, tells a host that it does not replicate to where the leader is. Such a host
+    /// may have lost its disk or have been removed, and all addresses that it knows may be wrong.
+    pub(super) fn seek_missing_hosts(&mut self, now: Millis) {
+        let State::Leader(state) = &self.state else { return };
+        let dynamic = self.settings.policy.dynamic_membership;
+        if !dynamic || now.since(self.missing_sought_at) < SEEK_INTERVAL {
+            return;
+        }
+        self.missing_sought_at = now;
+        let followers = state.replication.hosts.values();
+        let known = followers.map(|progress| self.bus_addr(&progress.member)).collect();
+        if let Some(addr) = self.discovery.next_missing(&known) {
+            self.send_hello(addr, None, false, self.settings.seed);
+        }
+    }
+
     /// Remembers the address of a sender. The voters' are known from the log.
     pub(super) fn learn_sender(&mut self, from: &ControlId) {
         if self.members().0.contains_key(from) {
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -188,6 +188,8 @@
     /// Acknowledgement to send once the received entries are synced.
     pub(super) pending_ack: Option<PendingAck>,
     pub(super) hello_sent_at: Millis,
+    /// When a missing host was last sought by this host as the leader.
+    pub(super) missing_sought_at: Millis,
     /// Number of the last pre-vote round.
     pub(super) pre_vote_round: u64,
     last_step: Millis,
@@ -228,6 +230,7 @@
             unsynced: VecDeque::new(),
             pending_ack: None,
             hello_sent_at: now,
+            missing_sought_at: now,
             pre_vote_round: 0,
             last_step: now,
             last_reported: RoleChange::default(),
@@ -291,6 +294,7 @@
     fn tick(&mut self, now: Millis) {
         if matches!(self.state, State::Leader(_)) {
             self.tick_leader(now);
+            self.seek_missing_hosts(now);
             return;
         }
         if self.is_voter() && self.timer.is_due(now) {
--- a/tests/control_joining.rs
+++ b/tests/control_joining.rs
@@ -103,6 +103,20 @@
     group.run_until("the new host is a voter", 5_000, |it| is_voter(it, "new"));
 }
 
+/// Guards against a host that nobody looks for: it has lost its disk, all of its seeds are gone,
+/// and the leader has removed its earlier id.
+#[test]
+fn leader_looks_for_a_removed_host_without_disk_and_seeds() {
+    let mut group = dynamic_group(4, 3);
+    let lost = group.followers().remove(0);
+    group.lose_disk(&lost);
+    group.run(12_000);
+    add_dead_host(&mut group, "dead");
+    group.configured = seeds(&["dead"]);
+    group.start(&lost);
+    group.run_until("the host is a voter", 15_000, |it| is_voter(it, &lost));
+}
+
 /// Mean and largest number of hellos a second that a host sends, including replies and hellos
 /// that it passes on.
 fn hello_rates(group: &mut Group) -> (f64, f64) {
