Forget a silent leader on hosts that are no voters

Hosts beyond the largest number of voters went on naming a leader that was long gone, redirected operators to it and forwarded hellos to it: the election timer, which makes a voter forget its leader, runs only for voters.

A host that is no voter now forgets a leader that it has not heard for the maximum election timeout (900 ms) and reports the change of role. A suspended process first reads its queue, as before elections.

Tests on the code before: the leader was still named 1.5 s after the cut.

--- a/src/control/joining.rs
+++ b/src/control/joining.rs
@@ -103,6 +103,14 @@
         }
     }
 
+    /// Forgets a leader that is not heard, as a voter does when it requests pre-votes.
+    pub(super) fn forget_silent_leader(&mut self, now: Millis) {
+        let silence = now.since(self.leader_heard_at);
+        if !self.is_voter() && silence >= self.settings.timing.election_max {
+            self.leader = None;
+        }
+    }
+
     /// Remembers the address of a sender. The voters' are known from the log.
     pub(super) fn learn_sender(&mut self, from: &ControlId) {
         if self.members().0.contains_key(from) {
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -300,6 +300,7 @@
         if self.is_voter() && self.timer.is_due(now) {
             self.start_pre_vote(now);
         }
+        self.forget_silent_leader(now);
         if self.asks_to_join(now) {
             self.join_or_bootstrap(now);
         }
@@ -364,7 +365,10 @@
         self.outputs.push(Output::Frozen { gap });
         match &mut self.state {
             State::Leader(state) => state.replication.invalidate_lease(now),
-            _ => self.timer.reset(now, &self.settings.timing),
+            _ => {
+                self.timer.reset(now, &self.settings.timing);
+                self.leader_heard_at = now;
+            }
         }
     }
 
--- a/tests/control_joining.rs
+++ b/tests/control_joining.rs
@@ -117,6 +117,22 @@
     group.run_until("the host is a voter", 15_000, |it| is_voter(it, &lost));
 }
 
+/// Guards against hosts beyond the largest number of voters that name a leader which is gone.
+#[test]
+fn cut_off_host_that_is_no_voter_names_no_leader() {
+    let mut group = dynamic_group(9, 5);
+    let is_outside = |group: &Group, name: &str| !is_voter(group, name);
+    let outside: Vec<_> =
+        group.names().into_iter().filter(|name| is_outside(&group, name)).collect();
+    assert_eq!(outside.len(), 2);
+    group.partitioned = BTreeSet::from_iter(outside.clone());
+    group.run(1_500);
+    for name in outside {
+        let role = group.hosts[&name].node.as_ref().unwrap().role();
+        assert_eq!(role.leader, None, "{name}");
+    }
+}
+
 /// Mean and largest number of hellos a second that a host sends, including replies and hellos
 /// that it passes on.
 fn hello_rates(group: &mut Group) -> (f64, f64) {
--- a/tests/control_outsider.rs
+++ b/tests/control_outsider.rs
@@ -210,6 +210,32 @@
     assert_eq!(passed_on(&outputs, "x"), [("b".to_owned(), Some(id("b")))]);
 }
 
+/// Guards against a host that names a leader which is gone: the election timer runs only for
+/// voters, so it redirected operators to that leader for ever.
+#[test]
+fn host_that_is_no_voter_forgets_a_silent_leader() {
+    let mut node = host(Vec::new());
+    let body = append(LogId::default(), vec![members(&["b", "c", "d"])], 1);
+    node.step(Millis(100), message("b", Some(OWN), 1, body));
+    let silent = GroupTiming::default().election_max;
+    run(&mut node, Millis(100), Millis(100) + silent - TICK);
+    assert_eq!(node.role().leader, Some(id("b")));
+    let outputs = run(&mut node, Millis(100) + silent - TICK, Millis(100) + silent + TICK);
+    assert_eq!(node.role().leader, None);
+    assert!(outputs.iter().any(|(_, it)| matches!(it, Output::RoleChanged(_))));
+}
+
+/// Guards against a leader that is forgotten although its messages wait in the queue of a process
+/// that did not run.
+#[test]
+fn suspended_host_keeps_its_leader_until_its_queue_is_read() {
+    let mut node = host(Vec::new());
+    let body = append(LogId::default(), vec![members(&["b", "c", "d"])], 1);
+    node.step(Millis(100), message("b", Some(OWN), 1, body));
+    node.step(Millis(5_000), Input::Tick);
+    assert_eq!(node.role().leader, Some(id("b")));
+}
+
 fn pre_vote_round(output: &Output) -> Option<u64> {
     match output {
         Output::Send { message, .. } => match message.body {
