Tell only candidates with an older log of their removal

A group could end without a leader: a voter that had not received the entry that added a candidate answered that the candidate was removed. If that candidate held the newest entry and its vote was needed, for example because the disk of the leader was lost, no host could win.

A pre-vote is answered with "removed" only if the responder's log is newer; otherwise the usual rules hold. Votes never looked at the membership, and an early election still needs all voters of the candidate, one of which has the newer log if the candidate's membership is outdated.

Test on the code before: three of four voters live, no leader in 10 s.

--- a/src/control/voting.rs
+++ b/src/control/voting.rs
@@ -89,7 +89,9 @@
     ) {
         let timing = &self.settings.timing;
         let is_leader = matches!(self.state, State::Leader(_));
-        let result = if !self.is_uninitialized() && !self.members().0.contains_key(&from) {
+        let is_known = self.members().0.contains_key(&from);
+        // A log that is not newer may lack the entry that added the candidate.
+        let result = if !is_known && last < self.log.last() {
             PreVoteResult::Removed
         } else if term < self.vote.term || last < self.log.last() {
             PreVoteResult::Rejected
--- a/src/wire/group.rs
+++ b/src/wire/group.rs
@@ -144,7 +144,8 @@
     Granted,
     /// A leader is alive, or the sender's term or log is behind.
     Rejected,
-    /// The sender is no longer a member of the group.
+    /// The sender is no longer a member of the group: the responder's log is newer, and the sender
+    /// is not among its voters. Older builds also say so if their log is not newer.
     Removed,
     /// The process has just started and has not heard from a leader. It withholds its
     /// vote, because an earlier process of the host may have followed a leader, unless no
--- a/tests/control_joining.rs
+++ b/tests/control_joining.rs
@@ -117,6 +117,30 @@
     group.run_until("the host is a voter", 15_000, |it| is_voter(it, &lost));
 }
 
+/// Guards against a group that ends without a leader, because a voter that has not received the
+/// addition of the only host with the newest entry takes that host for a removed one.
+#[test]
+fn voter_that_is_behind_does_not_refuse_a_voter_it_does_not_know() {
+    let mut group = dynamic_group(3, 4);
+    let leader = group.leader().unwrap();
+    let [behind, other] = <[String; 2]>::try_from(group.followers()).unwrap();
+    group.kill(&behind);
+    add_host(&mut group, "c04");
+    group.run_until("the new host is a voter", 8_000, |it| it.voter_count() == 4);
+    group.run(500);
+    // Only the leader and the new host receive the next entry.
+    cut(&mut group, &leader, &other);
+    group.propose(&leader);
+    group.run(60);
+    group.lose_disk(&leader);
+    group.cut_links.clear();
+    group.start(&behind);
+    group.run_until("a leader", 10_000, |group| group.leader().is_some());
+    group.start(&leader);
+    group.run_until("the lost host is replaced", 20_000, |it| is_voter(it, &leader));
+    group.commit(2);
+}
+
 /// Guards against hosts beyond the largest number of voters that name a leader which is gone.
 #[test]
 fn cut_off_host_that_is_no_voter_names_no_leader() {
--- a/tests/control_outsider.rs
+++ b/tests/control_outsider.rs
@@ -236,6 +236,26 @@
     assert_eq!(node.role().leader, Some(id("b")));
 }
 
+/// Guards against a host that tells a candidate of its removal although its own log is behind and
+/// lacks the entry that added the candidate.
+#[test]
+fn only_a_newer_log_proves_a_removal() {
+    let cases = [
+        ("newer than the candidate's", 3, PreVoteResult::Removed),
+        ("equal", 2, PreVoteResult::Granted),
+        ("older", 1, PreVoteResult::Granted),
+    ];
+    for (what, last, wanted) in cases {
+        let mut entries = vec![members(&["a", "b", "c"])];
+        entries.extend((1..last).map(|_| noop(1)));
+        let mut node = host(entries);
+        run(&mut node, Millis(0), GroupTiming::default().election_min);
+        let body = GroupBody::PreVote { last: log_id(1, 2), round: 1 };
+        let outputs = node.step(Millis(500), message("x", Some(OWN), 2, body));
+        assert_eq!(pre_vote_response(&outputs), Some(wanted), "log {what}");
+    }
+}
+
 fn pre_vote_round(output: &Output) -> Option<u64> {
     match output {
         Output::Send { message, .. } => match message.body {
