Pause the candidacy of a host that was removed

After such an answer the host asks to join and starts no round for 1 s. The round under way still counts, the answer is ignored while a leader is heard or a vote is under way, and it is reported once a round, so a wrong answer delays a needed voter by at most 1.4 s. The test now allows at most 20 rounds in 20 s.

--- a/src/control/election.rs
+++ b/src/control/election.rs
@@ -12,6 +12,10 @@
 
 use crate::{clock::Millis, ids::ControlId, settings::timing::GroupTiming, wire::group::Members};
 
+/// Pause of a host that is told that it was removed. Without it, each voter would tell it several
+/// times a second; a longer one would delay the election of a host that is told so wrongly.
+const REMOVED_PAUSE: Millis = Millis(1_000);
+
 /// Randomized election timeout, so that two hosts rarely start an election together.
 #[derive(Debug)]
 pub struct ElectionTimer {
@@ -21,6 +25,8 @@
     /// because an earlier process of this host may have had contact.
     votes_withheld_until: Millis,
     started: Millis,
+    /// Time before which this host starts no election, because it was told of its removal.
+    paused_until: Millis,
     /// Whether this process has received a message from a leader.
     leader_contacted: bool,
 }
@@ -35,6 +41,7 @@
             deadline: now,
             votes_withheld_until,
             started: now,
+            paused_until: now,
             leader_contacted: false,
         };
         timer.schedule(now + timing.start_wait, Millis(0), timing.start_retry_max);
@@ -62,6 +69,17 @@
         }
     }
 
+    /// Schedules the next attempt after a pause, because this host was told of its removal.
+    pub fn pause(&mut self, now: Millis, timing: &GroupTiming) {
+        self.paused_until = now + REMOVED_PAUSE;
+        self.schedule(self.paused_until, timing.retry_min, timing.retry_max);
+    }
+
+    /// Whether the pause after a removal lasts.
+    pub fn is_paused(&self, now: Millis) -> bool {
+        now < self.paused_until
+    }
+
     /// Whether votes are withheld only because of an earlier process of this host.
     pub fn is_starting(&self, now: Millis) -> bool {
         !self.leader_contacted && self.withholds_votes(now)
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -391,6 +391,7 @@
         }
         if matches!(self.state, State::Leader(_)) {
             self.timer.reset(now, &self.settings.timing);
+            self.leader_heard_at = now;
         }
         self.state = State::Follower;
         self.leader = leader;
--- a/src/control/voting.rs
+++ b/src/control/voting.rs
@@ -138,9 +138,13 @@
         from: ControlId,
         response: PreVoteResponse,
     ) {
+        let PreVoteResponse { result, round, process } = response;
+        if result == PreVoteResult::Removed {
+            self.on_removed(now, from);
+            return;
+        }
         let State::PreCandidate(tally) = &mut self.state else { return };
         let timing = &self.settings.timing;
-        let PreVoteResponse { result, round, process } = response;
         match result {
             PreVoteResult::Granted => {
                 tally.record_grant(&from);
@@ -149,18 +153,23 @@
             PreVoteResult::Starting => {
                 tally.record_leaderless(now, timing, &from, round, Some(process))
             }
-            PreVoteResult::Rejected => {}
-            PreVoteResult::Removed => {
-                // With dynamic membership, a host that was removed while it was
-                // unreachable joins again.
-                self.was_member &= !self.settings.policy.dynamic_membership;
-                self.outputs.push(Output::Removed { by: from });
-                return;
-            }
+            PreVoteResult::Rejected | PreVoteResult::Removed => {}
         }
         self.start_election_if_winnable(now);
     }
 
+    /// Asks to join with dynamic membership, because a host with a newer log says that this one
+    /// was removed. The host goes on requesting pre-votes after a pause, as the answer may be wrong.
+    fn on_removed(&mut self, now: Millis, by: ControlId) {
+        let is_wanted = self.leader.is_some() || matches!(self.state, State::Candidate(_));
+        if is_wanted || self.timer.is_paused(now) {
+            return;
+        }
+        self.was_member &= !self.settings.policy.dynamic_membership;
+        self.timer.pause(now, &self.settings.timing);
+        self.outputs.push(Output::Removed { by });
+    }
+
     pub(super) fn on_vote_response(
         &mut self,
         now: Millis,
--- a/tests/control_outsider.rs
+++ b/tests/control_outsider.rs
@@ -284,3 +284,49 @@
     }
     (rounds, removals)
 }
+
+/// Guards against a removed host that goes on requesting pre-votes: it was told of its removal 25
+/// times a second and logged each.
+#[test]
+fn removed_host_pauses_its_candidacy() {
+    let mut node = host(vec![members(&["a", "b", "c", "d", "e"])]);
+    let (rounds, removals) = run_rounds(&mut node, Millis(20_000), PreVoteResult::Removed);
+    assert!(rounds <= 20, "{rounds} rounds in 20 s");
+    assert!(removals <= rounds, "{removals} reports of a removal in {rounds} rounds");
+}
+
+/// Guards against a needed voter that a wrong answer keeps out of elections for long.
+#[test]
+fn wrongly_removed_voter_stands_again_after_two_seconds() {
+    let mut node = host(vec![members(&["a", "b", "c", "d", "e"])]);
+    run(&mut node, Millis(0), Millis(2_000));
+    let body = GroupBody::PreVoteResponse { result: PreVoteResult::Removed, round: 1, process: 3 };
+    node.step(Millis(2_000), message("x", Some(OWN), 1, body));
+    let mut now = Millis(2_000);
+    while node.role().role != Role::Leader {
+        now += TICK;
+        assert!(now < Millis(4_000), "not elected until {now}");
+        let outputs = node.step(now, Input::Tick);
+        let Some(round) = outputs.iter().find_map(pre_vote_round) else { continue };
+        for sender in ["b", "c"] {
+            let result = PreVoteResult::Granted;
+            let body = GroupBody::PreVoteResponse { result, round, process: 3 };
+            node.step(now, message(sender, Some(OWN), 1, body));
+        }
+        for sender in ["b", "c"] {
+            let body = GroupBody::VoteResponse { granted: true };
+            node.step(now, message(sender, Some(OWN), 2, body));
+        }
+    }
+}
+
+/// Guards against a removal that is taken for granted while a leader counts this host as a voter.
+#[test]
+fn removal_is_ignored_while_the_leader_is_heard() {
+    let mut node = host(vec![members(&["a", "b", "c"])]);
+    node.step(Millis(10), message("b", Some(OWN), 1, append(log_id(1, 1), Vec::new(), 1)));
+    let body = GroupBody::PreVoteResponse { result: PreVoteResult::Removed, round: 0, process: 3 };
+    let outputs = node.step(Millis(20), message("x", Some(OWN), 1, body));
+    assert!(!outputs.iter().any(|it| matches!(it, Output::Removed { .. })));
+    assert_eq!(asked(&run(&mut node, Millis(20), Millis(400))), Vec::<String>::new());
+}
