Ask only the leader while it is heard

Hosts that find no place among the voters asked all seeds five times a second for ever, and each hello was forwarded and answered twice.

A host that hears the leader asks only it, once a second. The leader replicates to it already; without a leader it asks the others as before.

--- a/src/control/joining.rs
+++ b/src/control/joining.rs
@@ -15,6 +15,10 @@
 /// Number of voters to which a host without a leader passes a hello on.
 const PASSED_ON_AT_A_TIME: usize = 2;
 
+/// Interval between two hellos to a leader that is heard. It already replicates to this host, but
+/// has no place for it among the voters.
+const LEADER_INTERVAL: Millis = Millis(1_000);
+
 /// Interval between two hellos of a leader to hosts that it does not replicate to.
 const SEEK_INTERVAL: Millis = Millis(1_000);
 
@@ -38,13 +42,17 @@
             || (waits_for_leader && now.since(self.leader_heard_at) >= VOTER_PATIENCE)
     }
 
-    /// Asks the next hosts to let this one in.
+    /// Asks the leader, or the next hosts if no leader is heard, to let this one in.
     pub(super) fn ask_to_join(&mut self, now: Millis) {
-        if now.since(self.hello_sent_at) < self.settings.timing.hello_interval {
+        let leader = self.leader.as_ref().and_then(|id| self.address_of(id));
+        let interval =
+            if leader.is_some() { LEADER_INTERVAL } else { self.settings.timing.hello_interval };
+        if now.since(self.hello_sent_at) < interval {
             return;
         }
         self.hello_sent_at = now;
-        for addr in self.addrs_to_ask() {
+        let addrs = leader.map_or_else(|| self.addrs_to_ask(), |addr| [addr].into());
+        for addr in addrs {
             self.send_hello(addr, None, true, self.settings.seed);
         }
     }
--- a/tests/control_joining.rs
+++ b/tests/control_joining.rs
@@ -157,6 +157,29 @@
     }
 }
 
+/// Guards against hellos that load a large group, whether it has a leader or not.
+#[test]
+fn search_for_the_group_costs_little() {
+    for size in [9, 16] {
+        let mut group = dynamic_group(size, 6);
+        group.run(2_000);
+        let quiet = hello_rates(&mut group);
+        println!("{size} hosts with a leader: {quiet:?} hellos a second (mean, largest)");
+        let leader = group.leader().unwrap();
+        let voters = group.followers().into_iter().filter(|it| is_voter(&group, it));
+        for name in voters.take(3).collect::<Vec<_>>() {
+            group.kill(&name);
+        }
+        group.kill(&leader);
+        group.run(5_000);
+        assert_eq!(group.leader(), None);
+        let searching = hello_rates(&mut group);
+        println!("{size} hosts without a leader: {searching:?}");
+        assert!(quiet.1 <= 20.0, "{size} hosts with a leader: {quiet:?}");
+        assert!(searching.1 <= 150.0, "{size} hosts without a leader: {searching:?}");
+    }
+}
+
 /// Mean and largest number of hellos a second that a host sends, including replies and hellos
 /// that it passes on.
 fn hello_rates(group: &mut Group) -> (f64, f64) {
--- a/tests/control_outsider.rs
+++ b/tests/control_outsider.rs
@@ -173,6 +173,23 @@
     assert!(!asked.is_empty(), "the host does not ask");
 }
 
+/// Guards against needless traffic of the hosts of a large group that never become voters: each
+/// sent 15 hellos a second, and each of these was forwarded and answered twice.
+#[test]
+fn host_that_hears_the_leader_asks_only_it() {
+    let mut node = host(Vec::new());
+    let mut outputs = Vec::new();
+    for round in 0..100 {
+        let now = Millis(round * 100);
+        let body = append(LogId::default(), vec![members(&["b", "c", "d"])], 1);
+        node.step(now, message("b", Some(OWN), 1, body));
+        outputs.extend(run(&mut node, now, now + Millis(100)));
+    }
+    let asked = asked(&outputs);
+    assert!(asked.iter().all(|addr| addr == "b"), "asked {asked:?}");
+    assert!((5..=20).contains(&asked.len()), "{} hellos in 10 s", asked.len());
+}
+
 /// Guards against a host that knows no leader and leaves a host that asks it without help.
 #[test]
 fn leaderless_host_passes_a_hello_on() {
