Keep the seeds among an entry host's control addresses

An entry host could lose the group for ever although a seed was right. Above 16 addresses it evicted former members, and among them the seeds. And two hosts outside the group that named each other as the leader were tried in turn without end, as a named leader was always tried first.

Seeds are never evicted, 16 other addresses are kept, and after three redirects in a row the next address in turn is tried.

Three tests failed on the code before: the seeds were not among 40 tried addresses, and the right seed was not tried in 20 attempts.

--- a/src/gateway/control_link.rs
+++ b/src/gateway/control_link.rs
@@ -43,21 +43,33 @@
 /// Delay before the next control host is tried.
 const RECONNECT_DELAY: Duration = Duration::from_millis(60);
 
-/// Addresses of control hosts that are kept.
-const MAX_ADDRESSES: usize = 16;
+/// Addresses of control hosts that are kept beside the configured ones.
+const MAX_LEARNED_ADDRESSES: usize = 16;
+
+/// Redirects that are followed in a row. Hosts that have lost the group may name each other.
+const MAX_REDIRECTS: u32 = 3;
 
 /// Addresses of the control hosts, with the one to try next at the front.
+///
+/// The configured addresses are always among them, and all are tried in turn, so one right
+/// address suffices to find the leader.
 #[derive(Debug, Default)]
 pub struct ControlHosts {
     addresses: VecDeque<String>,
-    /// Configured addresses, used when no other is left.
+    /// Configured addresses; never evicted.
     seeds: Vec<String>,
+    /// Leader named by the last host, to be tried out of turn.
+    named_leader: Option<String>,
+    /// Redirects followed since an address was last tried in turn.
+    redirects: u32,
 }
 
 impl ControlHosts {
     /// Control hosts at the configured addresses.
     pub fn new(seeds: Vec<String>) -> Self {
-        Self { addresses: seeds.iter().cloned().collect(), seeds }
+        let mut hosts = Self::default();
+        hosts.set_seeds(seeds);
+        hosts
     }
 
     /// Replaces the configured addresses.
@@ -70,32 +82,40 @@
 
     /// Next address to try; it moves to the back.
     pub fn next_address(&mut self) -> Option<String> {
-        if self.addresses.is_empty() {
-            self.addresses.extend(self.seeds.iter().cloned());
+        if let Some(leader) = self.named_leader.take() {
+            self.redirects += 1;
+            self.addresses.retain(|addr| *addr != leader);
+            self.addresses.push_back(leader.clone());
+            return Some(leader);
         }
+        self.redirects = 0;
         let next = self.addresses.pop_front()?;
         self.addresses.push_back(next.clone());
         Some(next)
     }
 
-    /// Moves the leader named by a control host to the front.
+    /// Adds the members named by a control host, and tries the leader that it names next.
     pub fn redirect(&mut self, redirect: Redirect) {
         self.set_members(&redirect.members);
-        if let Some(leader) = redirect.leader {
-            self.addresses.retain(|addr| *addr != leader);
-            self.addresses.push_front(leader);
+        if self.redirects < MAX_REDIRECTS {
+            self.named_leader = redirect.leader;
         }
     }
 
-    /// Adds the members of the control group; above [`MAX_ADDRESSES`], former members are
-    /// removed first.
+    /// Adds the members of the control group; above [`MAX_LEARNED_ADDRESSES`], former members are
+    /// removed first, and configured addresses never.
     pub fn set_members(&mut self, members: &[String]) {
         for member in members {
             self.add(member);
         }
-        while self.addresses.len() > MAX_ADDRESSES {
-            let former = self.addresses.iter().position(|addr| !members.contains(addr));
-            self.addresses.remove(former.unwrap_or(0));
+        let max = MAX_LEARNED_ADDRESSES + self.seeds.len();
+        while self.addresses.len() > max {
+            let is_learned = |addr: &String| !self.seeds.contains(addr);
+            let is_former = |addr: &String| is_learned(addr) && !members.contains(addr);
+            let former = self.addresses.iter().position(is_former);
+            let evicted = former.or_else(|| self.addresses.iter().position(is_learned));
+            let Some(position) = evicted else { return };
+            self.addresses.remove(position);
         }
     }
 
