Reopen silent connections to all control hosts

A control host reopened silent connections only to voters. A connection to a seed, a learner or a learned address that had stopped delivering data stayed open, so a host outside the group could wait for ever.

All connections over which nothing was heard from the other host for 700 ms are closed, and the next message opens new ones. A hello that another host has passed on does not count as heard from its sender. Failed connections are forgotten at the next tick, so that no message is dropped to find out.

Test on the code before: one connection to a silent seed in 4 s where at least three are wanted.

--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -31,7 +31,7 @@
         state::{FleetCommand, FleetState},
     },
     gateway::log_limit::LogLimiter,
-    ids::{FailureDomain, InstanceId, Service},
+    ids::{ControlId, FailureDomain, InstanceId, Service},
     wire::group::GroupTerm,
 };
 
@@ -268,8 +268,9 @@
     fn handle_frame(&mut self, id: ConnectionId, frame: Frame) -> Result<()> {
         match frame {
             Frame::Group(message) => {
-                let name = message.from.as_str().rsplit_once('.').map_or("", |(name, _)| name);
-                self.peers_heard_at.insert(name.to_owned(), self.clock.now());
+                if !message.is_passed_on() {
+                    self.record_peer(&message.from);
+                }
                 self.step(Input::Message(message))?;
             }
             // The host has given up waiting, and reports again on its next connection.
@@ -285,6 +286,12 @@
         Ok(())
     }
 
+    /// Records that a control host was heard; its name is its address.
+    fn record_peer(&mut self, from: &ControlId) {
+        let Some((name, _)) = from.as_str().rsplit_once('.') else { return };
+        self.peers_heard_at.insert(name.to_owned(), self.clock.now());
+    }
+
     /// Whether frames can still be sent on a connection.
     fn is_open(&self, id: ConnectionId) -> bool {
         self.outgoing.get(&id).is_some_and(|queue| !queue.is_closed())
--- a/src/fleet/group_io.rs
+++ b/src/fleet/group_io.rs
@@ -1,5 +1,7 @@
 //! Carries out the outputs of the control group's node in order.
 
+use std::collections::BTreeSet;
+
 use bytes::Bytes;
 use eyre::{Result, WrapErr};
 
@@ -113,14 +115,18 @@
         Ok(())
     }
 
-    /// Closes connections to control hosts that time out; the next message reopens them.
+    /// Closes connections to control hosts that time out; the next message opens new ones. This
+    /// holds for all hosts that this one sends to: a connection to a learner, or to a host that is
+    /// asked for the group, may stop delivering data as well.
     pub(super) fn reconnect(&mut self) {
         let now = self.clock.now();
-        let own = self.group.node.id().clone();
-        for (id, member) in &self.group.node.members().0 {
-            let heard_at = self.peers_heard_at.entry(member.name.clone()).or_insert(now);
-            if *id != own && now.since(*heard_at) > PEER_TIMEOUT {
-                self.links.reset(&member.bus_addr);
+        self.links.remove_failed();
+        let linked: BTreeSet<String> = self.links.addrs().cloned().collect();
+        self.peers_heard_at.retain(|name, _| linked.contains(name));
+        for addr in linked {
+            let heard_at = self.peers_heard_at.entry(addr.clone()).or_insert(now);
+            if now.since(*heard_at) > PEER_TIMEOUT {
+                self.links.reset(&addr);
                 *heard_at = now;
             }
         }
--- a/src/fleet/link.rs
+++ b/src/fleet/link.rs
@@ -342,6 +342,16 @@
         }
     }
 
+    /// Addresses with a connection, which may have failed.
+    pub fn addrs(&self) -> impl Iterator<Item = &String> {
+        self.queues.keys()
+    }
+
+    /// Forgets failed connections, so that the next frame opens a new one.
+    pub fn remove_failed(&mut self) {
+        self.queues.retain(|_, queue| !queue.is_closed());
+    }
+
     /// Closes the connection to `addr`; the next frame opens a new one.
     pub fn reset(&mut self, addr: &str) {
         self.queues.remove(addr);
--- a/src/wire/group.rs
+++ b/src/wire/group.rs
@@ -93,6 +93,15 @@
     pub body: GroupBody,
 }
 
+impl GroupMessage {
+    /// Whether another host than the sender delivered the message: only a hello that is passed on
+    /// requests a reply and is addressed to an id.
+    pub fn is_passed_on(&self) -> bool {
+        let requests_reply = matches!(&self.body, GroupBody::Hello(hello) if hello.reply_requested);
+        requests_reply && self.to.is_some()
+    }
+}
+
 /// Content of a [`GroupMessage`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum GroupBody {
