Apply changed seeds on running control hosts

A running control host that was outside its group asked the seeds of its start only, although its settings file named others by then.

Which hosts may form a new group is still decided by the seeds of the start.

--- a/src/control/discovery.rs
+++ b/src/control/discovery.rs
@@ -35,9 +35,24 @@
 impl Discovery {
     /// Addresses of the host `own` that knows only its configured `seeds`.
     pub fn new(own: &str, seeds: impl IntoIterator<Item = String>) -> Self {
-        let seeds: BTreeSet<String> = seeds.into_iter().filter(|addr| addr != own).collect();
-        let queue = seeds.iter().cloned().collect();
-        Self { own: own.to_owned(), seeds, queue, ..Self::default() }
+        let mut discovery = Self { own: own.to_owned(), ..Self::default() };
+        discovery.set_seeds(seeds);
+        discovery
+    }
+
+    /// Replaces the configured addresses; the former ones count as learned.
+    pub fn set_seeds(&mut self, seeds: impl IntoIterator<Item = String>) {
+        let seeds = seeds.into_iter().filter(|addr| *addr != self.own).collect();
+        let former = std::mem::replace(&mut self.seeds, seeds);
+        for seed in &self.seeds {
+            self.learned.remove(seed);
+            if !self.queue.contains(seed) {
+                self.queue.push_back(seed.clone());
+            }
+        }
+        let dropped: Vec<String> = former.difference(&self.seeds).cloned().collect();
+        self.queue.retain(|addr| !dropped.contains(addr));
+        dropped.iter().for_each(|addr| self.learn(addr));
     }
 
     /// Configured addresses of other hosts.
--- a/src/control/joining.rs
+++ b/src/control/joining.rs
@@ -119,6 +119,12 @@
         }
     }
 
+    /// Replaces the configured addresses that this host asks for its group. The configured hosts
+    /// that decide on the bootstrap of a group remain those of the start.
+    pub fn set_seeds(&mut self, seeds: Vec<String>) {
+        self.discovery.set_seeds(seeds);
+    }
+
     /// Remembers the address of a sender. The voters' are known from the log.
     pub(super) fn learn_sender(&mut self, from: &ControlId) {
         if self.members().0.contains_key(from) {
--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -73,8 +73,16 @@
 /// Event from another task.
 #[derive(Debug)]
 pub enum Event {
-    Request { request: ControlRequest, reply: oneshot::Sender<ControlResponse> },
-    Failover { service: Service, event: failover::Event },
+    Request {
+        request: ControlRequest,
+        reply: oneshot::Sender<ControlResponse>,
+    },
+    Failover {
+        service: Service,
+        event: failover::Event,
+    },
+    /// New bus addresses of the seeds.
+    Seeds(Vec<String>),
 }
 
 /// What the event loop has to do next.
@@ -302,6 +310,7 @@
         match event {
             Event::Request { request, reply } => self.handle_request(request, reply),
             Event::Failover { service, event } => self.handle_failover_event(&service, event),
+            Event::Seeds(seeds) => self.group.node.set_seeds(seeds),
         }
     }
 
--- a/src/fleet/runtime.rs
+++ b/src/fleet/runtime.rs
@@ -132,6 +132,12 @@
         }
         response.await.unwrap_or(ControlResponse::Unavailable)
     }
+
+    /// Replaces the seeds that the host asks for its group.
+    pub async fn set_seeds(&self, seeds: Vec<String>) {
+        // The receiver is dropped when the process stops.
+        let _ = self.events.send(Event::Seeds(seeds)).await;
+    }
 }
 
 /// Spawns tasks that send requests to targets and to the platform, and report the results
--- a/tests/control_discovery.rs
+++ b/tests/control_discovery.rs
@@ -47,3 +47,16 @@
     let all = ["s1", "s2", "s3"].map(str::to_owned).into();
     assert_eq!(discovery.next_missing(&all), None);
 }
+
+/// Guards against a host that asks only the seeds of its start, or evicts the new ones.
+#[test]
+fn exchanged_seeds_are_asked() {
+    let mut discovery = discovery(&["s1", "s2"]);
+    discovery.learn("n1");
+    discovery.set_seeds(["s2", "n1", "n2"].map(str::to_owned));
+    assert_eq!(discovery.next_addrs(4), ["s2", "n1", "n2", "s1"]);
+    (0..100).for_each(|number| discovery.learn(&format!("l{number}")));
+    let asked = discovery.next_addrs(1_000);
+    assert_eq!(asked.len(), MAX_LEARNED + 3);
+    assert!(["s2", "n1", "n2"].iter().all(|seed| asked.iter().any(|addr| addr == seed)));
+}
--- a/tests/fleet_reconnect.rs
+++ b/tests/fleet_reconnect.rs
@@ -33,3 +33,22 @@
         })
         .await;
 }
+
+/// Guards against a host that is outside the group and asks only the seeds of its start, although
+/// the settings name others now.
+#[tokio::test]
+async fn new_seed_of_a_running_host_is_asked() {
+    let local = LocalSet::new();
+    local
+        .run_until(async {
+            let folder = tempfile::tempdir().expect("temporary folder");
+            let addrs = free_addrs(2);
+            let host = start_control(folder.path(), addrs[0], &addrs);
+            let seed = TcpListener::bind("127.0.0.1:0").await.expect("free port");
+            let seed_addr = seed.local_addr().expect("bound").to_string();
+            host.handle.set_seeds(vec![seed_addr]).await;
+            let connection = timeout(OBSERVED, seed.accept()).await;
+            assert!(connection.is_ok(), "the new seed is not asked");
+        })
+        .await;
+}
