--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -14,6 +14,7 @@
 use crate::{
     clock::Millis,
     control::{
+        discovery::Discovery,
         election::{ElectionTimer, PreVoteTally, VoteTally},
         follower::PendingAck,
         leader::LeaderState,
@@ -181,9 +182,15 @@
     pub(super) commit_index: u64,
     pub(super) state: State,
     pub(super) leader: Option<ControlId>,
+    /// Time of the last message from a leader, or of the start.
+    pub(super) leader_heard_at: Millis,
     pub(super) timer: ElectionTimer,
     pub(super) snapshot_assembly: SnapshotAssembly,
     pub(super) hello_replies: HelloReplies,
+    /// Addresses to ask for the group.
+    pub(super) discovery: Discovery,
+    /// Number of hellos passed on to voters, which are taken in turn.
+    pub(super) passed_on_hellos: usize,
     /// Whether this host is creating the group with itself as the first voter.
     pub(super) bootstrapping: bool,
     /// Whether the committed part of the log holds a command.
@@ -195,6 +202,8 @@
     /// Acknowledgement to send once the received entries are synced.
     pub(super) pending_ack: Option<PendingAck>,
     pub(super) hello_sent_at: Millis,
+    /// When a missing host was last sought by this host as the leader.
+    pub(super) missing_sought_at: Millis,
     /// Number of the last pre-vote round.
     pub(super) pre_vote_round: u64,
     last_step: Millis,
@@ -218,6 +227,7 @@
         let mut node = Self {
             was_member: history.at(last.index).0.contains_key(&settings.id),
             holds_commands: stored.snapshot.is_some(),
+            discovery: Discovery::new(&settings.member.bus_addr, settings.group.values().cloned()),
             settings,
             vote: stored.vote,
             log,
@@ -226,19 +236,23 @@
             commit_index: last.index,
             state: State::Follower,
             leader: None,
+            leader_heard_at: now,
             timer,
             snapshot_assembly: SnapshotAssembly::default(),
             hello_replies: HelloReplies::default(),
+            passed_on_hellos: 0,
             bootstrapping: false,
             unsynced: VecDeque::new(),
             pending_ack: None,
             hello_sent_at: now,
+            missing_sought_at: now,
             pre_vote_round: 0,
             last_step: now,
             last_reported: RoleChange::default(),
             outputs: Vec::new(),
         };
         node.last_reported = node.role();
+        node.learn_voters();
         node
     }
 
@@ -300,27 +314,31 @@
     fn tick(&mut self, now: Millis) {
         if matches!(self.state, State::Leader(_)) {
             self.tick_leader(now);
+            self.seek_missing_hosts(now);
             return;
         }
         if self.is_voter() && self.timer.is_due(now) {
             self.start_pre_vote(now);
         }
-        // An uncommitted entry that lists this host may be lost with its leader, so the
-        // host keeps asking to join until such an entry is committed.
-        if !self.was_member {
+        self.forget_silent_leader(now);
+        if self.asks_to_join(now) {
             self.join_or_bootstrap(now);
         }
     }
 
     fn receive(&mut self, now: Millis, message: GroupMessage) {
         let GroupMessage { from, to, term, body } = message;
-        if from == self.settings.id || to.as_ref().is_some_and(|to| *to != self.settings.id) {
+        if from == self.settings.id {
+            return;
+        }
+        self.learn_sender(&from);
+        if to.as_ref().is_some_and(|to| *to != self.settings.id) {
             return;
         }
         match body {
             GroupBody::Hello(hello) => {
                 if hello.reply_requested && to.is_none() {
-                    self.forward_hello(&from, term, &hello);
+                    self.pass_on_hello(&from, term, &hello);
                 }
                 self.on_hello(now, from, hello);
             }
@@ -367,7 +385,10 @@
         self.outputs.push(Output::Frozen { gap });
         match &mut self.state {
             State::Leader(state) => state.replication.invalidate_lease(now),
-            _ => self.timer.reset(now, &self.settings.timing),
+            _ => {
+                self.timer.reset(now, &self.settings.timing);
+                self.leader_heard_at = now;
+            }
         }
     }
 
@@ -390,6 +411,7 @@
         }
         if matches!(self.state, State::Leader(_)) {
             self.timer.reset(now, &self.settings.timing);
+            self.leader_heard_at = now;
         }
         self.state = State::Follower;
         self.leader = leader;
@@ -403,6 +425,9 @@
     pub(super) fn append_entries(&mut self, entries: Vec<LogEntry>) {
         let first = self.log.last().index + 1;
         self.history.append(first, &entries);
+        if entries.iter().any(|entry| matches!(entry.payload, Payload::Members(_))) {
+            self.learn_voters();
+        }
         self.log.append(entries.iter().cloned());
         self.persist(first, Write::Entries(entries));
     }
