Put the file operations of the data folder behind a trait

Tests cannot lose power on the real file system: what a process wrote stays readable whether it was synced or not. The disk now works on a trait for a folder and its files, so that tests can simulate one. No behaviour changes.

--- a/src/adapters/disk_queue.rs
+++ b/src/adapters/disk_queue.rs
@@ -13,7 +13,10 @@
 use tokio::sync::mpsc;
 
 use crate::{
-    adapters::disk::{Disk, WriteError},
+    adapters::{
+        disk::{Disk, WriteError},
+        folder::Folder,
+    },
     control::storage::Write,
 };
 
@@ -32,7 +35,10 @@
 
 impl DiskQueue {
     /// Starts the disk thread.
-    pub fn start(disk: Disk) -> Result<(Self, Confirmations)> {
+    pub fn start<F>(disk: Disk<F>) -> Result<(Self, Confirmations)>
+    where
+        F: Folder<File: Send> + Send + 'static,
+    {
         let (tx, rx) = channel();
         let (confirmations_tx, confirmations_rx) = mpsc::unbounded_channel();
         thread::Builder::new()
@@ -48,8 +54,8 @@
 }
 
 /// Writes batches until the queue is dropped; all pending writes share one sync.
-fn run(
-    mut disk: Disk,
+fn run<F: Folder>(
+    mut disk: Disk<F>,
     rx: &Receiver<Vec<Write>>,
     confirmations: &mpsc::UnboundedSender<Result<usize>>,
 ) {
@@ -67,7 +73,7 @@
 
 /// Retries while the disk is full. A process that exited instead would be restarted again
 /// and again.
-fn write_with_retry(disk: &mut Disk, mut writes: &[Write]) -> Result<()> {
+fn write_with_retry<F: Folder>(disk: &mut Disk<F>, mut writes: &[Write]) -> Result<()> {
     let mut attempts = 0_u32;
     loop {
         match disk.write(writes) {
