--- a/src/adapters/disk.rs
+++ b/src/adapters/disk.rs
@@ -20,6 +20,7 @@
     },
     control::storage::{Snapshot, SnapshotWrite, StoredState, Vote, Write},
     ids::ControlId,
+    wire::group::{LogEntry, LogId},
 };
 
 const IDENTITY: &str = "identity";
@@ -71,8 +72,12 @@
         let OpenedLog { file, records, len, removed_bytes } = open_log(&folder)?;
         let id = load_or_create_id(&folder, name, records.is_empty())?;
         let snapshot = read_snapshot(&folder)?;
-        let stored = replay(snapshot, records)?;
-        let disk = Self { folder, log: file, confirmed_len: len, failed: false };
+        let mut stored = replay(snapshot, records)?;
+        let mut disk = Self { folder, log: file, confirmed_len: len, failed: false };
+        if stored.reconcile_with_snapshot() {
+            // Later entries continue the snapshot, not the outdated log.
+            disk.replace_log(stored.base, &stored.vote, &stored.entries)?;
+        }
         Ok(Opened { disk, id, stored, removed_bytes })
     }
 
@@ -138,15 +143,19 @@
     }
 
     /// Stores the snapshot, then a log without the entries it covers. A crash in between
-    /// leaves the old log, which [`StoredState::reconcile_with_snapshot`] handles.
+    /// leaves the old log, which the next start reconciles with the snapshot.
     fn store_snapshot(&mut self, write: &SnapshotWrite) -> Result<()> {
         let mut buf = Vec::new();
         encode_record(&mut buf, &write.snapshot)?;
         replace_file(&self.folder, SNAPSHOT, &buf)?;
-        buf.clear();
-        encode_record(&mut buf, &Record::Base(write.base))?;
-        encode_record(&mut buf, &Record::Write(Write::Vote(write.vote.clone())))?;
-        for entries in write.entries.chunks(1) {
+        self.replace_log(write.base, &write.vote, &write.entries)
+    }
+
+    fn replace_log(&mut self, base: LogId, vote: &Vote, entries: &[LogEntry]) -> Result<()> {
+        let mut buf = Vec::new();
+        encode_record(&mut buf, &Record::Base(base))?;
+        encode_record(&mut buf, &Record::Write(Write::Vote(vote.clone())))?;
+        for entries in entries.chunks(1) {
             encode_record(&mut buf, &Record::Write(Write::Entries(entries.to_vec())))?;
         }
         replace_file(&self.folder, LOG, &buf)?;
@@ -245,7 +254,6 @@
             stored.base.index
         );
     }
-    stored.reconcile_with_snapshot();
     Ok(stored)
 }
 
--- a/src/control/storage.rs
+++ b/src/control/storage.rs
@@ -81,17 +81,19 @@
 
     /// Discards a log that does not continue the snapshot, which may be newer than the
     /// log after a crash. Entries after the snapshot remain only if the log holds the
-    /// snapshot's last entry.
-    pub fn reconcile_with_snapshot(&mut self) {
-        let Some(snapshot) = &self.snapshot else { return };
+    /// snapshot's last entry. Returns whether the log was discarded.
+    pub fn reconcile_with_snapshot(&mut self) -> bool {
+        let Some(snapshot) = &self.snapshot else { return false };
         let last = snapshot.last;
         if self.base.index >= last.index {
-            return;
+            return false;
         }
         let position = usize::try_from(last.index - self.base.index - 1).unwrap_or(usize::MAX);
-        if self.entries.get(position).is_none_or(|entry| entry.term != last.term) {
+        let is_outdated = self.entries.get(position).is_none_or(|entry| entry.term != last.term);
+        if is_outdated {
             self.base = last;
             self.entries.clear();
         }
+        is_outdated
     }
 }
