Sync the log and the folder at the start of a control host

A host whose process had ended before a sync acknowledged entries after its restart that a later loss of power took away. It could also lose a renamed log with everything appended to it, or its identity, after which it never started again.

Cause: after the end of a process, its files hold writes and names that were never synced. The start took them for stored, and a response to the leader counted them. Change: the start syncs the log and the folder before it returns the stored state.

--- a/src/adapters/disk.rs
+++ b/src/adapters/disk.rs
@@ -213,8 +213,10 @@
     let removed_bytes = content.len() as u64 - len;
     if removed_bytes > 0 {
         file.set_len(len).map_err(|error| write_error(folder, LOG, &error))?;
-        file.sync_all().map_err(|error| write_error(folder, LOG, &error))?;
     }
+    // An earlier process may have ended between a write or a rename and its sync.
+    file.sync_all().map_err(|error| write_error(folder, LOG, &error))?;
+    folder.sync().map_err(|error| write_error(folder, LOG, &error))?;
     Ok(OpenedLog { file, records: scan.records, len, removed_bytes })
 }
 
--- a/tests/control_power_loss.rs
+++ b/tests/control_power_loss.rs
@@ -273,3 +273,10 @@
 fn host_with_full_disk_starts_after_loss_of_power() {
     run_hosts(Faults { tearing: Tearing::Prefix, kills: false, full: true });
 }
+
+/// Guards against writes that a restarted process relies on although they were never
+/// synced: a later loss of power takes them away.
+#[test]
+fn state_read_after_kill_survives_loss_of_power() {
+    run_hosts(Faults { tearing: Tearing::Prefix, kills: true, full: true });
+}
