Start with holes in the last batch of the log

After a loss of power that kept only a later part of the last write, a control host never started again: every start ended with "wrong header checksum" or "wrong checksum in the record".

Cause: only a missing end of the log counted as an incomplete write. A write that the kernel splits, or of which the disk stored a later sector first, leaves zeros before valid bytes. Change: a marker, which is a write of no entries, begins each batch. A batch is written only after the one before is synced, so a damaged record with a marker behind it is damage to confirmed data and stays an error; one in the last batch is removed and logged. A log without markers is read as before, any damaged record being an error, and then gets a marker by replacement of the file.

--- a/src/adapters/disk.rs
+++ b/src/adapters/disk.rs
@@ -1,9 +1,9 @@
 //! Persistent storage of a control host in one data folder.
 //!
 //! The folder holds the files `identity`, `snapshot` and `log`. Identity and snapshot
-//! are replaced atomically. The log is a sequence of checksummed records. An incomplete
-//! record at its end belongs to a write that was never confirmed, and is truncated; any
-//! other corruption may affect confirmed data and is an error.
+//! are replaced atomically. The log is a sequence of checksummed records. What a loss of
+//! power left of the last write, which was never confirmed, is truncated; any other
+//! corruption may affect confirmed data and is an error.
 
 use std::{
     io::{self, ErrorKind},
@@ -15,7 +15,7 @@
 
 use crate::{
     adapters::{
-        disk_record::{Decoded, Record, decode_record, encode_record, scan_log},
+        disk_record::{Decoded, Record, decode_record, encode_marker, encode_record, scan_log},
         folder::{Folder, FolderFile, OsFolder},
     },
     control::storage::{Snapshot, SnapshotWrite, StoredState, Vote, Write},
@@ -55,7 +55,7 @@
     /// ID of the host; newly generated for a new folder.
     pub id: ControlId,
     pub stored: StoredState,
-    /// Length of the incomplete record truncated from the log.
+    /// Length of the incomplete write truncated from the log.
     pub removed_bytes: u64,
 }
 
@@ -125,6 +125,7 @@
             return self.store_snapshot(write);
         }
         let mut buf = Vec::new();
+        encode_marker(&mut buf)?;
         for write in writes {
             encode_record(&mut buf, &Record::Write(write.clone()))?;
         }
@@ -132,9 +133,6 @@
     }
 
     fn append(&mut self, buf: &[u8]) -> Result<()> {
-        if buf.is_empty() {
-            return Ok(());
-        }
         let Self { folder, log, .. } = self;
         log.append(buf).map_err(|error| write_error(folder, LOG, &error))?;
         log.sync_data().map_err(|error| write_error(folder, LOG, &error))?;
@@ -154,6 +152,7 @@
     fn replace_log(&mut self, base: LogId, vote: &Vote, entries: &[LogEntry]) -> Result<()> {
         let mut buf = Vec::new();
         encode_record(&mut buf, &Record::Base(base))?;
+        encode_marker(&mut buf)?;
         encode_record(&mut buf, &Record::Write(Write::Vote(vote.clone())))?;
         for entries in entries.chunks(1) {
             encode_record(&mut buf, &Record::Write(Write::Entries(entries.to_vec())))?;
@@ -189,7 +188,7 @@
     }
 }
 
-/// Log after its incomplete record was removed.
+/// Log after the remains of an unconfirmed write were removed.
 struct OpenedLog<T> {
     file: T,
     records: Vec<Record>,
@@ -200,17 +199,19 @@
 fn open_log<F: Folder>(folder: &F) -> Result<OpenedLog<F::File>> {
     let path = folder.path().join(LOG);
     let path_display = path.display();
-    let content = match folder.read(LOG) {
-        Err(error) if error.kind() == ErrorKind::NotFound => {
-            replace_file(folder, LOG, &[])?;
-            Vec::new()
-        }
+    let mut content = match folder.read(LOG) {
+        Err(error) if error.kind() == ErrorKind::NotFound => Vec::new(),
         content => content.wrap_err_with(|| format!("cannot read {path_display}"))?,
     };
     let scan = scan_log(&content).wrap_err_with(|| format!("{path_display} is damaged"))?;
+    let removed_bytes = (content.len() - scan.len) as u64;
+    content.truncate(scan.len);
+    if !scan.has_markers {
+        encode_marker(&mut content)?;
+        replace_file(folder, LOG, &content)?;
+    }
     let file = open_for_append(folder)?;
-    let len = scan.len as u64;
-    let removed_bytes = content.len() as u64 - len;
+    let len = content.len() as u64;
     if removed_bytes > 0 {
         file.set_len(len).map_err(|error| write_error(folder, LOG, &error))?;
     }
@@ -237,6 +238,7 @@
     {
         Decoded::Record(snapshot, _) => Ok(Some(snapshot)),
         Decoded::End | Decoded::Torn => bail!("{path_display} is damaged: it is incomplete"),
+        Decoded::Damaged(what) => bail!("{path_display} is damaged: {what}"),
     }
 }
 
--- a/src/adapters/disk_record.rs
+++ b/src/adapters/disk_record.rs
@@ -2,8 +2,15 @@
 //!
 //! A record is a header and a payload. The length in the header has its own checksum, so
 //! that a corrupted length is not mistaken for an incomplete record.
+//!
+//! A marker record begins each batch of writes that is synced as a whole. Because a batch is
+//! written only after the one before is synced, a damaged record with a marker behind it
+//! belongs to confirmed data. A damaged record in the last batch may be what a loss of power
+//! left of an unconfirmed write. Logs of earlier versions hold no markers; in them, only an
+//! incomplete last record counts as unconfirmed. Earlier versions replay a marker as a write
+//! of no entries.
 
-use eyre::{Result, WrapErr, bail, eyre};
+use eyre::{Result, WrapErr, bail};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use crate::{control::storage::Write, wire::group::LogId};
@@ -25,33 +32,62 @@
 
 /// Valid records of a log.
 pub(super) struct LogScan {
+    /// Records except markers.
     pub(super) records: Vec<Record>,
-    /// Total length of the complete records, in bytes.
+    /// Total length of the valid records, in bytes.
     pub(super) len: usize,
+    pub(super) has_markers: bool,
 }
 
-/// Decodes a log up to its end or up to an incomplete record.
+/// Decodes a log up to its end or up to the remains of an unconfirmed write.
 pub(super) fn scan_log(content: &[u8]) -> Result<LogScan> {
-    let mut records = Vec::new();
-    let mut offset = 0;
+    let mut scan = LogScan { records: Vec::new(), len: 0, has_markers: false };
     loop {
+        let offset = scan.len;
         match decode_record(content, offset)? {
             Decoded::Record(record, end) => {
-                records.push(record);
-                offset = end;
+                scan.len = end;
+                if is_marker(&record) {
+                    scan.has_markers = true;
+                } else {
+                    scan.records.push(record);
+                }
+            }
+            Decoded::End => return Ok(scan),
+            Decoded::Torn if !contains_marker(&content[offset..])? => return Ok(scan),
+            Decoded::Damaged(_) if scan.has_markers && !contains_marker(&content[offset..])? => {
+                return Ok(scan);
             }
-            Decoded::End | Decoded::Torn => return Ok(LogScan { records, len: offset }),
+            Decoded::Torn => bail!("incomplete record at byte {offset}, before later writes"),
+            Decoded::Damaged(what) => bail!("{what} at byte {offset}"),
         }
     }
 }
 
+/// Appends a marker, which begins a batch of writes.
+pub(super) fn encode_marker(buf: &mut Vec<u8>) -> Result<()> {
+    encode_record(buf, &Record::Write(Write::Entries(Vec::new())))
+}
+
+fn is_marker(record: &Record) -> bool {
+    matches!(record, Record::Write(Write::Entries(entries)) if entries.is_empty())
+}
+
+fn contains_marker(content: &[u8]) -> Result<bool> {
+    let mut marker = Vec::new();
+    encode_marker(&mut marker)?;
+    Ok(content.windows(marker.len()).any(|window| window == marker))
+}
+
 /// Result of decoding the bytes at an offset.
 pub(super) enum Decoded<T> {
     /// Record and the offset after it.
     Record(T, usize),
     End,
-    /// Incomplete record of an unconfirmed write.
+    /// Incomplete record.
     Torn,
+    /// Record with a wrong checksum; holds which one.
+    Damaged(&'static str),
 }
 
 /// Appends an encoded record to `buf`.
@@ -81,13 +117,14 @@
     if rest.len() < HEADER_BYTES || rest.iter().all(|byte| *byte == 0) {
         return Ok(Decoded::Torn);
     }
-    let (len, crc) =
-        parse_header(rest).ok_or_else(|| eyre!("wrong header checksum at byte {offset}"))?;
+    let Some((len, crc)) = parse_header(rest) else {
+        return Ok(Decoded::Damaged("wrong header checksum"));
+    };
     let Some(payload) = rest.get(HEADER_BYTES..HEADER_BYTES + len) else {
         return Ok(Decoded::Torn);
     };
     if crc32fast::hash(payload) != crc {
-        bail!("wrong checksum in the record at byte {offset}");
+        return Ok(Decoded::Damaged("wrong checksum of the record"));
     }
     let record = postcard::from_bytes(payload)
         .wrap_err_with(|| format!("unreadable record at byte {offset}"))?;
--- a/tests/control_power_loss.rs
+++ b/tests/control_power_loss.rs
@@ -280,3 +280,10 @@
 fn state_read_after_kill_survives_loss_of_power() {
     run_hosts(Faults { tearing: Tearing::Prefix, kills: true, full: true });
 }
+
+/// Guards against hosts that never start again after a loss of power that keeps only a
+/// later part of an unconfirmed write.
+#[test]
+fn host_starts_with_holes_in_unconfirmed_write() {
+    run_hosts(Faults { tearing: Tearing::Holes, kills: true, full: true });
+}
