--- a/src/control/follower.rs
+++ b/src/control/follower.rs
@@ -137,10 +137,12 @@
         }
         self.history = MembershipHistory::new(last.index, snapshot.members.clone());
         self.history.append(last.index + 1, &self.log.after(last));
+        // Entries after the previous commit index may be in the snapshot only.
+        let first = self.commit_index + 1;
         self.commit_index = last.index;
         self.was_member |= snapshot.members.0.contains_key(&self.settings.id);
         let data = snapshot.data.clone();
-        self.store_snapshot(snapshot);
+        self.store_snapshot(first, snapshot);
         self.outputs.push(Output::RestoreSnapshot { index: last.index, data });
     }
 
--- a/src/control/persistence.rs
+++ b/src/control/persistence.rs
@@ -39,10 +39,11 @@
         let Some(base) = self.log.id_at(tail) else { return };
         self.log.compact(base);
         self.history.compact(last.index);
-        self.store_snapshot(Snapshot { last, members, data });
+        self.store_snapshot(NO_ENTRY, Snapshot { last, members, data });
     }
 
-    pub(super) fn store_snapshot(&mut self, snapshot: Snapshot) {
+    /// Stores a snapshot that changes the log from the entry `first` on.
+    pub(super) fn store_snapshot(&mut self, first: u64, snapshot: Snapshot) {
         let base = self.log.base();
         let write = SnapshotWrite {
             snapshot: snapshot.clone(),
@@ -51,6 +52,6 @@
             entries: self.log.after(base),
         };
         self.snapshot = Some(snapshot);
-        self.persist(NO_ENTRY, Write::Snapshot(Box::new(write)));
+        self.persist(first, Write::Snapshot(Box::new(write)));
     }
 }
--- a/tests/control_node.rs
+++ b/tests/control_node.rs
@@ -14,8 +14,8 @@
     ids::ControlId,
     settings::timing::GroupTiming,
     wire::group::{
-        Append, AppendResponse, AppendResult, GroupBody, GroupMessage, GroupTerm, Hello, LogEntry,
-        LogId, Member, Members, Payload, PreVoteResult,
+        Append, AppendResponse, AppendResult, GroupBody, GroupMessage, GroupTerm, Hello,
+        InstallSnapshot, LogEntry, LogId, Member, Members, Payload, PreVoteResult,
     },
 };
 
@@ -160,6 +160,34 @@
     assert_eq!(sent(&sync(&mut node, now, 1)), response(5));
 }
 
+/// Guards against an acknowledgement of an installed snapshot that is not synced yet: a
+/// leader would count the host for entries that a loss of power takes away.
+#[test]
+fn installed_snapshot_is_acknowledged_only_once_synced() {
+    let mut node = node(Vote::default(), &[1]);
+    let now = Millis(600);
+    let install = InstallSnapshot {
+        last: log_id(1, 10),
+        members: members(),
+        offset: 0,
+        total: 5,
+        data: Bytes::from_static(b"state"),
+        sent_at: now,
+    };
+    let outputs = node.step(now, message_from("b", 1, GroupBody::InstallSnapshot(install)));
+    let writes = outputs.iter().filter(|it| matches!(it, Output::Persist(_))).count();
+    let append = |previous| {
+        let append = Append { previous, entries: Vec::new(), commit: 10, sent_at: now };
+        message_from("c", 2, GroupBody::Append(append))
+    };
+    for previous in [log_id(1, 10), log_id(1, 9)] {
+        let outputs = node.step(now, append(previous));
+        let unsynced = vec![matched(now, 0)];
+        assert_eq!(sent(&outputs), unsynced, "the snapshot is not synced");
+    }
+    assert_eq!(sent(&sync(&mut node, now, writes)), vec![matched(now, 10)]);
+}
+
 /// Guards against a commit that counts an entry on the leader before it is synced.
 #[test]
 fn leader_counts_own_entry_only_once_synced() {
