Replicate a new group only once it is on the first host's disk

If the host that created the group lost power before its first entries were on its disk, no leader was ever elected.

Cause: the only voter leads without waiting for its disk, and sent its entries to joining hosts at once. These then reported that they hold a log, so the first host, whose log was empty again, did not create the group a second time. Evidence: in the new test, in which the disk of the first host hangs, the group has no leader after 10 s. Change: a leader adds joining hosts only after an entry of its term is committed, which the only voter counts once it is synced.

--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -274,7 +274,9 @@
         });
         let last = self.log.last().index;
         let State::Leader(state) = &mut self.state else { return };
-        if !is_configured || replaces_live {
+        // Before that, a new group exists only on this host, and perhaps not on its disk.
+        let has_committed = self.commit_index >= state.first_index;
+        if !is_configured || replaces_live || !has_committed {
             return;
         }
         let hosts = &mut state.replication.hosts;
--- a/tests/group/mod.rs
+++ b/tests/group/mod.rs
@@ -37,6 +37,8 @@
     deferred: VecDeque<(u64, String, GroupMessage)>,
     written: u64,
     synced: u64,
+    /// Whether the disk hangs: no write is synced.
+    pub disk_hangs: bool,
     /// Number of outputs after which the process crashes.
     pub crash_after: Option<usize>,
     pub rejected: u64,
@@ -327,7 +329,7 @@
             loop {
                 let host = self.hosts.get_mut(&name).unwrap();
                 let due = host.unsynced.front().is_some_and(|(at, _)| *at <= self.now);
-                if !due || host.frozen || host.node.is_none() {
+                if !due || host.frozen || host.disk_hangs || host.node.is_none() {
                     break;
                 }
                 let (_, write) = host.unsynced.pop_front().unwrap();
