Wait for disk space when the truncation of the log is refused too

A control host whose full disk also refused to truncate the failed write exited, and was restarted again and again.

Cause: the retry of a write to a full disk ended on any error of the recovery before it. Evidence: the new test, on a simulated disk that refuses every change: the disk thread ended with "the disk is full". Change: the recovery is part of the retried attempt.

--- a/src/adapters/disk.rs
+++ b/src/adapters/disk.rs
@@ -48,6 +48,12 @@
     Fatal(eyre::Report),
 }
 
+impl WriteError {
+    fn new(stored: usize, error: eyre::Report) -> Self {
+        if error.is::<DiskFull>() { Self::Full { stored, error } } else { Self::Fatal(error) }
+    }
+}
+
 /// Result of opening a data folder.
 #[derive(Debug)]
 pub struct Opened<F: Folder = OsFolder> {
@@ -91,14 +97,7 @@
         self.failed = true;
         let mut stored = 0;
         for batch in writes.chunk_by(|a, b| !is_snapshot(a) && !is_snapshot(b)) {
-            if let Err(error) = self.store(batch) {
-                let is_full = error.downcast_ref::<DiskFull>().is_some();
-                return Err(if is_full {
-                    WriteError::Full { stored, error }
-                } else {
-                    WriteError::Fatal(error)
-                });
-            }
+            self.store(batch).map_err(|error| WriteError::new(stored, error))?;
             stored += batch.len();
         }
         self.failed = false;
@@ -106,7 +105,11 @@
     }
 
     /// Truncates what a failed write left in the log, so that it can be retried.
-    pub fn recover(&mut self) -> Result<()> {
+    pub fn recover(&mut self) -> Result<(), WriteError> {
+        self.truncate_to_confirmed().map_err(|error| WriteError::new(0, error))
+    }
+
+    fn truncate_to_confirmed(&mut self) -> Result<()> {
         let Self { folder, log, .. } = self;
         // A snapshot may have replaced the log before the failure; the open file is then
         // no longer the log.
--- a/src/adapters/disk_queue.rs
+++ b/src/adapters/disk_queue.rs
@@ -76,7 +76,9 @@
 fn write_with_retry<F: Folder>(disk: &mut Disk<F>, mut writes: &[Write]) -> Result<()> {
     let mut attempts = 0_u32;
     loop {
-        match disk.write(writes) {
+        // After a failed attempt, its remains are removed first.
+        let recovered = if attempts > 0 { disk.recover() } else { Ok(()) };
+        match recovered.and_then(|()| disk.write(writes)) {
             Ok(()) if attempts == 0 => return Ok(()),
             Ok(()) => {
                 spdlog::info!("disk space is available again", kv: {attempts});
@@ -90,7 +92,6 @@
                 }
                 attempts += 1;
                 thread::sleep(DISK_FULL_RETRY_DELAY);
-                disk.recover()?;
             }
         }
     }
--- a/tests/control_disk.rs
+++ b/tests/control_disk.rs
@@ -2,9 +2,12 @@
 
 #![allow(clippy::unwrap_used, reason = "helper functions of tests")]
 
-use std::{fs, path::Path};
+mod disk_model;
+
+use std::{fs, io::ErrorKind, path::Path, time::Duration};
 
 use bytes::Bytes;
+use disk_model::{SimulatedFolder, Tearing};
 use pomelopin::{
     adapters::{
         disk::{Disk, Opened, WriteError},
@@ -322,3 +325,30 @@
     assert_eq!(stored.vote.term, GroupTerm(5));
     assert_eq!(stored.entries, vec![entry(9)]);
 }
+
+/// Guards against a control host that stops because its disk refuses writes for a while: the
+/// same writes are stored once the disk accepts them.
+fn disk_queue_outlasts_fault(fault: ErrorKind) {
+    let folder = SimulatedFolder::new(1, Tearing::Prefix);
+    let disk = Disk::open_in(folder.clone(), "c1").unwrap().disk;
+    let (queue, mut confirmations) = DiskQueue::start(disk).unwrap();
+    folder.set_fault(Some(fault));
+    queue.push(writes()).unwrap();
+    std::thread::sleep(Duration::from_millis(500));
+    assert!(confirmations.try_recv().is_err(), "the disk thread confirmed a write or ended");
+    folder.set_fault(None);
+    queue.push(writes()).unwrap();
+    let mut confirmed = 0;
+    while confirmed < 2 * writes().len() {
+        confirmed += confirmations.blocking_recv().unwrap().unwrap();
+    }
+    let mut expected = StoredState::default();
+    writes().iter().chain(&writes()).for_each(|write| expected.apply(write));
+    assert_eq!(Disk::open_in(folder, "c1").unwrap().stored, expected);
+}
+
+/// Guards against a control host that stops when even the truncation of its log is refused.
+#[test]
+fn disk_queue_outlasts_full_disk_that_refuses_truncation() {
+    disk_queue_outlasts_fault(ErrorKind::StorageFull);
+}
