Start no election while writes of this host are unsynced

After the loss of a leader, a host with a hanging disk prolonged the time without a leader.

Cause: it could not send its vote requests, which wait for its own vote to be synced, but began another election at each timeout. Its term rose above that of the leader that the other hosts elected, and its next response deposed it. Change: a host whose earlier writes are not synced starts no pre-vote. It could not win.

--- a/src/control/voting.rs
+++ b/src/control/voting.rs
@@ -26,6 +26,11 @@
     /// it was partitioned or lacks entries, thus does not raise the term of the group.
     pub(super) fn start_pre_vote(&mut self, now: Millis) {
         self.timer.schedule_retry(now, &self.settings.timing);
+        // Without its own vote on disk, this host cannot win. It would only raise its term
+        // and later depose a leader that other hosts have elected.
+        if !self.unsynced.is_empty() {
+            return;
+        }
         self.leader = None;
         self.pre_vote_round += 1;
         let round = self.pre_vote_round;
