Retry writes that the disk refuses for up to 10 s

A control host whose disk refused one write, for example with EIO, exited. If it was the leader, the group had none until the next election.

Cause: only a full disk was retried. Change: refused writes are retried like those to a full disk. After 10 s, the process ends as before, so that the others can remove this host and a new voter can take its place.

--- a/src/adapters/disk.rs
+++ b/src/adapters/disk.rs
@@ -44,13 +44,20 @@
     /// The disk is full. After [`Disk::recover`], all but the first `stored` writes can be
     /// retried.
     Full { stored: usize, error: eyre::Report },
+    /// The disk refused a write or a sync for another reason. It can be retried in the same
+    /// way, because [`Disk::recover`] discards everything after the last confirmed write.
+    Refused { stored: usize, error: eyre::Report },
     /// The stored state is unknown; the process must stop.
     Fatal(eyre::Report),
 }
 
 impl WriteError {
     fn new(stored: usize, error: eyre::Report) -> Self {
-        if error.is::<DiskFull>() { Self::Full { stored, error } } else { Self::Fatal(error) }
+        match error.downcast_ref() {
+            Some(DiskError::Full(_)) => Self::Full { stored, error },
+            Some(DiskError::Refused(_)) => Self::Refused { stored, error },
+            None => Self::Fatal(error),
+        }
     }
 }
 
@@ -277,19 +284,23 @@
     write().map_err(|error| write_error(folder, name, &error))
 }
 
-/// Error of a full disk or an exhausted quota.
+/// Error of a file operation that changes the data folder.
 #[derive(Debug, Display)]
-struct DiskFull(String);
+enum DiskError {
+    /// The disk is full or a quota is exhausted.
+    #[display("the disk is full: {_0}")]
+    Full(String),
+    Refused(String),
+}
 
-impl std::error::Error for DiskFull {}
+impl std::error::Error for DiskError {}
 
 fn write_error(folder: &impl Folder, name: &str, error: &io::Error) -> eyre::Report {
     let path = folder.path().join(name);
-    let path_display = path.display();
-    match error.kind() {
-        ErrorKind::StorageFull | ErrorKind::QuotaExceeded => {
-            DiskFull(format!("the disk is full: cannot write {path_display}: {error}")).into()
-        }
-        _ => eyre!("cannot write {path_display}: {error}"),
-    }
+    let message = format!("cannot write {}: {error}", path.display());
+    let error = match error.kind() {
+        ErrorKind::StorageFull | ErrorKind::QuotaExceeded => DiskError::Full(message),
+        _ => DiskError::Refused(message),
+    };
+    error.into()
 }
--- a/src/adapters/disk_queue.rs
+++ b/src/adapters/disk_queue.rs
@@ -6,7 +6,7 @@
 use std::{
     sync::mpsc::{Receiver, Sender, channel},
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use eyre::{Result, eyre};
@@ -20,9 +20,13 @@
     control::storage::Write,
 };
 
-/// Pause between write attempts on a full disk. The group continues without this host
-/// meanwhile.
-const DISK_FULL_RETRY_DELAY: Duration = Duration::from_millis(200);
+/// Pause between write attempts on a disk that is full or refuses writes. The group continues
+/// without this host meanwhile.
+const RETRY_DELAY: Duration = Duration::from_millis(200);
+
+/// Time for which writes are retried on a disk that is not full but refuses them. After that,
+/// the process ends, so that the group can replace this host by one with a working disk.
+const MAX_REFUSAL: Duration = Duration::from_secs(10);
 
 /// Queue of pending writes. The thread ends when the queue is dropped.
 #[derive(Debug)]
@@ -71,28 +75,34 @@
     }
 }
 
-/// Retries while the disk is full. A process that exited instead would be restarted again
-/// and again.
+/// Retries while the disk is full or refuses writes. A process that exited instead would be
+/// restarted again and again.
 fn write_with_retry<F: Folder>(disk: &mut Disk<F>, mut writes: &[Write]) -> Result<()> {
+    let mut refused_at = None;
     let mut attempts = 0_u32;
     loop {
         // After a failed attempt, its remains are removed first.
         let recovered = if attempts > 0 { disk.recover() } else { Ok(()) };
-        match recovered.and_then(|()| disk.write(writes)) {
+        let (stored, error) = match recovered.and_then(|()| disk.write(writes)) {
             Ok(()) if attempts == 0 => return Ok(()),
             Ok(()) => {
-                spdlog::info!("disk space is available again", kv: {attempts});
+                spdlog::info!("the disk accepts writes again", kv: {attempts});
                 return Ok(());
             }
             Err(WriteError::Fatal(error)) => return Err(error),
-            Err(WriteError::Full { stored, error }) => {
-                writes = &writes[stored..];
-                if attempts == 0 {
-                    spdlog::error!("waiting for disk space: {error:#}");
+            Err(WriteError::Full { stored, error }) => (stored, error),
+            Err(WriteError::Refused { stored, error }) => {
+                if refused_at.get_or_insert_with(Instant::now).elapsed() >= MAX_REFUSAL {
+                    return Err(error);
                 }
-                attempts += 1;
-                thread::sleep(DISK_FULL_RETRY_DELAY);
+                (stored, error)
             }
+        };
+        writes = &writes[stored..];
+        if attempts == 0 {
+            spdlog::error!("retrying a write: {error:#}");
         }
+        attempts += 1;
+        thread::sleep(RETRY_DELAY);
     }
 }
--- a/tests/control_disk.rs
+++ b/tests/control_disk.rs
@@ -285,11 +285,11 @@
     std::os::unix::fs::symlink("/dev/full", &path).unwrap();
     match disk.write(&[snapshot(2)]).unwrap_err() {
         WriteError::Full { error, .. } => assert!(error.to_string().contains("the disk is full")),
-        WriteError::Fatal(error) => panic!("{error}"),
+        error => panic!("{error:?}"),
     }
     match disk.write(&[vote(1)]).unwrap_err() {
         WriteError::Fatal(error) => assert!(error.to_string().contains("an earlier write")),
-        WriteError::Full { error, .. } => panic!("{error}"),
+        error => panic!("{error:?}"),
     }
     fs::remove_file(&path).unwrap();
     drop(disk);
@@ -352,3 +352,23 @@
 fn disk_queue_outlasts_full_disk_that_refuses_truncation() {
     disk_queue_outlasts_fault(ErrorKind::StorageFull);
 }
+
+/// Guards against a control host that exits, and loses its lead, because its disk refuses
+/// writes for a short time.
+#[test]
+fn disk_queue_outlasts_disk_that_refuses_writes() {
+    disk_queue_outlasts_fault(ErrorKind::Other);
+}
+
+/// Guards against a voter that can never store anything again but is not replaced, because
+/// its process still runs.
+#[test]
+fn disk_queue_ends_if_disk_keeps_refusing_writes() {
+    let folder = SimulatedFolder::new(1, Tearing::Prefix);
+    let disk = Disk::open_in(folder.clone(), "c1").unwrap().disk;
+    let (queue, mut confirmations) = DiskQueue::start(disk).unwrap();
+    folder.set_fault(Some(ErrorKind::Other));
+    queue.push(writes()).unwrap();
+    let error = confirmations.blocking_recv().unwrap().unwrap_err().to_string();
+    assert!(error.contains("cannot write"), "{error}");
+}
--- a/tests/control_power_loss.rs
+++ b/tests/control_power_loss.rs
@@ -232,17 +232,20 @@
     }
 }
 
-/// Writes while the disk is full for one or more attempts, as the disk thread does.
+/// Writes while the disk is full, and then refuses a write for another reason, as the disk
+/// thread does.
 fn write_to_full_disk(
     folder: &SimulatedFolder,
     disk: &mut HostDisk,
     mut writes: &[Write],
 ) -> Result<(), String> {
-    for fault in [Some(ErrorKind::StorageFull), Some(ErrorKind::StorageFull), None] {
+    for fault in [Some(ErrorKind::StorageFull), Some(ErrorKind::Other), None] {
         folder.set_fault(fault);
         match disk.write(writes) {
             Ok(()) => return Ok(()),
-            Err(WriteError::Full { stored, .. }) => writes = &writes[stored..],
+            Err(WriteError::Full { stored, .. } | WriteError::Refused { stored, .. }) => {
+                writes = &writes[stored..];
+            }
             Err(WriteError::Fatal(error)) => return Err(format!("full: {error:#}")),
         }
         folder.set_fault(None);
