--- a/tests/control_power_loss.rs
+++ b/tests/control_power_loss.rs
@@ -154,6 +154,8 @@
     rng: SmallRng,
     /// State that the host may act on.
     confirmed: StoredState,
+    /// ID of the first complete start.
+    id: Option<ControlId>,
 }
 
 impl Host {
@@ -165,6 +167,7 @@
             source,
             rng: SmallRng::seed_from_u64(seed + 2),
             confirmed: StoredState::default(),
+            id: None,
         }
     }
 
@@ -180,6 +183,9 @@
                 Ok(Opened { stored, .. }) if !allowed.contains(&stored) => {
                     return Err("restored: another state than those written".to_owned());
                 }
+                Ok(Opened { id, .. }) if *self.id.get_or_insert_with(|| id.clone()) != id => {
+                    return Err("restored: another identity".to_owned());
+                }
                 Ok(Opened { disk, stored, .. }) => {
                     allowed = vec![stored.clone()];
                     self.confirmed = stored;
