--- a/src/control/follower.rs
+++ b/src/control/follower.rs
@@ -139,11 +139,13 @@
         self.history = MembershipHistory::new(last.index, snapshot.members.clone());
         self.history.append(last.index + 1, &self.log.after(last));
         self.learn_voters();
+        // Entries after the previous commit index may be in the snapshot only.
+        let first = self.commit_index + 1;
         self.commit_index = last.index;
         self.holds_commands = true;
         self.was_member |= snapshot.members.0.contains_key(&self.settings.id);
         let data = snapshot.data.clone();
-        self.store_snapshot(snapshot);
+        self.store_snapshot(first, snapshot);
         self.outputs.push(Output::RestoreSnapshot { index: last.index, data });
     }
 
--- a/src/control/voting.rs
+++ b/src/control/voting.rs
@@ -27,6 +27,11 @@
     pub(super) fn start_pre_vote(&mut self, now: Millis) {
         self.timer.schedule_retry(now, &self.settings.timing);
         self.leader = None;
+        // Without its own vote on disk, this host cannot win. It would only raise its term
+        // and later depose a leader that other hosts have elected.
+        if !self.unsynced.is_empty() {
+            return;
+        }
         self.pre_vote_round += 1;
         let round = self.pre_vote_round;
         self.state = State::PreCandidate(PreVoteTally::new(&self.settings.id, round, now));
