Test that the largest control group replaces a lost disk

A control group with seven configured hosts, the most that the settings allow, never gets back a host that lost its disk. The new id is not added beside seven voters (caught_up_learner), and the old id is removed only once its successor is a voter (Members::replaced). The group stays with six of seven voters, and after two more lost disks with a bare quorum.

--- a/tests/control_group.rs
+++ b/tests/control_group.rs
@@ -5,7 +5,7 @@
 mod group;
 
 use group::Group;
-use pomelopin::control::node::Role;
+use pomelopin::control::{membership::MAX_VOTERS, node::Role};
 
 /// Name, number of hosts and script of a failure. After the script, the group must commit
 /// further commands and all running hosts must agree on the state.
@@ -18,6 +18,9 @@
     ("leader partitioned, delayed messages arrive, five hosts", 5, leader_partitioned),
     ("disk of a follower lost", 3, follower_disk_lost),
     ("disk of the leader lost", 3, leader_disk_lost),
+    ("disk of a follower lost, four hosts", 4, follower_disk_lost),
+    ("disk of the leader lost, four hosts", 4, leader_disk_lost),
+    ("disk of a follower lost, six hosts", 6, follower_disk_lost),
     ("second host lost right after a replacement", 3, second_host_lost_after_replacement),
     ("leader frozen", 3, leader_frozen),
     ("follower partitioned for 20 s", 3, follower_partitioned),
@@ -234,3 +237,15 @@
     group.commit(1);
     group.run_until("agreement", 10_000, Group::all_agree);
 }
+
+/// Guards against a group of the largest size that never replaces a host: the new id is not added
+/// because there are enough voters, and the old one is not removed before the new one is added.
+#[test]
+fn largest_group_replaces_a_lost_disk() {
+    let mut group = Group::formed(MAX_VOTERS, 1);
+    group.commit(3);
+    follower_disk_lost(&mut group);
+    leader_disk_lost(&mut group);
+    group.commit(3);
+    group.run_until("agreement", 10_000, Group::all_agree);
+}
