Keep a replica in the log that left since the last check

A replica that left, or was silent for 19.2 s, could be missing from what the next leader knows, although it may have given the only receipt for a commit.

The inventory keeps targets that the evidence of commits lists as departed. The evidence notes a departure at the next check of the primaries (every 50 ms), the registry at once. An inventory that was stored in between dropped the target, and nothing adds it again later.

Keep all replicas that the evidence counts, whether it has noticed yet that they have left or not. replica_that_has_just_left_stays_in_the_log failed before (the target was not in the inventory) and passes now. The simulation of primary changes stored its inventory in this gap at each departure.

--- a/src/fleet/commit_evidence.rs
+++ b/src/fleet/commit_evidence.rs
@@ -102,6 +102,12 @@
         self.departed.iter()
     }
 
+    /// All replicas that may hold the only copy of a commit beside the primary's, including those
+    /// that have left since the last update.
+    pub(super) fn known(&self) -> impl Iterator<Item = &InstanceId> {
+        self.replicas.iter().chain(&self.departed)
+    }
+
     /// Whether the positions of the replicas are needed.
     pub(super) fn awaits_replicas(&self) -> bool {
         self.replication != Replication::Complete
--- a/src/fleet/failover.rs
+++ b/src/fleet/failover.rs
@@ -213,9 +213,10 @@
         self.services.get(service).is_some_and(|state| state.primary.is_some())
     }
 
-    /// Targets that have left and may have held commits that only the primary holds as well.
-    pub fn departed_targets(&self) -> impl Iterator<Item = &InstanceId> {
-        self.services.values().flat_map(|state| state.evidence.departed())
+    /// Targets that may hold commits that only the primary holds as well. The next leader has to
+    /// know of them, whether they have left or not.
+    pub fn targets_to_remember(&self) -> impl Iterator<Item = &InstanceId> {
+        self.services.values().flat_map(|state| state.evidence.known())
     }
 
     pub fn services(&self) -> impl Iterator<Item = (&Service, &ServiceState)> {
--- a/src/fleet/inventory.rs
+++ b/src/fleet/inventory.rs
@@ -29,9 +29,9 @@
 /// Current state as observed by the leader.
 pub struct Observed<'a, P> {
     pub registry: &'a Registry,
-    /// Targets that have left the registry and stay in the inventory: they may have held commits
-    /// that only the primary holds as well, and the next leader has to know of them.
-    pub departed: &'a [&'a InstanceId],
+    /// Targets that stay in the inventory also if they have left the registry: they may have held
+    /// commits that only the primary holds as well, and the next leader has to know of them.
+    pub remembered: &'a [&'a InstanceId],
     /// Primaries without a change in progress.
     pub primaries: P,
     pub hosts: &'a [EntryHost],
@@ -79,11 +79,11 @@
     where
         P: Iterator<Item = (&'a Service, &'a InstanceId)>,
     {
-        let Observed { registry, departed, primaries, hosts } = observed;
+        let Observed { registry, remembered, primaries, hosts } = observed;
         let differs = |target: &&Announcement| {
             self.targets.get(&target.id).is_none_or(|stored| !is_routing_equal(stored, target))
         };
-        let is_removed = |id: &&InstanceId| registry.get(id).is_none() && !departed.contains(id);
+        let is_removed = |id: &&InstanceId| registry.get(id).is_none() && !remembered.contains(id);
         let is_new =
             |(service, id): &(&Service, &InstanceId)| self.primaries.get(*service) != Some(*id);
         let is_new_host = |host: &&EntryHost| self.hosts.get(&host.id) != Some(*host);
--- a/src/fleet/inventory_sync.rs
+++ b/src/fleet/inventory_sync.rs
@@ -71,10 +71,10 @@
             primary.filter(|_| !changing).map(|primary| (service, primary))
         });
         let hosts = self.hosts.eligible_owners();
-        let departed: Vec<&InstanceId> = self.failover.departed_targets().collect();
+        let remembered: Vec<&InstanceId> = self.failover.targets_to_remember().collect();
         let observed = Observed {
             registry: &self.registry,
-            departed: &departed,
+            remembered: &remembered,
             primaries: settled,
             hosts: &hosts,
         };
--- a/tests/fleet_failover/main.rs
+++ b/tests/fleet_failover/main.rs
@@ -3,6 +3,7 @@
 
 mod evacuation;
 mod harness;
+mod inventory;
 mod successors;
 
 use harness::{Harness, STEP_MS, joining, service};
@@ -582,7 +583,8 @@
     harness.restart_hosts();
     harness.run(20_000);
     assert!(harness.promotions.is_empty(), "{:?}", harness.promotions);
-    assert_eq!(harness.failover.departed_targets().collect::<Vec<_>>(), [&"r2".into()]);
+    let remembered: Vec<_> = harness.failover.targets_to_remember().collect();
+    assert_eq!(remembered, [&"r1".into(), &"r2".into()]);
 }
 
 /// Guards against a replica that left long ago and still prevents promotions.
@@ -596,7 +598,8 @@
     harness.run(1_000);
     harness.targets["r1"] = Some((TargetRole::Replica, Mark::new(3, 100)));
     harness.run(1_000);
-    assert_eq!(harness.failover.departed_targets().count(), 0);
+    let remembered: Vec<_> = harness.failover.targets_to_remember().collect();
+    assert_eq!(remembered, [&"r1".into()]);
     harness.targets["p"] = None;
     harness.primary_failing_for = Some(Millis(800));
     harness.restart_hosts();
--- a/tests/fleet_state.rs
+++ b/tests/fleet_state.rs
@@ -62,7 +62,7 @@
     let service = Service::from("ledger");
     let primaries = [(&service, primary)].into_iter();
     let delta =
-        state.inventory.delta_to(Observed { registry, departed: &[], primaries, hosts: &[] });
+        state.inventory.delta_to(Observed { registry, remembered: &[], primaries, hosts: &[] });
     state.apply(&FleetCommand::Inventory(delta.unwrap()));
 }
 
@@ -93,9 +93,9 @@
     }
     store(&mut state, &registry, &primary);
     registry.remove(&replica);
-    let observe = |departed| Observed {
+    let observe = |remembered| Observed {
         registry: &registry,
-        departed,
+        remembered,
         primaries: std::iter::empty(),
         hosts: &[],
     };
@@ -114,7 +114,7 @@
     store(&mut state, &registry, &primary);
     registry.record(Millis(0), &target("p", 2));
     let primaries = [(&service, &primary)].into_iter();
-    let observed = Observed { registry: &registry, departed: &[], primaries, hosts: &[] };
+    let observed = Observed { registry: &registry, remembered: &[], primaries, hosts: &[] };
     let delta = state.inventory.delta_to(observed);
     assert_eq!(delta, None);
 }
--- a/tests/primary_simulation/fleet/control.rs
+++ b/tests/primary_simulation/fleet/control.rs
@@ -92,9 +92,9 @@
     /// the next leader has to know.
     pub(super) fn log_targets(&mut self) {
         let Some(leader) = &self.leader else { return };
-        let departed: Vec<&InstanceId> = leader.failover.departed_targets().collect();
+        let remembered: Vec<&InstanceId> = leader.failover.targets_to_remember().collect();
         let (registry, primaries) = (&leader.registry, std::iter::empty());
-        let observed = Observed { registry, departed: &departed, primaries, hosts: &[] };
+        let observed = Observed { registry, remembered: &remembered, primaries, hosts: &[] };
         if let Some(delta) = self.inventory.delta_to(observed) {
             self.inventory.apply(&delta);
         }
