Remember a departed replica whose address is used again

A new leader could promote a target that lacks an acknowledged commit, if the replica that gave the only receipt had left and another target used its address.

The inventory in the log holds both targets. A new leader puts them into its registry, which keeps one target per address, so the departed one was gone before the evidence of commits had counted it. The proof of a candidate then covered all targets that the leader knew.

Tell the evidence of all stored targets; it finds at its next update which ones are not registered. replica_whose_address_is_used_again_counts_for_the_ next_leader failed before (r2 was promoted, which lacked commit 101) and passes now.

--- a/src/fleet/commit_evidence.rs
+++ b/src/fleet/commit_evidence.rs
@@ -64,6 +64,12 @@
         }
     }
 
+    /// Notes a replica that an earlier leader knew. If the registry does not hold it, the next
+    /// update finds that it has left.
+    pub(super) fn restore_replica(&mut self, id: &InstanceId) {
+        self.replicas.insert(id.clone());
+    }
+
     /// Records the position of the primary from its answer to a query.
     pub(super) fn record_primary(&mut self, queried_at: Millis, received: Mark) {
         if let Replication::UnknownUntil(until) = self.replication
--- a/src/fleet/failover.rs
+++ b/src/fleet/failover.rs
@@ -42,7 +42,7 @@
         evacuation::Evacuations,
         failure_evidence::Overview,
         hosts::Hosts,
-        messages::{Successor, TargetRole, ViewRevision},
+        messages::{Announcement, Successor, TargetRole, ViewRevision},
         primary_change::PrimaryChange,
         registry::Registry,
         service_failover::{ServiceState, fencing_token},
@@ -244,6 +244,18 @@
         false
     }
 
+    /// Takes over the targets that an earlier leader has stored, once the known primaries are
+    /// recorded. One that is not in the registry has left, for example if another target uses its
+    /// address by now.
+    pub fn restore_targets<'a>(&mut self, targets: impl Iterator<Item = &'a Announcement>) {
+        for target in targets {
+            let state = self.services.entry(target.service.clone()).or_default();
+            if state.primary.as_ref() != Some(&target.id) {
+                state.evidence.restore_replica(&target.id);
+            }
+        }
+    }
+
     /// Starts primary changes and retries unanswered requests.
     pub fn tick(
         &mut self,
--- a/src/fleet/inventory_sync.rs
+++ b/src/fleet/inventory_sync.rs
@@ -57,6 +57,7 @@
                 self.failover.record_primary_claim(service, primary);
             }
         }
+        self.failover.restore_targets(inventory.targets.values());
         self.hosts.expect_hosts(now, inventory.hosts.values());
         self.view_push_urgent = true;
         spdlog::info!("inventory restored from the log", kv: {targets = inventory.targets.len(), primaries = inventory.primaries.len(), hosts = inventory.hosts.len()});
--- a/tests/fleet_failover/inventory.rs
+++ b/tests/fleet_failover/inventory.rs
@@ -1,11 +1,16 @@
 //! What the next leader learns from the log of targets that have left.
 
 use pomelopin::{
-    fleet::inventory::{Inventory, Observed},
-    ids::InstanceId,
+    clock::Millis,
+    fleet::{
+        inventory::{Inventory, Observed},
+        messages::{Announcement, TargetRole},
+        registry::Registry,
+    },
+    ids::{InstanceId, Mark},
 };
 
-use crate::harness::Harness;
+use crate::harness::{Harness, joining};
 
 /// Stores what the leader knows in `inventory`.
 fn store(harness: &Harness, inventory: &mut Inventory) {
@@ -39,3 +44,33 @@
     store(&harness, &mut inventory);
     assert!(inventory.targets.contains_key(&InstanceId::from("r1")));
 }
+
+/// Guards against a promotion that loses a commit for which a replica that has left gave the only
+/// receipt: the next leader forgot the replica, because another target uses its address by now.
+#[test]
+fn replica_whose_address_is_used_again_counts_for_the_next_leader() {
+    let mut harness = Harness::new();
+    let mut inventory = Inventory::default();
+    harness.run(500);
+    store(&harness, &mut inventory);
+    harness.targets["p"] = Some((TargetRole::Primary, Mark::new(3, 101)));
+    harness.targets.shift_remove("r1");
+    let addr = joining("r1").addr;
+    let successor = Announcement { id: "r3".into(), addr, started_at_ms: 2, ..joining("r3") };
+    harness.targets.insert("r3", Some((TargetRole::Replica, Mark::new(0, 0))));
+    harness.registry.record(harness.now, &successor);
+    harness.run(100);
+    store(&harness, &mut inventory);
+
+    harness.restart_hosts();
+    harness.replace_leader();
+    harness.registry = Registry::default();
+    for target in inventory.targets.values() {
+        harness.registry.record_if_unknown(harness.now, target);
+    }
+    harness.failover.restore_targets(inventory.targets.values());
+    harness.targets["p"] = None;
+    harness.primary_failing_for = Some(Millis(800));
+    harness.run(10_000);
+    assert!(harness.promotions.is_empty(), "{:?}", harness.promotions);
+}
--- a/tests/primary_simulation/fleet/control.rs
+++ b/tests/primary_simulation/fleet/control.rs
@@ -55,6 +55,7 @@
         if let Some(primary) = &self.logged_primary {
             leader.failover.record_primary_claim(&service_name(), primary);
         }
+        leader.failover.restore_targets(self.inventory.targets.values());
         self.leader = Some(leader);
         self.push_view();
     }
