Bound the batches of the control host's event loop

A control leader on a slow processor could send no heartbeats for seconds after its entry hosts had reconnected; the voters then elect another leader, to which all hosts return.

The event loop of src/fleet/control.rs handled whatever was in its queue, up to 1024 frames, before it looked at its timer, and frames to other hosts were sent only after that. Ticks can't starve for ever, because all tasks share one thread and the queue isn't filled meanwhile, but 1024 reports of 0.5 ms of processor time are 3.4 s on 0.15 processors. Before they are handled, the connections decode the whole queue as well.

Keep 64 frames in the queue; others wait at their senders.

--- a/src/fleet/runtime.rs
+++ b/src/fleet/runtime.rs
@@ -28,9 +28,13 @@
 
 pub use crate::fleet::failover::PromotionOutcome;
 
-/// Capacity of the queues to the event loop.
+/// Capacity of the queue of events to the event loop.
 const EVENT_QUEUE_LEN: usize = 1024;
 
+/// Capacity of the queue of frames to the event loop. Further ones stay with their senders: the
+/// connections decode what the queue takes before the event loop runs again.
+const INBOUND_QUEUE_LEN: usize = 64;
+
 /// Entries before a snapshot that remain in the log. More would fill small disks, as each
 /// may hold a configuration of thousands of routes.
 const TAIL_ENTRIES: u64 = 64;
@@ -191,7 +195,7 @@
     let node = Node::new(node_settings(settings, id), stored, clock.now());
     let (disk, confirmations) = DiskQueue::start(disk)?;
     let (events_tx, events) = mpsc::channel(EVENT_QUEUE_LEN);
-    let (inbound_tx, inbound) = mpsc::channel(EVENT_QUEUE_LEN);
+    let (inbound_tx, inbound) = mpsc::channel(INBOUND_QUEUE_LEN);
     let tasks = Tasks { events: events_tx.clone() };
     let lease_holder = settings.lease_holder.clone();
     let metrics = ControlMetrics::new();
