Let the product's control host tick during a flood

A control host of the product sent no heartbeats while messages arrived faster than it handled them.

Its event loop polls ticks first, but a timer only advances when the thread's runtime gets control, and the loop did not wait while a queue held something: up to 128 batches of 257 messages. Requests of operators, polled last, were not looked at for as long as the queue of messages held something.

Yield after each batch with work left, and end a batch after 25 ms. Now that ticks are due in time, a tick that takes long could keep the other sources waiting; so each batch looks at all of them.

--- a/src/control/event_loop.rs
+++ b/src/control/event_loop.rs
@@ -4,7 +4,11 @@
 //! is the leader, the lease table and the promotions. It executes the outputs of the
 //! node in order.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use eyre::Result;
 use tokio::sync::mpsc;
@@ -41,9 +45,12 @@
 /// Entries after which a snapshot is taken and the log compacted.
 const SNAPSHOT_ENTRIES: u64 = 1_000;
 
-/// Largest number of queued messages processed before other work.
+/// Largest number of queued messages, and of queued events, processed before other work.
 const MAX_BATCH_MESSAGES: usize = 256;
 
+/// Time after which no further queued messages and events are processed before other work.
+const MAX_BATCH: Duration = Duration::from_millis(25);
+
 /// Time without a message after which the connection to a control host is reopened.
 const PEER_TIMEOUT: Millis = Millis(2_000);
 
@@ -141,12 +148,42 @@
                     None => return Ok(()),
                 },
             }
-            for _ in 0..MAX_BATCH_MESSAGES {
-                let Ok(message) = inbound.try_recv() else { break };
-                self.receive(message)?;
+            // Ticks that take long must not keep the others from their turn.
+            while let Ok(confirmed) = confirmations.try_recv() {
+                self.confirm(confirmed?)?;
             }
+            self.handle_waiting(&mut inbound, &mut events)?;
             self.finish_batch()?;
+            if !inbound.is_empty() || !events.is_empty() {
+                // The timer only advances while the loop waits.
+                tokio::task::yield_now().await;
+            }
+        }
+    }
+
+    /// Handles what has arrived, in turn from both queues, until the batch is full.
+    fn handle_waiting(
+        &mut self,
+        inbound: &mut mpsc::Receiver<InboundMessage>,
+        events: &mut mpsc::Receiver<Event>,
+    ) -> Result<()> {
+        let began = Instant::now();
+        for _ in 0..MAX_BATCH_MESSAGES {
+            let (message, event) = (inbound.try_recv().ok(), events.try_recv().ok());
+            if message.is_none() && event.is_none() {
+                break;
+            }
+            if let Some(message) = message {
+                self.receive(message)?;
+            }
+            if let Some(event) = event {
+                self.handle(event);
+            }
+            if began.elapsed() >= MAX_BATCH {
+                break;
+            }
         }
+        Ok(())
     }
 
     fn tick(&mut self) -> Result<()> {
