--- a/src/fleet/control.rs
+++ b/src/fleet/control.rs
@@ -1,6 +1,8 @@
 //! Event loop of a control host. Every host replicates the log; the leader also keeps the
 //! registry of targets and the entry hosts, and changes primaries.
 
+mod run;
+
 use std::{collections::HashMap, sync::Arc, time::Instant};
 
 use bytes::Bytes;
@@ -8,7 +10,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::{
-    adapters::disk_queue::{Confirmations, DiskQueue},
+    adapters::disk_queue::DiskQueue,
     clock::{Clock, Millis, SystemClock},
     control::{
         driver::Driver,
@@ -86,15 +88,6 @@
     Seeds(Vec<String>),
 }
 
-/// What the event loop has to do next.
-enum Wake {
-    /// So many writes were synced to disk.
-    Synced(usize),
-    Inbound(Inbound),
-    Event(Event),
-    Tick,
-}
-
 /// Log entry whose commit a client waits for.
 pub(super) struct PendingCommit {
     pub(super) index: u64,
@@ -207,44 +200,6 @@
         }
     }
 
-    /// Runs until an error occurs or all event senders are dropped.
-    pub async fn run(
-        mut self,
-        mut inbound: mpsc::Receiver<Inbound>,
-        mut events: mpsc::Receiver<Event>,
-        mut confirmations: Confirmations,
-    ) -> Result<()> {
-        let mut ticks = tokio::time::interval(TICK.duration());
-        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        loop {
-            let wake = tokio::select! {
-                biased;
-                Some(confirmed) = confirmations.recv() => Wake::Synced(confirmed?),
-                Some(message) = inbound.recv() => Wake::Inbound(message),
-                event = events.recv() => match event {
-                    Some(event) => Wake::Event(event),
-                    None => return Ok(()),
-                },
-                _ = ticks.tick() => Wake::Tick,
-            };
-            let began = Instant::now();
-            match wake {
-                Wake::Synced(count) => self.confirm(count)?,
-                Wake::Inbound(message) => self.handle_inbound(message)?,
-                Wake::Event(event) => self.handle_event(event),
-                Wake::Tick => self.tick()?,
-            }
-            while let Ok(message) = inbound.try_recv() {
-                self.handle_inbound(message)?;
-            }
-            while let Ok(event) = events.try_recv() {
-                self.handle_event(event);
-            }
-            self.finish_batch()?;
-            self.record_load(began);
-        }
-    }
-
     /// Records the time spent since `began`, and logs a second in which the loop had little
     /// time left.
     fn record_load(&mut self, began: Instant) {
--- a/src/fleet/failover.rs
+++ b/src/fleet/failover.rs
@@ -42,7 +42,7 @@
         evacuation::Evacuations,
         failure_evidence::Overview,
         hosts::Hosts,
-        messages::{Successor, TargetRole, ViewRevision},
+        messages::{Announcement, Successor, TargetRole, ViewRevision},
         primary_change::PrimaryChange,
         registry::Registry,
         service_failover::{ServiceState, fencing_token},
@@ -213,9 +213,10 @@
         self.services.get(service).is_some_and(|state| state.primary.is_some())
     }
 
-    /// Targets that have left and may have held commits that only the primary holds as well.
-    pub fn departed_targets(&self) -> impl Iterator<Item = &InstanceId> {
-        self.services.values().flat_map(|state| state.evidence.departed())
+    /// Targets that may hold commits that only the primary holds as well. The next leader has to
+    /// know of them, whether they have left or not.
+    pub fn targets_to_remember(&self) -> impl Iterator<Item = &InstanceId> {
+        self.services.values().flat_map(|state| state.evidence.known())
     }
 
     pub fn services(&self) -> impl Iterator<Item = (&Service, &ServiceState)> {
@@ -243,6 +244,18 @@
         false
     }
 
+    /// Takes over the targets that an earlier leader has stored, once the known primaries are
+    /// recorded. One that is not in the registry has left, for example if another target uses its
+    /// address by now.
+    pub fn restore_targets<'a>(&mut self, targets: impl Iterator<Item = &'a Announcement>) {
+        for target in targets {
+            let state = self.services.entry(target.service.clone()).or_default();
+            if state.primary.as_ref() != Some(&target.id) {
+                state.evidence.restore_replica(&target.id);
+            }
+        }
+    }
+
     /// Starts primary changes and retries unanswered requests.
     pub fn tick(
         &mut self,
--- a/src/fleet/inventory_sync.rs
+++ b/src/fleet/inventory_sync.rs
@@ -57,6 +57,7 @@
                 self.failover.record_primary_claim(service, primary);
             }
         }
+        self.failover.restore_targets(inventory.targets.values());
         self.hosts.expect_hosts(now, inventory.hosts.values());
         self.view_push_urgent = true;
         spdlog::info!("inventory restored from the log", kv: {targets = inventory.targets.len(), primaries = inventory.primaries.len(), hosts = inventory.hosts.len()});
@@ -71,10 +72,10 @@
             primary.filter(|_| !changing).map(|primary| (service, primary))
         });
         let hosts = self.hosts.eligible_owners();
-        let departed: Vec<&InstanceId> = self.failover.departed_targets().collect();
+        let remembered: Vec<&InstanceId> = self.failover.targets_to_remember().collect();
         let observed = Observed {
             registry: &self.registry,
-            departed: &departed,
+            remembered: &remembered,
             primaries: settled,
             hosts: &hosts,
         };
--- a/tests/primary_simulation/fleet/control.rs
+++ b/tests/primary_simulation/fleet/control.rs
@@ -55,6 +55,7 @@
         if let Some(primary) = &self.logged_primary {
             leader.failover.record_primary_claim(&service_name(), primary);
         }
+        leader.failover.restore_targets(self.inventory.targets.values());
         self.leader = Some(leader);
         self.push_view();
     }
@@ -92,9 +93,9 @@
     /// the next leader has to know.
     pub(super) fn log_targets(&mut self) {
         let Some(leader) = &self.leader else { return };
-        let departed: Vec<&InstanceId> = leader.failover.departed_targets().collect();
+        let remembered: Vec<&InstanceId> = leader.failover.targets_to_remember().collect();
         let (registry, primaries) = (&leader.registry, std::iter::empty());
-        let observed = Observed { registry, departed: &departed, primaries, hosts: &[] };
+        let observed = Observed { registry, remembered: &remembered, primaries, hosts: &[] };
         if let Some(delta) = self.inventory.delta_to(observed) {
             self.inventory.apply(&delta);
         }
