--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -152,10 +152,12 @@
         state.replication.hosts.get_mut(id)
     }
 
-    /// Sends entries until the limit of entries in flight is reached.
+    /// Sends entries until the limit of entries in flight is reached. A host that needs the
+    /// snapshot first is sent one chunk at a time, with heartbeats and after responses.
     fn send_entries(&mut self, now: Millis, id: &ControlId) {
-        let last = self.log.last().index;
-        while self.progress(id).is_some_and(|p| p.has_window() && p.next <= last) {
+        let (base, last) = (self.log.base().index, self.log.last().index);
+        let has_due = |p: &Progress| p.has_window() && p.next > base && p.next <= last;
+        while self.progress(id).is_some_and(has_due) {
             self.send_message(now, id);
         }
     }
