--- a/tests/membership_simulation/group.rs
+++ b/tests/membership_simulation/group.rs
@@ -101,7 +101,7 @@
         group
     }
 
-    fn new(size: usize, _tolerated_losses: usize, seed: u64) -> Self {
+    fn new(size: usize, tolerated_losses: usize, seed: u64) -> Self {
         let addresses: Vec<_> = (0..size).map(address).collect();
         let mut group = Self {
             now: 0,
@@ -113,6 +113,7 @@
             policy: GroupPolicy {
                 dynamic_membership: true,
                 may_bootstrap: true,
+                tolerated_losses,
                 tail_entries: TAIL_ENTRIES,
                 ..GroupPolicy::default()
             },
