--- a/tests/membership_simulation/faults.rs
+++ b/tests/membership_simulation/faults.rs
@@ -1,9 +1,13 @@
 //! Faults that overlap, and how many disks may be lost.
 
-use std::collections::BTreeSet;
+use std::{cmp::Reverse, collections::BTreeSet};
 
 use derive_more::Display;
-use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
+use rand::{
+    Rng, SeedableRng,
+    rngs::SmallRng,
+    seq::{IndexedRandom, SliceRandom},
+};
 
 use crate::group::Group;
 
@@ -24,8 +28,17 @@
 /// Time between two looks at the faults that have to end.
 const SLICE_MS: u64 = 20;
 
-/// Probability that a disk is lost by a voter, if there is one to choose.
+/// Probability that the disks that are lost are those of voters, and of those with the newest
+/// logs.
 const VOTER_PROBABILITY: f64 = 0.8;
+const NEWEST_LOG_PROBABILITY: f64 = 0.4;
+
+/// Probability that all hosts without a vote are on the same side of a split in halves.
+const NO_VOTERS_TOGETHER_PROBABILITY: f64 = 0.5;
+
+/// Shortest split before the last loss of disks; longer than a leader waits before it removes a
+/// silent voter.
+const MIN_LAST_SPLIT_MS: u64 = 9_000;
 
 /// Kind of a fault.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
@@ -42,12 +55,13 @@
     SlowMessages,
     LostDisks,
     LostDisksAndPower,
+    PowerWhileDisksHang,
     Replacement,
     Seeds,
 }
 
 /// Faults with their weights.
-const FAULTS: [(Fault, u32); 14] = [
+const FAULTS: [(Fault, u32); 15] = [
     (Fault::Halves, 8),
     (Fault::CutOff, 12),
     (Fault::PowerOfFew, 10),
@@ -60,6 +74,7 @@
     (Fault::SlowMessages, 4),
     (Fault::LostDisks, 10),
     (Fault::LostDisksAndPower, 5),
+    (Fault::PowerWhileDisksHang, 8),
     (Fault::Replacement, 7),
     (Fault::Seeds, 6),
 ];
@@ -145,6 +160,7 @@
             Fault::SlowMessages => self.slow_messages(group),
             Fault::LostDisks => self.lose_disks(group),
             Fault::LostDisksAndPower => self.lose_disks_and_power(group),
+            Fault::PowerWhileDisksHang => self.lose_power_while_disks_hang(group),
             Fault::Replacement => self.replace(group),
             Fault::Seeds => group.exchange_seeds(),
         }
@@ -181,13 +197,63 @@
         }
     }
 
+    /// A long split in halves, and during it or shortly after it the loss of disks.
+    pub fn lose_disks_around_split(&mut self, group: &mut Group) {
+        let side = self.choose_half(group);
+        let ms = self.rng.random_range(MIN_LAST_SPLIT_MS..MAX_SPLIT_MS);
+        self.split(group, side, ms);
+        group.run(MIN_LAST_SPLIT_MS);
+        self.run(group, ms - MIN_LAST_SPLIT_MS + MAX_DOWN_MS);
+        if self.rng.random_bool(0.5) {
+            self.lose_disks_and_power(group);
+            return;
+        }
+        let free = self.tolerated_losses.saturating_sub(self.lost.len());
+        for host in self.choose_lossy(group, free) {
+            self.lose_disk(group, host);
+        }
+    }
+
     fn split_halves(&mut self, group: &mut Group) {
-        let hosts = group.present();
-        let side = hosts.choose_multiple(&mut self.rng, hosts.len() / 2).copied().collect();
+        let side = self.choose_half(group);
         let ms = self.rng.random_range(300..MAX_SPLIT_MS);
         self.split(group, side, ms);
     }
 
+    /// Half of the hosts, rounded up or down.
+    fn choose_half(&mut self, group: &Group) -> BTreeSet<usize> {
+        let mut hosts = group.present();
+        hosts.shuffle(&mut self.rng);
+        if self.rng.random_bool(NO_VOTERS_TOGETHER_PROBABILITY) {
+            let voters = group.voters();
+            hosts.sort_by_key(|host| voters.contains(host));
+        }
+        let count = (hosts.len() + self.rng.random_range(0..=1)) / 2;
+        hosts.into_iter().take(count).collect()
+    }
+
+    /// Most disks hang, often the leader's process ends, and then hosts lose their power with
+    /// all that waits for the disks.
+    fn lose_power_while_disks_hang(&mut self, group: &mut Group) {
+        for host in group.present() {
+            if self.rng.random_bool(0.7) {
+                self.hang_disk(group, host);
+            }
+        }
+        if let Some(leader) = group.leader()
+            && self.rng.random_bool(0.6)
+        {
+            group.kill(leader);
+            self.start_later(group, leader);
+        }
+        self.run(group, MAX_DOWN_MS);
+        if self.rng.random_bool(0.5) {
+            self.power_of_all(group);
+        } else {
+            self.power_of_few(group);
+        }
+    }
+
     fn cut_off(&mut self, group: &mut Group) {
         let side = self.choose_few(group).into_iter().collect();
         let ms = self.rng.random_range(300..MAX_SPLIT_MS);
@@ -227,14 +293,18 @@
 
     fn hang_disks(&mut self, group: &mut Group) {
         for host in self.choose_few(group) {
-            let ms = self.rng.random_range(500..8_000);
-            let disk = &mut group.hosts[host];
-            disk.disk_hangs_until = disk.disk_hangs_until.max(group.now + ms);
-            group.note(host, &format!("has a disk that hangs for {ms} ms"));
-            self.activate(group, ms, Ending::Nothing);
+            self.hang_disk(group, host);
         }
     }
 
+    fn hang_disk(&mut self, group: &mut Group, host: usize) {
+        let ms = self.rng.random_range(500..8_000);
+        let disk = &mut group.hosts[host];
+        disk.disk_hangs_until = disk.disk_hangs_until.max(group.now + ms);
+        group.note(host, &format!("has a disk that hangs for {ms} ms"));
+        self.activate(group, ms, Ending::Nothing);
+    }
+
     fn lose_messages(&mut self, group: &mut Group) {
         group.network.lost_percent = self.rng.random_range(5..50);
         let ms = self.rng.random_range(500..8_000);
@@ -266,12 +336,15 @@
 
     /// Hosts that lose their disks: mostly voters, and none whose disk counts as lost.
     fn choose_lossy(&mut self, group: &Group, count: usize) -> Vec<usize> {
-        let voters = group.voters();
-        let present = group.present();
-        let candidates = if self.rng.random_bool(VOTER_PROBABILITY) { voters } else { present };
-        let candidates: Vec<_> =
+        let candidates =
+            if self.rng.random_bool(VOTER_PROBABILITY) { group.voters() } else { group.present() };
+        let mut candidates: Vec<_> =
             candidates.into_iter().filter(|host| !self.lost.contains(host)).collect();
-        candidates.choose_multiple(&mut self.rng, count).copied().collect()
+        candidates.shuffle(&mut self.rng);
+        if self.rng.random_bool(NEWEST_LOG_PROBABILITY) {
+            candidates.sort_by_key(|host| Reverse(group.hosts[*host].last_entry()));
+        }
+        candidates.into_iter().take(count).collect()
     }
 
     fn choose_few(&mut self, group: &Group) -> Vec<usize> {
--- a/tests/membership_simulation/host.rs
+++ b/tests/membership_simulation/host.rs
@@ -4,6 +4,7 @@
     clock::Millis,
     control::{deferred::DeferredMessages, node::Node},
     ids::ControlId,
+    wire::group::LogId,
 };
 
 use crate::{data_folder::DataFolder, ledger::AppliedState};
@@ -46,6 +47,12 @@
         ControlId::from(format!("{}.{:016x}", self.addr, self.generation))
     }
 
+    /// Last entry of the log of the process that runs.
+    pub fn last_entry(&self) -> Option<LogId> {
+        self.process.as_ref().map(|it| it.node.last())
+    }
+
+    /// Ends long syncs.
     pub fn restore_disk_speed(&mut self) {
         self.max_sync_ms = USUAL_SYNC_MS;
     }
--- a/tests/membership_simulation/main.rs
+++ b/tests/membership_simulation/main.rs
@@ -60,8 +60,8 @@
     first..first + read("MEMBERSHIP_SIMULATION_SEEDS").unwrap_or(8)
 }
 
-/// Runs a group through random faults; in the end all hosts lose their power, and as many their
-/// disks as is tolerated.
+/// Runs a group through random faults. In the end as many disks are lost as is tolerated, when
+/// all hosts lose their power or around a long split.
 fn run(seed: u64, size: Size) -> Group {
     let mut rng = SmallRng::seed_from_u64(seed ^ 0xca1f);
     let mut group = Group::formed(size.hosts, size.tolerated_losses, seed);
@@ -75,7 +75,11 @@
         faults.run_until_calm(&mut group);
         faults.run(&mut group, MAX_CALM_MS);
     }
-    faults.lose_disks_and_power(&mut group);
+    if rng.random_bool(0.5) {
+        faults.lose_disks_and_power(&mut group);
+    } else {
+        faults.lose_disks_around_split(&mut group);
+    }
     faults.run_until_calm(&mut group);
     recovery::check(&mut group);
     group
