--- a/tests/membership_simulation/faults.rs
+++ b/tests/membership_simulation/faults.rs
@@ -23,7 +23,7 @@
 const MAX_DOWN_MS: u64 = 3_000;
 
 /// Time without other faults after which a host that lost its disk counts as restored.
-const RESTORED_AFTER_MS: u64 = 6_000;
+pub const RESTORED_AFTER_MS: u64 = 6_000;
 
 /// Time between two looks at the faults that have to end.
 const SLICE_MS: u64 = 20;
--- a/tests/membership_simulation/main.rs
+++ b/tests/membership_simulation/main.rs
@@ -164,3 +164,28 @@
         assert!(violation.is_none(), "seed {seed}: {violation:?}\n{}", group.explain());
     }
 }
+
+/// Guards against a group that has no quorum for ever: voters that were replaced for good under
+/// other addresses are still on the list, and their successors are not, when the next disks are
+/// lost.
+#[test]
+fn replaced_hosts_vote_before_the_next_disks_are_lost() {
+    for seed in 0..4 {
+        let mut group = Group::formed(NINE_HOSTS.hosts, NINE_HOSTS.tolerated_losses, seed);
+        let mut faults = Faults::new(seed, NINE_HOSTS.tolerated_losses);
+        let voters = group.voters();
+        let (replaced, others) = voters.split_at(NINE_HOSTS.tolerated_losses);
+        for host in replaced {
+            let successor = group.replace(*host);
+            group.start(successor);
+        }
+        group.run(faults::RESTORED_AFTER_MS);
+        for host in others.iter().take(NINE_HOSTS.tolerated_losses) {
+            faults.lose_disk(&mut group, *host);
+        }
+        faults.run_until_calm(&mut group);
+        recovery::check(&mut group);
+        let violation = group.ledger.violation.as_ref();
+        assert!(violation.is_none(), "seed {seed}: {violation:?}\n{}", group.explain());
+    }
+}
