--- a/tests/control_disk.rs
+++ b/tests/control_disk.rs
@@ -372,3 +372,23 @@
     let error = confirmations.blocking_recv().unwrap().unwrap_err().to_string();
     assert!(error.contains("cannot write"), "{error}");
 }
+
+/// Guards against the loss of confirmed records that an earlier version without markers appended
+/// to a log with markers, after a return to that version.
+#[test]
+fn changed_byte_of_records_of_an_earlier_version_behind_markers_is_an_error() {
+    let folder = TempDir::new().unwrap();
+    let (folder, log) = (folder.path(), folder.path().join("log"));
+    let unmarked = log_without_markers(folder);
+    let mut content = fs::read(&log).unwrap();
+    let begin = content.len();
+    // The earlier version confirms each record before it writes the next one.
+    content.extend_from_slice(&unmarked);
+    content.extend_from_slice(&unmarked);
+    change_each_byte(&log, &content, |at| {
+        if (begin..begin + unmarked.len()).contains(&at) {
+            let opened = Disk::open(folder, "c1");
+            assert!(opened.is_err(), "byte {at}: {} bytes removed", opened.unwrap().removed_bytes);
+        }
+    });
+}
--- a/tests/membership_simulation/main.rs
+++ b/tests/membership_simulation/main.rs
@@ -189,3 +189,39 @@
         assert!(violation.is_none(), "seed {seed}: {violation:?}\n{}", group.explain());
     }
 }
+
+/// Time for which the successor of a replaced host has run before the next disks are lost. The
+/// leader begins to remove silent voters in this span.
+const LOSS_AFTER_MS: Range<u64> = 6_500..9_500;
+const LOSS_STEP_MS: usize = 25;
+
+/// Guards against a group that has no quorum for ever: a leader removed a voter that was only cut
+/// off, while a replaced one was still on the list, and then two other voters lost their disks.
+#[test]
+fn cut_off_voter_is_not_given_up_before_replaced_ones() {
+    let mut failed = Vec::new();
+    for seed in 0..2 {
+        for loss_after_ms in LOSS_AFTER_MS.step_by(LOSS_STEP_MS) {
+            let mut group = Group::formed(NINE_HOSTS.hosts, NINE_HOSTS.tolerated_losses, seed);
+            let mut faults = Faults::new(seed, NINE_HOSTS.tolerated_losses);
+            let leader = group.leader().unwrap();
+            let others: Vec<_> = group.voters().into_iter().filter(|it| *it != leader).collect();
+            let successor = group.replace(others[1]);
+            group.start(successor);
+            faults.split(&mut group, [others[0]].into(), 14_000);
+            group.run(loss_after_ms);
+            for host in &others[2..4] {
+                faults.lose_disk(&mut group, *host);
+            }
+            faults.run_until_calm(&mut group);
+            recovery::check(&mut group);
+            if let Some(violation) = &group.ledger.violation {
+                if failed.is_empty() {
+                    println!("{violation}\n{}", group.explain());
+                }
+                failed.push((seed, loss_after_ms));
+            }
+        }
+    }
+    assert!(failed.is_empty(), "seeds and times of the loss in ms: {failed:?}");
+}
--- a/tests/voter_changes.rs
+++ b/tests/voter_changes.rs
@@ -191,3 +191,27 @@
     group.silence([5], Millis(600_000));
     assert_eq!(group.next(), None);
 }
+
+/// Guards against a silent voter that is given up although another silent one stays on the list:
+/// with the loss of two more disks, three of six would be left, and the one given up can't help.
+#[test]
+fn waiting_host_enters_before_the_first_silent_voter_leaves() {
+    let mut group = Group::new(7, 2);
+    group.silence([6, 7], Millis(8_000));
+    group.add_learner("l1.a");
+    group.add_learner("l2.a");
+    let changes = group.settle();
+    assert_eq!(changes[..2], ["+l1.a", "+l2.a"], "{changes:?}");
+}
+
+/// Guards against a new leader that removes live voters as surplus, because lost voters count as
+/// present until they have been silent for long: five of seven voters would be left.
+#[test]
+fn voters_that_have_never_answered_are_no_reason_to_remove_others() {
+    let mut group = Group::new(MAX_VOTERS + 2, 2);
+    for id in ["v2.a", "v3.a"] {
+        let host = group.hosts.get_mut(&ControlId::from(id)).unwrap();
+        (host.silence, host.holds_log) = (Millis(900), false);
+    }
+    assert_eq!(group.next(), None);
+}
