Let replacements vote before the next disks may be lost

Callers would see: two control hosts are replaced under new addresses, 6 s later two further disks are lost, and no leader is elected any more.

Cause: a silent voter made room only after 8 s, while as many disks again may be lost once the replacements have run for 6 s. A voter whose disk hung answered heartbeats and kept its place for ever.

That is safe at any length since a removal needs 2f + 1 others with the log.

--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -315,7 +315,11 @@
     /// Begins the next change of the voters. The last change and an entry of the current term
     /// must be committed first; otherwise two majorities without a common host could exist.
     fn change_voters(&mut self, now: Millis) {
-        let State::Leader(state) = &self.state else { return };
+        let last = self.log.last().index;
+        let State::Leader(state) = &mut self.state else { return };
+        for progress in state.replication.hosts.values_mut() {
+            progress.record_lag(now, last);
+        }
         if self.commit_index < state.first_index.max(self.history.last_change()) {
             return;
         }
@@ -362,11 +366,11 @@
     /// election or from the end of a freeze, because it could hear nobody before.
     fn host_states(&self, now: Millis) -> BTreeMap<ControlId, HostState> {
         let State::Leader(state) = &self.state else { return BTreeMap::new() };
-        let last = self.log.last().index;
+        let since = |at: Millis| now.since(at.max(state.replication.lease_floor));
         let host_state = |progress: &Progress| HostState {
             member: progress.member.clone(),
-            silence: now.since(progress.last_contact.max(state.replication.lease_floor)),
-            holds_log: progress.is_caught_up(last),
+            silence: since(progress.last_contact),
+            lag: progress.behind_since.map_or(Millis(0), |at| since(at).max(Millis(1))),
         };
         let hosts = state.replication.hosts.iter();
         hosts.map(|(id, progress)| (id.clone(), host_state(progress))).collect()
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -74,6 +74,20 @@
     }
 }
 
+impl GroupPolicy {
+    /// Policy of a group whose hosts are replaced under any address. After the loss of
+    /// `tolerated_losses` disks, as many more may be lost once the replacements have run for
+    /// `replacement_time`. Half of it is left to let them vote.
+    pub fn dynamic(tolerated_losses: usize, replacement_time: Millis) -> Self {
+        Self {
+            dynamic_membership: true,
+            remove_after: Millis(replacement_time.0 / 2),
+            tolerated_losses,
+            ..Self::default()
+        }
+    }
+}
+
 /// Input of [`Node::step`].
 #[derive(Debug, Clone)]
 pub enum Input {
--- a/src/control/replication.rs
+++ b/src/control/replication.rs
@@ -33,6 +33,8 @@
     pub last_sent: Option<Millis>,
     /// When the last response arrived, or when the host was first known.
     pub last_contact: Millis,
+    /// Since when the host has not held nearly all entries; `None` if it holds them.
+    pub behind_since: Option<Millis>,
     pub transfer: Option<SnapshotTransfer>,
 }
 
@@ -47,6 +49,7 @@
             acked_sent_at: None,
             last_sent: None,
             last_contact: now,
+            behind_since: Some(now),
             transfer: None,
         }
     }
@@ -77,9 +80,10 @@
         !self.probing && self.next <= self.matched + MAX_INFLIGHT_ENTRIES
     }
 
-    /// Whether the host has nearly all entries up to `last`.
-    pub fn is_caught_up(&self, last: u64) -> bool {
-        !self.probing && self.matched + CAUGHT_UP_LAG_ENTRIES >= last
+    /// Records whether the host has nearly all entries up to `last`.
+    pub fn record_lag(&mut self, now: Millis, last: u64) {
+        let is_caught_up = !self.probing && self.matched + CAUGHT_UP_LAG_ENTRIES >= last;
+        self.behind_since = (!is_caught_up).then(|| self.behind_since.unwrap_or(now));
     }
 }
 
--- a/src/control/voter_changes.rs
+++ b/src/control/voter_changes.rs
@@ -12,7 +12,8 @@
 //!    fewer, because it may be the one that is needed after the next loss.
 //! 2. *A host enters before another one leaves.* Silence of `remove_after` makes room for a host
 //!    that has caught up, even if the list is full; the silent voter leaves by rule 1. The
-//!    number of voters that hold the log therefore never falls by a change.
+//!    number of voters that hold the log therefore never falls by a change. A voter that
+//!    responds and does not catch up, because its disk does not sync, counts as silent.
 //! 3. *A host that comes under the name of a voter has replaced it*: the identity of the voter
 //!    was on the disk that is gone, so it never votes again. It leaves as soon as its successor
 //!    votes, whatever else is missing.
@@ -73,8 +74,8 @@
     pub member: Member,
     /// Time since the last response.
     pub silence: Millis,
-    /// Whether the host holds nearly all entries.
-    pub holds_log: bool,
+    /// Time since the host last held nearly all entries; zero if it holds them.
+    pub lag: Millis,
 }
 
 /// Change of the voters by one host.
@@ -131,7 +132,7 @@
     fn unresponsive(&self) -> Option<&ControlId> {
         let remove_after = self.settings.remove_after?;
         let holding = self.count(|id| self.responds(id) && self.holds_log(id));
-        let is_silent = |id: &&ControlId| self.silence(id) >= remove_after;
+        let is_silent = |id: &&ControlId| self.absence(id) >= remove_after;
         let silent = self.voters.0.keys().find(is_silent)?;
         (holding >= self.settings.min_voters()).then_some(silent)
     }
@@ -155,7 +156,7 @@
         let mut learners = self.hosts.iter().filter(|(id, _)| !self.voters.0.contains_key(*id));
         let (host, state) = learners.find(|(id, host)| {
             let replaces_voter = self.voters.named(&host.member.name).is_some();
-            (has_room || replaces_voter) && host.holds_log && self.responds(id)
+            (has_room || replaces_voter) && self.holds_log(id) && self.responds(id)
         })?;
         Some(VoterChange::Add { host: host.clone(), member: state.member.clone() })
     }
@@ -163,7 +164,7 @@
     /// Number of voters that have not been silent for so long that they may be removed.
     fn present(&self) -> usize {
         self.settings.remove_after.map_or(self.voters.0.len(), |remove_after| {
-            self.count(|id| self.silence(id) < remove_after)
+            self.count(|id| self.absence(id) < remove_after)
         })
     }
 
@@ -180,7 +181,12 @@
         self.hosts.get(id).map_or(Millis(0), |host| host.silence)
     }
 
+    /// Time for which a host has not taken part: it is silent or lacks entries.
+    fn absence(&self, id: &ControlId) -> Millis {
+        self.hosts.get(id).map_or(Millis(0), |host| host.silence.max(host.lag))
+    }
+
     fn holds_log(&self, id: &ControlId) -> bool {
-        self.hosts.get(id).is_none_or(|host| host.holds_log)
+        self.hosts.get(id).is_none_or(|host| host.lag == Millis(0))
     }
 }
--- a/src/fleet/runtime.rs
+++ b/src/fleet/runtime.rs
@@ -110,6 +110,8 @@
     pub data_folder: PathBuf,
     /// Number of disks of control hosts that may be lost at the same time.
     pub tolerated_losses: usize,
+    /// Time after its start from which a host that replaces a lost one counts as in place.
+    pub replacement_time: Millis,
     pub timing: GroupTiming,
     /// Name of the host in promotion requests to the platform.
     pub lease_holder: String,
@@ -252,11 +254,9 @@
         seed: rand::random(),
         timing: settings.timing.clone(),
         policy: GroupPolicy {
-            dynamic_membership: true,
             may_bootstrap: settings.may_bootstrap,
-            tolerated_losses: settings.tolerated_losses,
             tail_entries: TAIL_ENTRIES,
-            ..GroupPolicy::default()
+            ..GroupPolicy::dynamic(settings.tolerated_losses, settings.replacement_time)
         },
     }
 }
--- a/tests/fleet_fixture/mod.rs
+++ b/tests/fleet_fixture/mod.rs
@@ -73,6 +73,7 @@
         may_bootstrap: true,
         data_folder: folder.join(addr.port().to_string()),
         tolerated_losses: 1,
+        replacement_time: Millis(4_000),
         timing: GroupTiming::default(),
         lease_holder: "c1".to_owned(),
         announce_interval: Millis(1_200),
--- a/tests/membership_simulation/group.rs
+++ b/tests/membership_simulation/group.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use pomelopin::{
+    clock::Millis,
     control::{
         deferred::DeferredMessages,
         membership::MAX_VOTERS,
@@ -37,6 +38,9 @@
 const SNAPSHOT_ENTRIES: u64 = 60;
 const TAIL_ENTRIES: u64 = 30;
 
+/// Time for which a replacement has run when further disks may be lost.
+const REPLACEMENT_TIME: Millis = Millis(6_000);
+
 /// Number of lines of the history that explain a violation.
 const EXPLAINED_LINES: usize = 80;
 
@@ -111,11 +115,8 @@
             ledger: Ledger::default(),
             rng: SmallRng::seed_from_u64(seed),
             policy: GroupPolicy {
-                dynamic_membership: true,
-                may_bootstrap: true,
-                tolerated_losses,
                 tail_entries: TAIL_ENTRIES,
-                ..GroupPolicy::default()
+                ..GroupPolicy::dynamic(tolerated_losses, REPLACEMENT_TIME)
             },
             events: BTreeMap::new(),
             last_event: 0,
--- a/tests/voter_changes.rs
+++ b/tests/voter_changes.rs
@@ -50,7 +50,7 @@
     }
 
     fn add_host(&mut self, id: &str, member: Member) {
-        let state = HostState { member, silence: Millis(50), holds_log: true };
+        let state = HostState { member, silence: Millis(50), lag: Millis(0) };
         self.hosts.insert(ControlId::from(id), state);
     }
 
@@ -118,10 +118,20 @@
 fn voters_that_lack_entries_do_not_count_for_a_removal() {
     let mut group = Group::new(6, 2);
     group.silence([6], Millis(8_000));
-    group.hosts.get_mut(&ControlId::from("v2.a")).unwrap().holds_log = false;
+    group.hosts.get_mut(&ControlId::from("v2.a")).unwrap().lag = Millis(100);
     assert_eq!(group.next(), None);
 }
 
+/// Guards against a voter whose disk hangs or is full for long, and which answers heartbeats: it
+/// would count as a voter and neither vote nor acknowledge.
+#[test]
+fn voter_that_does_not_catch_up_makes_room() {
+    let mut group = Group::new(7, 2);
+    group.hosts.get_mut(&ControlId::from("v7.a")).unwrap().lag = Millis(8_000);
+    group.add_learner("l1.a");
+    assert_eq!(group.settle(), ["-v7.a", "+l1.a"]);
+}
+
 /// Guards against a full list of voters that keeps live hosts out while some voters are lost.
 #[test]
 fn hosts_enter_in_place_of_silent_voters_before_these_leave() {
