--- a/src/fleet/runtime.rs
+++ b/src/fleet/runtime.rs
@@ -11,7 +11,10 @@
         disk_queue::DiskQueue,
     },
     clock::{Clock, Millis, SystemClock},
-    control::node::{GroupPolicy, Node, NodeSettings},
+    control::{
+        group_log::log_start,
+        node::{GroupPolicy, Node, NodeSettings},
+    },
     fleet::{
         config::FleetConfig,
         control::{Components, ControlLoop, ControlRequest, ControlResponse, Event},
@@ -101,6 +104,8 @@
     /// Whether the host may form a new group: the system starts for the first time.
     pub may_bootstrap: bool,
     pub data_folder: PathBuf,
+    /// Number of disks of control hosts that may be lost at the same time.
+    pub tolerated_losses: usize,
     pub timing: GroupTiming,
     /// Name of the host in promotion requests to the platform.
     pub lease_holder: String,
@@ -189,6 +194,7 @@
     };
     spdlog::info!("data folder opened", kv: {id = id.as_str(), entries = stored.entries.len(), version = state.config.version});
     let node = Node::new(node_settings(settings, id), stored, clock.now());
+    log_start(&node);
     let (disk, confirmations) = DiskQueue::start(disk)?;
     let (events_tx, events) = mpsc::channel(EVENT_QUEUE_LEN);
     let (inbound_tx, inbound) = mpsc::channel(EVENT_QUEUE_LEN);
@@ -238,8 +244,9 @@
         policy: GroupPolicy {
             dynamic_membership: true,
             may_bootstrap: settings.may_bootstrap,
-            remove_after: Millis(8_000),
+            tolerated_losses: settings.tolerated_losses,
             tail_entries: TAIL_ENTRIES,
+            ..GroupPolicy::default()
         },
     }
 }
