--- a/src/control/follower.rs
+++ b/src/control/follower.rs
@@ -74,6 +74,7 @@
 
     fn follow_leader(&mut self, now: Millis, term: GroupTerm, leader: &ControlId) {
         self.become_follower(now, term, Some(leader.clone()));
+        self.leader_heard_at = now;
         self.timer.record_leader_contact(now, &self.settings.timing);
     }
 
@@ -137,6 +138,7 @@
         }
         self.history = MembershipHistory::new(last.index, snapshot.members.clone());
         self.history.append(last.index + 1, &self.log.after(last));
+        self.learn_voters();
         self.commit_index = last.index;
         self.holds_commands = true;
         self.was_member |= snapshot.members.0.contains_key(&self.settings.id);
--- a/src/wire/group.rs
+++ b/src/wire/group.rs
@@ -93,6 +93,15 @@
     pub body: GroupBody,
 }
 
+impl GroupMessage {
+    /// Whether another host than the sender delivered the message: only a hello that is passed on
+    /// requests a reply and is addressed to an id.
+    pub fn is_passed_on(&self) -> bool {
+        let requests_reply = matches!(&self.body, GroupBody::Hello(hello) if hello.reply_requested);
+        requests_reply && self.to.is_some()
+    }
+}
+
 /// Content of a [`GroupMessage`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum GroupBody {
@@ -144,7 +153,8 @@
     Granted,
     /// A leader is alive, or the sender's term or log is behind.
     Rejected,
-    /// The sender is no longer a member of the group.
+    /// The sender is no longer a member of the group: the responder's log is newer, and the sender
+    /// is not among its voters. Older builds also say so if their log is not newer.
     Removed,
     /// The process has just started and has not heard from a leader. It withholds its
     /// vote, because an earlier process of the host may have followed a leader, unless no
