Test the loss of disks after a change or a freeze of the leader

Both new cases of the membership simulation fail: silences begin anew with a leader, so replaced hosts stay on the list for longer than the time after which more disks may be lost.

--- a/tests/membership_simulation/main.rs
+++ b/tests/membership_simulation/main.rs
@@ -192,9 +192,13 @@
 
 /// Time for which the successor of a replaced host has run before the next disks are lost. The
 /// leader begins to remove silent voters in this span.
-const LOSS_AFTER_MS: Range<u64> = 6_500..9_500;
+const LOSS_AFTER_MS: Range<u64> = faults::RESTORED_AFTER_MS..7_500;
 const LOSS_STEP_MS: usize = 25;
 
+/// When the leader is frozen after a loss, and for how long. It counts silences anew after that.
+const FREEZE_AFTER_MS: u64 = 2_600;
+const FREEZE_MS: u64 = 400;
+
 /// Guards against a group that has no quorum for ever: a leader removed a voter that was only cut
 /// off, while a replaced one was still on the list, and then two other voters lost their disks.
 #[test]
@@ -209,7 +213,9 @@
             let successor = group.replace(others[1]);
             group.start(successor);
             faults.split(&mut group, [others[0]].into(), 14_000);
-            group.run(loss_after_ms);
+            group.run(FREEZE_AFTER_MS);
+            group.freeze(leader, FREEZE_MS);
+            group.run(loss_after_ms - FREEZE_AFTER_MS);
             for host in &others[2..4] {
                 faults.lose_disk(&mut group, *host);
             }
@@ -225,3 +231,31 @@
     }
     assert!(failed.is_empty(), "seeds and times of the loss in ms: {failed:?}");
 }
+
+/// Guards against a group that has no quorum for ever: a new leader, which counts silences anew,
+/// kept the successors of replaced hosts out until the next disks were lost.
+#[test]
+fn replaced_hosts_vote_in_time_although_the_leader_changes() {
+    for seed in 0..4 {
+        let mut group = Group::formed(NINE_HOSTS.hosts, NINE_HOSTS.tolerated_losses, seed);
+        let mut faults = Faults::new(seed, NINE_HOSTS.tolerated_losses);
+        let leader = group.leader().unwrap();
+        let others: Vec<_> = group.voters().into_iter().filter(|it| *it != leader).collect();
+        for host in &others[..2] {
+            let successor = group.replace(*host);
+            group.start(successor);
+        }
+        group.run(FREEZE_AFTER_MS);
+        group.kill(leader);
+        group.run(FREEZE_MS);
+        group.start(leader);
+        group.run(faults::RESTORED_AFTER_MS - FREEZE_AFTER_MS - FREEZE_MS);
+        for host in &others[2..4] {
+            faults.lose_disk(&mut group, *host);
+        }
+        faults.run_until_calm(&mut group);
+        recovery::check(&mut group);
+        let violation = group.ledger.violation.as_ref();
+        assert!(violation.is_none(), "seed {seed}: {violation:?}\n{}", group.explain());
+    }
+}
--- a/tests/voter_changes.rs
+++ b/tests/voter_changes.rs
@@ -221,7 +221,7 @@
     let mut group = Group::new(MAX_VOTERS + 2, 2);
     for id in ["v2.a", "v3.a"] {
         let host = group.hosts.get_mut(&ControlId::from(id)).unwrap();
-        (host.silence, host.holds_log) = (Millis(900), false);
+        (host.silence, host.lag) = (Millis(900), Millis(900));
     }
     assert_eq!(group.next(), None);
 }
