Test that a short replacement time removes no voter that responds

Fails: half of the setting may be shorter than the silence from which a host counts as not responding, and zero makes the leader remove itself.

--- a/tests/voter_changes.rs
+++ b/tests/voter_changes.rs
@@ -8,6 +8,7 @@
     clock::Millis,
     control::{
         membership::MAX_VOTERS,
+        node::GroupPolicy,
         voter_changes::{
             HostState, RemovalReason, VoterChange, VoterChangeSettings, next_voter_change,
         },
@@ -225,3 +226,16 @@
     }
     assert_eq!(group.next(), None);
 }
+
+/// Guards against a short replacement time in the settings that makes a leader remove voters which
+/// respond, and itself.
+#[test]
+fn short_replacement_time_removes_no_voter_that_responds() {
+    for replacement_ms in [0, 50, 1_000] {
+        let mut group = Group::new(7, 2);
+        let policy = GroupPolicy::dynamic(2, Millis(replacement_ms));
+        group.settings.remove_after = Some(policy.remove_after);
+        group.silence([7], Millis(900));
+        assert_eq!(group.settle(), [""; 0], "{replacement_ms} ms");
+    }
+}
