Remove a voter only if the tolerated losses still leave a majority

Cause: the floor of 2f + 1 counted the voters that stay and not the list of which they must be a majority; removals came before additions.

Change: successors first, then additions, then removals. A silent or surplus voter leaves only if the others that hold the log, less f, are a majority of the list that is left. A voter that is silent for 1 s makes room for a host that has caught up. Hosts that a new leader has not heard do not count as responding. At least 1 s of silence before a removal.

--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -64,7 +64,9 @@
         let State::Leader(state) = &self.state else { return 0 };
         let timeout = self.settings.timing.replace_after;
         let hosts = &state.replication.hosts;
-        let responds = |id| hosts.get(id).is_none_or(|p| now.since(p.last_contact) < timeout);
+        let has_responded = |p: &Progress| p.acked_sent_at.is_some();
+        let responds = |p: &Progress| has_responded(p) && now.since(p.last_contact) < timeout;
+        let responds = |id| hosts.get(id).is_none_or(responds);
         self.members().0.keys().filter(|id| responds(id)).count()
     }
 
@@ -358,7 +360,9 @@
         VoterChangeSettings {
             tolerated_losses: policy.tolerated_losses,
             respond_timeout: self.settings.timing.replace_after,
-            remove_after: policy.dynamic_membership.then_some(policy.remove_after),
+            remove_after: policy
+                .dynamic_membership
+                .then_some(policy.remove_after.max(self.settings.timing.replace_after)),
         }
     }
 
@@ -369,6 +373,7 @@
         let since = |at: Millis| now.since(at.max(state.replication.lease_floor));
         let host_state = |progress: &Progress| HostState {
             member: progress.member.clone(),
+            has_responded: progress.acked_sent_at >= Some(state.replication.lease_floor),
             silence: since(progress.last_contact),
             lag: progress.behind_since.map_or(Millis(0), |at| since(at).max(Millis(1))),
         };
--- a/src/control/node.rs
+++ b/src/control/node.rs
@@ -74,14 +74,17 @@
     }
 }
 
+/// Shortest silence after which a voter is removed; a late response is no silence.
+const MIN_REMOVE_AFTER: Millis = Millis(1_000);
+
 impl GroupPolicy {
     /// Policy of a group whose hosts are replaced under any address. After the loss of
     /// `tolerated_losses` disks, as many more may be lost once the replacements have run for
-    /// `replacement_time`. Half of it is left to let them vote.
+    /// `replacement_time`; half of it is left to change the voters.
     pub fn dynamic(tolerated_losses: usize, replacement_time: Millis) -> Self {
         Self {
             dynamic_membership: true,
-            remove_after: Millis(replacement_time.0 / 2),
+            remove_after: Millis(replacement_time.0 / 2).max(MIN_REMOVE_AFTER),
             tolerated_losses,
             ..Self::default()
         }
--- a/src/control/voter_changes.rs
+++ b/src/control/voter_changes.rs
@@ -6,28 +6,29 @@
 //! of voters that hold the log, not how many are on the list:
 //!
 //! 1. *A voter that is only silent may come back, or may be lost for good; a leader cannot tell
-//!    which.* Its removal must be right in both cases. It is if `2f + 1` other voters respond
-//!    and hold the log: when `f` of them lose their disks, `f + 1` are left, which is a majority
-//!    of them and holds every acknowledged entry. A silent voter stays as long as there are
-//!    fewer, because it may be the one that is needed after the next loss.
-//! 2. *A host enters before another one leaves.* Silence of `remove_after` makes room for a host
-//!    that has caught up, even if the list is full; the silent voter leaves by rule 1. The
-//!    number of voters that hold the log therefore never falls by a change. A voter that
-//!    responds and does not catch up, because its disk does not sync, counts as silent.
+//!    which.* Its removal must be right in both cases. It is if the other voters that respond and
+//!    hold the log, less `f` of them, are a majority of the list that is left. Then `f` more may
+//!    be lost, even before the leader notices, and the others need neither the removed voter nor
+//!    another silent one. Otherwise the silent voter stays: it may be needed after the next loss.
+//! 2. *A host enters before another one leaves.* A silent voter makes room for a host that has
+//!    caught up, even if the list is full, and leaves by rule 1 once it has been silent for
+//!    `remove_after`. The number of voters that hold the log therefore never falls by a change.
+//!    A voter that responds and does not catch up, because its disk does not sync, counts as
+//!    silent after `remove_after`.
 //! 3. *A host that comes under the name of a voter has replaced it*: the identity of the voter
 //!    was on the disk that is gone, so it never votes again. It leaves as soon as its successor
-//!    votes, whatever else is missing.
+//!    votes.
 //! 4. *Each change leaves a majority that responds.* Otherwise the change itself could not be
-//!    committed.
-//! 5. *More than [`MAX_VOTERS`] that are present are too many*, after silent ones came back.
-//!    The youngest leaves and follows as a learner.
+//!    committed. A host that a new leader has not heard does not count as responding.
+//! 5. *More than [`MAX_VOTERS`] that respond and hold the log are too many*, after silent ones
+//!    came back. The youngest leaves by rule 1 and follows as a learner.
 //!
 //! One host is added or removed at a time, and only after the last change and an entry of the
 //! leader's own term are committed: see [`membership`](crate::control::membership). A loss of
 //! power in the middle of a change leaves either list, and majorities of both overlap.
 //!
-//! Rule 1 asks for hosts that ask to join; who may ask whom is in
-//! [`bootstrap`](crate::control::bootstrap).
+//! Replacements are hosts that ask to join; who asks whom is in
+//! [`discovery`](crate::control::discovery).
 
 use std::collections::BTreeMap;
 
@@ -72,7 +73,9 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct HostState {
     pub member: Member,
-    /// Time since the last response.
+    /// Whether the host has responded to this leader since its election, or since it was frozen.
+    pub has_responded: bool,
+    /// Time since the last response, or since the leader could first expect one.
     pub silence: Millis,
     /// Time since the host last held nearly all entries; zero if it holds them.
     pub lag: Millis,
@@ -105,7 +108,7 @@
     hosts: &BTreeMap<ControlId, HostState>,
 ) -> Option<VoterChange> {
     let group = GroupState { settings, own, voters, hosts };
-    group.removal().or_else(|| group.addition())
+    group.replaced().or_else(|| group.addition()).or_else(|| group.removal())
 }
 
 /// Voters with what the leader knows of them.
@@ -117,29 +120,34 @@
 }
 
 impl GroupState<'_> {
+    /// Voter whose successor of the same name votes.
+    fn replaced(&self) -> Option<VoterChange> {
+        let host = self.voters.replaced()?;
+        let responding = self.count(|id| id != host && self.responds(id));
+        let removal = VoterChange::Remove { host: host.clone(), reason: RemovalReason::Replaced };
+        (responding >= quorum_of(self.voters.0.len() - 1)).then_some(removal)
+    }
+
+    /// Voter that the group does not need, even after the tolerated losses.
     fn removal(&self) -> Option<VoterChange> {
-        let replaced = || Some((self.voters.replaced()?, RemovalReason::Replaced));
         let unresponsive = || Some((self.unresponsive()?, RemovalReason::Unresponsive));
         let surplus = || Some((self.surplus()?, RemovalReason::Surplus));
-        let (host, reason) = replaced().or_else(unresponsive).or_else(surplus)?;
-        let responding = self.count(|id| id != host && self.responds(id));
-        let quorum = quorum_of(self.voters.0.len() - 1);
-        let host = host.clone();
-        (responding >= quorum).then_some(VoterChange::Remove { host, reason })
+        let (host, reason) = unresponsive().or_else(surplus)?;
+        let holding = self.count(|id| id != host && self.responds(id) && self.holds_log(id));
+        let left = holding.saturating_sub(self.settings.tolerated_losses);
+        let removal = VoterChange::Remove { host: host.clone(), reason };
+        (left >= quorum_of(self.voters.0.len() - 1)).then_some(removal)
     }
 
-    /// Voter that has been silent for long, if enough others respond and hold the log.
+    /// Voter that has been silent for long.
     fn unresponsive(&self) -> Option<&ControlId> {
         let remove_after = self.settings.remove_after?;
-        let holding = self.count(|id| self.responds(id) && self.holds_log(id));
-        let is_silent = |id: &&ControlId| self.absence(id) >= remove_after;
-        let silent = self.voters.0.keys().find(is_silent)?;
-        (holding >= self.settings.min_voters()).then_some(silent)
+        self.voters.0.keys().find(|id| self.absence(id) >= remove_after)
     }
 
-    /// Voter added last, if more are present than the group may have.
+    /// Voter added last, if more respond and hold the log than the group may have.
     fn surplus(&self) -> Option<&ControlId> {
-        if self.present() <= MAX_VOTERS {
+        if self.count(|id| self.responds(id) && self.holds_log(id)) <= MAX_VOTERS {
             return None;
         }
         let others = self.voters.0.iter().filter(|(id, _)| *id != self.own);
@@ -152,7 +160,7 @@
         if responding + 1 < quorum_of(self.voters.0.len() + 1) {
             return None;
         }
-        let has_room = self.present() < MAX_VOTERS;
+        let has_room = self.occupied() < MAX_VOTERS;
         let mut learners = self.hosts.iter().filter(|(id, _)| !self.voters.0.contains_key(*id));
         let (host, state) = learners.find(|(id, host)| {
             let replaces_voter = self.voters.named(&host.member.name).is_some();
@@ -161,24 +169,25 @@
         Some(VoterChange::Add { host: host.clone(), member: state.member.clone() })
     }
 
-    /// Number of voters that have not been silent for so long that they may be removed.
-    fn present(&self) -> usize {
-        self.settings.remove_after.map_or(self.voters.0.len(), |remove_after| {
-            self.count(|id| self.absence(id) < remove_after)
-        })
+    /// Number of places on the list that make no room for another host. A host that a new
+    /// leader has not heard occupies its place until it could have responded.
+    fn occupied(&self) -> usize {
+        let Some(remove_after) = self.settings.remove_after else { return self.voters.0.len() };
+        let occupies = |host: &HostState| {
+            host.silence < self.settings.respond_timeout && host.lag < remove_after
+        };
+        self.count(|id| self.hosts.get(id).is_none_or(occupies))
     }
 
     fn count(&self, is_counted: impl Fn(&ControlId) -> bool) -> usize {
         self.voters.0.keys().filter(|id| is_counted(id)).count()
     }
 
+    /// Whether a host responds; the leader itself counts as one that does.
     fn responds(&self, id: &ControlId) -> bool {
-        self.silence(id) < self.settings.respond_timeout
-    }
-
-    /// Time since the last response of a host; zero for the leader itself.
-    fn silence(&self, id: &ControlId) -> Millis {
-        self.hosts.get(id).map_or(Millis(0), |host| host.silence)
+        self.hosts
+            .get(id)
+            .is_none_or(|host| host.has_responded && host.silence < self.settings.respond_timeout)
     }
 
     /// Time for which a host has not taken part: it is silent or lacks entries.
--- a/tests/membership_simulation/data_folder.rs
+++ b/tests/membership_simulation/data_folder.rs
@@ -6,9 +6,6 @@
 use pomelopin::control::storage::{StoredState, Write};
 use rand::{Rng, rngs::SmallRng};
 
-/// Whether opening the folder syncs what a killed process has written to the files.
-const OPENING_SYNCS: bool = false;
-
 /// Files of one host and the queue of the process that uses them.
 #[derive(Default)]
 pub struct DataFolder {
@@ -24,16 +21,11 @@
 }
 
 impl DataFolder {
-    /// Content of the files, as a process that starts reads it.
+    /// Content of the files, as a process that starts reads it. Opening the folder syncs what a
+    /// killed process has written to the files.
     pub fn open(&mut self) -> StoredState {
-        if OPENING_SYNCS {
-            self.sync_written();
-        }
-        let mut stored = self.synced.clone();
-        for write in &self.written {
-            stored.apply(write);
-        }
-        stored
+        self.sync_written();
+        self.synced.clone()
     }
 
     /// Queues a write.
--- a/tests/voter_changes.rs
+++ b/tests/voter_changes.rs
@@ -8,6 +8,7 @@
     clock::Millis,
     control::{
         membership::MAX_VOTERS,
+        node::GroupPolicy,
         voter_changes::{
             HostState, RemovalReason, VoterChange, VoterChangeSettings, next_voter_change,
         },
@@ -50,7 +51,7 @@
     }
 
     fn add_host(&mut self, id: &str, member: Member) {
-        let state = HostState { member, silence: Millis(50), lag: Millis(0) };
+        let state = HostState { member, has_responded: true, silence: Millis(50), lag: Millis(0) };
         self.hosts.insert(ControlId::from(id), state);
     }
 
@@ -101,25 +102,39 @@
     assert_eq!(group.settle(), [""; 0]);
 }
 
-/// Guards against lost hosts that remain voters for ever.
+/// Guards against lost hosts that remain voters for ever once others have taken their places.
 #[test]
 fn silent_voters_leave_while_enough_others_respond() {
-    let mut group = Group::new(7, 2);
-    group.silence([6, 7], Millis(8_000));
-    assert_eq!(group.settle(), ["-v6.a", "-v7.a"]);
+    let mut group = Group::new(9, 2);
+    group.silence([8, 9], Millis(8_000));
+    assert_eq!(group.settle(), ["-v8.a", "-v9.a"]);
+    let mut group = Group::new(6, 1);
+    group.silence([5, 6], Millis(8_000));
+    assert_eq!(group.settle(), ["-v5.a", "-v6.a"]);
     let mut group = Group::new(5, 1);
     group.silence([4, 5], Millis(8_000));
-    assert_eq!(group.settle(), ["-v4.a", "-v5.a"]);
+    assert_eq!(group.settle(), [""; 0]);
+}
+
+/// Guards against the removal of one of two silent voters, of which only the other one is lost:
+/// after two further losses the hosts that are left would need the removed one.
+#[test]
+fn no_voter_leaves_that_the_next_losses_could_call_for() {
+    let mut group = Group::new(7, 2);
+    group.silence([6, 7], Millis(30_000));
+    assert_eq!(group.settle(), [""; 0]);
 }
 
 /// Guards against a removal that counts voters which respond and lack the log: what is
 /// acknowledged would be on fewer disks than may be lost.
 #[test]
 fn voters_that_lack_entries_do_not_count_for_a_removal() {
-    let mut group = Group::new(6, 2);
-    group.silence([6], Millis(8_000));
+    let mut group = Group::new(7, 2);
+    group.silence([7], Millis(8_000));
     group.hosts.get_mut(&ControlId::from("v2.a")).unwrap().lag = Millis(100);
     assert_eq!(group.next(), None);
+    group.hosts.get_mut(&ControlId::from("v2.a")).unwrap().lag = Millis(0);
+    assert_eq!(group.settle(), ["-v7.a"]);
 }
 
 /// Guards against a voter whose disk hangs or is full for long, and which answers heartbeats: it
@@ -129,25 +144,28 @@
     let mut group = Group::new(7, 2);
     group.hosts.get_mut(&ControlId::from("v7.a")).unwrap().lag = Millis(8_000);
     group.add_learner("l1.a");
-    assert_eq!(group.settle(), ["-v7.a", "+l1.a"]);
+    assert_eq!(group.settle(), ["+l1.a", "-v7.a"]);
 }
 
 /// Guards against a full list of voters that keeps live hosts out while some voters are lost.
 #[test]
 fn hosts_enter_in_place_of_silent_voters_before_these_leave() {
     let mut group = Group::new(7, 2);
-    group.silence([5, 6, 7], Millis(8_000));
+    group.silence([6, 7], Millis(8_000));
     group.add_learner("l1.a");
-    assert_eq!(group.settle(), ["+l1.a", "-v5.a", "-v6.a", "-v7.a"]);
+    group.add_learner("l2.a");
+    assert_eq!(group.settle(), ["+l1.a", "+l2.a", "-v6.a", "-v7.a"]);
 }
 
-/// Guards against a host that is let in on the first short silence of a voter.
+/// Guards against a host that is let in as soon as a response is late.
 #[test]
-fn short_silence_makes_no_room() {
+fn silence_below_the_response_timeout_makes_no_room() {
     let mut group = Group::new(7, 2);
-    group.silence([7], Millis(7_900));
+    group.silence([7], Millis(950));
     group.add_learner("l1.a");
     assert_eq!(group.next(), None);
+    group.silence([7], Millis(1_000));
+    assert_eq!(group.settle(), ["+l1.a"]);
 }
 
 /// Guards against a host that lost its disk and finds the list of voters full, under its old
@@ -179,7 +197,7 @@
     let mut group = Group::new(4, 1);
     group.silence([3, 4], Millis(30_000));
     group.add_learner("l1.a");
-    assert_eq!(group.settle(), ["+l1.a", "-v3.a", "-v4.a"]);
+    assert_eq!(group.settle(), ["+l1.a"]);
     let mut group = Group::new(5, 1);
     group.silence([3, 4, 5], Millis(30_000));
     group.add_learner("l1.a");
@@ -193,6 +211,20 @@
     assert_eq!(group.settle(), ["-v9.a", "-v8.a"]);
 }
 
+/// Guards against a new leader that counts voters as responding before it has heard them: it
+/// removed a live voter of nine, of which four were lost, and no majority was left.
+#[test]
+fn voters_that_a_new_leader_has_not_heard_do_not_count() {
+    for unheard in [6..=9, 7..=9] {
+        let mut group = Group::new(MAX_VOTERS + 2, 2);
+        for number in unheard {
+            let id = ControlId::from(format!("v{number}.a"));
+            group.hosts.get_mut(&id).unwrap().has_responded = false;
+        }
+        assert_eq!(group.next(), None);
+    }
+}
+
 /// Guards against hosts with static membership that lose their vote by silence.
 #[test]
 fn configured_voters_are_not_removed_by_silence() {
@@ -201,3 +233,40 @@
     group.silence([5], Millis(600_000));
     assert_eq!(group.next(), None);
 }
+
+/// Guards against a silent voter that is given up although another silent one stays on the list:
+/// with the loss of two more disks, three of six would be left, and the one given up can't help.
+#[test]
+fn waiting_host_enters_before_the_first_silent_voter_leaves() {
+    let mut group = Group::new(7, 2);
+    group.silence([6, 7], Millis(8_000));
+    group.add_learner("l1.a");
+    group.add_learner("l2.a");
+    let changes = group.settle();
+    assert_eq!(changes[..2], ["+l1.a", "+l2.a"], "{changes:?}");
+}
+
+/// Guards against a new leader that removes live voters as surplus, because lost voters count as
+/// present until they have been silent for long: five of seven voters would be left.
+#[test]
+fn voters_that_have_never_answered_are_no_reason_to_remove_others() {
+    let mut group = Group::new(MAX_VOTERS + 2, 2);
+    for id in ["v2.a", "v3.a"] {
+        let host = group.hosts.get_mut(&ControlId::from(id)).unwrap();
+        (host.silence, host.lag) = (Millis(900), Millis(900));
+    }
+    assert_eq!(group.next(), None);
+}
+
+/// Guards against a short replacement time in the settings that makes a leader remove voters which
+/// respond, and itself.
+#[test]
+fn short_replacement_time_removes_no_voter_that_responds() {
+    for replacement_ms in [0, 50, 1_000] {
+        let mut group = Group::new(7, 2);
+        let policy = GroupPolicy::dynamic(2, Millis(replacement_ms));
+        group.settings.remove_after = Some(policy.remove_after);
+        group.silence([7], Millis(900));
+        assert_eq!(group.settle(), [""; 0], "{replacement_ms} ms");
+    }
+}
