--- a/src/control/joining.rs
+++ b/src/control/joining.rs
@@ -24,7 +24,7 @@
 
 /// Time without a leader after which a voter asks to join. Its group may have removed it, and the
 /// voters of its log may be gone; an election usually takes less.
-const VOTER_PATIENCE: Millis = Millis(2_000);
+const VOTER_JOIN_DELAY: Millis = Millis(2_000);
 
 impl Node {
     /// Whether this host asks to join. An uncommitted entry that lists it may be lost with its
@@ -39,7 +39,7 @@
         let voters = self.history.at(self.commit_index);
         let waits_for_leader = self.leader.is_none();
         !voters.0.contains_key(&self.settings.id)
-            || (waits_for_leader && now.since(self.leader_heard_at) >= VOTER_PATIENCE)
+            || (waits_for_leader && now.since(self.leader_heard_at) >= VOTER_JOIN_DELAY)
     }
 
     /// Asks the leader, or the next hosts if no leader is heard, to let this one in.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -15,6 +15,7 @@
 pub mod membership;
 pub mod metrics;
 pub mod node;
+pub mod node_settings;
 pub mod operators;
 pub mod outputs;
 pub mod persistence;
