--- a/review/standins-2/lost_host.rs
+++ b/review/standins-2/lost_host.rs
@@ -13,7 +13,9 @@
     time::{Duration, Instant},
 };
 
-use sim::{BUS_PORT, CONTROL_PORT, Client, Host, Lab, Proxy, READY_PORT, Service, Sizes, http, ms, spawn};
+use sim::{
+    BUS_PORT, CONTROL_PORT, Client, Host, Lab, Proxy, READY_PORT, Service, Sizes, http, ms, spawn,
+};
 
 const KEY: &str = "u6wsjnbanfqasnmgkcuy";
 const DATABASE: &str = "lepu270";
@@ -91,7 +93,9 @@
     phase.store(1, Ordering::Relaxed);
     let open = Arc::new(Mutex::new(Vec::new()));
     let opened = open_transactions(lab, &fronts[0], &open);
-    lab.record.say(&format!("{opened} of {RESTING_SESSIONS} sessions of front-1 rest inside a transaction"));
+    lab.record.say(&format!(
+        "{opened} of {RESTING_SESSIONS} sessions of front-1 rest inside a transaction"
+    ));
     if opened < RESTING_SESSIONS / 2 {
         sim::cannot_run(lab, "too few transactions were opened");
     }
@@ -106,7 +110,8 @@
         thread::sleep(DARK);
     }
     thread::sleep(RECOVERY);
-    let open_at_primary = service.instances.lock().unwrap()[0].state.lock().unwrap().open_transactions;
+    let open_at_primary =
+        service.instances.lock().unwrap()[0].state.lock().unwrap().open_transactions;
     lab.record.say(&format!("open transactions at the primary: {open_at_primary}"));
     phase.store(2, Ordering::Relaxed);
     thread::sleep(COUNTED);
@@ -118,7 +123,9 @@
     };
     let ((before, before_all), (after, after_all)) = (count(0), count(2));
     lab.record.say(&format!("writes served before: {before} of {before_all}"));
-    lab.record.say(&format!("writes served later than recoveryS after the machine was back: {after} of {after_all}"));
+    lab.record.say(&format!(
+        "writes served later than recoveryS after the machine was back: {after} of {after_all}"
+    ));
     if before * 4 < before_all || before_all == 0 || after_all == 0 {
         sim::cannot_run(lab, "the service was not served before");
     }
@@ -154,12 +161,7 @@
 }
 
 /// Sends a write every 250 ms and counts the answers by phase.
-fn background(
-    lab: &Lab,
-    ip: &str,
-    phase: &AtomicUsize,
-    counts: &[(AtomicUsize, AtomicUsize); 3],
-) {
+fn background(lab: &Lab, ip: &str, phase: &AtomicUsize, counts: &[(AtomicUsize, AtomicUsize); 3]) {
     let mut client = None;
     while !lab.stopped() {
         let now = phase.load(Ordering::Relaxed);
@@ -196,7 +198,10 @@
             client.query(&id, &format!("WRITE {id} data"), ms(1_500))?.result?;
             Ok(client)
         })();
-        lab.record.line(&format!("client at {ip}: BEGIN, WRITE {id} -> {:?}", result.as_ref().map(|_| ())));
+        lab.record.line(&format!(
+            "client at {ip}: BEGIN, WRITE {id} -> {:?}",
+            result.as_ref().map(|_| ())
+        ));
         if let Ok(client) = result {
             open.lock().unwrap().push(client);
         }
--- a/review/standins-2/sim.rs
+++ b/review/standins-2/sim.rs
@@ -421,6 +421,12 @@
     sequence: u64,
     pub runs: bool,
     pub draining: bool,
+    /// A replica receives nothing.
+    pub deaf: bool,
+    /// Partitioned from control.
+    pub cut: bool,
+    /// Number of the process, as connections end with it.
+    boot: u64,
 }
 
 impl State {
@@ -443,7 +449,7 @@
     pub id: String,
     pub zone: String,
     pub ip: String,
-    pub born: u64,
+    pub born: AtomicU64,
     pub state: Mutex<State>,
     pub changed: Condvar,
 }
@@ -474,6 +480,8 @@
     pub controls: Vec<String>,
     /// Ids of the clients' statements that instances have run, and when.
     pub runs: Mutex<Vec<(String, Instant)>>,
+    /// Instances that were promoted, when, and their logs at that moment.
+    pub promoted: Mutex<Vec<(String, Instant, Vec<Entry>)>>,
 }
 
 pub fn unix_ms() -> u64 {
@@ -490,16 +498,63 @@
             lab: lab.clone(),
             controls: controls.iter().map(|ip| format!("{ip}:{CONTROL_PORT}")).collect(),
             runs: Mutex::new(Vec::new()),
+            promoted: Mutex::new(Vec::new()),
         })
     }
 
     /// Starts an instance, which listens and checks in.
     pub fn start(self: &Arc<Self>, id: &str, zone: &str, ip: &str, primary: bool) -> Arc<Instance> {
+        self.start_instance(id, zone, ip, primary, false)
+    }
+
+    /// Starts a replica that joins later; `cut` if it is partitioned from control.
+    pub fn join(self: &Arc<Self>, id: &str, zone: &str, ip: &str, cut: bool) -> Arc<Instance> {
+        self.start_instance(id, zone, ip, false, cut)
+    }
+
+    /// Crashes an instance, which keeps its log.
+    pub fn stop(&self, instance: &Instance) {
+        let mut state = instance.state.lock().unwrap();
+        state.runs = false;
+        state.boot += 1;
+        state.connections = 0;
+        state.open_transactions = 0;
+    }
+
+    /// Takes the log of a crashed instance: "It then holds and knows nothing of before". Such an
+    /// instance receives what the primary commits from then on only with the next commit.
+    pub fn lose_log(&self, instance: &Instance) {
+        let mut state = instance.state.lock().unwrap();
+        state.log.clear();
+        state.term = 1;
+    }
+
+    /// Starts a crashed instance again: with its log, as a replica if another one was promoted.
+    pub fn restart(&self, instance: &Instance) {
+        let all = self.instances.lock().unwrap().clone();
+        let others = all.iter().filter(|it| it.id != instance.id);
+        let is_replaced =
+            others.fold(false, |found, it| found || it.state.lock().unwrap().is_primary);
+        let mut state = instance.state.lock().unwrap();
+        state.is_primary &= !is_replaced;
+        state.runs = true;
+        state.sequence = 0;
+        instance.born.store(unix_ms(), Ordering::Relaxed);
+    }
+
+    fn start_instance(
+        self: &Arc<Self>,
+        id: &str,
+        zone: &str,
+        ip: &str,
+        primary: bool,
+        cut: bool,
+    ) -> Arc<Instance> {
         let instance = Arc::new(Instance {
             id: id.to_owned(),
             zone: zone.to_owned(),
             ip: ip.to_owned(),
-            born: unix_ms(),
+            born: AtomicU64::new(unix_ms()),
             state: Mutex::new(State {
                 is_primary: primary,
                 term: 1,
@@ -512,6 +567,9 @@
                 sequence: 0,
                 runs: true,
                 draining: false,
+                deaf: false,
+                cut,
+                boot: 0,
             }),
             changed: Condvar::new(),
         });
@@ -540,8 +598,10 @@
         while !self.lab.stopped() {
             let body = {
                 let mut state = instance.state.lock().unwrap();
-                if !state.runs {
-                    return;
+                if !state.runs || state.cut {
+                    drop(state);
+                    thread::sleep(ms(50));
+                    continue;
                 }
                 state.sequence += 1;
                 format!(
@@ -555,7 +615,7 @@
                     if state.draining { "draining" } else { "ready" },
                     if state.is_primary { "primary" } else { "replica" },
                     state.sequence,
-                    instance.born
+                    instance.born.load(Ordering::Relaxed)
                 )
             };
             let path = format!("/api/instances/{}", instance.id);
@@ -568,9 +628,9 @@
             let state = instance.state.lock().unwrap();
             let was_primary = state.is_primary;
             // A change of the role is reported immediately.
-            let _ = instance.changed.wait_timeout_while(state, ms(1_200), |state| {
-                state.is_primary == was_primary
-            });
+            let _ = instance
+                .changed
+                .wait_timeout_while(state, ms(1_200), |state| state.is_primary == was_primary);
         }
     }
 
@@ -581,23 +641,30 @@
         let Some(line) = read_line(&mut reader)? else { return Ok(()) };
         let fields: Vec<&str> = line.split(' ').collect();
         let expected = fields.get(3).copied().unwrap_or(&instance.id);
-        if fields[0] != "START" || fields.get(1) != Some(&self.name.as_str()) || expected != instance.id
+        if fields[0] != "START"
+            || fields.get(1) != Some(&self.name.as_str())
+            || expected != instance.id
         {
             return writer.write_all(b"ERR MISROUTED not me\r\n");
         }
-        {
+        let boot = {
             let mut state = instance.state.lock().unwrap();
+            if !state.runs {
+                return Ok(());
+            }
             if state.connections >= self.sizes.max_connections {
                 return writer.write_all(b"ERR TOOMANY connections\r\n");
             }
             state.connections += 1;
-        }
-        let mut session = DbSession::default();
+            state.boot
+        };
+        let mut session = DbSession { boot, ..DbSession::default() };
         let tenant = fields.get(2).copied().unwrap_or("-").to_owned();
         let result = self.session(instance, &tenant, &mut session, &mut reader, &mut writer);
         let mut state = instance.state.lock().unwrap();
-        state.connections -= 1;
-        if session.in_transaction {
+        let is_same_boot = state.boot == session.boot;
+        state.connections -= usize::from(is_same_boot);
+        if session.in_transaction && is_same_boot {
             state.open_transactions -= 1;
             if !session.writes.is_empty() {
                 self.lab.record.line(&format!(
@@ -626,10 +693,17 @@
             }
             let Some(rest) = line.strip_prefix("QUERY ") else { break };
             let (id, text) = rest.split_once(' ').unwrap_or((rest, ""));
-            if !instance.state.lock().unwrap().runs {
+            let is_up = |session: &DbSession| {
+                let state = instance.state.lock().unwrap();
+                state.runs && state.boot == session.boot
+            };
+            if !is_up(session) {
                 break;
             }
             let (rows, result) = self.run(instance, session, id, text);
+            if !is_up(session) {
+                break;
+            }
             let position = instance.state.lock().unwrap().last();
             let outcome = match &result {
                 Ok(signature) => format!("DONE {signature}"),
@@ -640,7 +714,9 @@
                     self.runs.lock().unwrap().push((id.to_owned(), Instant::now()));
                 }
                 let text: String = text.chars().take(60).collect();
-                self.lab.record.line(&format!("{} ran for {tenant}: {id} {text} -> {outcome}", instance.id));
+                self.lab
+                    .record
+                    .line(&format!("{} ran for {tenant}: {id} {text} -> {outcome}", instance.id));
             }
             let mut out = String::new();
             for row in &rows {
@@ -782,8 +858,7 @@
                     return fail("BUSY");
                 }
                 if !writes {
-                    let (rows, len) =
-                        if rest == "big" { self.sizes.big_rows } else { (1, 12) };
+                    let (rows, len) = if rest == "big" { self.sizes.big_rows } else { (1, 12) };
                     return (vec!["r".repeat(len); rows], signature());
                 }
                 if session.in_transaction {
@@ -833,11 +908,12 @@
             (entry, state.log.clone(), state.term)
         };
         let until = Instant::now() + ms(2_000);
-        while Instant::now() < until {
+        while Instant::now() < until && instance.state.lock().unwrap().runs {
             let mut received = 0;
             for other in &others {
                 let mut state = other.state.lock().unwrap();
-                if !state.runs || state.is_primary || state.held_term > 0 || state.term > term {
+                let is_deaf = state.deaf || state.held_term > 0;
+                if !state.runs || state.is_primary || is_deaf || state.term > term {
                     continue;
                 }
                 state.term = term;
@@ -869,7 +945,9 @@
                 200
             }
         };
-        self.lab.record.say(&format!("platform: promote {id} by {holder} token {token} -> {status}"));
+        self.lab
+            .record
+            .say(&format!("platform: promote {id} by {holder} token {token} -> {status}"));
         if status == 200 {
             let (service, id) = (self.clone(), id.to_owned());
             spawn(move || {
@@ -889,11 +967,17 @@
         let term = all.iter().map(|it| it.state.lock().unwrap().term).max().unwrap_or(1) + 1;
         let log = {
             let mut state = successor.state.lock().unwrap();
+            if !state.runs {
+                return;
+            }
+            let promoted = (id.to_owned(), Instant::now(), state.log.clone());
+            self.promoted.lock().unwrap().push(promoted);
             state.is_primary = true;
             state.term = term;
             state.held_term = 0;
             state.log.clone()
         };
+        // Replicas that were ahead are rolled back; one that is down follows when it is back.
         for other in all.iter().filter(|it| it.id != id) {
             let mut state = other.state.lock().unwrap();
             state.is_primary = false;
@@ -914,6 +998,7 @@
     reads_only: bool,
     failed: bool,
     began_term: u64,
+    boot: u64,
     writes: Vec<String>,
     prepared: HashMap<String, bool>,
 }
@@ -921,7 +1006,8 @@
 impl DbSession {
     fn end(&mut self, instance: &Instance) {
         if std::mem::take(&mut self.in_transaction) {
-            instance.state.lock().unwrap().open_transactions -= 1;
+            let mut state = instance.state.lock().unwrap();
+            state.open_transactions -= usize::from(state.boot == self.boot);
         }
         self.failed = false;
         self.writes.clear();
@@ -1010,8 +1096,7 @@
     pub fn start(host: &str, database: &str, key: &str) -> Result<Self, String> {
         let addr = format!("{host}:{FRONT_PORT}");
         let text = |error: std::io::Error| error.to_string();
-        let stream =
-            TcpStream::connect_timeout(&addr.parse().unwrap(), ms(2_000)).map_err(text)?;
+        let stream = TcpStream::connect_timeout(&addr.parse().unwrap(), ms(2_000)).map_err(text)?;
         stream.set_nodelay(true).map_err(text)?;
         stream.set_read_timeout(Some(ms(2_000))).map_err(text)?;
         let mut writer = stream.try_clone().map_err(text)?;
@@ -1079,10 +1164,8 @@
             Ok(listener) => listener,
             Err(error) => cannot_run(lab, &format!("cannot listen on {addr}: {error}")),
         };
-        let proxy = Arc::new(Self {
-            connections: Mutex::new(Vec::new()),
-            is_dark: AtomicBool::new(false),
-        });
+        let proxy =
+            Arc::new(Self { connections: Mutex::new(Vec::new()), is_dark: AtomicBool::new(false) });
         let accepting = proxy.clone();
         spawn(move || {
             for client in listener.incoming().flatten() {
@@ -1146,11 +1229,8 @@
 
 impl Wire {
     fn forward(&self, to_server: bool) {
-        let (from, to) = if to_server {
-            (&self.client, &self.server)
-        } else {
-            (&self.server, &self.client)
-        };
+        let (from, to) =
+            if to_server { (&self.client, &self.server) } else { (&self.server, &self.client) };
         let (mut from, mut to) = (from, to);
         let mut buf = vec![0; 64 * 1024];
         loop {
