review case 6: a commit whose only receipt control knows nothing of is lost

A new replica that control has not heard of gives the only receipt for a write. The entry host that acknowledged it loses power before its next report, the primary crashes, and the leader promotes a replica that lacks the write.

review/build-2.sh && review/6/run.sh

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
 # See claim.txt. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review-2/lost_host "$PWD" review/6/record.txt
+exec target/review-2/lost_receipt "$PWD" review/6/record.txt unheard
--- a/review/standins-2/resting_begins.rs
+++ b/review/standins-2/resting_begins.rs
@@ -24,7 +24,7 @@
 const BURST: u64 = 20;
 
 /// Sessions at each entry host that remain idle after `BEGIN`.
-const RESTING_PER_HOST: usize = 10;
+const RESTING_PER_HOST: usize = 15;
 
 /// Pause of the session at each entry host that sends reads: 7 hosts ask for 14 reads a second.
 const READ_INTERVAL: Duration = ms(500);
